--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,255 @@
+#!/usr/bin/env node
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { messageOf, StepError } from "../protocol/step_error.ts";
+import { apply, diff, rollback } from "./apply.ts";
+import { ExitCode, exitCodeOf } from "./exit_code.ts";
+import { explainCall, explainRequest, explainVersion } from "./explain.ts";
+import { OperatorSession } from "./operator_session.ts";
+import { openOutput, type Output } from "./output.ts";
+import { history, status } from "./status.ts";
+import { makeToken } from "./token.ts";
+import { validate } from "./validate.ts";
+
+const DEFAULT_OPERATOR_FILE = "operator.jsonc";
+
+async function withSession(
+  file: string,
+  run: (session: OperatorSession) => Promise<ExitCode>,
+): Promise<ExitCode> {
+  const session = OperatorSession.open(file);
+  try {
+    return await run(session);
+  } finally {
+    await session.close();
+  }
+}
+
+/** Runs a command and turns its failure into a message and an exit code. */
+async function finish(
+  output: Output,
+  run: () => Promise<ExitCode> | ExitCode,
+): Promise<void> {
+  try {
+    process.exitCode = await run();
+  } catch (error) {
+    const code = error instanceof StepError
+      ? exitCodeOf(error.kind)
+      : ExitCode.Invalid;
+    const place = error instanceof StepError
+      ? ` (step ${error.step}, peer ${error.peer})`
+      : "";
+    output.error(`${messageOf(error)}${place}`);
+    output.json({ ok: false, error: messageOf(error) });
+    process.exitCode = code;
+  }
+}
+
+const directory = {
+  type: "string",
+  describe: "directory with base.jsonc and sites/SITE.jsonc",
+  demandOption: true,
+} as const;
+
+const waiting = {
+  wait: {
+    type: "boolean",
+    default: false,
+    describe: "wait until the version is in force everywhere",
+  },
+  "wait-ms": {
+    type: "number",
+    default: 30_000,
+    describe: "longest time to wait, in ms",
+  },
+  note: { type: "string", default: "", describe: "what the change is for" },
+} as const;
+
+await yargs(hideBin(process.argv))
+  .scriptName("sesamepond")
+  .usage("$0 COMMAND: configuration distribution for a service mesh")
+  .option("json", {
+    type: "boolean",
+    default: false,
+    describe: "write the result as JSON",
+  })
+  .option("operator", {
+    type: "string",
+    default: DEFAULT_OPERATOR_FILE,
+    describe: "the operator's settings file",
+  })
+  .command(
+    "validate <directory>",
+    "check a configuration without the store",
+    (builder) => builder.positional("directory", directory),
+    (args) => {
+      const output = openOutput(args.json);
+      return finish(output, () => validate(args.directory, output));
+    },
+  )
+  .command(
+    "diff <directory>",
+    "show what applying a configuration would change",
+    (builder) => builder.positional("directory", directory),
+    (args) => {
+      const output = openOutput(args.json);
+      return finish(output, () =>
+        withSession(
+          args.operator,
+          (session) => diff(args.directory, session, output),
+        ));
+    },
+  )
+  .command(
+    "apply <directory>",
+    "accept a configuration",
+    (builder) =>
+      builder.positional("directory", directory).options(waiting)
+        .option("expect", {
+          type: "number",
+          describe: "version that the change was prepared on",
+        }),
+    (args) => {
+      const output = openOutput(args.json);
+      const options = {
+        note: args.note,
+        isWaiting: args.wait,
+        waitMs: args["wait-ms"],
+        ...(args.expect === undefined ? {} : { expectedVersion: args.expect }),
+      };
+      return finish(output, () =>
+        withSession(
+          args.operator,
+          (session) => apply(args.directory, session, { output, options }),
+        ));
+    },
+  )
+  .command(
+    "rollback <version>",
+    "accept an earlier version's content again",
+    (builder) =>
+      builder.positional("version", { type: "number", demandOption: true })
+        .options(waiting),
+    (args) => {
+      const output = openOutput(args.json);
+      const options = {
+        note: args.note,
+        isWaiting: args.wait,
+        waitMs: args["wait-ms"],
+      };
+      return finish(output, () =>
+        withSession(
+          args.operator,
+          (session) => rollback(args.version, session, { output, options }),
+        ));
+    },
+  )
+  .command(
+    "status",
+    "show the accepted version and who holds it",
+    {},
+    (args) => {
+      const output = openOutput(args.json as boolean);
+      return finish(output, () =>
+        withSession(
+          args.operator as string,
+          (session) => status(session, output),
+        ));
+    },
+  )
+  .command("history", "list the accepted versions", {}, (args) => {
+    const output = openOutput(args.json as boolean);
+    return finish(output, () =>
+      withSession(
+        args.operator as string,
+        (session) => history(session, output),
+      ));
+  })
+  .command(
+    "explain",
+    "explain a call, a request or a version",
+    (builder) =>
+      builder
+        .command(
+          "call <directory>",
+          "which route, service and backend servers a call would get",
+          (inner) =>
+            inner.positional("directory", directory).options({
+              site: { type: "string", demandOption: true },
+              caller: { type: "string", demandOption: true },
+              method: { type: "string", default: "GET" },
+              path: { type: "string", demandOption: true },
+              daemon: { type: "string", describe: "admin address of a daemon" },
+            }),
+          (args) => {
+            const output = openOutput(args.json as boolean);
+            return finish(
+              output,
+              () => explainCall(args.directory, args, output),
+            );
+          },
+        )
+        .command(
+          "request <id>",
+          "what was decided about a request",
+          (inner) =>
+            inner.positional("id", { type: "string", demandOption: true })
+              .option("daemon", {
+                type: "string",
+                demandOption: true,
+                describe: "admin address of the daemon that the caller used",
+              }),
+          (args) => {
+            const output = openOutput(args.json as boolean);
+            return finish(
+              output,
+              () => explainRequest(args.daemon, args.id, output),
+            );
+          },
+        )
+        .command(
+          "version <version>",
+          "when a version was accepted and came into force",
+          (inner) =>
+            inner.positional("version", {
+              type: "number",
+              demandOption: true,
+            }),
+          (args) => {
+            const output = openOutput(args.json as boolean);
+            return finish(output, () =>
+              withSession(
+                args.operator as string,
+                (session) => explainVersion(args.version, session, output),
+              ));
+          },
+        )
+        .demandCommand(1),
+  )
+  .command(
+    "daemon <settings>",
+    "run the daemon of an instance",
+    (builder) =>
+      builder.positional("settings", { type: "string", demandOption: true }),
+    async (args) => {
+      const { runDaemon } = await import("../daemon/run_daemon.ts");
+      await finish(openOutput(false), () => runDaemon(args.settings));
+    },
+  )
+  .command("token", "make a caller's credential and its digest", {}, (args) => {
+    const output = openOutput(args.json as boolean);
+    return finish(output, () => makeToken(output));
+  })
+  .completion("completion", "write a completion script for the shell")
+  .demandCommand(1, "name a command")
+  .strict()
+  .fail((message, error, self) => {
+    if (error !== undefined && error !== null) throw error;
+    process.stderr.write(`${message}\n`);
+    self.showHelp();
+    process.exit(ExitCode.Usage);
+  })
+  .version(false)
+  .help()
+  .parseAsync();
--- /dev/null
+++ b/src/coordination/claims/idempotency_key.ts
@@ -0,0 +1,154 @@
+import { createHash } from "node:crypto";
+import { hash32 } from "../../protocol/hash.ts";
+import { Reason } from "../../protocol/outcome.ts";
+
+/** UUID of version 7, which carries its time of issue. */
+const UUID_V7 =
+  /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
+/** Most that a key's time may lie ahead, as clocks differ. */
+export const MAX_CLOCK_SKEW_MS = 120_000;
+/** Bytes of a claim key. */
+const CLAIM_KEY_BYTES = 16;
+
+/** Verdict on a caller's idempotency key. */
+export type KeyVerdict =
+  | { readonly kind: "usable" }
+  | { readonly kind: "refused"; readonly reason: Reason };
+
+/**
+ * Checks a caller's idempotency key.
+ *
+ * The key has to carry its time of issue, so that a key whose claim may be
+ * forgotten already is recognized and refused instead of run again.
+ *
+ * @param key The key, if the caller sent one.
+ * @param windowMs Time for which claims are kept.
+ * @param nowMs Unix time.
+ * @returns Whether the key may be claimed.
+ *
+ * @example
+ * ```ts
+ * checkKey(undefined, 900_000, 0); // refused: Reason.KeyRequired
+ * ```
+ */
+export function checkKey(
+  key: string | undefined,
+  windowMs: number,
+  nowMs: number,
+): KeyVerdict {
+  if (key === undefined || !UUID_V7.test(key)) {
+    return { kind: "refused", reason: Reason.KeyRequired };
+  }
+  const issuedAtMs = issueTimeMs(key);
+  if (issuedAtMs > nowMs + MAX_CLOCK_SKEW_MS) {
+    return { kind: "refused", reason: Reason.KeyRequired };
+  }
+  if (isKeyExpired(issuedAtMs, windowMs, nowMs)) {
+    return { kind: "refused", reason: Reason.KeyExpired };
+  }
+  return { kind: "usable" };
+}
+
+/**
+ * Says whether a claim of the key may be forgotten already.
+ *
+ * A claim lives for the whole window from when its holder wrote it. The issue
+ * time may lie ahead of that by the skew, and a later holder's clock may differ
+ * by it again.
+ *
+ * @param issuedAtMs Time of issue that the key carries.
+ * @param windowMs Time for which claims are kept.
+ * @param nowMs Unix time.
+ * @returns Whether the key must not be claimed any more.
+ *
+ * @example
+ * ```ts
+ * isKeyExpired(0, 900_000, 900_000); // true
+ * ```
+ */
+export function isKeyExpired(
+  issuedAtMs: number,
+  windowMs: number,
+  nowMs: number,
+): boolean {
+  return issuedAtMs < nowMs - windowMs + 2 * MAX_CLOCK_SKEW_MS;
+}
+
+/**
+ * Returns the time of issue that a UUIDv7 carries.
+ *
+ * @param key The UUID.
+ * @returns Unix time in ms.
+ *
+ * @example
+ * ```ts
+ * issueTimeMs("018f0000-0000-7000-8000-000000000000"); // 1713668128768
+ * ```
+ */
+export function issueTimeMs(key: string): number {
+  return Number.parseInt(key.slice(0, 8) + key.slice(9, 13), 16);
+}
+
+/**
+ * Builds a UUIDv7.
+ *
+ * @param nowMs Unix time of issue.
+ * @param randomHex At least 19 random hexadecimal digits.
+ * @returns The UUID.
+ *
+ * @example
+ * ```ts
+ * uuidV7(0, "0".repeat(19)); // "00000000-0000-7000-8000-000000000000"
+ * ```
+ */
+export function uuidV7(nowMs: number, randomHex: string): string {
+  const time = Math.floor(nowMs).toString(16).padStart(12, "0");
+  const variant = "89ab"[Number.parseInt(randomHex[3]!, 16) & 3];
+  return [
+    time.slice(0, 8),
+    time.slice(8),
+    `7${randomHex.slice(0, 3)}`,
+    `${variant}${randomHex.slice(4, 7)}`,
+    randomHex.slice(7, 19).padEnd(12, "0"),
+  ].join("-");
+}
+
+/** The parts that make up a claim. */
+export interface ClaimScope {
+  readonly service: string;
+  readonly caller: string;
+  readonly key: string;
+}
+
+/**
+ * Returns the digest under which a key is claimed.
+ *
+ * @param scope Service, caller and key.
+ * @returns 16 bytes.
+ *
+ * @example
+ * ```ts
+ * claimKey({ service: "order", caller: "stall", key: "k" }).length; // 16
+ * ```
+ */
+export function claimKey(scope: ClaimScope): Uint8Array {
+  const text = JSON.stringify([scope.service, scope.caller, scope.key]);
+  const digest = createHash("sha256").update(text.toLowerCase()).digest();
+  return digest.subarray(0, CLAIM_KEY_BYTES);
+}
+
+/**
+ * Returns the partition of a claim.
+ *
+ * @param scope Service, caller and key.
+ * @param partitions Number of partitions, the same on all daemons.
+ * @returns A number from 0.
+ *
+ * @example
+ * ```ts
+ * partitionOf({ service: "order", caller: "stall", key: "k" }, 1); // 0
+ * ```
+ */
+export function partitionOf(scope: ClaimScope, partitions: number): number {
+  return hash32(scope.key.toLowerCase()) % partitions;
+}
--- /dev/null
+++ b/src/coordination/claims/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Durable claims that make a request run at most once.
+ *
+ * @module
+ */
+export * from "./claim_log.ts";
+export * from "./claim_partition.ts";
+export * from "./idempotency_key.ts";
--- /dev/null
+++ b/src/coordination/config/check_documents.ts
@@ -0,0 +1,94 @@
+import {
+  BASE_SCHEMA,
+  OVERLAY_SCHEMA,
+  type SiteConfig,
+} from "../../protocol/config_schema.ts";
+import type {
+  JsonPath,
+  Problem,
+  SourceDocument,
+} from "../../protocol/source_document.ts";
+import { checkReferences } from "./check_references.ts";
+import { mergeSections } from "./compile_site.ts";
+
+/** The operator's files. */
+export interface ConfigDocuments {
+  readonly base: SourceDocument;
+  /** Overlays by site. */
+  readonly overlays: Readonly<Record<string, SourceDocument>>;
+}
+
+/**
+ * Checks the base and each site's effective configuration.
+ *
+ * @param documents The operator's files.
+ * @returns All problems with their positions; none where all may be accepted.
+ *
+ * @example
+ * ```ts ignore
+ * const problems = checkDocuments({ base, overlays: { east } });
+ * ```
+ */
+export function checkDocuments(documents: ConfigDocuments): Problem[] {
+  const { base, overlays } = documents;
+  const baseProblems = checkOne(base, () => base.check(BASE_SCHEMA));
+  if (baseProblems.length > 0) return baseProblems;
+  const problems = placeReferences(base, base, base.value as SiteConfig);
+  for (const [site, overlay] of Object.entries(overlays)) {
+    problems.push(...checkOverlay(base, site, overlay));
+  }
+  return problems;
+}
+
+function checkOne(
+  document: SourceDocument,
+  check: () => Problem[],
+): Problem[] {
+  return document.problems.length > 0 ? [...document.problems] : check();
+}
+
+function checkOverlay(
+  base: SourceDocument,
+  site: string,
+  overlay: SourceDocument,
+): Problem[] {
+  const own = checkOne(overlay, () => overlay.check(OVERLAY_SCHEMA));
+  if (own.length > 0) return own;
+  const merged = mergeSections(base.value, overlay.value);
+  const parsed = BASE_SCHEMA.safeParse(merged);
+  if (!parsed.success) {
+    return parsed.error.issues.map((issue) => {
+      const path = issue.code === "unrecognized_keys"
+        ? [...issue.path, issue.keys[0]!] as JsonPath
+        : issue.path as JsonPath;
+      return overlay.problemAt(
+        path,
+        `site "${site}": ${path.join(".")}: ${
+          issue.code === "unrecognized_keys" ? "unknown field" : issue.message
+        }`,
+      );
+    });
+  }
+  return placeReferences(base, overlay, parsed.data);
+}
+
+/** Places problems in the overlay where it has the field, else in the base. */
+function placeReferences(
+  base: SourceDocument,
+  overlay: SourceDocument,
+  config: SiteConfig,
+): Problem[] {
+  return checkReferences(config).map(({ path, message }) => {
+    const holder = hasPath(overlay, path) ? overlay : base;
+    return holder.problemAt(path, message);
+  });
+}
+
+function hasPath(document: SourceDocument, path: JsonPath): boolean {
+  let value: unknown = document.value;
+  for (const step of path) {
+    if (typeof value !== "object" || value === null) return false;
+    value = (value as Record<string | number, unknown>)[step];
+  }
+  return value !== undefined;
+}
--- /dev/null
+++ b/src/coordination/config/head_record.ts
@@ -0,0 +1,122 @@
+import { Buffer } from "node:buffer";
+import { gunzipSync, gzipSync } from "node:zlib";
+import { z } from "zod";
+import { sha256Hex } from "../../protocol/canonical_json.ts";
+import {
+  FailureKind,
+  messageOf,
+  StepError,
+} from "../../protocol/step_error.ts";
+import { ResourceSet } from "../../state/resource_set.ts";
+
+/** Key of the head record in the store. */
+export const HEAD_KEY = "config/head";
+/** Prefix of the content-addressed bodies in the store. */
+export const CHUNK_PREFIX = "config/chunk/";
+/** Prefix of the accepted versions' records in the store. */
+export const HISTORY_PREFIX = "config/history/";
+/** Largest chunk in bytes; the store's values may take 1 MB. */
+export const MAX_CHUNK_BYTES = 700 * 1024;
+/** Largest configuration after decompression, in bytes. */
+export const MAX_CONFIG_BYTES = 64 * 1024 * 1024;
+
+const HEAD_SCHEMA = z.strictObject({
+  version: z.number().int().min(1),
+  digest: z.string().regex(/^[0-9a-f]{64}$/),
+  chunks: z.array(z.string().regex(/^[0-9a-f]{64}$/)).min(1).max(64),
+  author: z.string(),
+  acceptanceId: z.string(),
+  acceptedAtMs: z.number(),
+  note: z.string(),
+});
+
+/** The record that names the accepted configuration. */
+export type HeadRecord = z.infer<typeof HEAD_SCHEMA>;
+
+/** A chunk of a configuration body. */
+export interface Chunk {
+  readonly digest: string;
+  readonly bytes: Uint8Array;
+}
+
+/**
+ * Parses a head record.
+ *
+ * @param text JSON text from the store.
+ * @returns The record.
+ * @throws {StepError} If the record is malformed.
+ *
+ * @example
+ * ```ts ignore
+ * const head = parseHead(entry.value.toString());
+ * ```
+ */
+export function parseHead(text: string): HeadRecord {
+  try {
+    return HEAD_SCHEMA.parse(JSON.parse(text));
+  } catch (error) {
+    throw new StepError(
+      FailureKind.Invalid,
+      "parse-head",
+      `Cannot read the head record: ${messageOf(error).slice(0, 200)}`,
+    );
+  }
+}
+
+/**
+ * Compresses a configuration into chunks.
+ *
+ * @param resources The configuration.
+ * @param maxChunkBytes Largest chunk.
+ * @returns Chunks in order, each addressed by its digest.
+ *
+ * @example
+ * ```ts
+ * encodeChunks(ResourceSet.empty()).length; // 1
+ * ```
+ */
+export function encodeChunks(
+  resources: ResourceSet,
+  maxChunkBytes = MAX_CHUNK_BYTES,
+): Chunk[] {
+  const body = gzipSync(JSON.stringify(resources.entries()));
+  const chunks: Chunk[] = [];
+  for (let start = 0; start < body.length; start += maxChunkBytes) {
+    const bytes = body.subarray(start, start + maxChunkBytes);
+    chunks.push({ digest: sha256Hex(bytes), bytes });
+  }
+  return chunks;
+}
+
+/**
+ * Restores a configuration from its chunks and checks it against the head.
+ *
+ * @param head The head record.
+ * @param chunks Bodies in the head's order.
+ * @returns The configuration.
+ * @throws {StepError} If a body is damaged.
+ *
+ * @example
+ * ```ts ignore
+ * const resources = decodeChunks(head, bodies);
+ * ```
+ */
+export function decodeChunks(
+  head: HeadRecord,
+  chunks: readonly Uint8Array[],
+): ResourceSet {
+  try {
+    const text = gunzipSync(Buffer.concat(chunks), {
+      maxOutputLength: MAX_CONFIG_BYTES,
+    }).toString();
+    const resources = ResourceSet.fromEntries(JSON.parse(text));
+    if (resources.digest === head.digest) return resources;
+    throw new Error(`digest is ${resources.digest}, not ${head.digest}`);
+  } catch (error) {
+    throw new StepError(
+      FailureKind.Invalid,
+      "decode-config",
+      `Cannot decode configuration ${head.version}: ${messageOf(error)}`,
+    );
+  }
+}
--- /dev/null
+++ b/src/coordination/config/merge_patch.ts
@@ -0,0 +1,32 @@
+import type { Json } from "../../protocol/canonical_json.ts";
+
+/**
+ * Applies a merge patch to a value, as RFC 7396 describes.
+ *
+ * @param target The value.
+ * @param patch Fields to set; `null` removes a field.
+ * @returns The patched value; the arguments stay as they are.
+ *
+ * @example
+ * ```ts
+ * mergePatch({ a: 1, b: 2 }, { b: null }); // { a: 1 }
+ * ```
+ */
+export function mergePatch(target: Json | undefined, patch: Json): Json {
+  if (!isObject(patch)) return patch;
+  const result: Record<string, Json> = isObject(target) ? { ...target } : {};
+  for (const [key, value] of Object.entries(patch)) {
+    if (value === null) {
+      delete result[key];
+    } else {
+      result[key] = mergePatch(result[key], value);
+    }
+  }
+  return result;
+}
+
+function isObject(
+  value: Json | undefined,
+): value is { [key: string]: Json } {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
--- /dev/null
+++ b/src/coordination/config/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Compilation, acceptance and adoption of configuration versions.
+ *
+ * @module
+ */
+export * from "./acceptance.ts";
+export * from "./adoption.ts";
+export * from "./check_documents.ts";
+export * from "./check_references.ts";
+export * from "./compile_site.ts";
+export * from "./head_record.ts";
+export * from "./merge_patch.ts";
--- /dev/null
+++ b/src/coordination/quarantine/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Requests that crash backend servers.
+ *
+ * @module
+ */
+export * from "./quarantine_list.ts";
--- /dev/null
+++ b/src/coordination/retry/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Retries and hedges under one budget.
+ *
+ * @module
+ */
+export * from "./latency_tracker.ts";
+export * from "./retry_budget.ts";
+export * from "./retry_policy.ts";
--- /dev/null
+++ b/src/coordination/routing/endpoint.ts
@@ -0,0 +1,125 @@
+import type { Member } from "../../protocol/gen/sesamepond/v1/fleet_pb.ts";
+
+/** Weight of the newest latency where it is below the average. */
+const DECAY_WEIGHT = 0.1;
+/** Latency assumed of an endpoint without evidence, in ms. */
+const INITIAL_LATENCY_MS = 5;
+/** Shortest and longest time for which an endpoint is ejected, in ms. */
+const MIN_EJECTION_MS = 1_000;
+const MAX_EJECTION_MS = 30_000;
+/** Share of full weight with which a newly ready endpoint starts. */
+const SLOW_START_FLOOR = 0.1;
+
+/** Load that an endpoint reports on its answers. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly queued: number;
+  readonly limit: number;
+}
+
+/**
+ * A backend server as this daemon's own calls see it.
+ *
+ * @example
+ * ```ts ignore
+ * const endpoint = new Endpoint(member, performance.now());
+ * endpoint.succeeded(12);
+ * ```
+ */
+export class Endpoint {
+  member: Member;
+  /** Calls of this daemon in flight. */
+  running = 0;
+  /** Peak-sensitive average latency, in ms. */
+  latencyMs = INITIAL_LATENCY_MS;
+  /** Last report, if any. */
+  load: ReportedLoad | undefined;
+  #readySinceMs: number;
+  #ejectedUntilMs = 0;
+  #failures = 0;
+  #ejections = 0;
+
+  /**
+   * Creates an endpoint without evidence.
+   *
+   * @param member Its member.
+   * @param nowMs Monotonic time.
+   */
+  constructor(member: Member, nowMs: number) {
+    this.member = member;
+    this.#readySinceMs = nowMs;
+  }
+
+  /**
+   * Takes in a new record of the member.
+   *
+   * @param member The record.
+   * @param nowMs Monotonic time.
+   */
+  update(member: Member, nowMs: number): void {
+    const restarted = member.readyAtMs !== this.member.readyAtMs;
+    if (restarted) this.#readySinceMs = nowMs;
+    this.member = member;
+  }
+
+  /**
+   * Records a successful call.
+   *
+   * @param latencyMs Time to the first byte of the answer.
+   */
+  succeeded(latencyMs: number): void {
+    this.#failures = 0;
+    this.#ejections = 0;
+    this.latencyMs = latencyMs > this.latencyMs
+      ? (this.latencyMs + latencyMs) / 2
+      : this.latencyMs + (latencyMs - this.latencyMs) * DECAY_WEIGHT;
+  }
+
+  /**
+   * Records a failed call and ejects the endpoint after several in a row.
+   *
+   * @param failuresToEject Failures in a row that eject.
+   * @param nowMs Monotonic time.
+   * @returns Whether the endpoint was ejected now.
+   */
+  failed(failuresToEject: number, nowMs: number): boolean {
+    this.#failures++;
+    if (this.#failures < failuresToEject || this.isEjected(nowMs)) return false;
+    const ejectionMs = MIN_EJECTION_MS * 2 ** this.#ejections;
+    this.#ejectedUntilMs = nowMs + Math.min(ejectionMs, MAX_EJECTION_MS);
+    this.#ejections++;
+    return true;
+  }
+
+  /** Says whether the endpoint is ejected at a monotonic time. */
+  isEjected(nowMs: number): boolean {
+    return nowMs < this.#ejectedUntilMs;
+  }
+
+  /** Says whether all slots are known to be taken. */
+  get isSaturated(): boolean {
+    const limit = this.load?.limit ?? this.member.slots;
+    if (limit === 0) return false;
+    return (this.load?.queued ?? 0) > 0 || this.running >= limit;
+  }
+
+  /**
+   * Estimates the cost of one more call.
+   *
+   * @param slowStartMs Time to full weight.
+   * @param nowMs Monotonic time.
+   * @returns A number to compare with other endpoints'.
+   */
+  cost(slowStartMs: number, nowMs: number): number {
+    const queued = this.load?.queued ?? 0;
+    const limit = Math.max(1, this.load?.limit ?? this.member.slots);
+    const waiting = (this.running + queued) / limit;
+    return this.latencyMs * (1 + waiting) / this.#weight(slowStartMs, nowMs);
+  }
+
+  #weight(slowStartMs: number, nowMs: number): number {
+    if (slowStartMs === 0) return 1;
+    const share = (nowMs - this.#readySinceMs) / slowStartMs;
+    return Math.min(1, Math.max(SLOW_START_FLOOR, share));
+  }
+}
--- /dev/null
+++ b/src/coordination/routing/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Choice of a backend server for each call.
+ *
+ * @module
+ */
+export * from "./balancer.ts";
+export * from "./endpoint.ts";
--- /dev/null
+++ b/src/coordination/slots/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Duties that a constant number of daemons holds by leases in the store.
+ *
+ * @module
+ */
+export * from "./slot_keeper.ts";
--- /dev/null
+++ b/src/daemon/backend_task.ts
@@ -0,0 +1,291 @@
+import { type Dispatcher, Pool, request } from "undici";
+import { Delivery, type Service } from "../protocol/config_schema.ts";
+import { type PerRank, perRank, type Rank, RANKS } from "../protocol/rank.ts";
+import { messageOf } from "../protocol/step_error.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import type { BackendStatus, FleetBus } from "./fleet_bus.ts";
+
+/** How a backend server announces itself. */
+export interface Announcement {
+  readonly service: string;
+  readonly host: string;
+  readonly port: number;
+  readonly slots: number;
+  readonly maxConnections: number;
+  /** Whether it wants no new work because it is about to leave. */
+  readonly isDraining: boolean;
+}
+
+/** What a look at the backend server after a failed exchange showed. */
+export enum Diagnosis {
+  Alive = "alive",
+  Crashed = "crashed",
+}
+
+/** Health policy that applies before a configuration is in force. */
+const DEFAULT_HEALTH: Service["health"] = {
+  path: "/health",
+  intervalMs: 1_000,
+  timeoutMs: 1_000,
+  failuresToEject: 3,
+};
+/** Time after which an unused connection is closed, in ms. */
+const IDLE_CONNECTION_MS = 10_000;
+/** Longest time to open a connection on the same instance, in ms. */
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** What a {@linkcode BackendTask} needs. */
+export interface BackendTaskOptions {
+  readonly bus: FleetBus;
+  readonly log: EventLog;
+  /** Returns the configuration of a service in force. */
+  readonly serviceOf: (name: string) => Service | undefined;
+}
+
+/**
+ * Owns the connections to the backend server beside this daemon.
+ *
+ * It is the only prober of the backend server, and joins what it probes with
+ * what exchanges show, as the health endpoint may lag or mislead.
+ *
+ * @example
+ * ```ts ignore
+ * const task = new BackendTask({ bus, log, serviceOf });
+ * task.announce(announcement);
+ * ```
+ */
+export class BackendTask {
+  readonly #options: BackendTaskOptions;
+  #announced: Announcement | undefined;
+  #pools: PerRank<Pool> | undefined;
+  #isReady = false;
+  #readyAtMs = 0;
+  #probeFailures = 0;
+  #exchangeFailures = 0;
+  #timer: NodeJS.Timeout | undefined;
+  #diagnosis: Promise<Diagnosis> | undefined;
+  #stopped = false;
+
+  /**
+   * Creates a task without a backend server.
+   *
+   * @param options Bus, log and configuration.
+   */
+  constructor(options: BackendTaskOptions) {
+    this.#options = options;
+  }
+
+  /** The backend server's latest announcement. */
+  get announced(): Announcement | undefined {
+    return this.#announced;
+  }
+
+  /** Whether the backend server may get new work. */
+  get isReady(): boolean {
+    return this.#isReady;
+  }
+
+  /** The state to tell the fleet. */
+  get status(): BackendStatus {
+    return {
+      service: this.#announced?.service ?? "",
+      isReady: this.#isReady,
+      slots: this.#announced?.slots ?? 0,
+      readyAtMs: this.#readyAtMs,
+    };
+  }
+
+  /**
+   * Takes in an announcement of the backend server; repeats are harmless.
+   *
+   * @param announcement The announcement.
+   */
+  announce(announcement: Announcement): void {
+    const previous = this.#announced;
+    this.#announced = announcement;
+    const moved = previous?.port !== announcement.port ||
+      previous.host !== announcement.host;
+    if (moved || previous?.slots !== announcement.slots) {
+      this.#replacePools(announcement);
+      this.#options.log.info("backend-announced", {
+        service: announcement.service,
+        port: announcement.port,
+        slots: announcement.slots,
+      });
+    }
+    if (announcement.isDraining) this.#setReady(false, "announced-draining");
+    else if (moved || previous?.isDraining === true) this.#probeNow();
+  }
+
+  /**
+   * Returns the connections for requests of a rank.
+   *
+   * @param rank The rank.
+   * @returns The pool; `undefined` before an announcement.
+   */
+  pool(rank: Rank): Dispatcher | undefined {
+    return this.#pools?.[rank];
+  }
+
+  /** Records that the backend server answered an exchange properly. */
+  exchangeSucceeded(): void {
+    this.#exchangeFailures = 0;
+  }
+
+  /**
+   * Records an answer that speaks against the backend server's health, such as
+   * a server error or a timeout, whatever its health endpoint says.
+   */
+  exchangeFailed(): void {
+    this.#exchangeFailures++;
+    const limit = this.#health().failuresToEject * 2;
+    if (this.#exchangeFailures < limit || !this.#isReady) return;
+    this.#setReady(false, "exchanges-failed");
+  }
+
+  /**
+   * Looks at the backend server after a connection broke.
+   *
+   * @returns Whether it is gone. Calls at the same time share one look.
+   */
+  diagnose(): Promise<Diagnosis> {
+    this.#diagnosis ??= this.#look().finally(() => {
+      this.#diagnosis = undefined;
+    });
+    return this.#diagnosis;
+  }
+
+  /** Ends the probes and closes the connections. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    clearTimeout(this.#timer);
+    await Promise.all(
+      RANKS.map((rank) => this.#pools?.[rank].destroy()),
+    );
+  }
+
+  async #look(): Promise<Diagnosis> {
+    const failure = await this.#probe();
+    if (failure !== "refused") return Diagnosis.Alive;
+    this.#setReady(false, "crashed");
+    return Diagnosis.Crashed;
+  }
+
+  #probeNow(): void {
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    void this.#probeRound();
+  }
+
+  async #probeRound(): Promise<void> {
+    const failure = await this.#probe();
+    if (this.#stopped) return;
+    const { failuresToEject, intervalMs } = this.#health();
+    if (failure === undefined) this.#probeSucceeded();
+    else {
+      this.#probeFailures++;
+      const gone = failure === "refused" ||
+        this.#probeFailures >= failuresToEject;
+      if (gone) this.#setReady(false, `probe-${failure}`);
+    }
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(() => void this.#probeRound(), intervalMs);
+  }
+
+  #probeSucceeded(): void {
+    this.#probeFailures = 0;
+    if (this.#announced?.isDraining === true || this.#isReady) return;
+    // A server that passes probes but failed exchanges is tried again.
+    this.#exchangeFailures = Math.floor(this.#exchangeFailures / 2);
+    if (this.#exchangeFailures < this.#health().failuresToEject) {
+      this.#setReady(true, "probe-passed");
+    }
+  }
+
+  /** Probes over a connection of its own. */
+  async #probe(): Promise<"refused" | "failed" | undefined> {
+    const announced = this.#announced;
+    if (announced === undefined) return "failed";
+    const { path, timeoutMs } = this.#health();
+    try {
+      const response = await request(
+        `http://${announced.host}:${announced.port}${path}`,
+        {
+          headers: { connection: "close" },
+          signal: AbortSignal.timeout(timeoutMs),
+        },
+      );
+      await response.body.dump();
+      return response.statusCode === 200 ? undefined : "failed";
+    } catch (error) {
+      const code = (error as { code?: string }).code;
+      this.#options.log.info("backend-probe-failed", {
+        service: announced.service,
+        port: announced.port,
+        error: messageOf(error),
+      });
+      return code === "ECONNREFUSED" ? "refused" : "failed";
+    }
+  }
+
+  #health(): Service["health"] {
+    const name = this.#announced?.service ?? "";
+    return this.#options.serviceOf(name)?.health ?? DEFAULT_HEALTH;
+  }
+
+  #setReady(isReady: boolean, reason: string): void {
+    if (this.#isReady === isReady) return;
+    this.#isReady = isReady;
+    if (isReady) this.#readyAtMs = Date.now();
+    this.#options.log.info("backend-state", {
+      service: this.#announced?.service,
+      ready: isReady,
+      reason,
+    });
+    void this.#options.bus.emit("backendChanged", this.status);
+  }
+
+  #replacePools(announcement: Announcement): void {
+    const old = this.#pools;
+    const perPool = Math.max(
+      1,
+      Math.min(
+        announcement.slots,
+        // One connection stays free for the probe.
+        Math.floor((announcement.maxConnections - 1) / RANKS.length),
+      ),
+    );
+    this.#pools = perRank(() =>
+      new Pool(`http://${announcement.host}:${announcement.port}`, {
+        connections: perPool,
+        pipelining: 1,
+        keepAliveTimeout: IDLE_CONNECTION_MS,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+      })
+    );
+    if (old === undefined) return;
+    for (const rank of RANKS) void old[rank].close().catch(() => {});
+  }
+}
+
+/**
+ * Says whether a request may be interrupted once it runs.
+ *
+ * @param delivery How often requests of the service may run.
+ * @returns False where its end has to be recorded.
+ *
+ * @example
+ * ```ts
+ * isInterruptible(Delivery.AtMostOnce); // false
+ * ```
+ */
+export function isInterruptible(delivery: Delivery): boolean {
+  switch (delivery) {
+    case Delivery.Idempotent:
+      return true;
+    case Delivery.AtMostOnce:
+      return false;
+  }
+}
--- /dev/null
+++ b/src/daemon/claim_client.ts
@@ -0,0 +1,210 @@
+import { Buffer } from "node:buffer";
+import { setTimeout as sleep } from "node:timers/promises";
+import { create } from "@bufbuild/protobuf";
+import {
+  checkKey,
+  claimKey,
+  type ClaimScope,
+  issueTimeMs,
+  partitionOf,
+} from "../coordination/claims/idempotency_key.ts";
+import { claimSlot } from "../coordination/slots/slot_keeper.ts";
+import type { Call } from "../protocol/call.ts";
+import {
+  type ClaimRequest,
+  ClaimRequestSchema,
+  type ClaimResponse,
+  ClaimResponseSchema,
+  ClaimState,
+  type CompleteClaimRequest,
+  CompleteClaimRequestSchema,
+  type Member,
+  type StoredAnswer,
+  StoredAnswerSchema,
+} from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import { Reason } from "../protocol/outcome.ts";
+import { FailureKind } from "../protocol/step_error.ts";
+import { isPresent, type MemberTable } from "../state/member_table.ts";
+import type { FleetClients } from "../transport/control/fleet_client.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import { refusedClaim } from "./claim_holder.ts";
+import type { ClaimTask } from "./claim_task.ts";
+import { monotonicMs } from "./clocks.ts";
+
+/** Longest time of one call to a holder, in ms. */
+const CALL_TIMEOUT_MS = 2_000;
+/** Attempts to record the end of a request. */
+const COMPLETE_ATTEMPTS = 5;
+/** Pause between attempts, in ms; it grows with each. */
+const PAUSE_MS = 100;
+
+/** What a {@linkcode ClaimClient} needs. */
+export interface ClaimClientOptions {
+  readonly members: MemberTable;
+  readonly clients: FleetClients;
+  readonly task: ClaimTask;
+  readonly log: EventLog;
+  readonly partitions: number;
+  readonly windowMs: number;
+}
+
+/**
+ * Makes the claims of calls that may run at most once.
+ *
+ * @example
+ * ```ts ignore
+ * const response = await claims.claim(call);
+ * ```
+ */
+export class ClaimClient {
+  readonly #options: ClaimClientOptions;
+
+  /**
+   * Creates a client.
+   *
+   * @param options Members, control calls and the own partitions.
+   */
+  constructor(options: ClaimClientOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Claims the key of a call.
+   *
+   * A call whose answer was lost is made again under the same id, which the
+   * holder recognizes.
+   *
+   * @param call The call.
+   * @returns The holder's answer; unknown where it could not be learned.
+   */
+  async claim(call: Call): Promise<ClaimResponse> {
+    const verdict = checkKey(
+      call.idempotencyKey,
+      this.#options.windowMs,
+      Date.now(),
+    );
+    if (verdict.kind === "refused") return refusedClaim(verdict.reason);
+    const request = this.#request(call);
+    let isAmbiguous = false;
+    while (monotonicMs() < call.deadlineMs) {
+      const response = await this.#claimOnce(request);
+      if (response.state !== ClaimState.UNKNOWN) {
+        // A refusal after a lost answer does not prove that nothing is held.
+        const isDoubtful = isAmbiguous && response.state === ClaimState.REFUSED;
+        return isDoubtful ? unknownClaim() : response;
+      }
+      isAmbiguous = true;
+      await sleep(PAUSE_MS);
+    }
+    return unknownClaim();
+  }
+
+  /**
+   * Records the answer of a claimed call, in the background.
+   *
+   * @param call The call.
+   * @param answer Its answer.
+   */
+  complete(
+    call: Call,
+    answer: Pick<StoredAnswer, "status" | "contentType" | "body" | "hasBody">,
+  ): void {
+    void this.#completeUntilDone(create(CompleteClaimRequestSchema, {
+      ...this.#identity(call),
+      answer: create(StoredAnswerSchema, answer),
+    }));
+  }
+
+  /**
+   * Gives up the claim of a call that did not run, in the background.
+   *
+   * @param call The call.
+   */
+  release(call: Call): void {
+    void this.#completeUntilDone(create(CompleteClaimRequestSchema, {
+      ...this.#identity(call),
+      released: true,
+    }));
+  }
+
+  async #claimOnce(request: ClaimRequest): Promise<ClaimResponse> {
+    if (this.#options.task.holds(request.partition)) {
+      return await this.#options.task.claim(request);
+    }
+    const holder = this.#holderOf(request.partition);
+    if (holder === undefined) return refusedClaim(Reason.ClaimUnavailable);
+    const result = await this.#options.clients.call(
+      `${holder.host}:${holder.controlPort}`,
+      "claim",
+      (peer, options) => peer.claim(request, options),
+      { timeoutMs: CALL_TIMEOUT_MS },
+    );
+    if (result.isOk()) return result.value;
+    this.#options.log.warn("claim-failed", {
+      partition: request.partition,
+      peer: result.error.peer,
+      error: result.error.message,
+    });
+    return result.error.kind === FailureKind.Unavailable
+      ? refusedClaim(Reason.ClaimUnavailable)
+      : unknownClaim();
+  }
+
+  async #completeUntilDone(request: CompleteClaimRequest): Promise<void> {
+    for (let attempt = 1; attempt <= COMPLETE_ATTEMPTS; attempt++) {
+      if (await this.#completeOnce(request)) return;
+      await sleep(PAUSE_MS * attempt);
+    }
+    this.#options.log.warn("claim-end-not-recorded", {
+      partition: request.partition,
+      request: request.requestId,
+    });
+  }
+
+  async #completeOnce(request: CompleteClaimRequest): Promise<boolean> {
+    if (this.#options.task.holds(request.partition)) {
+      return await this.#options.task.complete(request);
+    }
+    const holder = this.#holderOf(request.partition);
+    if (holder === undefined) return false;
+    const result = await this.#options.clients.call(
+      `${holder.host}:${holder.controlPort}`,
+      "complete-claim",
+      (peer, options) => peer.completeClaim(request, options),
+      { timeoutMs: CALL_TIMEOUT_MS },
+    );
+    return result.isOk() && result.value.recorded;
+  }
+
+  #holderOf(partition: number): Member | undefined {
+    const slot = claimSlot(partition);
+    return this.#options.members.all().find((member) =>
+      isPresent(member) && member.leasedSlots.includes(slot)
+    );
+  }
+
+  #request(call: Call): ClaimRequest {
+    return create(ClaimRequestSchema, {
+      ...this.#identity(call),
+      content: Buffer.from(call.contentDigest, "base64url"),
+      issuedAtMs: issueTimeMs(call.idempotencyKey!),
+    });
+  }
+
+  #identity(call: Call) {
+    const scope: ClaimScope = {
+      service: call.service,
+      caller: call.caller,
+      key: call.idempotencyKey!,
+    };
+    return {
+      partition: partitionOf(scope, this.#options.partitions),
+      key: claimKey(scope),
+      requestId: call.id,
+    };
+  }
+}
+
+function unknownClaim(): ClaimResponse {
+  return create(ClaimResponseSchema, { state: ClaimState.UNKNOWN });
+}
--- /dev/null
+++ b/src/daemon/config_task.ts
@@ -0,0 +1,299 @@
+import { create } from "@bufbuild/protobuf";
+import {
+  checkDelta,
+  type CheckedVersion,
+} from "../coordination/config/adoption.ts";
+import { bridgeTargets } from "../coordination/membership/bridges.ts";
+import type { Membership } from "../coordination/membership/membership.ts";
+import {
+  type ConfigDelta,
+  type Member,
+  type PullConfigRequest,
+  type PushConfigRequest,
+  PushConfigRequestSchema,
+} from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import type { Random } from "../protocol/random.ts";
+import { FailureKind, type StepError } from "../protocol/step_error.ts";
+import type { ConfigStore } from "../state/config_store.ts";
+import type { FleetClients } from "../transport/control/fleet_client.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import type { Metrics } from "../transport/observe/metrics.ts";
+import type { FleetBus } from "./fleet_bus.ts";
+import { controlAddress } from "./gossip_task.ts";
+
+/** Peers of the own domain that learn of a new version at once. */
+const FANOUT = 4;
+/** Largest difference that is sent along with the notice, in bytes. */
+const MAX_INLINE_BYTES = 32 * 1024;
+/** Longest time of a pull, in ms. */
+const PULL_TIMEOUT_MS = 5_000;
+/** Longest time of a push, in ms. */
+const PUSH_TIMEOUT_MS = 1_000;
+
+/** Longest wait for a peer to hold a version first, in ms. */
+const AHEAD_TIMEOUT_MS = 300;
+
+/** What a {@linkcode ConfigTask} needs. */
+export interface ConfigTaskOptions {
+  readonly site: string;
+  readonly config: ConfigStore;
+  readonly membership: Membership;
+  readonly clients: FleetClients;
+  readonly bus: FleetBus;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  readonly random: Random;
+}
+
+/** Where a version came from. */
+export type ConfigOrigin = "store" | "push" | "pull";
+
+/**
+ * Puts configuration versions in force and passes them on.
+ *
+ * @example
+ * ```ts ignore
+ * const task = new ConfigTask(options);
+ * task.adopt(checked, "store");
+ * ```
+ */
+export class ConfigTask {
+  readonly #options: ConfigTaskOptions;
+  #floorVersion = 0;
+  #isFloorKnown = false;
+  #pulling: Promise<void> | undefined;
+
+  /**
+   * Creates a task that follows the bus.
+   *
+   * @param options Its parts.
+   */
+  constructor(options: ConfigTaskOptions) {
+    this.#options = options;
+    options.bus.on("versionSeen", ({ address }) => this.pull(address));
+  }
+
+  /** No lower version is adopted. */
+  get floorVersion(): number {
+    return this.#floorVersion;
+  }
+
+  /**
+   * Raises the floor to a version that this instance held before.
+   *
+   * @param version The version.
+   */
+  raiseFloor(version: number): void {
+    this.#floorVersion = Math.max(this.#floorVersion, version);
+  }
+
+  /** Allows adoption: the floor is as high as it can be learned. */
+  confirmFloor(): void {
+    this.#isFloorKnown = true;
+  }
+
+  /**
+   * Puts a checked version in force and tells peers.
+   *
+   * @param checked The version.
+   * @param origin Where it came from.
+   * @returns Whether it was adopted; false where it is not newer.
+   */
+  adopt(checked: CheckedVersion, origin: ConfigOrigin): boolean {
+    const { config, log, metrics, bus } = this.#options;
+    const { version } = checked.snapshot;
+    const isOld = version <= config.version || version < this.#floorVersion;
+    if (isOld || !this.#isFloorKnown) {
+      log.info("config-ignored", {
+        version,
+        in_force: config.version,
+        floor: this.#isFloorKnown ? this.#floorVersion : "unknown",
+        origin,
+      });
+      return false;
+    }
+    const previous = config.version;
+    config.adopt(checked.snapshot, checked.resources, Date.now());
+    log.info("config-adopted", {
+      version,
+      previous,
+      origin,
+      digest: config.digest,
+      resources: checked.resources.size,
+    });
+    metrics.gauge("config.version", version);
+    void bus.emit("configAdopted", { version });
+    this.#push();
+    return true;
+  }
+
+  /**
+   * Puts a version from the store in force once a peer holds it too.
+   *
+   * A daemon that adopts a version alone and restarts could otherwise come
+   * back without anyone who remembers it. Without peers it does not wait.
+   *
+   * @param checked The version.
+   * @returns Whether it was adopted.
+   */
+  async adoptFromStore(checked: CheckedVersion): Promise<boolean> {
+    const { config } = this.#options;
+    const { version } = checked.snapshot;
+    if (config.version > 0 && version > config.version) {
+      const delta = config.resources.deltaTo(checked.resources, {
+        fromVersion: config.version,
+        toVersion: version,
+      });
+      await this.#pushAhead(delta);
+    }
+    return this.adopt(checked, "store");
+  }
+
+  /**
+   * Fetches what a peer has beyond the version in force.
+   *
+   * @param address Control address of the peer.
+   * @returns Once the pull ended; one runs at a time.
+   */
+  pull(address: string): Promise<void> {
+    this.#pulling ??= this.#pullOnce(address).finally(() => {
+      this.#pulling = undefined;
+    });
+    return this.#pulling;
+  }
+
+  /**
+   * Takes in a peer's notice of a version.
+   *
+   * @param request The notice.
+   * @returns The version in force afterwards.
+   */
+  async onPush(request: PushConfigRequest): Promise<number> {
+    const { config } = this.#options;
+    if (request.version <= config.version) return config.version;
+    const isNext = request.delta?.fromVersion === config.version;
+    if (request.delta !== undefined && isNext) {
+      this.#apply(request.delta, "push", request.senderId);
+    } else {
+      await this.pull(request.controlUrl);
+    }
+    return config.version;
+  }
+
+  /**
+   * Answers a pull.
+   *
+   * @param request The peer's version.
+   * @returns The difference to the version in force.
+   */
+  onPull(request: PullConfigRequest): ConfigDelta {
+    return this.#options.config
+      .deltaFrom(request.haveVersion, request.haveDigest);
+  }
+
+  async #pullOnce(address: string): Promise<void> {
+    const { config, clients, membership } = this.#options;
+    const result = await clients.call(
+      address,
+      "pull-config",
+      (peer, options) =>
+        peer.pullConfig({
+          senderId: membership.self.id,
+          haveVersion: config.version,
+          haveDigest: config.digest,
+        }, options),
+      { timeoutMs: PULL_TIMEOUT_MS },
+    );
+    if (result.isErr()) return this.#report(result.error, address);
+    const delta = result.value.delta;
+    if (delta !== undefined) this.#apply(delta, "pull", address);
+  }
+
+  #apply(delta: ConfigDelta, origin: ConfigOrigin, peer: string): void {
+    const checked = checkDelta(this.#options.config, delta, {
+      site: this.#options.site,
+      floorVersion: this.#floorVersion,
+    });
+    if (checked.isErr()) return this.#report(checked.error, peer);
+    if (checked.value !== undefined) this.adopt(checked.value, origin);
+  }
+
+  #report(error: StepError, peer: string): void {
+    const isBad = error.kind === FailureKind.Invalid;
+    const event = isBad ? "config-rejected" : "config-pull-failed";
+    this.#options.log.warn(event, {
+      step: error.step,
+      peer,
+      error: error.message,
+      in_force: this.#options.config.version,
+    });
+  }
+
+  /** Waits until one peer has a version, or for a short time. */
+  async #pushAhead(delta: ConfigDelta): Promise<void> {
+    const targets = this.#pushTargets();
+    if (targets.length === 0 || sizeOf(delta) > MAX_INLINE_BYTES) return;
+    const request = this.#notice(delta.toVersion, delta.digest, delta);
+    const answers = targets.map(async (target) => {
+      const result = await this.#send(target, request, AHEAD_TIMEOUT_MS);
+      if (result.isErr() || result.value.version < delta.toVersion) {
+        throw new Error("not held");
+      }
+    });
+    await Promise.any(answers).catch(() => {});
+  }
+
+  /** Tells some peers of the own domain and a bridge of each other domain. */
+  #push(): void {
+    const { config } = this.#options;
+    const delta = config.lastDelta;
+    const isSmall = delta !== undefined && sizeOf(delta) <= MAX_INLINE_BYTES;
+    const request = this.#notice(
+      config.version,
+      config.digest,
+      isSmall ? delta : undefined,
+    );
+    for (const target of this.#pushTargets()) {
+      void this.#send(target, request, PUSH_TIMEOUT_MS);
+    }
+  }
+
+  #notice(
+    version: number,
+    digest: string,
+    delta: ConfigDelta | undefined,
+  ): PushConfigRequest {
+    const { self } = this.#options.membership;
+    return create(PushConfigRequestSchema, {
+      senderId: self.id,
+      version,
+      digest,
+      ...(delta === undefined ? {} : { delta }),
+      controlUrl: controlAddress(self),
+    });
+  }
+
+  #send(target: Member, request: PushConfigRequest, timeoutMs: number) {
+    return this.#options.clients.call(
+      controlAddress(target),
+      "push-config",
+      (peer, options) => peer.pushConfig(request, options),
+      { timeoutMs },
+    );
+  }
+
+  #pushTargets(): Member[] {
+    const { membership, random } = this.#options;
+    const { table, self } = membership;
+    const local = random.sample(membership.domainPeers(), FANOUT);
+    const remote = bridgeTargets(table, self, random);
+    return [...local, ...remote];
+  }
+}
+
+function sizeOf(delta: ConfigDelta): number {
+  return delta.puts.reduce(
+    (sum, { key, body }) => sum + key.length + body.length,
+    delta.removes.reduce((sum, key) => sum + key.length, 0),
+  );
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,423 @@
+import process from "node:process";
+import { randomBytes } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { create } from "@bufbuild/protobuf";
+import { Membership } from "../coordination/membership/membership.ts";
+import { QuarantineList } from "../coordination/quarantine/quarantine_list.ts";
+import { Balancer } from "../coordination/routing/balancer.ts";
+import {
+  type SlotMember,
+  slotsFor,
+} from "../coordination/slots/slot_keeper.ts";
+import {
+  type Member,
+  MemberSchema,
+  MemberState,
+} from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import { Random } from "../protocol/random.ts";
+import type { Settings } from "../protocol/settings_schema.ts";
+import { ConfigStore } from "../state/config_store.ts";
+import { DecisionLog } from "../state/decision_log.ts";
+import { ControlServer } from "../transport/control/control_server.ts";
+import { FleetClients } from "../transport/control/fleet_client.ts";
+import { PeerAuth } from "../transport/control/peer_auth.ts";
+import { EventLog } from "../transport/observe/event_log.ts";
+import { type Metrics, openMetrics } from "../transport/observe/metrics.ts";
+import { EtcdStore } from "../transport/store/etcd_store.ts";
+import { AdminServer } from "./admin_server.ts";
+import { BackendTask } from "./backend_task.ts";
+import { ClaimClient } from "./claim_client.ts";
+import { ClaimTask } from "./claim_task.ts";
+import { monotonicMs } from "./clocks.ts";
+import { ConfigTask } from "./config_task.ts";
+import { Destination } from "./destination.ts";
+import { createFleetBus } from "./fleet_bus.ts";
+import { createFleetHandler } from "./fleet_handler.ts";
+import { controlAddress, GossipTask } from "./gossip_task.ts";
+import { IngressServer } from "./ingress_server.ts";
+import { LeaseTask } from "./lease_task.ts";
+import { PeerCaller } from "./peer_caller.ts";
+import { PeerServer } from "./peer_server.ts";
+import { ReaderTask } from "./reader_task.ts";
+import { startUp } from "./start_up.ts";
+import { Surveyor } from "./survey.ts";
+
+/** Time between two looks at calls that still run while stopping, in ms. */
+const DRAIN_POLL_MS = 20;
+/** Longest time for running calls to end while stopping, in ms. */
+const MAX_DRAIN_MS = 3_600_000;
+
+/** Ports that a daemon listens on. */
+export interface DaemonPorts {
+  readonly ingress: number;
+  readonly peer: number;
+  readonly control: number;
+  readonly admin: number;
+}
+
+/** Optional parts of a {@linkcode Daemon}, for tests. */
+export interface DaemonOptions {
+  /** Seed of all random choices; drawn at random where absent. */
+  seed?: number;
+}
+
+/**
+ * The process beside one backend server: proxy, announcer, member of the fleet
+ * and relay of the configuration.
+ *
+ * @example
+ * ```ts ignore
+ * const daemon = new Daemon(settings);
+ * await daemon.start();
+ * await daemon.stop();
+ * ```
+ */
+export class Daemon {
+  readonly #settings: Settings;
+  readonly #bus = createFleetBus();
+  readonly #log: EventLog;
+  readonly #metrics: Metrics;
+  readonly #store: EtcdStore;
+  readonly #clients: FleetClients;
+  readonly #membership: Membership;
+  readonly #config = new ConfigStore();
+  readonly #backend: BackendTask;
+  readonly #destination: Destination;
+  readonly #gossip: GossipTask;
+  readonly #configTask: ConfigTask;
+  readonly #claims: ClaimTask;
+  readonly #leases: LeaseTask;
+  readonly #reader: ReaderTask;
+  readonly #peers: PeerCaller;
+  readonly #ingress: IngressServer;
+  readonly #peerServer: PeerServer;
+  readonly #control: ControlServer;
+  readonly #admin: AdminServer;
+  readonly #recentSenders = new Map<string, number>();
+  #storeCalls = 0;
+  #isStopping = false;
+
+  /**
+   * Builds a daemon; nothing is opened yet.
+   *
+   * @param settings Checked settings.
+   * @param options Parts for tests.
+   */
+  constructor(settings: Settings, options: DaemonOptions = {}) {
+    const random = new Random(options.seed ?? randomBytes(4).readInt32LE());
+    const self = createSelf(settings);
+    const auth = new PeerAuth(settings.fleetKeys);
+    const token = () => auth.token(self.id, Date.now());
+    this.#settings = settings;
+    this.#log = openLog(settings);
+    this.#metrics = openMetrics(settings.statsd, settings.instance);
+    this.#store = this.#openStore();
+    this.#clients = new FleetClients(token, settings.sourceAddress);
+
+    const balancer = new Balancer(self, random);
+    const decisions = new DecisionLog();
+    const quarantine = new QuarantineList();
+    this.#membership = new Membership(self, {
+      random,
+      periodMs: settings.gossip.periodMs,
+      suspicionMs: settings.gossip.suspicionMs,
+      onChange: ({ member, previous }) => {
+        balancer.update(member, monotonicMs());
+        this.#logMember(member, previous);
+      },
+    });
+    balancer.update(self, monotonicMs());
+
+    const shared = {
+      bus: this.#bus,
+      log: this.#log,
+      metrics: this.#metrics,
+      clients: this.#clients,
+      config: this.#config,
+      store: this.#store,
+      membership: this.#membership,
+      random,
+      selfId: self.id,
+      site: settings.domain,
+    };
+    this.#backend = new BackendTask({
+      ...shared,
+      serviceOf: (name) => this.#config.snapshot?.service(name),
+    });
+    this.#claims = new ClaimTask({ ...shared, ...settings.claims });
+    const claims = new ClaimClient({
+      ...shared,
+      ...settings.claims,
+      members: this.#membership.table,
+      task: this.#claims,
+    });
+    this.#destination = new Destination({
+      ...shared,
+      backend: this.#backend,
+      claims,
+      quarantine,
+    });
+    this.#gossip = new GossipTask({
+      ...shared,
+      ...settings.gossip,
+      quarantine,
+      contacts: settings.contacts,
+    });
+    this.#configTask = new ConfigTask(shared);
+    this.#reader = new ReaderTask({ ...shared, configTask: this.#configTask });
+    this.#leases = new LeaseTask({
+      ...shared,
+      slots: slotsFor(settings.domain, settings.claims.partitions),
+      ttlS: settings.leaseTtlS,
+      address: controlAddress(self),
+      members: () => this.#slotMembers(),
+    });
+    this.#peers = new PeerCaller({
+      clients: this.#clients,
+      token,
+      sourceAddress: settings.sourceAddress,
+    });
+    this.#ingress = new IngressServer({
+      ...settings.ingress,
+      config: this.#config,
+      destination: this.#destination,
+      claimWindowMs: settings.claims.windowMs,
+      idPrefix: requestPrefix(self),
+      context: {
+        balancer,
+        quarantine,
+        random,
+        decisions,
+        log: this.#log,
+        metrics: this.#metrics,
+        attempts: {
+          selfId: self.id,
+          peers: this.#peers,
+          destination: this.#destination,
+        },
+      },
+    });
+    this.#peerServer = new PeerServer(this.#destination, auth, (sender) => {
+      this.#recentSenders.set(sender, monotonicMs());
+    });
+    const surveyor = new Surveyor(shared);
+    this.#control = new ControlServer(
+      createFleetHandler({
+        selfId: self.id,
+        domain: settings.domain,
+        gossip: this.#gossip,
+        config: this.#configTask,
+        claims: this.#claims,
+        destination: this.#destination,
+        surveyor,
+      }),
+      auth,
+    );
+    this.#admin = new AdminServer({
+      ...shared,
+      balancer,
+      decisions,
+      destination: this.#destination,
+      backend: this.#backend,
+      isReady: () => this.isReady,
+      statistics: () => this.#statistics(),
+    });
+    this.#followBus();
+  }
+
+  /** Whether the daemon serves callers by a configuration. */
+  get isReady(): boolean {
+    return this.#config.version > 0 && !this.#isStopping;
+  }
+
+  /** The configuration version in force; 0 before the first. */
+  get version(): number {
+    return this.#config.version;
+  }
+
+  /**
+   * Opens the ports, joins the fleet and gets a configuration.
+   *
+   * @returns The ports; the configuration may come later.
+   */
+  async start(): Promise<DaemonPorts> {
+    const { host, ports } = this.#settings;
+    const open: DaemonPorts = {
+      control: await this.#control.listen(host, ports.control),
+      peer: await this.#peerServer.listen(host, ports.peer),
+      admin: await this.#admin.listen(host, ports.admin),
+      ingress: await this.#ingress.listen(host, ports.ingress),
+    };
+    this.#log.info("daemon-started", { ...open });
+    await startUp({
+      settings: this.#settings,
+      startedAtMs: monotonicMs(),
+      membership: this.#membership,
+      gossip: this.#gossip,
+      reader: this.#reader,
+      configTask: this.#configTask,
+      config: this.#config,
+      log: this.#log,
+      isStopped: () => this.#isStopping,
+    });
+    this.#gossip.start();
+    this.#leases.start();
+    return open;
+  }
+
+  /**
+   * Leaves the fleet and stops once all running calls have ended.
+   *
+   * @returns Once everything is closed.
+   */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    this.#log.info("daemon-draining", { active: this.#destination.active });
+    this.#destination.drain();
+    this.#ingress.drain();
+    this.#membership.updateSelf({ state: MemberState.DRAINING }, Date.now());
+    await this.#tellSenders();
+    await sleep(this.#settings.drainMs);
+    await this.#callsEnded();
+    await this.#leave();
+    this.#log.info("daemon-stopped");
+    this.#log.close();
+  }
+
+  async #callsEnded(): Promise<void> {
+    const deadlineMs = monotonicMs() + MAX_DRAIN_MS;
+    while (this.#destination.active + this.#ingress.running > 0) {
+      if (monotonicMs() > deadlineMs) return;
+      await sleep(DRAIN_POLL_MS);
+    }
+  }
+
+  async #leave(): Promise<void> {
+    this.#reader.stop();
+    this.#claims.stop();
+    await this.#leases.stop();
+    this.#membership.updateSelf(
+      { state: MemberState.LEFT, leasedSlots: [] },
+      Date.now(),
+    );
+    this.#gossip.stop();
+    await this.#tellSenders();
+    await Promise.all([
+      this.#ingress.close(),
+      this.#peerServer.close(),
+      this.#control.close(),
+      this.#admin.close(),
+      this.#backend.stop(),
+      this.#peers.close(),
+    ]);
+    this.#clients.close();
+    this.#metrics.close();
+    await this.#store.close();
+  }
+
+  /** Tells those who sent calls lately, and some peers, at once. */
+  async #tellSenders(): Promise<void> {
+    const senders = [...this.#recentSenders.keys()]
+      .flatMap((id) => this.#membership.table.get(id) ?? []);
+    this.#gossip.spreadNow();
+    await this.#gossip.tell(senders);
+  }
+
+  #followBus(): void {
+    this.#bus.on("configAdopted", () => this.#destination.reconfigure());
+    this.#bus.on("backendChanged", (status) => {
+      this.#membership.updateSelf({
+        service: status.service,
+        backendReady: status.isReady,
+        slots: status.slots,
+        readyAtMs: status.readyAtMs,
+      }, Date.now());
+      this.#destination.reconfigure();
+      if (status.isReady) this.#gossip.spreadNow();
+      else void this.#tellSenders();
+    });
+    this.#bus.on("slotsChanged", ({ held }) => {
+      const leasedSlots = held.map((slot) => slot.name);
+      this.#membership.updateSelf({ leasedSlots }, Date.now());
+      this.#gossip.spreadNow();
+    });
+  }
+
+  #openStore(): EtcdStore {
+    const { endpoints, callsPerSecond, timeoutMs } = this.#settings.store;
+    return new EtcdStore(endpoints, {
+      callsPerSecond,
+      timeoutMs,
+      sourceAddress: this.#settings.sourceAddress,
+      onCall: (step) => {
+        this.#storeCalls++;
+        this.#metrics.count("store.calls", 1, [`step:${step}`]);
+      },
+    });
+  }
+
+  #slotMembers(): SlotMember[] {
+    return this.#membership.table.present().map((member) => ({
+      id: member.id,
+      domain: member.domain,
+      leasedSlots: member.leasedSlots,
+      isStable: member.state === MemberState.ALIVE,
+    }));
+  }
+
+  #logMember(member: Member, previous: Member | undefined): void {
+    if (member.state === previous?.state) return;
+    this.#log.info("member-changed", {
+      member: member.id,
+      domain: member.domain,
+      state: MemberState[member.state].toLowerCase(),
+      incarnation: member.incarnation,
+    });
+  }
+
+  #statistics(): Record<string, number> {
+    const memory = process.memoryUsage();
+    const cpu = process.cpuUsage();
+    const load = this.#destination.admission.load;
+    return {
+      version: this.#config.version,
+      members: this.#membership.table.size,
+      storeCalls: this.#storeCalls,
+      claims: this.#claims.size,
+      ledger: this.#destination.ledger.size,
+      ingressRunning: this.#ingress.running,
+      ...load,
+      residentBytes: memory.rss,
+      heapUsedBytes: memory.heapUsed,
+      cpuMs: (cpu.user + cpu.system) / 1_000,
+    };
+  }
+}
+
+function openLog(settings: Settings): EventLog {
+  return new EventLog({
+    file: settings.log.file,
+    level: settings.log.level,
+    fields: { instance: settings.instance, domain: settings.domain },
+  });
+}
+
+function createSelf(settings: Settings): Member {
+  const suffix = randomBytes(4).toString("hex");
+  return create(MemberSchema, {
+    id: `${settings.instance}-${suffix}`,
+    instance: settings.instance,
+    domain: settings.domain,
+    host: settings.host,
+    peerPort: settings.advertised?.peer ?? settings.ports.peer,
+    controlPort: settings.advertised?.control ?? settings.ports.control,
+    state: MemberState.ALIVE,
+    incarnation: 1,
+  });
+}
+
+/** Request ids start with the process's own suffix, so that they are unique. */
+function requestPrefix(self: Member): string {
+  return self.id;
+}
--- /dev/null
+++ b/src/daemon/destination.ts
@@ -0,0 +1,236 @@
+import {
+  AdmissionQueue,
+  type Released,
+} from "../coordination/admission/admission_queue.ts";
+import type { QuarantineList } from "../coordination/quarantine/quarantine_list.ts";
+import type {
+  AnswerSink,
+  Call,
+  Execution,
+  RetryAllowance,
+} from "../protocol/call.ts";
+import { SettleState } from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import { notRun, Reason } from "../protocol/outcome.ts";
+import type { Rank } from "../protocol/rank.ts";
+import type { ConfigStore } from "../state/config_store.ts";
+import { RequestLedger } from "../state/request_ledger.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import type { BackendTask } from "./backend_task.ts";
+import type { ClaimClient } from "./claim_client.ts";
+import { monotonicMs } from "./clocks.ts";
+import { DestinationCall } from "./destination_call.ts";
+import type { FleetBus } from "./fleet_bus.ts";
+
+/** What a call at its destination uses of the destination. */
+export interface DestinationContext {
+  readonly admission: AdmissionQueue;
+  readonly ledger: RequestLedger;
+  readonly backend: BackendTask;
+  readonly claims: ClaimClient;
+  readonly quarantine: QuarantineList;
+  /** Forgets a call that ended. */
+  ended(call: DestinationCall): void;
+  /** Starts and expires waiting calls. */
+  apply(released: Released): void;
+  /** Remembers what runs now as suspects of a crash. */
+  noteCrashSuspects(): void;
+  /** Reports the remembered suspects. */
+  reportCrash(): void;
+}
+
+/** What a {@linkcode Destination} needs. */
+export interface DestinationOptions {
+  readonly selfId: string;
+  readonly config: ConfigStore;
+  readonly backend: BackendTask;
+  readonly claims: ClaimClient;
+  readonly quarantine: QuarantineList;
+  readonly bus: FleetBus;
+  readonly log: EventLog;
+}
+
+/** The request on whose behalf a backend server calls. */
+export interface ParentCall {
+  readonly rank: Rank;
+  readonly deadlineMs: number;
+  readonly depth: number;
+  readonly retries: RetryAllowance;
+}
+
+const NO_SHARES = { urgent: 1, standard: 0, bulk: 0 };
+
+/**
+ * Executes calls on the backend server beside this daemon.
+ *
+ * It checks the owner's approval again, counts the slots exactly, orders the
+ * waiting calls by rank and keeps the ledger that proves what did not run.
+ *
+ * @example
+ * ```ts ignore
+ * const execution = destination.execute(call, sink);
+ * ```
+ */
+export class Destination implements DestinationContext {
+  readonly admission = new AdmissionQueue(1, {
+    shares: NO_SHARES,
+    queuePerRank: 1,
+  });
+  readonly ledger = new RequestLedger(monotonicMs());
+  readonly backend: BackendTask;
+  readonly claims: ClaimClient;
+  readonly quarantine: QuarantineList;
+  readonly #options: DestinationOptions;
+  readonly #calls = new Map<string, DestinationCall>();
+  #isDraining = false;
+  #suspects: Set<string> | undefined;
+  #crashes = 0;
+
+  /**
+   * Creates a destination.
+   *
+   * @param options Its parts.
+   */
+  constructor(options: DestinationOptions) {
+    this.#options = options;
+    this.backend = options.backend;
+    this.claims = options.claims;
+    this.quarantine = options.quarantine;
+  }
+
+  /** Number of calls that wait or run. */
+  get active(): number {
+    return this.#calls.size;
+  }
+
+  /** Refuses new calls from now on. */
+  drain(): void {
+    this.#isDraining = true;
+  }
+
+  /** Takes in a changed configuration or backend server. */
+  reconfigure(): void {
+    const { service: name, slots } = this.backend.status;
+    const service = this.#options.config.snapshot?.service(name);
+    if (service === undefined) return;
+    this.admission.policy = service;
+    this.admission.limit.slots = slots;
+    this.apply(this.admission.startWaiting(monotonicMs()));
+  }
+
+  /**
+   * Executes a call, or refuses it.
+   *
+   * @param call The call.
+   * @param sink Receiver of the answer.
+   * @returns A handle to cancel it.
+   */
+  execute(call: Call, sink: AnswerSink): Execution {
+    const service = this.#options.config.snapshot?.service(call.service);
+    const reason = this.#reasonToRefuse(call);
+    if (service === undefined || reason !== undefined) {
+      const nowMs = monotonicMs();
+      if (this.ledger.begin(call.id, nowMs)) this.ledger.refuse(call.id, nowMs);
+      sink.onRefused(
+        notRun(reason ?? Reason.NotReady, isElsewherePossible(reason)),
+      );
+      return NOTHING;
+    }
+    const running = new DestinationCall(call, { service, sink, context: this });
+    if (!this.ledger.begin(call.id, monotonicMs())) {
+      sink.onRefused(notRun(Reason.Cancelled));
+      return NOTHING;
+    }
+    this.#calls.set(call.id, running);
+    running.admit();
+    return running;
+  }
+
+  /**
+   * Returns the context of a running call, for calls on its behalf.
+   *
+   * @param id The attempt's id.
+   * @returns The context, if the call runs here.
+   */
+  parent(id: string): ParentCall | undefined {
+    return this.#calls.get(id)?.call;
+  }
+
+  /**
+   * Settles what became of a call whose answer was lost.
+   *
+   * @param id The attempt's id.
+   * @param ageMs Time since it was sent.
+   * @returns What is known; "not run" is final.
+   */
+  settle(id: string, ageMs: number): SettleState {
+    const state = this.ledger.settle(id, ageMs, monotonicMs());
+    if (state === SettleState.NOT_RUN) this.#calls.get(id)?.settleNotRun();
+    return state;
+  }
+
+  ended(call: DestinationCall): void {
+    this.#calls.delete(call.id);
+  }
+
+  apply(released: Released): void {
+    for (const { id } of released.expired) {
+      this.#calls.get(id)?.refuse(notRun(Reason.DeadlineExceeded));
+    }
+    for (const { id } of released.started) this.#calls.get(id)?.start();
+  }
+
+  noteCrashSuspects(): void {
+    if (this.#suspects !== undefined) return;
+    this.#suspects = new Set(
+      [...this.#calls.values()].filter((call) => call.isRunning)
+        .map((call) => call.call.fingerprint),
+    );
+    // What is not confirmed as a crash is no suspicion.
+    setTimeout(() => this.#suspects = undefined, SUSPECT_MEMORY_MS).unref();
+  }
+
+  reportCrash(): void {
+    const suspects = this.#suspects;
+    if (suspects === undefined || suspects.size === 0) return;
+    this.#suspects = new Set();
+    this.#crashes++;
+    const service = this.backend.status.service;
+    const quarantines = this.quarantine.crashed({
+      id: `${this.#options.selfId}/${this.#crashes}`,
+      service,
+      fingerprints: [...suspects],
+    }, monotonicMs());
+    this.#options.log.warn("backend-crashed", {
+      service,
+      running: suspects.size,
+      suspects: quarantines.length,
+    });
+    void this.#options.bus.emit("quarantineNews", { quarantines });
+  }
+
+  #reasonToRefuse(call: Call): Reason | undefined {
+    const { snapshot } = this.#options.config;
+    if (snapshot === undefined) return Reason.NotReady;
+    if (!snapshot.isApproved(call.caller, call.service)) {
+      return Reason.NotApproved;
+    }
+    if (this.#isDraining) return Reason.Draining;
+    if (this.backend.announced?.service !== call.service) {
+      return Reason.NotReady;
+    }
+    if (!this.backend.isReady) return Reason.NotReady;
+    if (this.quarantine.isRefused(call.fingerprint, monotonicMs())) {
+      return Reason.Quarantined;
+    }
+    return undefined;
+  }
+}
+
+/** Time for which suspects wait for the crash to be confirmed, in ms. */
+const SUSPECT_MEMORY_MS = 1_000;
+
+const NOTHING: Execution = { cancel: () => {}, resume: () => {} };
+
+function isElsewherePossible(reason: Reason | undefined): boolean {
+  return reason !== Reason.NotApproved && reason !== Reason.Quarantined;
+}
--- /dev/null
+++ b/src/daemon/destination_call.ts
@@ -0,0 +1,419 @@
+import { Buffer } from "node:buffer";
+import type { SlotRequest } from "../coordination/admission/admission_queue.ts";
+import type {
+  AnswerHead,
+  AnswerSink,
+  Call,
+  Execution,
+} from "../protocol/call.ts";
+import { Delivery, type Service } from "../protocol/config_schema.ts";
+import {
+  ClaimState,
+  type StoredAnswer,
+} from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import {
+  HEADER_CALLER,
+  HEADER_REPLAYED,
+  HEADER_REQUEST_ID,
+  HEADER_TIMEOUT_MS,
+} from "../protocol/headers.ts";
+import {
+  notRun,
+  Reason,
+  type Refusal,
+  unknownOutcome,
+} from "../protocol/outcome.ts";
+import { FailureKind, StepError } from "../protocol/step_error.ts";
+import { Exchange } from "../transport/http/exchange.ts";
+import { singleHeader } from "../transport/http/header_filter.ts";
+import { Diagnosis, isInterruptible } from "./backend_task.ts";
+import { monotonicMs } from "./clocks.ts";
+import type { DestinationContext } from "./destination.ts";
+
+/** Largest answer that is kept for a resend, in bytes. */
+const MAX_STORED_ANSWER_BYTES = 4 * 1024;
+
+enum Phase {
+  Waiting = "waiting",
+  Claiming = "claiming",
+  Running = "running",
+  Ended = "ended",
+}
+
+/**
+ * One call at its destination, from admission to the end of its answer.
+ *
+ * @example
+ * ```ts ignore
+ * const running = new DestinationCall(call, { service, sink, context });
+ * running.admit();
+ * ```
+ */
+export class DestinationCall implements Execution, SlotRequest {
+  readonly call: Call;
+  readonly #service: Service;
+  readonly #context: DestinationContext;
+  #sink: AnswerSink | undefined;
+  #phase = Phase.Waiting;
+  #exchange: Exchange | undefined;
+  #deadline: NodeJS.Timeout | undefined;
+  #startedAtMs = 0;
+  #hasSlot = false;
+  #hasClaim = false;
+  #head: AnswerHead | undefined;
+  #stored: Uint8Array[] = [];
+  #storedBytes = 0;
+
+  /**
+   * Creates a call that has not asked for a slot yet.
+   *
+   * @param call The call.
+   * @param parts Service, receiver of the answer, and the destination.
+   */
+  constructor(
+    call: Call,
+    parts: { service: Service; sink: AnswerSink; context: DestinationContext },
+  ) {
+    this.call = call;
+    this.#service = parts.service;
+    this.#sink = parts.sink;
+    this.#context = parts.context;
+  }
+
+  get id(): string {
+    return this.call.id;
+  }
+
+  get rank(): Call["rank"] {
+    return this.call.rank;
+  }
+
+  get deadlineMs(): number {
+    return this.call.deadlineMs;
+  }
+
+  /** Whether the request was handed to the backend server. */
+  get isRunning(): boolean {
+    return this.#phase === Phase.Running;
+  }
+
+  /** Asks for a slot. */
+  admit(): void {
+    const nowMs = monotonicMs();
+    const leftMs = this.deadlineMs - nowMs;
+    if (leftMs <= 0) return this.refuse(notRun(Reason.DeadlineExceeded));
+    this.#deadline = setTimeout(() => this.#onDeadline(), leftMs);
+    const admission = this.#context.admission.ask(this, nowMs);
+    switch (admission.kind) {
+      case "start":
+        return this.start();
+      case "queued":
+        return;
+      case "refused":
+        // Another destination may have room, unless time is too short.
+        return this.refuse(
+          notRun(admission.reason, admission.reason === Reason.Overloaded),
+        );
+    }
+  }
+
+  /** Uses the slot that the call was given. */
+  start(): void {
+    this.#hasSlot = true;
+    if (this.#service.delivery === Delivery.AtMostOnce) {
+      this.#phase = Phase.Claiming;
+      void this.#claim();
+      return;
+    }
+    this.#run();
+  }
+
+  /**
+   * Answers that the call did not run, or that nothing is known.
+   *
+   * @param refusal The answer.
+   */
+  refuse(refusal: Refusal): void {
+    const sink = this.#sink;
+    this.#sink = undefined;
+    this.#end(undefined);
+    sink?.onRefused(refusal);
+  }
+
+  /** Settles a waiting call as not run. */
+  settleNotRun(): void {
+    if (this.#phase !== Phase.Waiting) return;
+    this.refuse(notRun(Reason.Cancelled));
+  }
+
+  cancel(): void {
+    this.#sink = undefined;
+    switch (this.#phase) {
+      case Phase.Waiting:
+        return this.#end(undefined);
+      case Phase.Running:
+        if (isInterruptible(this.#service.delivery)) this.#interrupt();
+        return;
+      case Phase.Claiming:
+      case Phase.Ended:
+        return;
+    }
+  }
+
+  resume(): void {
+    this.#exchange?.resume();
+  }
+
+  async #claim(): Promise<void> {
+    const response = await this.#context.claims.claim(this.call);
+    if (this.#phase !== Phase.Claiming) {
+      if (response.state === ClaimState.GRANTED) {
+        this.#context.claims.release(this.call);
+      }
+      return;
+    }
+    switch (response.state) {
+      case ClaimState.GRANTED:
+        this.#hasClaim = true;
+        return this.#run();
+      case ClaimState.DONE:
+        return this.#replay(response.answer!);
+      case ClaimState.HELD:
+        return this.refuse(
+          response.contentDiffers
+            ? notRun(Reason.KeyReused)
+            : unknownOutcome(Reason.KeyHeld),
+        );
+      case ClaimState.REFUSED:
+        return this.refuse(
+          response.reason === Reason.KeyExpired
+            ? unknownOutcome(Reason.KeyExpired)
+            : notRun(Reason.ClaimUnavailable),
+        );
+      case ClaimState.UNKNOWN:
+      case ClaimState.UNSPECIFIED:
+        // The claim may be held, but this daemon will not run the request.
+        this.#context.claims.release(this.call);
+        return this.refuse(notRun(Reason.ClaimUnavailable));
+    }
+  }
+
+  /** Gives the first answer to a request that came again. */
+  #replay(answer: StoredAnswer): void {
+    const sink = this.#sink;
+    this.#sink = undefined;
+    this.#end(undefined);
+    sink?.onHead({
+      status: answer.status,
+      headers: {
+        "content-type": answer.contentType,
+        [HEADER_REPLAYED]: answer.hasBody ? "whole" : "status-only",
+      },
+    });
+    if (answer.hasBody && answer.body.length > 0) sink?.onData(answer.body);
+    sink?.onEnd();
+  }
+
+  #run(): void {
+    const pool = this.#context.backend.pool(this.rank);
+    const mayRun = pool !== undefined && this.deadlineMs > monotonicMs() &&
+      this.#context.ledger.run(this.id);
+    if (!mayRun) {
+      if (this.#hasClaim) this.#context.claims.release(this.call);
+      return this.refuse(notRun(Reason.NotReady, !this.#hasClaim));
+    }
+    this.#phase = Phase.Running;
+    this.#startedAtMs = monotonicMs();
+    this.#exchange = Exchange.send(pool, {
+      method: this.call.method,
+      path: this.call.path,
+      headers: this.#headers(),
+      body: this.call.body,
+    }, {
+      onHead: (head) => this.#onHead(head),
+      onData: (chunk) => this.#onData(chunk),
+      onEnd: () => this.#onEnd(),
+      onError: (error, sent) => void this.#onError(error, sent),
+    });
+  }
+
+  #headers(): string[] {
+    const leftMs = Math.max(1, Math.floor(this.deadlineMs - monotonicMs()));
+    return [
+      ...this.call.headers,
+      HEADER_REQUEST_ID,
+      this.id,
+      HEADER_CALLER,
+      this.call.caller,
+      HEADER_TIMEOUT_MS,
+      String(leftMs),
+    ];
+  }
+
+  #onHead(head: AnswerHead): void {
+    const echoed = singleHeader(head.headers, HEADER_REQUEST_ID);
+    if (echoed !== undefined && echoed !== this.id) {
+      this.#interrupt();
+      return this.#fail(unknownOutcome(Reason.AnswerMismatch));
+    }
+    this.#head = head;
+    if (isOverloadStatus(head.status)) {
+      this.#context.admission.limit.overloaded(monotonicMs());
+    }
+    if (head.status >= 500 && !isOverloadStatus(head.status)) {
+      this.#context.backend.exchangeFailed();
+    } else this.#context.backend.exchangeSucceeded();
+    this.#sink?.onHead(head);
+  }
+
+  #onData(chunk: Uint8Array): boolean {
+    if (this.#hasClaim) this.#keep(chunk);
+    // Without a receiver the answer is read to its end and dropped.
+    return this.#sink?.onData(chunk) ?? true;
+  }
+
+  #keep(chunk: Uint8Array): void {
+    this.#storedBytes += chunk.length;
+    if (this.#storedBytes <= MAX_STORED_ANSWER_BYTES) {
+      this.#stored.push(Buffer.from(chunk));
+    } else this.#stored = [];
+  }
+
+  #onEnd(): void {
+    if (this.#phase !== Phase.Running) return;
+    const head = this.#head!;
+    if (head.status < 500) {
+      this.#context.quarantine.served(this.call.fingerprint);
+    }
+    if (this.#hasClaim) {
+      const hasBody = this.#storedBytes <= MAX_STORED_ANSWER_BYTES;
+      this.#context.claims.complete(this.call, {
+        status: head.status,
+        contentType: singleHeader(head.headers, "content-type") ?? "",
+        body: hasBody ? Buffer.concat(this.#stored) : Buffer.alloc(0),
+        hasBody,
+      });
+    }
+    const sink = this.#sink;
+    this.#end(monotonicMs() - this.#startedAtMs);
+    sink?.onEnd();
+  }
+
+  async #onError(error: Error, sent: boolean): Promise<void> {
+    if (this.#phase !== Phase.Running) return;
+    // All that ran when the connection broke is suspect, not only this call.
+    this.#context.noteCrashSuspects();
+    const diagnosis = await this.#context.backend.diagnose();
+    if (this.#phase !== Phase.Running) return;
+    if (!sent && this.#head === undefined) return this.#failUnsent();
+    if (diagnosis === Diagnosis.Crashed) {
+      this.#context.reportCrash();
+      return this.#fail({
+        ...unknownOutcome(Reason.BackendCrashed),
+        retryable: true,
+      }, error);
+    }
+    this.#context.backend.exchangeFailed();
+    this.#fail(
+      { ...unknownOutcome(Reason.BackendFailed), retryable: true },
+      error,
+    );
+  }
+
+  /** The connection could not be opened, so the request did not run. */
+  #failUnsent(): void {
+    if (this.#hasClaim) this.#context.claims.release(this.call);
+    const sink = this.#sink;
+    this.#sink = undefined;
+    this.#context.ledger.refuse(this.id, monotonicMs());
+    this.#end(undefined);
+    sink?.onRefused(notRun(Reason.BackendFailed, !this.#hasClaim));
+  }
+
+  #fail(refusal: Refusal, cause?: Error): void {
+    const sink = this.#sink;
+    const hadHead = this.#head !== undefined && cause !== undefined;
+    this.#sink = undefined;
+    this.#end(undefined);
+    if (!hadHead) return sink?.onRefused(refusal);
+    sink?.onCut(
+      new StepError(
+        FailureKind.Ambiguous,
+        "read-answer",
+        `Cannot read the answer: ${cause.message}`,
+        { peer: this.call.service, cause },
+      ),
+    );
+  }
+
+  #onDeadline(): void {
+    switch (this.#phase) {
+      case Phase.Waiting:
+        return this.refuse(notRun(Reason.DeadlineExceeded));
+      case Phase.Claiming: {
+        // Nothing has run, and a claim that is granted later is given up.
+        this.#phase = Phase.Ended;
+        return this.refuse(notRun(Reason.DeadlineExceeded));
+      }
+      case Phase.Running:
+        return this.#onRunningDeadline();
+      case Phase.Ended:
+        return;
+    }
+  }
+
+  #onRunningDeadline(): void {
+    this.#context.backend.exchangeFailed();
+    this.#context.admission.limit.overloaded(monotonicMs());
+    if (isInterruptible(this.#service.delivery)) {
+      this.#exchange?.cancel();
+      return this.#fail(
+        unknownOutcome(Reason.DeadlineExceeded),
+        this.#head === undefined ? undefined : new Error("deadline exceeded"),
+      );
+    }
+    // The request runs on, so that its answer is recorded.
+    const sink = this.#sink;
+    this.#sink = undefined;
+    if (this.#head === undefined) {
+      sink?.onRefused(unknownOutcome(Reason.DeadlineExceeded));
+    } else {
+      sink?.onCut(
+        new StepError(
+          FailureKind.Ambiguous,
+          "read-answer",
+          "Cannot read the answer: deadline exceeded",
+          { peer: this.call.service },
+        ),
+      );
+    }
+  }
+
+  #interrupt(): void {
+    this.#exchange?.cancel();
+    this.#end(undefined);
+  }
+
+  /** Gives back the slot; runs once. */
+  #end(serviceMs: number | undefined): void {
+    if (this.#phase === Phase.Ended && !this.#hasSlot) return;
+    const ran = this.#phase === Phase.Running;
+    const waited = this.#phase === Phase.Waiting && !this.#hasSlot;
+    this.#phase = Phase.Ended;
+    clearTimeout(this.#deadline);
+    const nowMs = monotonicMs();
+    if (ran) this.#context.ledger.finish(this.id, nowMs);
+    else this.#context.ledger.refuse(this.id, nowMs);
+    if (waited) this.#context.admission.cancel(this);
+    this.#context.ended(this);
+    if (!this.#hasSlot) return;
+    this.#hasSlot = false;
+    const released = this.#context.admission
+      .release(this.rank, serviceMs, nowMs);
+    this.#context.apply(released);
+  }
+}
+
+function isOverloadStatus(status: number): boolean {
+  return status === 503 || status === 429;
+}
--- /dev/null
+++ b/src/daemon/gossip_task.ts
@@ -0,0 +1,426 @@
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
+import { LRUCache } from "lru-cache";
+import type { Result } from "neverthrow";
+import { bridgeTargets } from "../coordination/membership/bridges.ts";
+import { Dissemination } from "../coordination/membership/dissemination.ts";
+import type { Membership } from "../coordination/membership/membership.ts";
+import type { QuarantineList } from "../coordination/quarantine/quarantine_list.ts";
+import {
+  type ExchangeRequest,
+  ExchangeRequestSchema,
+  type ExchangeResponse,
+  ExchangeResponseSchema,
+  type Gossip,
+  GossipSchema,
+  type Member,
+  MemberState,
+  type ProbeForRequest,
+  type Quarantine,
+  type SyncRequest,
+  type SyncResponse,
+  SyncResponseSchema,
+} from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import type { Random } from "../protocol/random.ts";
+import { FailureKind, type StepError } from "../protocol/step_error.ts";
+import type { ConfigStore } from "../state/config_store.ts";
+import { BUCKETS } from "../state/member_table.ts";
+import type { FleetClients } from "../transport/control/fleet_client.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import { readClocks } from "./clocks.ts";
+import type { FleetBus } from "./fleet_bus.ts";
+
+/** Most member updates in one message. */
+const MAX_UPDATES = 32;
+/** Members that are asked to probe a third one. */
+const INDIRECT_PROBES = 2;
+/** Shortest time between two table comparisons, in ms. */
+const SYNC_PERIOD_MS = 2_000;
+/** Peers that learn of an urgent update at once. */
+const URGENT_FANOUT = 4;
+/** Periods between attempts to reach members that were declared dead. */
+const REVIVE_PERIODS = 10;
+/** Instances whose last version is remembered. */
+const MAX_INSTANCES = 5_000;
+/** Changes in one table comparison from which they are not spread further. */
+const MAX_SPREAD_CHANGES = 64;
+/** Part of the period by which rounds are shifted at random. */
+const JITTER = 0.2;
+
+/** What a {@linkcode GossipTask} needs. */
+export interface GossipTaskOptions {
+  readonly membership: Membership;
+  readonly config: ConfigStore;
+  readonly quarantine: QuarantineList;
+  readonly clients: FleetClients;
+  readonly bus: FleetBus;
+  readonly log: EventLog;
+  readonly random: Random;
+  readonly periodMs: number;
+  readonly probeTimeoutMs: number;
+  readonly bridgePeriodMs: number;
+  /** Addresses that may lead back into the fleet. */
+  readonly contacts: readonly string[];
+}
+
+/**
+ * Exchanges membership, quarantines and configuration versions with peers.
+ *
+ * @example
+ * ```ts ignore
+ * const gossip = new GossipTask(options);
+ * await gossip.join(["10.0.0.2:7003"]);
+ * gossip.start();
+ * ```
+ */
+export class GossipTask {
+  readonly #options: GossipTaskOptions;
+  readonly #membership: Membership;
+  readonly #quarantines = new Dissemination<Quarantine>();
+  readonly #lastVersions = new LRUCache<string, number>({ max: MAX_INSTANCES });
+  #timer: NodeJS.Timeout | undefined;
+  #round = 0;
+  #syncedAtMs = -Infinity;
+  #bridgedAtMs = -Infinity;
+  #contacts: string[];
+  #isStopped = false;
+
+  /**
+   * Creates a task that follows the bus.
+   *
+   * @param options Its parts and timing.
+   */
+  constructor(options: GossipTaskOptions) {
+    this.#options = options;
+    this.#membership = options.membership;
+    this.#contacts = [...options.contacts];
+    options.bus.on("quarantineNews", ({ quarantines }) => {
+      for (const one of quarantines) {
+        this.#quarantines.add(one.fingerprint, one);
+      }
+      this.spreadNow();
+    });
+    options.bus.on("contactsSeen", ({ addresses }) => this.#meet(addresses));
+  }
+
+  /** Starts the rounds. */
+  start(): void {
+    this.#schedule();
+  }
+
+  /** Ends the rounds. */
+  stop(): void {
+    this.#isStopped = true;
+    clearTimeout(this.#timer);
+  }
+
+  /**
+   * Learns the fleet from contacts and announces this daemon to them.
+   *
+   * @param addresses Control addresses of daemons that may be alive.
+   * @returns The highest version that a peer saw this instance hold, for each
+   * contact that answered.
+   */
+  async join(addresses: readonly string[]): Promise<number[]> {
+    const answers = await Promise.all(
+      addresses.map((address) => this.#sync(address)),
+    );
+    const versions = answers.flatMap((answer) =>
+      answer === undefined ? [] : [answer.lastSeenVersion]
+    );
+    if (versions.length > 0) this.spreadNow();
+    return versions;
+  }
+
+  /** Tells some peers at once what is pending. */
+  spreadNow(): void {
+    const peers = this.#membership.domainPeers();
+    const targets = this.#options.random.sample(peers, URGENT_FANOUT);
+    for (const target of targets) void this.#exchange(target);
+  }
+
+  /**
+   * Tells every given member at once what is pending.
+   *
+   * @param members The members.
+   * @returns Once each answered or failed.
+   */
+  async tell(members: readonly Member[]): Promise<void> {
+    await Promise.all(members.map((member) => this.#exchange(member)));
+  }
+
+  /**
+   * Answers a peer's exchange.
+   *
+   * @param request The peer's message.
+   * @returns The answer.
+   * @throws {ConnectError} If the peer meant another process.
+   */
+  onExchange(request: ExchangeRequest): ExchangeResponse {
+    const self = this.#membership.self;
+    if (request.targetId !== "" && request.targetId !== self.id) {
+      throw new ConnectError(
+        `this is ${self.id}, not ${request.targetId}`,
+        Code.FailedPrecondition,
+      );
+    }
+    const sender = request.sender;
+    const lastSeenVersion = this.#lastVersions.get(sender?.instance ?? "") ?? 0;
+    if (sender !== undefined) this.#receive(sender, request.gossip);
+    return create(ExchangeResponseSchema, {
+      receiver: self,
+      gossip: this.#gossip(),
+      lastSeenVersion,
+    });
+  }
+
+  /**
+   * Probes a member for a peer that could not reach it.
+   *
+   * @param request The member.
+   * @returns Whether it answered.
+   */
+  async onProbeFor(request: ProbeForRequest): Promise<boolean> {
+    if (request.target === undefined) return false;
+    const result = await this.#exchange(request.target, request.timeoutMs);
+    return result.isOk();
+  }
+
+  /**
+   * Answers a table comparison.
+   *
+   * @param request The sender's bucket digests.
+   * @returns The members of the buckets that differ.
+   */
+  onSync(request: SyncRequest): SyncResponse {
+    const own = this.#membership.table.bucketDigests;
+    const differing = new Set<number>();
+    for (let bucket = 0; bucket < BUCKETS; bucket++) {
+      if (request.bucketDigests[bucket] !== own[bucket]) differing.add(bucket);
+    }
+    const instance = request.sender?.instance ?? "";
+    return create(SyncResponseSchema, {
+      members: this.#membership.table.inBuckets(differing),
+      configVersion: this.#options.config.version,
+      lastSeenVersion: this.#lastVersions.get(instance) ?? 0,
+      quarantines: this.#options.quarantine.refused(readClocks().monotonicMs),
+    });
+  }
+
+  #schedule(): void {
+    if (this.#isStopped) return;
+    const { periodMs, random } = this.#options;
+    const shift = 1 + JITTER * (random.fraction() - 0.5);
+    this.#timer = setTimeout(() => {
+      this.#runRound();
+      this.#schedule();
+    }, periodMs * shift);
+  }
+
+  #runRound(): void {
+    const now = readClocks();
+    this.#round++;
+    for (const target of this.#membership.tick(now)) void this.#probe(target);
+    if (now.monotonicMs - this.#bridgedAtMs >= this.#options.bridgePeriodMs) {
+      this.#bridgedAtMs = now.monotonicMs;
+      this.#bridge();
+    }
+    if (this.#round % REVIVE_PERIODS === 0) this.#revive();
+  }
+
+  #bridge(): void {
+    const { table, self } = this.#membership;
+    for (const partner of bridgeTargets(table, self, this.#options.random)) {
+      void this.#exchange(partner);
+    }
+  }
+
+  /** Tries a lost member or a contact, so that partitions heal. */
+  #revive(): void {
+    const dead = this.#membership.table.all().filter((member) =>
+      member.state === MemberState.DEAD
+    );
+    const lost = this.#options.random.pick(dead);
+    if (lost !== undefined) void this.#exchange(lost);
+    if (this.#membership.domainPeers().length > 0) return;
+    const contact = this.#options.random.pick(this.#contacts);
+    if (contact !== undefined) void this.join([contact]);
+  }
+
+  /** Joins contacts that are not known as members. */
+  #meet(addresses: readonly string[]): void {
+    this.#contacts = [...new Set([...this.#options.contacts, ...addresses])];
+    const known = new Set(
+      this.#membership.table.present().map(controlAddress),
+    );
+    const strangers = addresses.filter((address) => !known.has(address));
+    if (strangers.length > 0) void this.join(strangers);
+  }
+
+  async #probe(target: Member): Promise<void> {
+    const direct = await this.#exchange(target);
+    if (direct.isOk()) return;
+    if (direct.error.kind === FailureKind.Conflict) {
+      // Another process answers there, so the member is gone.
+      return this.#membership.declareDead(target.id, readClocks());
+    }
+    if (await this.#probeIndirectly(target)) return;
+    this.#options.log.info("probe-missed", {
+      member: target.id,
+      peer: controlAddress(target),
+      error: direct.error.message,
+    });
+    this.#membership.missed(target.id, readClocks());
+  }
+
+  async #probeIndirectly(target: Member): Promise<boolean> {
+    const relays = this.#options.random.sample(
+      this.#membership.domainPeers().filter((peer) => peer.id !== target.id),
+      INDIRECT_PROBES,
+    );
+    const { probeTimeoutMs, clients } = this.#options;
+    const reached = await Promise.all(relays.map(async (relay) => {
+      const result = await clients.call(
+        controlAddress(relay),
+        "probe-for",
+        (peer, options) =>
+          peer.probeFor({
+            senderId: this.#membership.self.id,
+            target,
+            timeoutMs: probeTimeoutMs,
+          }, options),
+        { timeoutMs: 2 * probeTimeoutMs },
+      );
+      return result.isOk() && result.value.reached;
+    }));
+    return reached.includes(true);
+  }
+
+  async #exchange(
+    target: Member,
+    timeoutMs = this.#options.probeTimeoutMs,
+  ): Promise<Result<ExchangeResponse, StepError>> {
+    const request = create(ExchangeRequestSchema, {
+      sender: this.#membership.self,
+      targetId: target.id,
+      gossip: this.#gossip(),
+    });
+    const result = await this.#options.clients.call(
+      controlAddress(target),
+      "exchange",
+      (peer, options) => peer.exchange(request, options),
+      { timeoutMs },
+    );
+    if (result.isOk() && result.value.receiver !== undefined) {
+      this.#receive(result.value.receiver, result.value.gossip);
+    }
+    return result;
+  }
+
+  #gossip(): Gossip {
+    const fleetSize = this.#membership.table.size;
+    return create(GossipSchema, {
+      members: this.#membership.takeUpdates(MAX_UPDATES),
+      quarantines: this.#quarantines.take(MAX_UPDATES, fleetSize),
+      configVersion: this.#options.config.version,
+      configDigest: this.#options.config.digest,
+      tableDigest: this.#membership.table.digest,
+    });
+  }
+
+  #receive(peer: Member, gossip: Gossip | undefined): void {
+    const now = readClocks();
+    this.#membership.receive([peer, ...gossip?.members ?? []], now);
+    if (gossip === undefined) return;
+    this.#receiveQuarantines(gossip.quarantines, now.monotonicMs);
+    this.#receiveVersion(peer, gossip);
+    const { table, pendingUpdates } = this.#membership;
+    if (
+      gossip.tableDigest !== table.digest && pendingUpdates === 0 &&
+      now.monotonicMs - this.#syncedAtMs > SYNC_PERIOD_MS
+    ) {
+      this.#syncedAtMs = now.monotonicMs;
+      void this.#sync(controlAddress(peer));
+    }
+  }
+
+  #receiveVersion(peer: Member, gossip: Gossip): void {
+    const known = this.#lastVersions.get(peer.instance) ?? 0;
+    const version = Math.max(known, gossip.configVersion);
+    this.#lastVersions.set(peer.instance, version);
+    const { config, log, bus } = this.#options;
+    if (gossip.configVersion > config.version) {
+      void bus.emit("versionSeen", {
+        version: gossip.configVersion,
+        digest: gossip.configDigest,
+        address: controlAddress(peer),
+      });
+    } else if (
+      gossip.configVersion === config.version && config.version > 0 &&
+      gossip.configDigest !== config.digest
+    ) {
+      log.error("config-fork", {
+        version: config.version,
+        digest: config.digest,
+        peer: peer.id,
+        peer_digest: gossip.configDigest,
+      });
+    }
+  }
+
+  #receiveQuarantines(messages: readonly Quarantine[], nowMs: number): void {
+    const { quarantine, bus, log } = this.#options;
+    const news = messages.filter((one) => quarantine.receive(one, nowMs));
+    if (news.length === 0) return;
+    for (const one of news) {
+      log.info("quarantine-received", {
+        fingerprint: one.fingerprint,
+        service: one.service,
+        crashes: one.crashIds.length,
+      });
+    }
+    const quarantines = news.flatMap((one) =>
+      quarantine.toMessage(one.fingerprint, nowMs) ?? []
+    );
+    void bus.emit("quarantineNews", { quarantines });
+  }
+
+  async #sync(address: string): Promise<SyncResponse | undefined> {
+    const { table, self } = this.#membership;
+    const result = await this.#options.clients.call(
+      address,
+      "sync",
+      (peer, options) =>
+        peer.sync(
+          { sender: self, bucketDigests: [...table.bucketDigests] },
+          options,
+        ),
+      { timeoutMs: 4 * this.#options.probeTimeoutMs },
+    );
+    if (result.isErr()) return undefined;
+    const now = readClocks();
+    const { members, quarantines } = result.value;
+    this.#membership.receive(members, now, {
+      isSpread: members.length <= MAX_SPREAD_CHANGES,
+    });
+    for (const one of quarantines) {
+      this.#options.quarantine.receive(one, now.monotonicMs);
+    }
+    return result.value;
+  }
+}
+
+/**
+ * Returns the control address of a member.
+ *
+ * @param member The member.
+ * @returns "ip:port".
+ *
+ * @example
+ * ```ts ignore
+ * controlAddress(member); // "10.0.0.2:7003"
+ * ```
+ */
+export function controlAddress(member: Member): string {
+  return `${member.host}:${member.controlPort}`;
+}
--- /dev/null
+++ b/src/daemon/ingress_attempt.ts
@@ -0,0 +1,187 @@
+import type { Chosen } from "../coordination/routing/balancer.ts";
+import type {
+  Endpoint,
+  ReportedLoad,
+} from "../coordination/routing/endpoint.ts";
+import type { AnswerHead, Call, Execution } from "../protocol/call.ts";
+import { SettleState } from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import {
+  notRun,
+  Reason,
+  type Refusal,
+  unknownOutcome,
+} from "../protocol/outcome.ts";
+import type { StepError } from "../protocol/step_error.ts";
+import type { Destination } from "./destination.ts";
+import { monotonicMs } from "./clocks.ts";
+import type { PeerCaller, PeerSink } from "./peer_caller.ts";
+
+/** Receives what becomes of an attempt. */
+export interface AttemptEvents {
+  onAttemptHead(attempt: IngressAttempt, head: AnswerHead): void;
+  onAttemptData(attempt: IngressAttempt, chunk: Uint8Array): boolean;
+  onAttemptEnd(attempt: IngressAttempt): void;
+  onAttemptCut(attempt: IngressAttempt, error: StepError): void;
+  onAttemptRefused(attempt: IngressAttempt, refusal: Refusal): void;
+}
+
+/** What an attempt needs. */
+export interface AttemptOptions {
+  readonly selfId: string;
+  readonly peers: PeerCaller;
+  readonly destination: Destination;
+  readonly failuresToEject: number;
+  /** Called where the endpoint was ejected by this attempt. */
+  readonly onEjected: (endpoint: Endpoint) => void;
+}
+
+/**
+ * One attempt of an ingress call at one endpoint.
+ *
+ * @example
+ * ```ts ignore
+ * const attempt = new IngressAttempt(call, chosen, { events, options });
+ * attempt.send();
+ * ```
+ */
+export class IngressAttempt implements PeerSink {
+  readonly call: Call;
+  readonly endpoint: Endpoint;
+  readonly #events: AttemptEvents;
+  readonly #options: AttemptOptions;
+  readonly #sentAtMs = monotonicMs();
+  #execution: Execution | undefined;
+  #isOver = false;
+  #isSettling = false;
+
+  /**
+   * Creates an attempt that is not sent yet.
+   *
+   * @param call The call.
+   * @param chosen The endpoint.
+   * @param parts Receiver and environment.
+   */
+  constructor(
+    call: Call,
+    chosen: Chosen,
+    parts: { events: AttemptEvents; options: AttemptOptions },
+  ) {
+    this.call = call;
+    this.endpoint = chosen.endpoint;
+    this.#events = parts.events;
+    this.#options = parts.options;
+  }
+
+  /** Sends the call, to the own backend server directly. */
+  send(): void {
+    const { member } = this.endpoint;
+    this.endpoint.running++;
+    this.#execution = member.id === this.#options.selfId
+      ? this.#options.destination.execute(this.call, this)
+      : this.#options.peers.execute(member, this.call, this);
+  }
+
+  /** Gives up the attempt. */
+  cancel(): void {
+    if (!this.#finish()) return;
+    this.#execution?.cancel();
+  }
+
+  /** Asks for more data. */
+  resume(): void {
+    this.#execution?.resume();
+  }
+
+  /**
+   * Finds out over a new connection whether a late call arrived at all.
+   *
+   * @returns Once a call that did not arrive was given up.
+   */
+  async checkArrival(): Promise<void> {
+    if (this.#isSettling || this.#isOver) return;
+    if (this.endpoint.member.id === this.#options.selfId) return;
+    this.#isSettling = true;
+    const state = await this.#settle();
+    this.#isSettling = false;
+    if (this.#isOver || state === SettleState.RUNNING) return;
+    if (state === SettleState.UNKNOWN) return;
+    // Not run, or its answer was lost: the connection has gone silent.
+    this.#execution?.cancel();
+    this.#refused(refusalOf(state));
+  }
+
+  onLoad(load: ReportedLoad): void {
+    this.endpoint.load = load;
+  }
+
+  onHead(head: AnswerHead): void {
+    if (this.#isOver) return;
+    if (head.status >= 500) this.#fail();
+    else this.endpoint.succeeded(monotonicMs() - this.#sentAtMs);
+    this.#events.onAttemptHead(this, head);
+  }
+
+  onData(chunk: Uint8Array): boolean {
+    if (this.#isOver) return true;
+    return this.#events.onAttemptData(this, chunk);
+  }
+
+  onEnd(): void {
+    if (this.#finish()) this.#events.onAttemptEnd(this);
+  }
+
+  onCut(error: StepError): void {
+    this.#fail();
+    if (this.#finish()) this.#events.onAttemptCut(this, error);
+  }
+
+  onRefused(refusal: Refusal): void {
+    if (this.#isOver) return;
+    if (isFault(refusal.reason)) this.#fail(refusal.reason);
+    this.#refused(refusal);
+  }
+
+  onBroken(): void {
+    if (this.#isOver) return;
+    this.#fail();
+    void this.#settle().then((state) => this.#refused(refusalOf(state)));
+  }
+
+  #settle(): Promise<SettleState> {
+    return this.#options.peers
+      .settle(this.endpoint.member, this.call.id, this.#sentAtMs);
+  }
+
+  #refused(refusal: Refusal): void {
+    if (this.#finish()) this.#events.onAttemptRefused(this, refusal);
+  }
+
+  #fail(reason?: Reason): void {
+    // Nobody listens there, or the backend server is gone.
+    const isGone = reason === Reason.PeerFailed ||
+      reason === Reason.BackendCrashed || reason === Reason.Draining;
+    const failures = isGone ? 1 : this.#options.failuresToEject;
+    if (this.endpoint.failed(failures, monotonicMs())) {
+      this.#options.onEjected(this.endpoint);
+    }
+  }
+
+  #finish(): boolean {
+    if (this.#isOver) return false;
+    this.#isOver = true;
+    this.endpoint.running--;
+    return true;
+  }
+}
+
+function isFault(reason: Reason): boolean {
+  return reason === Reason.PeerFailed || reason === Reason.BackendFailed ||
+    reason === Reason.BackendCrashed || reason === Reason.NotReady ||
+    reason === Reason.Draining;
+}
+
+function refusalOf(state: SettleState): Refusal {
+  return state === SettleState.NOT_RUN
+    ? notRun(Reason.PeerFailed, true)
+    : { ...unknownOutcome(Reason.PeerFailed), retryable: true };
+}
--- /dev/null
+++ b/src/daemon/ingress_call.ts
@@ -0,0 +1,341 @@
+import type { ServerResponse } from "node:http";
+import type { Balancer } from "../coordination/routing/balancer.ts";
+import type { LatencyTracker } from "../coordination/retry/latency_tracker.ts";
+import type { RetryBudget } from "../coordination/retry/retry_budget.ts";
+import { decideRetry } from "../coordination/retry/retry_policy.ts";
+import type { QuarantineList } from "../coordination/quarantine/quarantine_list.ts";
+import type { AnswerHead, Call } from "../protocol/call.ts";
+import { Delivery } from "../protocol/config_schema.ts";
+import {
+  notRun,
+  Outcome,
+  Reason,
+  type Refusal,
+  unknownOutcome,
+} from "../protocol/outcome.ts";
+import { Rank } from "../protocol/rank.ts";
+import type { Random } from "../protocol/random.ts";
+import type { StepError } from "../protocol/step_error.ts";
+import type { ResolvedRoute } from "../state/config_snapshot.ts";
+import type { DecisionLog } from "../state/decision_log.ts";
+import { answerHeaders } from "../transport/http/header_filter.ts";
+import type { RequestBody } from "../transport/http/request_body.ts";
+import type { EventLog, LogFields } from "../transport/observe/event_log.ts";
+import type { Metrics } from "../transport/observe/metrics.ts";
+import type { AnswerWriter } from "./answer_writer.ts";
+import { monotonicMs } from "./clocks.ts";
+import {
+  type AttemptEvents,
+  type AttemptOptions,
+  IngressAttempt,
+} from "./ingress_attempt.ts";
+
+/** Time that destinations get beyond the deadline to answer precisely, in ms. */
+const ANSWER_GRACE_MS = 50;
+/** Bounds of the time after which a call is looked after, in ms. */
+const MIN_URGENT_PATIENCE_MS = 10;
+const MIN_PATIENCE_MS = 250;
+/** Patience with calls that are not urgent, in 95th percentiles. */
+const PATIENCE_PERCENTILES = 4;
+/** Percentile of the latencies beyond which a call is late. */
+const LATE_PERCENTILE = 0.95;
+/** Patience while there are too few latencies, in ms. */
+const DEFAULT_PATIENCE_MS = 500;
+
+/** What ingress calls share. */
+export interface IngressContext {
+  readonly balancer: Balancer;
+  readonly quarantine: QuarantineList;
+  readonly random: Random;
+  readonly log: EventLog;
+  readonly decisions: DecisionLog;
+  readonly metrics: Metrics;
+  readonly attempts: Omit<AttemptOptions, "failuresToEject" | "onEjected">;
+}
+
+/** Evidence of a service that its calls share. */
+export interface ServiceEvidence {
+  readonly budget: RetryBudget;
+  readonly latency: LatencyTracker;
+}
+
+/** What is known of a call that was let in. */
+export interface AcceptedCall {
+  /** The call without its attempt's id and body. */
+  readonly template: Omit<Call, "id" | "body">;
+  readonly requestId: string;
+  readonly route: ResolvedRoute;
+  readonly body: RequestBody;
+  readonly writer: AnswerWriter;
+  readonly response: ServerResponse;
+  readonly evidence: ServiceEvidence;
+  readonly onOver: () => void;
+}
+
+/**
+ * One caller's call, over all its attempts.
+ *
+ * The first attempt that gets a backend server's answer wins and the others
+ * are cancelled.
+ *
+ * @example
+ * ```ts ignore
+ * new IngressCall(accepted, context).start();
+ * ```
+ */
+export class IngressCall implements AttemptEvents {
+  readonly #accepted: AcceptedCall;
+  readonly #context: IngressContext;
+  readonly #startedAtMs = monotonicMs();
+  readonly #tried = new Set<string>();
+  readonly #live = new Set<IngressAttempt>();
+  #winner: IngressAttempt | undefined;
+  #attempts = 0;
+  #mayHaveRun = false;
+  #isOver = false;
+  #deadline: NodeJS.Timeout | undefined;
+  #patience: NodeJS.Timeout | undefined;
+  #pause: NodeJS.Timeout | undefined;
+
+  /**
+   * Creates a call.
+   *
+   * @param accepted The call.
+   * @param context What all calls share.
+   */
+  constructor(accepted: AcceptedCall, context: IngressContext) {
+    this.#accepted = accepted;
+    this.#context = context;
+  }
+
+  /** Makes the first attempt. */
+  start(): void {
+    const { template, response, evidence } = this.#accepted;
+    evidence.budget.earn();
+    const leftMs = template.deadlineMs - monotonicMs() + ANSWER_GRACE_MS;
+    this.#deadline = setTimeout(() => this.#onDeadline(), leftMs);
+    response.once("close", () => this.#onClosed());
+    this.#attempt();
+  }
+
+  onAttemptHead(attempt: IngressAttempt, head: AnswerHead): void {
+    if (this.#winner !== undefined || this.#isOver) return attempt.cancel();
+    this.#winner = attempt;
+    clearTimeout(this.#patience);
+    for (const other of this.#live) if (other !== attempt) other.cancel();
+    this.#accepted.evidence.latency.record(monotonicMs() - this.#startedAtMs);
+    if (head.status < 500) {
+      this.#context.quarantine.served(attempt.call.fingerprint);
+    }
+    this.#accepted.writer.head({
+      status: head.status,
+      headers: answerHeaders(head.headers, true),
+    });
+  }
+
+  onAttemptData(attempt: IngressAttempt, chunk: Uint8Array): boolean {
+    if (attempt !== this.#winner) return true;
+    return this.#accepted.writer.data(chunk, () => attempt.resume());
+  }
+
+  onAttemptEnd(attempt: IngressAttempt): void {
+    this.#live.delete(attempt);
+    if (attempt !== this.#winner) return;
+    this.#accepted.writer.end();
+    this.#over(Outcome.Ran);
+  }
+
+  onAttemptCut(attempt: IngressAttempt, error: StepError): void {
+    this.#live.delete(attempt);
+    if (attempt !== this.#winner) return;
+    this.#note("answer-cut", { peer: error.peer, error: error.message });
+    this.#accepted.writer.cut();
+    this.#over(Outcome.Unknown);
+  }
+
+  onAttemptRefused(attempt: IngressAttempt, refusal: Refusal): void {
+    this.#live.delete(attempt);
+    if (refusal.outcome === Outcome.Unknown) this.#mayHaveRun = true;
+    this.#remember("attempt-refused", {
+      attempt: attempt.call.id,
+      backend: attempt.endpoint.member.id,
+      outcome: refusal.outcome,
+      reason: refusal.reason,
+    });
+    if (this.#isOver || this.#live.size > 0) return;
+    this.#retryOrAnswer(refusal);
+  }
+
+  #retryOrAnswer(refusal: Refusal): void {
+    const { template, route, body, evidence } = this.#accepted;
+    const decision = decideRetry({
+      refusal,
+      delivery: route.service.delivery,
+      attempts: this.#attempts,
+      retriesLeft: template.retries.left,
+      replayable: body.isReplayable,
+      remainingMs: template.deadlineMs - monotonicMs(),
+    }, this.#context.random);
+    switch (decision.kind) {
+      case "answer":
+        return this.#answer(refusal);
+      case "retry":
+        if (!evidence.budget.trySpend()) return this.#answer(refusal);
+        template.retries.left--;
+        this.#pause = setTimeout(
+          () => this.#attempt(refusal),
+          decision.pauseMs,
+        );
+        return;
+    }
+  }
+
+  /** Makes an attempt, or gives the answer that stands where none is left. */
+  #attempt(standing: Refusal = notRun(Reason.NoBackend)): void {
+    if (this.#isOver) return;
+    const { template, route, body, requestId } = this.#accepted;
+    const chosen = this.#context.balancer.choose(route.serviceName, {
+      service: route.service,
+      tried: this.#tried,
+      nowMs: monotonicMs(),
+    });
+    if (chosen === undefined) return this.#answer(standing);
+    const { endpoint } = chosen;
+    this.#attempts++;
+    this.#tried.add(endpoint.member.id);
+    const attempt = new IngressAttempt(
+      { ...template, id: `${requestId}.${this.#attempts}`, body: body.open() },
+      chosen,
+      { events: this, options: this.#attemptOptions() },
+    );
+    this.#note("route", {
+      route: route.name,
+      service: route.serviceName,
+      caller: template.caller,
+      rank: template.rank,
+      attempt: this.#attempts,
+      backend: endpoint.member.id,
+      choice: chosen.choice,
+    });
+    this.#live.add(attempt);
+    attempt.send();
+    this.#armPatience(this.#patienceMs());
+  }
+
+  #attemptOptions(): AttemptOptions {
+    const { failuresToEject } = this.#accepted.route.service.health;
+    return {
+      ...this.#context.attempts,
+      failuresToEject,
+      onEjected: (endpoint) =>
+        this.#context.log.warn("backend-ejected", {
+          backend: endpoint.member.id,
+          service: endpoint.member.service,
+          request: this.#accepted.requestId,
+        }),
+    };
+  }
+
+  #patienceMs(): number {
+    const { evidence, template } = this.#accepted;
+    const lateMs = evidence.latency.percentileMs(LATE_PERCENTILE);
+    if (lateMs === undefined) return DEFAULT_PATIENCE_MS;
+    return template.rank === Rank.Urgent
+      ? Math.max(MIN_URGENT_PATIENCE_MS, lateMs * 2)
+      : Math.max(MIN_PATIENCE_MS, lateMs * PATIENCE_PERCENTILES);
+  }
+
+  #armPatience(patienceMs: number): void {
+    if (this.#isOver || this.#winner !== undefined) return;
+    clearTimeout(this.#patience);
+    this.#patience = setTimeout(() => {
+      this.#onLate();
+      this.#armPatience(patienceMs * 2);
+    }, patienceMs);
+  }
+
+  /** Hedges a late call, or finds out whether it arrived. */
+  #onLate(): void {
+    if (this.#isOver || this.#winner !== undefined) return;
+    const { template, route, body, evidence } = this.#accepted;
+    const mayHedge = route.service.delivery === Delivery.Idempotent &&
+      this.#live.size === 1 && body.whole !== undefined &&
+      template.retries.left > 0 && this.#hasAlternative();
+    if (mayHedge && evidence.budget.trySpend()) {
+      template.retries.left--;
+      this.#context.metrics.count("ingress.hedges");
+      return this.#attempt();
+    }
+    for (const attempt of this.#live) void attempt.checkArrival();
+  }
+
+  #hasAlternative(): boolean {
+    const { route } = this.#accepted;
+    return this.#context.balancer.choose(route.serviceName, {
+      service: route.service,
+      tried: this.#tried,
+      nowMs: monotonicMs(),
+    }) !== undefined;
+  }
+
+  #onDeadline(): void {
+    if (this.#winner !== undefined) {
+      // The destination cuts the answer itself; this is the last resort.
+      this.#winner.cancel();
+      this.#accepted.writer.cut();
+      return this.#over(Outcome.Unknown);
+    }
+    const isLive = this.#live.size > 0;
+    for (const attempt of this.#live) attempt.cancel();
+    this.#answer(
+      isLive
+        ? unknownOutcome(Reason.DeadlineExceeded)
+        : notRun(Reason.DeadlineExceeded),
+    );
+  }
+
+  #onClosed(): void {
+    if (this.#isOver) return;
+    for (const attempt of this.#live) attempt.cancel();
+    this.#note("caller-gone", {});
+    this.#over(Outcome.Unknown);
+  }
+
+  /** Answers the caller; an earlier attempt that may have run is not hidden. */
+  #answer(refusal: Refusal): void {
+    if (this.#isOver) return;
+    const final = this.#mayHaveRun && refusal.outcome === Outcome.NotRun
+      ? unknownOutcome(refusal.reason)
+      : refusal;
+    this.#note("answer", { outcome: final.outcome, reason: final.reason });
+    this.#accepted.writer.refuse({ ...final, retryable: false });
+    this.#over(final.outcome);
+  }
+
+  #over(outcome: Outcome): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    clearTimeout(this.#deadline);
+    clearTimeout(this.#patience);
+    clearTimeout(this.#pause);
+    const { template, onOver } = this.#accepted;
+    this.#context.metrics.timing(
+      "ingress.latency",
+      monotonicMs() - this.#startedAtMs,
+      [`service:${template.service}`, `outcome:${outcome}`],
+    );
+    onOver();
+  }
+
+  #note(event: string, fields: LogFields): void {
+    const line = { request: this.#accepted.requestId, ...fields };
+    this.#context.log.info(event, line);
+    this.#remember(event, fields);
+  }
+
+  #remember(event: string, fields: LogFields): void {
+    const { requestId } = this.#accepted;
+    const atMs = Date.now();
+    this.#context.decisions.add(requestId, { atMs, event, fields });
+  }
+}
--- /dev/null
+++ b/src/daemon/lease_task.ts
@@ -0,0 +1,206 @@
+import type { SlotMember } from "../coordination/slots/slot_keeper.ts";
+import {
+  type SlotDefinition,
+  SlotKeeper,
+} from "../coordination/slots/slot_keeper.ts";
+import { FailureKind, type StepError } from "../protocol/step_error.ts";
+import type { Store } from "../protocol/store.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import { monotonicMs } from "./clocks.ts";
+import type { FleetBus, HeldSlot } from "./fleet_bus.ts";
+
+/** Time between two looks for vacant slots, in ms. */
+const LOOK_PERIOD_MS = 500;
+/** Renewals within the life of a lease. */
+const RENEWALS_PER_TTL = 3;
+
+/** What a {@linkcode LeaseTask} needs. */
+export interface LeaseTaskOptions {
+  readonly selfId: string;
+  /** Value of the slots' keys: the control address of this daemon. */
+  readonly address: string;
+  readonly slots: readonly SlotDefinition[];
+  readonly ttlS: number;
+  readonly store: Store;
+  readonly bus: FleetBus;
+  readonly log: EventLog;
+  /** Returns the present members, this daemon included. */
+  readonly members: () => readonly SlotMember[];
+}
+
+interface Lease {
+  readonly id: string;
+  /** Monotonic time at which the lease may have lapsed. */
+  deadlineMs: number;
+}
+
+/**
+ * Takes vacant slots and keeps them by one lease.
+ *
+ * The deadline counts from before each renewal was sent, so that a daemon that
+ * was paused gives its slots up before the store does.
+ *
+ * @example
+ * ```ts ignore
+ * const task = new LeaseTask(options);
+ * task.start();
+ * ```
+ */
+export class LeaseTask {
+  readonly #options: LeaseTaskOptions;
+  readonly #keeper: SlotKeeper;
+  #held: HeldSlot[] = [];
+  #lease: Lease | undefined;
+  #renewAtMs = 0;
+  #timer: NodeJS.Timeout | undefined;
+  #isStopped = false;
+
+  /**
+   * Creates a task that holds nothing.
+   *
+   * @param options Store, slots and members.
+   */
+  constructor(options: LeaseTaskOptions) {
+    this.#options = options;
+    this.#keeper = new SlotKeeper(options.selfId, options.slots);
+  }
+
+  /** The slots that this daemon holds. */
+  get held(): readonly HeldSlot[] {
+    return this.#held;
+  }
+
+  /** Starts to look for vacant slots. */
+  start(): void {
+    this.#schedule();
+  }
+
+  /** Gives up all slots and the lease. */
+  async stop(): Promise<void> {
+    this.#isStopped = true;
+    clearTimeout(this.#timer);
+    const lease = this.#lease;
+    this.#dropAll("stopped");
+    if (lease !== undefined) await this.#options.store.revokeLease(lease.id);
+  }
+
+  #schedule(): void {
+    if (this.#isStopped) return;
+    this.#timer = setTimeout(() => {
+      void this.#round().finally(() => this.#schedule());
+    }, LOOK_PERIOD_MS);
+  }
+
+  async #round(): Promise<void> {
+    if (this.#lease !== undefined) await this.#keepLease(this.#lease);
+    if (this.#isStopped) return;
+    const nowMs = monotonicMs();
+    for (const name of this.#keeper.wanted(this.#options.members(), nowMs)) {
+      await this.#take(name);
+    }
+  }
+
+  async #keepLease(lease: Lease): Promise<void> {
+    const nowMs = monotonicMs();
+    if (nowMs >= lease.deadlineMs) return this.#dropAll("lapsed");
+    if (nowMs < this.#renewAtMs) return;
+    const result = await this.#options.store.renewLease(lease.id);
+    if (result.isErr()) {
+      this.#report("lease-renewal-failed", result.error);
+      if (monotonicMs() >= lease.deadlineMs) this.#dropAll("lapsed");
+      return;
+    }
+    if (result.value <= 0) return this.#dropAll("lapsed");
+    this.#extend(lease, nowMs);
+  }
+
+  #extend(lease: Lease, sentAtMs: number): void {
+    const ttlMs = this.#options.ttlS * 1_000;
+    lease.deadlineMs = sentAtMs + ttlMs;
+    this.#renewAtMs = sentAtMs + ttlMs / RENEWALS_PER_TTL;
+  }
+
+  async #take(name: string): Promise<void> {
+    const lease = await this.#leaseOrGrant();
+    if (lease === undefined || this.#isStopped) return;
+    const result = await this.#options.store.commit({
+      conditions: [{ kind: "absent", key: name }],
+      writes: [{
+        kind: "put",
+        key: name,
+        value: this.#options.address,
+        leaseId: lease.id,
+      }],
+    });
+    if (result.isOk() && result.value.succeeded) {
+      return this.#hold({ name, epoch: result.value.revision });
+    }
+    this.#keeper.lost(name, monotonicMs());
+    if (result.isErr()) this.#report("slot-not-taken", result.error);
+    const mayBeHeld = result.isOk() ||
+      result.error.kind === FailureKind.Ambiguous;
+    if (mayBeHeld) await this.#lookAtHolder(name);
+  }
+
+  /**
+   * Learns who holds a slot that looked vacant.
+   *
+   * It may be this daemon, where the answer to its attempt was lost. Else the
+   * holder is a member that this daemon has not met.
+   */
+  async #lookAtHolder(name: string): Promise<void> {
+    const entry = await this.#options.store.get(name);
+    if (entry.isErr() || entry.value === undefined) return;
+    const { leaseId, modRevision, value } = entry.value;
+    if (leaseId === this.#lease?.id) {
+      return this.#hold({ name, epoch: modRevision });
+    }
+    const addresses = [new TextDecoder().decode(value)];
+    void this.#options.bus.emit("contactsSeen", { addresses });
+  }
+
+  #hold(slot: HeldSlot): void {
+    this.#options.log.info("slot-taken", {
+      slot: slot.name,
+      epoch: slot.epoch,
+    });
+    this.#setHeld([...this.#held, slot]);
+  }
+
+  async #leaseOrGrant(): Promise<Lease | undefined> {
+    if (this.#lease !== undefined) return this.#lease;
+    const sentAtMs = monotonicMs();
+    const result = await this.#options.store.grantLease(this.#options.ttlS);
+    if (result.isErr()) {
+      this.#report("lease-not-granted", result.error);
+      return undefined;
+    }
+    this.#lease = { id: result.value, deadlineMs: 0 };
+    this.#extend(this.#lease, sentAtMs);
+    return this.#lease;
+  }
+
+  #dropAll(reason: string): void {
+    this.#lease = undefined;
+    if (this.#held.length === 0) return;
+    this.#options.log.warn("slots-dropped", {
+      reason,
+      slots: this.#held.map((slot) => slot.name).join(","),
+    });
+    this.#setHeld([]);
+  }
+
+  #setHeld(held: HeldSlot[]): void {
+    this.#held = held;
+    void this.#options.bus.emit("slotsChanged", { held });
+  }
+
+  #report(event: string, error: StepError): void {
+    this.#options.log.warn(event, {
+      step: error.step,
+      peer: error.peer,
+      kind: error.kind,
+      error: error.message,
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The daemon beside each backend server.
+ *
+ * @module
+ */
+export * from "./daemon.ts";
+export * from "./run_daemon.ts";
--- /dev/null
+++ b/src/daemon/peer_caller.ts
@@ -0,0 +1,305 @@
+import { LRUCache } from "lru-cache";
+import { Pool } from "undici";
+import type { ReportedLoad } from "../coordination/routing/endpoint.ts";
+import type {
+  AnswerHead,
+  AnswerSink,
+  Call,
+  Execution,
+} from "../protocol/call.ts";
+import {
+  type Member,
+  SettleState,
+} from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import {
+  HEADER_CALLER,
+  HEADER_CONTENT_DIGEST,
+  HEADER_DEPTH,
+  HEADER_FINGERPRINT,
+  HEADER_LOAD,
+  HEADER_OUTCOME,
+  HEADER_PEER_TOKEN,
+  HEADER_RANK,
+  HEADER_REASON,
+  HEADER_REQUEST_ID,
+  HEADER_RETRIES_LEFT,
+  HEADER_RETRY,
+  HEADER_SERVICE,
+  HEADER_TIMEOUT_MS,
+} from "../protocol/headers.ts";
+import {
+  notRun,
+  Outcome,
+  Reason,
+  unknownOutcome,
+} from "../protocol/outcome.ts";
+import { FailureKind, StepError } from "../protocol/step_error.ts";
+import type { FleetClients } from "../transport/control/fleet_client.ts";
+import { Exchange } from "../transport/http/exchange.ts";
+import {
+  answerHeaders,
+  singleHeader,
+} from "../transport/http/header_filter.ts";
+import { monotonicMs } from "./clocks.ts";
+
+/** Destinations whose connections are kept. */
+const MAX_POOLS = 512;
+/** Most connections to a destination for one rank. */
+const CONNECTIONS_PER_POOL = 64;
+/** Time after which an unused connection is closed, in ms. */
+const IDLE_CONNECTION_MS = 10_000;
+/** Longest time to open a connection, in ms. */
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Longest time to settle an outcome, in ms. */
+const SETTLE_TIMEOUT_MS = 1_000;
+
+/** A sink that also learns the destination's load. */
+export interface PeerSink extends AnswerSink {
+  onLoad(load: ReportedLoad): void;
+  /** The connection broke; the outcome has to be settled. */
+  onBroken(error: StepError): void;
+}
+
+/** What a {@linkcode PeerCaller} needs. */
+export interface PeerCallerOptions {
+  readonly clients: FleetClients;
+  /** Returns the current token of this daemon. */
+  readonly token: () => string;
+  /** IP address that connections come from. */
+  readonly sourceAddress: string | undefined;
+}
+
+/**
+ * Sends calls to the daemons beside other backend servers.
+ *
+ * Each rank has connections of its own, so that a stuck upload never holds a
+ * lookup.
+ *
+ * @example
+ * ```ts ignore
+ * const execution = caller.execute(member, call, sink);
+ * ```
+ */
+export class PeerCaller {
+  readonly #options: PeerCallerOptions;
+  readonly #pools = new LRUCache<string, Pool>({
+    max: MAX_POOLS,
+    dispose: (pool) => void pool.close().catch(() => {}),
+  });
+
+  /**
+   * Creates a caller without connections.
+   *
+   * @param options Control calls and the own token.
+   */
+  constructor(options: PeerCallerOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Sends a call.
+   *
+   * @param member The destination.
+   * @param call The call.
+   * @param sink Receiver of the answer.
+   * @returns A handle to cancel it.
+   */
+  execute(member: Member, call: Call, sink: PeerSink): Execution {
+    const receiver = new PeerAnswer(member, call, sink);
+    return receiver.send(this.#poolOf(member, call), this.#headers(call));
+  }
+
+  /**
+   * Asks the destination over a new connection what became of a call.
+   *
+   * @param member The destination.
+   * @param id The attempt's id.
+   * @param sentAtMs Monotonic time at which it was sent.
+   * @returns What is known; unknown where the destination does not answer.
+   */
+  async settle(
+    member: Member,
+    id: string,
+    sentAtMs: number,
+  ): Promise<SettleState> {
+    const ageMs = Math.ceil(monotonicMs() - sentAtMs);
+    const result = await this.#options.clients.call(
+      `${member.host}:${member.controlPort}`,
+      "settle",
+      (peer, options) => peer.settle({ requestId: id, ageMs }, options),
+      { timeoutMs: SETTLE_TIMEOUT_MS, isFresh: true },
+    );
+    if (result.isErr()) return SettleState.UNKNOWN;
+    // Another process at the address knows nothing of the call.
+    return result.value.memberId === member.id
+      ? result.value.state
+      : SettleState.UNKNOWN;
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    const pools = [...this.#pools.values()];
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+
+  #poolOf(member: Member, call: Call): Pool {
+    const origin = `http://${member.host}:${member.peerPort}`;
+    const key = `${origin}|${call.rank}`;
+    let pool = this.#pools.get(key);
+    if (pool === undefined) {
+      pool = new Pool(origin, {
+        connections: CONNECTIONS_PER_POOL,
+        pipelining: 1,
+        keepAliveTimeout: IDLE_CONNECTION_MS,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        connect: {
+          timeout: CONNECT_TIMEOUT_MS,
+          ...localAddressOf(this.#options.sourceAddress),
+        },
+      });
+      this.#pools.set(key, pool);
+    }
+    return pool;
+  }
+
+  #headers(call: Call): string[] {
+    const leftMs = Math.max(1, Math.floor(call.deadlineMs - monotonicMs()));
+    return [
+      ...call.headers,
+      HEADER_PEER_TOKEN,
+      this.#options.token(),
+      HEADER_REQUEST_ID,
+      call.id,
+      HEADER_SERVICE,
+      call.service,
+      HEADER_RANK,
+      call.rank,
+      HEADER_CALLER,
+      call.caller,
+      HEADER_TIMEOUT_MS,
+      String(leftMs),
+      HEADER_DEPTH,
+      String(call.depth),
+      HEADER_RETRIES_LEFT,
+      String(call.retries.left),
+      HEADER_FINGERPRINT,
+      call.fingerprint,
+      HEADER_CONTENT_DIGEST,
+      call.contentDigest,
+    ];
+  }
+}
+
+/** Reads the answer of a destination. */
+class PeerAnswer {
+  readonly #member: Member;
+  readonly #call: Call;
+  readonly #sink: PeerSink;
+  #state: "head" | "body" | "refused" | "broken" = "head";
+
+  constructor(member: Member, call: Call, sink: PeerSink) {
+    this.#member = member;
+    this.#call = call;
+    this.#sink = sink;
+  }
+
+  send(pool: Pool, headers: readonly string[]): Execution {
+    const exchange = Exchange.send(pool, {
+      method: this.#call.method,
+      path: this.#call.path,
+      headers,
+      body: this.#call.body,
+    }, {
+      onHead: (head) => this.#onHead(head, exchange),
+      onData: (chunk) =>
+        this.#state === "body" ? this.#sink.onData(chunk) : true,
+      onEnd: () => {
+        if (this.#state === "body") this.#sink.onEnd();
+      },
+      onError: (error, sent) => this.#onError(error, sent),
+    });
+    return exchange;
+  }
+
+  #onHead(head: AnswerHead, exchange: Execution): void {
+    const { headers } = head;
+    const load = parseLoad(singleHeader(headers, HEADER_LOAD));
+    if (load !== undefined) this.#sink.onLoad(load);
+    if (singleHeader(headers, HEADER_REQUEST_ID) !== this.#call.id) {
+      this.#state = "broken";
+      exchange.cancel();
+      return this.#sink.onBroken(this.#error("the answer is another call's"));
+    }
+    const outcome = singleHeader(headers, HEADER_OUTCOME);
+    if (outcome === Outcome.Ran) {
+      this.#state = "body";
+      const kept = answerHeaders(headers, true);
+      for (const name of PEER_ONLY_HEADERS) delete kept[name];
+      return this.#sink.onHead({ status: head.status, headers: kept });
+    }
+    this.#state = "refused";
+    const reason = singleHeader(headers, HEADER_REASON) as Reason ??
+      Reason.PeerFailed;
+    const retryable = singleHeader(headers, HEADER_RETRY) === "yes";
+    const refusal = outcome === Outcome.NotRun
+      ? notRun(reason, retryable)
+      : { ...unknownOutcome(reason), retryable };
+    this.#sink.onRefused(refusal);
+  }
+
+  #onError(error: Error, sent: boolean): void {
+    switch (this.#state) {
+      case "head":
+        if (!sent) {
+          return this.#sink.onRefused(notRun(Reason.PeerFailed, true));
+        }
+        this.#state = "broken";
+        return this.#sink.onBroken(this.#error(error.message));
+      case "body":
+        this.#state = "broken";
+        return this.#sink.onCut(this.#error(error.message));
+      case "refused":
+      case "broken":
+        return;
+    }
+  }
+
+  #error(reason: string): StepError {
+    return new StepError(
+      FailureKind.Ambiguous,
+      "call-peer",
+      `Cannot read the answer: ${reason}`,
+      { peer: this.#member.id },
+    );
+  }
+}
+
+function localAddressOf(sourceAddress: string | undefined) {
+  return sourceAddress === undefined ? {} : { localAddress: sourceAddress };
+}
+
+const PEER_ONLY_HEADERS = [HEADER_LOAD, HEADER_RETRY, HEADER_PEER_TOKEN];
+
+/**
+ * Formats a load report.
+ *
+ * @param load The load.
+ * @returns "running/queued/limit".
+ *
+ * @example
+ * ```ts
+ * formatLoad({ running: 1, queued: 0, limit: 8 }); // "1/0/8"
+ * ```
+ */
+export function formatLoad(load: ReportedLoad): string {
+  return `${load.running}/${load.queued}/${load.limit}`;
+}
+
+function parseLoad(text: string | undefined): ReportedLoad | undefined {
+  if (text === undefined) return undefined;
+  const [running, queued, limit] = text.split("/").map(Number);
+  const isWhole = [running, queued, limit].every(Number.isSafeInteger);
+  if (!isWhole) return undefined;
+  return { running: running!, queued: queued!, limit: limit! };
+}
--- /dev/null
+++ b/src/daemon/peer_server.ts
@@ -0,0 +1,185 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AnswerSink, Call, CallBody } from "../protocol/call.ts";
+import {
+  HEADER_CALLER,
+  HEADER_CONTENT_DIGEST,
+  HEADER_DEPTH,
+  HEADER_FINGERPRINT,
+  HEADER_IDEMPOTENCY_KEY,
+  HEADER_LOAD,
+  HEADER_PEER_TOKEN,
+  HEADER_RANK,
+  HEADER_REQUEST_ID,
+  HEADER_RETRIES_LEFT,
+  HEADER_SERVICE,
+  HEADER_TIMEOUT_MS,
+} from "../protocol/headers.ts";
+import { notRun, Reason } from "../protocol/outcome.ts";
+import { type Rank, RANKS } from "../protocol/rank.ts";
+import { MAX_TIMEOUT_MS } from "../protocol/config_schema.ts";
+import type { PeerAuth } from "../transport/control/peer_auth.ts";
+import {
+  answerHeaders,
+  endToEndHeaders,
+  singleHeader,
+} from "../transport/http/header_filter.ts";
+import { closeServer, listen } from "../transport/http/listen.ts";
+import { AnswerWriter } from "./answer_writer.ts";
+import { monotonicMs } from "./clocks.ts";
+import type { Destination } from "./destination.ts";
+import { formatLoad } from "./peer_caller.ts";
+
+/** Time for which an idle connection of a peer stays open, in ms. */
+const IDLE_CONNECTION_MS = 60_000;
+
+/**
+ * Serves calls that other daemons send to this daemon's backend server.
+ *
+ * @example
+ * ```ts ignore
+ * const server = new PeerServer(destination, auth);
+ * await server.listen("127.0.0.1", 7002);
+ * ```
+ */
+export class PeerServer {
+  readonly #destination: Destination;
+  readonly #auth: PeerAuth;
+  readonly #onSender: (id: string) => void;
+  readonly #server: Server;
+
+  /**
+   * Creates a server.
+   *
+   * @param destination Executes the calls.
+   * @param auth Checks the peers.
+   * @param onSender Called with the id of each call's sender.
+   */
+  constructor(
+    destination: Destination,
+    auth: PeerAuth,
+    onSender: (id: string) => void = () => {},
+  ) {
+    this.#destination = destination;
+    this.#auth = auth;
+    this.#onSender = onSender;
+    this.#server = createServer(
+      {
+        keepAliveTimeout: IDLE_CONNECTION_MS,
+        requestTimeout: 0,
+        headersTimeout: IDLE_CONNECTION_MS,
+        noDelay: true,
+      },
+      (request, response) => this.#serve(request, response),
+    );
+  }
+
+  /**
+   * Opens the port.
+   *
+   * @param host IP address.
+   * @param port Port; 0 for any.
+   * @returns The port.
+   */
+  listen(host: string, port: number): Promise<number> {
+    return listen(this.#server, host, port);
+  }
+
+  /** Closes the port and all connections. */
+  close(): Promise<void> {
+    return closeServer(this.#server);
+  }
+
+  #serve(request: IncomingMessage, response: ServerResponse): void {
+    const { headers } = request;
+    const id = singleHeader(headers, HEADER_REQUEST_ID) ?? "";
+    const load = formatLoad(this.#destination.admission.load);
+    const writer = new AnswerWriter(response, id, { [HEADER_LOAD]: load });
+    const token = singleHeader(headers, HEADER_PEER_TOKEN);
+    const sender = this.#auth.verify(token, Date.now());
+    if (sender === undefined) {
+      return refuseUnread(request, writer, Reason.PeerUnauthorized);
+    }
+    this.#onSender(sender);
+    const call = parseCall(id, request);
+    if (call === undefined) {
+      return refuseUnread(request, writer, Reason.HeaderInvalid);
+    }
+    const execution = this.#destination
+      .execute(call, sinkOf(request, writer, () => execution.resume()));
+    response.once("close", () => {
+      if (!response.writableFinished) execution.cancel();
+    });
+  }
+}
+
+function sinkOf(
+  request: IncomingMessage,
+  writer: AnswerWriter,
+  resume: () => void,
+): AnswerSink {
+  return {
+    onRefused: (refusal) => {
+      request.resume();
+      writer.refuse(refusal);
+    },
+    onHead: (head) =>
+      writer.head({
+        status: head.status,
+        headers: answerHeaders(head.headers, true),
+      }),
+    onData: (chunk) => writer.data(chunk, resume),
+    onEnd: () => writer.end(),
+    onCut: () => writer.cut(),
+  };
+}
+
+function refuseUnread(
+  request: IncomingMessage,
+  writer: AnswerWriter,
+  reason: Reason,
+): void {
+  request.resume();
+  writer.refuse(notRun(reason));
+}
+
+function parseCall(id: string, request: IncomingMessage): Call | undefined {
+  const { headers } = request;
+  const service = singleHeader(headers, HEADER_SERVICE);
+  const caller = singleHeader(headers, HEADER_CALLER);
+  const rank = singleHeader(headers, HEADER_RANK) as Rank;
+  const timeoutMs = Number(singleHeader(headers, HEADER_TIMEOUT_MS));
+  const depth = Number(singleHeader(headers, HEADER_DEPTH));
+  const retriesLeft = Number(singleHeader(headers, HEADER_RETRIES_LEFT));
+  const isWhole = id !== "" && service !== undefined && caller !== undefined &&
+    RANKS.includes(rank) && timeoutMs > 0 && timeoutMs <= MAX_TIMEOUT_MS &&
+    Number.isSafeInteger(depth) && Number.isSafeInteger(retriesLeft);
+  if (!isWhole) return undefined;
+  return {
+    id,
+    service,
+    rank,
+    caller,
+    method: request.method!,
+    path: request.url!,
+    headers: endToEndHeaders(request.rawHeaders),
+    body: bodyOf(request),
+    deadlineMs: monotonicMs() + timeoutMs,
+    depth,
+    fingerprint: singleHeader(headers, HEADER_FINGERPRINT) ?? "",
+    contentDigest: singleHeader(headers, HEADER_CONTENT_DIGEST) ?? "",
+    idempotencyKey: singleHeader(headers, HEADER_IDEMPOTENCY_KEY),
+    retries: { left: retriesLeft },
+  };
+}
+
+function bodyOf(request: IncomingMessage): CallBody {
+  const { headers } = request;
+  const hasBody = headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > 0;
+  return hasBody ? { kind: "stream", stream: request } : { kind: "none" };
+}
--- /dev/null
+++ b/src/daemon/run_daemon.ts
@@ -0,0 +1,34 @@
+import process from "node:process";
+import { parseSettings } from "../protocol/settings_schema.ts";
+import { SourceDocument } from "../protocol/source_document.ts";
+import { Daemon } from "./daemon.ts";
+
+/** Exit code of a daemon that stopped as it was asked to. */
+const STOPPED = 0;
+
+/**
+ * Runs a daemon until it is asked to stop.
+ *
+ * SIGTERM and SIGINT stop it gracefully.
+ *
+ * @param settingsFile Path of the settings.
+ * @returns The exit code.
+ * @throws {StepError} If the settings are not valid or a port is taken.
+ *
+ * @example
+ * ```ts ignore
+ * process.exitCode = await runDaemon("daemon.jsonc");
+ * ```
+ */
+export async function runDaemon(settingsFile: string): Promise<number> {
+  const settings = parseSettings(SourceDocument.read(settingsFile));
+  const daemon = new Daemon(settings);
+  const asked = new Promise<void>((resolve) => {
+    process.once("SIGTERM", () => resolve());
+    process.once("SIGINT", () => resolve());
+  });
+  await daemon.start();
+  await asked;
+  await daemon.stop();
+  return STOPPED;
+}
--- /dev/null
+++ b/src/daemon/survey.ts
@@ -0,0 +1,136 @@
+import { create } from "@bufbuild/protobuf";
+import type { Membership } from "../coordination/membership/membership.ts";
+import {
+  type Member,
+  type SurveyedMember,
+  SurveyedMemberSchema,
+} from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import type { Random } from "../protocol/random.ts";
+import type { ConfigStore } from "../state/config_store.ts";
+import type { FleetClients } from "../transport/control/fleet_client.ts";
+import { controlAddress } from "./gossip_task.ts";
+
+/** Members that are asked at the same time. */
+const CONCURRENCY = 16;
+/** Longest time to ask one member, in ms. */
+const ASK_TIMEOUT_MS = 1_000;
+/** Longest time for another domain to survey itself, in ms. */
+const DOMAIN_TIMEOUT_MS = 15_000;
+/** Members of a domain that are tried before it counts as out of reach. */
+const DOMAIN_ATTEMPTS = 3;
+
+/** What a {@linkcode Surveyor} needs. */
+export interface SurveyorOptions {
+  readonly membership: Membership;
+  readonly config: ConfigStore;
+  readonly clients: FleetClients;
+  readonly random: Random;
+}
+
+/**
+ * Asks the fleet which configuration versions are in force.
+ *
+ * Each domain is asked through one of its members, which asks the others.
+ *
+ * @example
+ * ```ts ignore
+ * const members = await surveyor.surveyFleet();
+ * ```
+ */
+export class Surveyor {
+  readonly #options: SurveyorOptions;
+
+  /**
+   * Creates a surveyor.
+   *
+   * @param options Its parts.
+   */
+  constructor(options: SurveyorOptions) {
+    this.#options = options;
+  }
+
+  /** Describes this daemon itself. */
+  self(): SurveyedMember {
+    const { membership, config } = this.#options;
+    return describe(membership.self, {
+      version: config.version,
+      adoptedAtMs: config.adoptedAtMs,
+      reached: true,
+    });
+  }
+
+  /**
+   * Surveys the own domain.
+   *
+   * @returns Every present member; those that did not answer as not reached.
+   */
+  async surveyDomain(): Promise<SurveyedMember[]> {
+    const waiting = this.#options.membership.domainPeers();
+    const found: SurveyedMember[] = [this.self()];
+    const workers = Array.from({ length: CONCURRENCY }, async () => {
+      for (let next = waiting.pop(); next; next = waiting.pop()) {
+        found.push(await this.#ask(next));
+      }
+    });
+    await Promise.all(workers);
+    return found;
+  }
+
+  /**
+   * Surveys all domains.
+   *
+   * @returns Every present member of the fleet.
+   */
+  async surveyFleet(): Promise<SurveyedMember[]> {
+    const { table, self } = this.#options.membership;
+    const others = table.domains().filter((domain) => domain !== self.domain);
+    const parts = await Promise.all([
+      this.surveyDomain(),
+      ...others.map((domain) => this.#surveyOther(domain)),
+    ]);
+    return parts.flat();
+  }
+
+  async #surveyOther(domain: string): Promise<SurveyedMember[]> {
+    const members = this.#options.membership.table.present(domain);
+    const { clients, random } = this.#options;
+    for (const member of random.sample(members, DOMAIN_ATTEMPTS)) {
+      const result = await clients.call(
+        controlAddress(member),
+        "survey",
+        (peer, options) => peer.survey({ domain }, options),
+        { timeoutMs: DOMAIN_TIMEOUT_MS },
+      );
+      if (result.isOk()) return result.value.members;
+    }
+    return members.map((member) => describe(member, NOT_REACHED));
+  }
+
+  async #ask(member: Member): Promise<SurveyedMember> {
+    const result = await this.#options.clients.call(
+      controlAddress(member),
+      "survey",
+      (peer, options) => peer.survey({ domain: "" }, options),
+      { timeoutMs: ASK_TIMEOUT_MS },
+    );
+    const answer = result.isOk() ? result.value.members[0] : undefined;
+    return answer?.id === member.id ? answer : describe(member, NOT_REACHED);
+  }
+}
+
+const NOT_REACHED = { version: 0, adoptedAtMs: 0, reached: false };
+
+function describe(
+  member: Member,
+  known: { version: number; adoptedAtMs: number; reached: boolean },
+): SurveyedMember {
+  return create(SurveyedMemberSchema, {
+    id: member.id,
+    instance: member.instance,
+    domain: member.domain,
+    state: member.state,
+    service: member.service,
+    backendReady: member.backendReady,
+    ...known,
+  });
+}
--- /dev/null
+++ b/src/protocol/source_document.ts
@@ -0,0 +1,198 @@
+import { readFileSync } from "node:fs";
+import {
+  findNodeAtLocation,
+  type Node,
+  type ParseError,
+  parseTree,
+  printParseErrorCode,
+} from "jsonc-parser";
+import { getNodeValue } from "jsonc-parser";
+import type { z } from "zod";
+import type { Json } from "./canonical_json.ts";
+import { FailureKind, messageOf, StepError } from "./step_error.ts";
+
+/** A problem in a source file, with its position. */
+export interface Problem {
+  readonly file: string;
+  /** Line, from 1. */
+  readonly line: number;
+  /** Column, from 1. */
+  readonly column: number;
+  readonly message: string;
+}
+
+/** Path to a value inside a document. */
+export type JsonPath = (string | number)[];
+
+/** Largest source file that is read, in bytes. */
+export const MAX_SOURCE_BYTES = 8 * 1024 * 1024;
+
+/**
+ * A JSON file with comments that can tell where each value stands.
+ *
+ * @example
+ * ```ts
+ * const document = SourceDocument.parse("a.jsonc", '{ "a": 1 }');
+ * document.value; // { a: 1 }
+ * ```
+ */
+export class SourceDocument {
+  readonly file: string;
+  readonly value: Json;
+  readonly problems: readonly Problem[];
+  readonly #text: string;
+  readonly #tree: Node | undefined;
+
+  private constructor(file: string, text: string) {
+    const errors: ParseError[] = [];
+    this.file = file;
+    this.#text = text;
+    this.#tree = parseTree(text, errors, { allowTrailingComma: true });
+    this.value = this.#tree === undefined ? null : getNodeValue(this.#tree);
+    this.problems = [
+      ...errors.map((error) =>
+        this.#problemAtOffset(
+          error.offset,
+          `Cannot parse ${file}: ${printParseErrorCode(error.error)}`,
+        )
+      ),
+      ...this.#duplicateKeys(this.#tree),
+    ];
+  }
+
+  /**
+   * Parses a text.
+   *
+   * @param file Name for messages.
+   * @param text JSON with comments.
+   * @returns The document; {@linkcode problems} lists syntax errors.
+   */
+  static parse(file: string, text: string): SourceDocument {
+    return new SourceDocument(file, text);
+  }
+
+  /**
+   * Reads and parses a file.
+   *
+   * @param file Path of the file.
+   * @returns The document.
+   * @throws {StepError} If the file cannot be read or is too large.
+   */
+  static read(file: string): SourceDocument {
+    const text = readSource(file);
+    if (text.length > MAX_SOURCE_BYTES) {
+      throw new StepError(
+        FailureKind.Invalid,
+        "read-source",
+        `Cannot read ${file}: ${text.length} bytes are over the limit of ${MAX_SOURCE_BYTES}`,
+      );
+    }
+    return new SourceDocument(file, text);
+  }
+
+  /**
+   * Places a message at a value, or at its nearest parent that exists.
+   *
+   * @param path Path to the value.
+   * @param message What is wrong.
+   * @returns The problem with line and column.
+   */
+  problemAt(path: JsonPath, message: string): Problem {
+    for (let length = path.length; length >= 0; length--) {
+      const node = this.#tree &&
+        findNodeAtLocation(this.#tree, path.slice(0, length));
+      if (node !== undefined) {
+        return this.#problemAtOffset(keyOffset(node), message);
+      }
+    }
+    return this.#problemAtOffset(0, message);
+  }
+
+  /**
+   * Checks the document against a schema.
+   *
+   * @param schema A schema that refuses unknown fields.
+   * @returns A problem for each mismatch, placed at the field.
+   */
+  check(schema: z.ZodType): Problem[] {
+    const result = schema.safeParse(this.value);
+    if (result.success) return [];
+    return result.error.issues.flatMap((issue) => {
+      const path = issue.path as JsonPath;
+      if (issue.code !== "unrecognized_keys") {
+        return [this.problemAt(path, describe(path, issue.message))];
+      }
+      return issue.keys.map((key) =>
+        this.problemAt(
+          [...path, key],
+          describe([...path, key], "unknown field"),
+        )
+      );
+    });
+  }
+
+  #problemAtOffset(offset: number, message: string): Problem {
+    const before = this.#text.slice(0, offset).split("\n");
+    return {
+      file: this.file,
+      line: before.length,
+      column: before.at(-1)!.length + 1,
+      message,
+    };
+  }
+
+  #duplicateKeys(node: Node | undefined): Problem[] {
+    if (node?.children === undefined) return [];
+    const problems = node.children.flatMap((child) =>
+      this.#duplicateKeys(child)
+    );
+    if (node.type !== "object") return problems;
+    const seen = new Set<string>();
+    for (const property of node.children) {
+      const key = property.children?.[0]?.value as string;
+      if (seen.has(key)) {
+        problems.push(
+          this.#problemAtOffset(property.offset, `duplicate key "${key}"`),
+        );
+      }
+      seen.add(key);
+    }
+    return problems;
+  }
+}
+
+function readSource(file: string): string {
+  try {
+    return readFileSync(file, "utf8");
+  } catch (error) {
+    throw new StepError(
+      FailureKind.Invalid,
+      "read-source",
+      `Cannot read ${file}: ${messageOf(error)}`,
+      { cause: error },
+    );
+  }
+}
+
+function keyOffset(node: Node): number {
+  return node.parent?.type === "property" ? node.parent.offset : node.offset;
+}
+
+function describe(path: JsonPath, message: string): string {
+  return path.length === 0 ? message : `${path.join(".")}: ${message}`;
+}
+
+/**
+ * Formats a problem as "file:line:column: message".
+ *
+ * @param problem The problem.
+ * @returns One line.
+ *
+ * @example
+ * ```ts
+ * formatProblem({ file: "a", line: 1, column: 2, message: "m" }); // "a:1:2: m"
+ * ```
+ */
+export function formatProblem(problem: Problem): string {
+  return `${problem.file}:${problem.line}:${problem.column}: ${problem.message}`;
+}
--- /dev/null
+++ b/src/protocol/store.ts
@@ -0,0 +1,87 @@
+import type { ResultAsync } from "neverthrow";
+import type { StepError } from "./step_error.ts";
+
+/** A value in the platform's store. */
+export interface StoreEntry {
+  readonly key: string;
+  readonly value: Uint8Array;
+  /** Store revision of the last write to the key. */
+  readonly modRevision: number;
+  /** Lease that the key is bound to, or "0". */
+  readonly leaseId: string;
+}
+
+/** A condition of a transaction. */
+export type StoreCondition =
+  | { readonly kind: "absent"; readonly key: string }
+  | { readonly kind: "present"; readonly key: string }
+  | {
+    readonly kind: "unchanged";
+    readonly key: string;
+    readonly modRevision: number;
+  };
+
+/** A write of a transaction. */
+export type StoreWrite =
+  | {
+    readonly kind: "put";
+    readonly key: string;
+    readonly value: Uint8Array | string;
+    readonly leaseId?: string;
+  }
+  | { readonly kind: "delete"; readonly key: string }
+  | { readonly kind: "delete-prefix"; readonly prefix: string };
+
+/** A compare-and-swap over several keys. */
+export interface StoreTransaction {
+  readonly conditions: readonly StoreCondition[];
+  readonly writes: readonly StoreWrite[];
+}
+
+/** What a transaction did. */
+export interface TransactionResult {
+  readonly succeeded: boolean;
+  readonly revision: number;
+}
+
+/** Entries of a range with the revision that they were read at. */
+export interface RangeResult {
+  readonly entries: readonly StoreEntry[];
+  readonly revision: number;
+}
+
+/** Change of one key, as a watch reports it. */
+export interface WatchEvent {
+  readonly key: string;
+  /** Absent where the key was deleted. */
+  readonly entry?: StoreEntry;
+  readonly revision: number;
+}
+
+/** Where a watch starts and how it ends. */
+export interface WatchOptions {
+  /** First revision to report. */
+  fromRevision?: number;
+  /** Ends the watch. */
+  signal: AbortSignal;
+}
+
+/** The platform's key-value service. */
+export interface Store {
+  /** Reads one key. */
+  get(key: string): ResultAsync<StoreEntry | undefined, StepError>;
+  /** Reads all keys that start with a prefix. */
+  list(prefix: string): ResultAsync<RangeResult, StepError>;
+  /** Writes where every condition holds. */
+  commit(
+    transaction: StoreTransaction,
+  ): ResultAsync<TransactionResult, StepError>;
+  /** Creates a lease and returns its id. */
+  grantLease(ttlS: number): ResultAsync<string, StepError>;
+  /** Renews a lease; the result is its remaining life in s, 0 once lapsed. */
+  renewLease(leaseId: string): ResultAsync<number, StepError>;
+  /** Ends a lease and deletes its keys. */
+  revokeLease(leaseId: string): ResultAsync<void, StepError>;
+  /** Reports changes of a key until the signal aborts or the watch fails. */
+  watch(key: string, options: WatchOptions): AsyncIterable<WatchEvent>;
+}
--- /dev/null
+++ b/src/transport/control/fleet_client.ts
@@ -0,0 +1,157 @@
+import { Agent } from "node:http";
+import {
+  Code,
+  ConnectError,
+  createClient,
+  type Interceptor,
+} from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import { LRUCache } from "lru-cache";
+import { err, ok, type Result } from "neverthrow";
+import { HEADER_PEER_TOKEN } from "../../protocol/headers.ts";
+import { Fleet } from "../../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import {
+  FailureKind,
+  messageOf,
+  StepError,
+} from "../../protocol/step_error.ts";
+import type { Client } from "@connectrpc/connect";
+
+/** Peers whose clients are kept. */
+const MAX_CLIENTS = 64;
+/** Time for which an unused connection stays open, in ms. */
+const IDLE_CONNECTION_MS = 5_000;
+/** Largest message that is read, in bytes. */
+export const MAX_MESSAGE_BYTES = 48 * 1024 * 1024;
+
+/** A client of the control calls of one peer. */
+export type PeerClient = Client<typeof Fleet>;
+
+/** Optional settings of one control call. */
+export interface ControlCallOptions {
+  /** Longest time, in ms. @default {1000} */
+  timeoutMs?: number;
+  /** Opens a connection for this call alone. @default {false} */
+  isFresh?: boolean;
+}
+
+/**
+ * Calls the control interface of other daemons.
+ *
+ * @example
+ * ```ts ignore
+ * const clients = new FleetClients(() => auth.token(selfId, Date.now()));
+ * const answer = await clients.call("10.0.0.2:7003", "sync", (peer, options) =>
+ *   peer.sync({}, options));
+ * ```
+ */
+export class FleetClients {
+  readonly #agent: Agent;
+  readonly #freshAgent: Agent;
+  readonly #clients = new LRUCache<string, PeerClient>({ max: MAX_CLIENTS });
+  readonly #interceptor: Interceptor;
+
+  /**
+   * Creates a client.
+   *
+   * @param token Returns the current token of this daemon.
+   * @param sourceAddress IP address that connections come from.
+   */
+  constructor(token: () => string, sourceAddress?: string) {
+    const source = sourceAddress === undefined
+      ? {}
+      : { localAddress: sourceAddress };
+    this.#agent = new Agent({
+      keepAlive: true,
+      timeout: IDLE_CONNECTION_MS,
+      maxFreeSockets: 16,
+      ...source,
+    });
+    this.#freshAgent = new Agent({ keepAlive: false, ...source });
+    this.#interceptor = (next) => (request) => {
+      request.header.set(HEADER_PEER_TOKEN, token());
+      return next(request);
+    };
+  }
+
+  /**
+   * Makes a control call.
+   *
+   * @param address "ip:port" of the peer's control interface.
+   * @param step Name of the call for errors.
+   * @param run Makes the call with a client and the call's options.
+   * @param options Timeout and connection.
+   * @returns The answer, or an error that tells whether it may have arrived.
+   */
+  async call<T>(
+    address: string,
+    step: string,
+    run: (
+      peer: PeerClient,
+      options: { timeoutMs: number },
+    ) => Promise<T>,
+    options: ControlCallOptions = {},
+  ): Promise<Result<T, StepError>> {
+    const timeoutMs = options.timeoutMs ?? 1_000;
+    const client = options.isFresh === true
+      ? this.#create(address, this.#freshAgent)
+      : this.#clientOf(address);
+    try {
+      return ok(await run(client, { timeoutMs }));
+    } catch (error) {
+      return err(
+        new StepError(
+          kindOf(error),
+          step,
+          `Cannot reach the peer: ${messageOf(error)}`,
+          { peer: address, cause: error },
+        ),
+      );
+    }
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.#agent.destroy();
+    this.#freshAgent.destroy();
+  }
+
+  #clientOf(address: string): PeerClient {
+    const known = this.#clients.get(address);
+    if (known !== undefined) return known;
+    const client = this.#create(address, this.#agent);
+    this.#clients.set(address, client);
+    return client;
+  }
+
+  #create(address: string, agent: Agent): PeerClient {
+    return createClient(
+      Fleet,
+      createConnectTransport({
+        baseUrl: `http://${address}`,
+        httpVersion: "1.1",
+        useBinaryFormat: true,
+        nodeOptions: { agent },
+        interceptors: [this.#interceptor],
+        readMaxBytes: MAX_MESSAGE_BYTES,
+        acceptCompression: [],
+      }),
+    );
+  }
+}
+
+function kindOf(error: unknown): FailureKind {
+  if (!(error instanceof ConnectError)) return FailureKind.Ambiguous;
+  switch (error.code) {
+    case Code.InvalidArgument:
+    case Code.Unauthenticated:
+    case Code.PermissionDenied:
+      return FailureKind.Invalid;
+    case Code.Unavailable:
+      return FailureKind.Unavailable;
+    case Code.FailedPrecondition:
+      return FailureKind.Conflict;
+    default:
+      return FailureKind.Ambiguous;
+  }
+}
--- /dev/null
+++ b/src/transport/http/header_filter.ts
@@ -0,0 +1,89 @@
+import { HEADER_PREFIX } from "../../protocol/headers.ts";
+
+const HOP_BY_HOP = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+  "host",
+]);
+
+/**
+ * Keeps the end-to-end headers of a request.
+ *
+ * @param rawHeaders Names and values in turn.
+ * @param alsoDrop Further lower-case names to leave out.
+ * @returns The headers without hop-by-hop ones and the system's own.
+ *
+ * @example
+ * ```ts
+ * endToEndHeaders(["Accept", "*", "Connection", "close"]); // ["Accept", "*"]
+ * ```
+ */
+export function endToEndHeaders(
+  rawHeaders: readonly string[],
+  alsoDrop?: ReadonlySet<string>,
+): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index]!;
+    const lower = name.toLowerCase();
+    if (HOP_BY_HOP.has(lower) || lower.startsWith(HEADER_PREFIX)) continue;
+    if (alsoDrop?.has(lower)) continue;
+    kept.push(name, rawHeaders[index + 1]!);
+  }
+  return kept;
+}
+
+/** Parsed headers of an answer. */
+export type AnswerHeaders = Record<string, string | string[] | undefined>;
+
+/**
+ * Keeps the end-to-end headers of an answer.
+ *
+ * @param headers Headers by lower-case name.
+ * @param isOwn Whether the system's own headers are kept.
+ * @returns A copy without hop-by-hop headers.
+ *
+ * @example
+ * ```ts
+ * answerHeaders({ etag: "1", connection: "close" }); // { etag: "1" }
+ * ```
+ */
+export function answerHeaders(
+  headers: AnswerHeaders,
+  isOwn = false,
+): AnswerHeaders {
+  const kept: AnswerHeaders = {};
+  for (const name in headers) {
+    if (HOP_BY_HOP.has(name)) continue;
+    if (!isOwn && name.startsWith(HEADER_PREFIX)) continue;
+    kept[name] = headers[name];
+  }
+  return kept;
+}
+
+/**
+ * Returns the value of a header that occurs once.
+ *
+ * @param headers Headers by lower-case name.
+ * @param name The lower-case name.
+ * @returns The value, or `undefined`.
+ *
+ * @example
+ * ```ts
+ * singleHeader({ a: "1" }, "a"); // "1"
+ * ```
+ */
+export function singleHeader(
+  headers: AnswerHeaders,
+  name: string,
+): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/src/transport/observe/event_log.ts
@@ -0,0 +1,178 @@
+import { closeSync, openSync, writeSync } from "node:fs";
+import winston from "winston";
+import Transport from "winston-transport";
+
+/** Longest time for which a line stays in memory, in ms. */
+const FLUSH_PERIOD_MS = 100;
+/** Lines are written early from this size on, in characters. */
+const FLUSH_SIZE = 32 * 1024;
+/** Lines beyond this size are dropped and counted, in characters. */
+const MAX_BUFFERED = 4 * 1024 * 1024;
+
+/** A value of a log field. */
+export type LogValue = string | number | boolean | undefined;
+/** Fields of a log line. */
+export type LogFields = Readonly<Record<string, LogValue>>;
+
+const LINE = Symbol.for("message");
+
+/** Collects lines and writes many at a time, off the request path. */
+class BufferedTransport extends Transport {
+  readonly #descriptor: number;
+  #buffer = "";
+  #timer: NodeJS.Timeout | undefined;
+  #dropped = 0;
+
+  constructor(file: string | undefined) {
+    super();
+    this.#descriptor = file === undefined ? 1 : openSync(file, "a");
+  }
+
+  override log(info: { [LINE]?: string }, next: () => void): void {
+    if (this.#buffer.length > MAX_BUFFERED) this.#dropped++;
+    else this.#buffer += `${info[LINE]}\n`;
+    if (this.#buffer.length >= FLUSH_SIZE) this.flush();
+    else this.#timer ??= setTimeout(() => this.flush(), FLUSH_PERIOD_MS);
+    next();
+  }
+
+  flush(): void {
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    if (this.#buffer === "") return;
+    try {
+      writeSync(this.#descriptor, this.#buffer);
+      this.#buffer = "";
+    } catch {
+      // A full pipe: the lines stay for the next flush.
+    }
+    if (this.#dropped > 0 && this.#buffer === "") {
+      this.#buffer = `event=log-lines-dropped count=${this.#dropped}\n`;
+      this.#dropped = 0;
+    }
+  }
+
+  override close(): void {
+    this.flush();
+    if (this.#descriptor > 2) closeSync(this.#descriptor);
+  }
+}
+
+/** Optional settings of an {@linkcode EventLog}. */
+export interface EventLogOptions {
+  /** File to append to; standard output where absent. */
+  file?: string | undefined;
+  /** Least severe level that is written. @default {"info"} */
+  level?: string;
+  /** Fields of every line. */
+  fields?: LogFields;
+}
+
+/**
+ * Writes one line of key=value pairs for each event.
+ *
+ * @example
+ * ```ts ignore
+ * const log = new EventLog({ fields: { instance: "east-1" } });
+ * log.info("config-adopted", { version: 3 });
+ * ```
+ */
+export class EventLog {
+  readonly #logger: winston.Logger;
+  readonly #transport: BufferedTransport;
+  readonly #fields: string;
+
+  /**
+   * Opens a log.
+   *
+   * @param options File, level and common fields.
+   */
+  constructor(options: EventLogOptions = {}) {
+    this.#transport = new BufferedTransport(options.file);
+    this.#fields = formatFields(options.fields ?? {});
+    this.#logger = winston.createLogger({
+      level: options.level ?? "info",
+      format: winston.format.printf((info) => String(info.message)),
+      transports: [this.#transport],
+    });
+  }
+
+  /**
+   * Logs an ordinary event.
+   *
+   * @param event Name of the event, in kebab case.
+   * @param fields Its fields.
+   */
+  info(event: string, fields: LogFields = {}): void {
+    this.#write("info", event, fields);
+  }
+
+  /**
+   * Logs an event that an operator should look at.
+   *
+   * @param event Name of the event, in kebab case.
+   * @param fields Its fields.
+   */
+  warn(event: string, fields: LogFields = {}): void {
+    this.#write("warn", event, fields);
+  }
+
+  /**
+   * Logs an event that breaks the daemon's service.
+   *
+   * @param event Name of the event, in kebab case.
+   * @param fields Its fields.
+   */
+  error(event: string, fields: LogFields = {}): void {
+    this.#write("error", event, fields);
+  }
+
+  /** Writes what is buffered. */
+  flush(): void {
+    this.#transport.flush();
+  }
+
+  /** Writes what is buffered and closes the log. */
+  close(): void {
+    this.#transport.flush();
+    this.#logger.close();
+  }
+
+  #write(level: string, event: string, fields: LogFields): void {
+    const time = new Date().toISOString();
+    this.#logger.log({
+      level,
+      message: `time=${time} level=${level} event=${event}${this.#fields}${
+        formatFields(fields)
+      }`,
+    });
+  }
+}
+
+/**
+ * Formats fields as key=value pairs, each after a space.
+ *
+ * @param fields The fields; those without a value are left out.
+ * @returns The pairs; values with spaces, quotes or line ends are quoted.
+ *
+ * @example
+ * ```ts
+ * formatFields({ a: 1, b: "x y" }); // ' a=1 b="x y"'
+ * ```
+ */
+export function formatFields(fields: LogFields): string {
+  let line = "";
+  for (const name in fields) {
+    const value = fields[name];
+    if (value === undefined) continue;
+    line += ` ${name}=${formatValue(value)}`;
+  }
+  return line;
+}
+
+const NEEDS_QUOTES = /[\s"=\\\p{Cc}]/u;
+
+function formatValue(value: string | number | boolean): string {
+  const text = String(value);
+  return text === "" || NEEDS_QUOTES.test(text) ? JSON.stringify(text) : text;
+}
--- /dev/null
+++ b/src/transport/observe/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Logs and metrics.
+ *
+ * @module
+ */
+export * from "./event_log.ts";
+export * from "./metrics.ts";
--- /dev/null
+++ b/src/transport/store/etcd_messages.ts
@@ -0,0 +1,152 @@
+import { Buffer } from "node:buffer";
+import type {
+  StoreCondition,
+  StoreEntry,
+  StoreTransaction,
+  StoreWrite,
+} from "../../protocol/store.ts";
+
+/** A key-value pair on the wire of the etcd v3 JSON gateway. */
+export interface EtcdKeyValue {
+  key: string;
+  value?: string;
+  mod_revision?: string;
+  lease?: string;
+}
+
+/** The header of each answer. */
+export interface EtcdHeader {
+  revision?: string;
+}
+
+/** Answer to a range request. */
+export interface EtcdRangeAnswer {
+  header?: EtcdHeader;
+  kvs?: EtcdKeyValue[];
+}
+
+/** Answer to a transaction. */
+export interface EtcdTxnAnswer {
+  header?: EtcdHeader;
+  succeeded?: boolean;
+}
+
+/** One message of a watch stream. */
+export interface EtcdWatchMessage {
+  result?: {
+    header?: EtcdHeader;
+    created?: boolean;
+    canceled?: boolean;
+    compact_revision?: string;
+    events?: { type?: "PUT" | "DELETE"; kv: EtcdKeyValue }[];
+  };
+  error?: { message?: string };
+}
+
+/**
+ * Encodes a text or bytes as the gateway expects them.
+ *
+ * @param value The text or bytes.
+ * @returns Base64.
+ *
+ * @example
+ * ```ts
+ * toBase64("a"); // "YQ=="
+ * ```
+ */
+export function toBase64(value: string | Uint8Array): string {
+  return Buffer.from(value as Uint8Array).toString("base64");
+}
+
+/**
+ * Returns the end of the range of all keys with a prefix.
+ *
+ * @param prefix The prefix, which does not end in the highest byte.
+ * @returns The first key after the range.
+ *
+ * @example
+ * ```ts
+ * prefixEnd("a/"); // "a0"
+ * ```
+ */
+export function prefixEnd(prefix: string): string {
+  const last = prefix.charCodeAt(prefix.length - 1);
+  return prefix.slice(0, -1) + String.fromCharCode(last + 1);
+}
+
+/**
+ * Decodes a key-value pair.
+ *
+ * @param pair The pair from the wire.
+ * @returns The entry.
+ *
+ * @example
+ * ```ts
+ * toEntry({ key: "YQ==" }).key; // "a"
+ * ```
+ */
+export function toEntry(pair: EtcdKeyValue): StoreEntry {
+  return {
+    key: Buffer.from(pair.key, "base64").toString(),
+    value: Buffer.from(pair.value ?? "", "base64"),
+    modRevision: Number(pair.mod_revision ?? 0),
+    leaseId: pair.lease ?? "0",
+  };
+}
+
+/**
+ * Encodes a transaction.
+ *
+ * @param transaction Conditions and writes.
+ * @returns The request body.
+ *
+ * @example
+ * ```ts
+ * encodeTransaction({ conditions: [], writes: [] }); // { compare: [], success: [] }
+ * ```
+ */
+export function encodeTransaction(transaction: StoreTransaction): unknown {
+  return {
+    compare: transaction.conditions.map(encodeCondition),
+    success: transaction.writes.map(encodeWrite),
+  };
+}
+
+function encodeCondition(condition: StoreCondition): unknown {
+  const key = toBase64(condition.key);
+  switch (condition.kind) {
+    case "absent":
+      return { key, target: "CREATE", result: "EQUAL", create_revision: "0" };
+    case "present":
+      return { key, target: "CREATE", result: "GREATER", create_revision: "0" };
+    case "unchanged":
+      return {
+        key,
+        target: "MOD",
+        result: "EQUAL",
+        mod_revision: String(condition.modRevision),
+      };
+  }
+}
+
+function encodeWrite(write: StoreWrite): unknown {
+  switch (write.kind) {
+    case "put":
+      return {
+        request_put: {
+          key: toBase64(write.key),
+          value: toBase64(write.value),
+          ...(write.leaseId === undefined ? {} : { lease: write.leaseId }),
+        },
+      };
+    case "delete":
+      return { request_delete_range: { key: toBase64(write.key) } };
+    case "delete-prefix":
+      return {
+        request_delete_range: {
+          key: toBase64(write.prefix),
+          range_end: toBase64(prefixEnd(write.prefix)),
+        },
+      };
+  }
+}
--- /dev/null
+++ b/src/transport/store/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Client of the platform's key-value service.
+ *
+ * @module
+ */
+export * from "./etcd_messages.ts";
+export * from "./etcd_store.ts";
+export * from "./token_bucket.ts";
--- /dev/null
+++ b/tests/harness/caller.ts
@@ -0,0 +1,92 @@
+import { Buffer } from "node:buffer";
+import { performance } from "node:perf_hooks";
+import { randomBytes } from "node:crypto";
+import { Agent, request } from "undici";
+import { uuidV7 } from "../../src/coordination/claims/idempotency_key.ts";
+import { VENDOR_TOKEN } from "./sample_config.ts";
+
+/** An answer as a caller sees it. */
+export interface Answer {
+  /** 0 where the connection broke. */
+  readonly status: number;
+  readonly outcome: string;
+  readonly reason: string;
+  readonly requestId: string;
+  readonly replayed: string;
+  readonly body: string;
+  readonly latencyMs: number;
+}
+
+/** Optional parts of a call. */
+export interface CallOptions {
+  method?: string;
+  token?: string;
+  body?: string | Uint8Array;
+  headers?: Record<string, string>;
+  timeoutMs?: number;
+}
+
+const AGENT = new Agent({ connections: 256, pipelining: 1 });
+
+/** Makes a call at a daemon's ingress. */
+export async function call(
+  ingress: string,
+  path: string,
+  options: CallOptions = {},
+): Promise<Answer> {
+  const startedAtMs = performance.now();
+  try {
+    const response = await request(`http://${ingress}${path}`, {
+      method: (options.method ?? "GET") as "GET",
+      headers: {
+        authorization: `Bearer ${options.token ?? VENDOR_TOKEN}`,
+        ...options.headers,
+      },
+      body: options.body ?? null,
+      dispatcher: AGENT,
+      headersTimeout: options.timeoutMs ?? 30_000,
+      bodyTimeout: options.timeoutMs ?? 30_000,
+    });
+    const body = Buffer.from(await response.body.arrayBuffer()).toString();
+    const header = (name: string) =>
+      String(response.headers[`x-sesamepond-${name}`] ?? "");
+    return {
+      status: response.statusCode,
+      outcome: header("outcome"),
+      reason: header("reason"),
+      requestId: header("request-id"),
+      replayed: header("replayed"),
+      body,
+      latencyMs: performance.now() - startedAtMs,
+    };
+  } catch (error) {
+    return {
+      status: 0,
+      outcome: "",
+      reason: String(error),
+      requestId: "",
+      replayed: "",
+      body: "",
+      latencyMs: performance.now() - startedAtMs,
+    };
+  }
+}
+
+/** Places an order under an idempotency key. */
+export function order(
+  ingress: string,
+  key: string,
+  options: CallOptions = {},
+): Promise<Answer> {
+  return call(ingress, "/order/sleeves", {
+    method: "POST",
+    body: `pallets for ${key}`,
+    ...options,
+    headers: { "idempotency-key": key, ...options.headers },
+  });
+}
+
+/** Makes an idempotency key of now. */
+export function newKey(): string {
+  return uuidV7(Date.now(), randomBytes(10).toString("hex"));
+}
--- /dev/null
+++ b/tests/harness/daemon_process.ts
@@ -0,0 +1,187 @@
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { FaultProxy } from "../../fakes/fault_proxy.ts";
+import { Child } from "./child.ts";
+import { freePorts } from "./free_ports.ts";
+import { until } from "./until.ts";
+
+const DIST = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
+/** Key that all daemons of a test share. */
+export const FLEET_KEYS = [{ id: "k1", secret: "test-secret-0123456789" }];
+
+/** Where and how a daemon of a test runs. */
+export interface DaemonPlan {
+  readonly instance: string;
+  readonly domain: string;
+  readonly region?: string;
+  /** Loopback address of the instance. */
+  readonly host: string;
+  readonly storePort: number;
+  /** Further settings, laid over the harness's own. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+}
+
+/**
+ * A daemon in a process of its own, behind fault proxies for its peer and
+ * control ports.
+ *
+ * @example
+ * ```ts ignore
+ * const daemon = await DaemonProcess.start(plan);
+ * await daemon.ready();
+ * ```
+ */
+export class DaemonProcess {
+  readonly plan: DaemonPlan;
+  readonly peerProxy: FaultProxy;
+  readonly controlProxy: FaultProxy;
+  readonly ports: { ingress: number; admin: number; control: number };
+  readonly #settingsFile: string;
+  readonly #logFile: string;
+  #child: Child;
+
+  private constructor(
+    plan: DaemonPlan,
+    parts: {
+      ports: { ingress: number; admin: number; control: number };
+      proxies: [FaultProxy, FaultProxy];
+      settingsFile: string;
+      logFile: string;
+    },
+  ) {
+    this.plan = plan;
+    this.ports = parts.ports;
+    [this.peerProxy, this.controlProxy] = parts.proxies;
+    this.#settingsFile = parts.settingsFile;
+    this.#logFile = parts.logFile;
+    this.#child = this.#spawn();
+  }
+
+  /** Starts a daemon; it may not be ready yet. */
+  static async start(plan: DaemonPlan): Promise<DaemonProcess> {
+    const [ingress, peer, control, admin, peerOut, controlOut] =
+      await freePorts(6, plan.host) as [
+        number,
+        number,
+        number,
+        number,
+        number,
+        number,
+      ];
+    const peerProxy = new FaultProxy(peer, plan.host);
+    const controlProxy = new FaultProxy(control, plan.host);
+    await peerProxy.listen(peerOut, plan.host);
+    await controlProxy.listen(controlOut, plan.host);
+    const folder = mkdtempSync(join(tmpdir(), "sesamepond-"));
+    const settingsFile = join(folder, "settings.jsonc");
+    const logFile = join(folder, "daemon.log");
+    const settings = {
+      instance: plan.instance,
+      domain: plan.domain,
+      region: plan.region ?? "region-1",
+      host: plan.host,
+      sourceAddress: plan.host,
+      ports: { ingress, peer, control, admin },
+      advertised: { peer: peerOut, control: controlOut },
+      store: { endpoints: [`127.0.0.1:${plan.storePort}`], timeoutMs: 1_000 },
+      fleetKeys: FLEET_KEYS,
+      gossip: {
+        periodMs: 200,
+        probeTimeoutMs: 300,
+        suspicionMs: 1_200,
+        bridgePeriodMs: 200,
+      },
+      claims: { partitions: 4, commitIntervalMs: 10 },
+      leaseTtlS: 2,
+      drainMs: 500,
+      log: { file: logFile },
+      ...plan.settings,
+    };
+    writeFileSync(settingsFile, JSON.stringify(settings));
+    return new DaemonProcess(plan, {
+      ports: { ingress, admin, control: controlOut },
+      proxies: [peerProxy, controlProxy],
+      settingsFile,
+      logFile,
+    });
+  }
+
+  /** Address for callers. */
+  get ingress(): string {
+    return `${this.plan.host}:${this.ports.ingress}`;
+  }
+
+  /** Address for operators and the backend server. */
+  get admin(): string {
+    return `${this.plan.host}:${this.ports.admin}`;
+  }
+
+  /** Control address that peers use. */
+  get control(): string {
+    return `${this.plan.host}:${this.ports.control}`;
+  }
+
+  /** The process. */
+  get child(): Child {
+    return this.#child;
+  }
+
+  /** Reads a page of the admin interface. */
+  async page<T>(path: string): Promise<T> {
+    const response = await request(`http://${this.admin}${path}`, {
+      signal: AbortSignal.timeout(2_000),
+    });
+    return await response.body.json() as T;
+  }
+
+  /** The version in force; 0 where the daemon does not answer. */
+  async version(): Promise<number> {
+    try {
+      return (await this.page<{ version: number }>("/version")).version;
+    } catch {
+      return 0;
+    }
+  }
+
+  /** Waits until the daemon holds at least a version. */
+  async holds(version: number, timeoutMs = 15_000): Promise<void> {
+    await until(
+      async () => await this.version() >= version,
+      `${this.plan.instance} holds version ${version}`,
+      timeoutMs,
+    );
+  }
+
+  /** Lines of the log that name an event. */
+  logLines(event: string): string[] {
+    return readFileSync(this.#logFile, "utf8").split("\n")
+      .filter((line) =>
+        line.includes(` event=${event} `) ||
+        line.includes(` event=${event}\n`) || line.endsWith(`event=${event}`)
+      );
+  }
+
+  /** Starts the program again on the same instance. */
+  restart(): void {
+    this.#child = this.#spawn();
+  }
+
+  /** Kills the process and closes the proxies. */
+  async close(): Promise<void> {
+    if (!this.#child.hasExited) {
+      this.#child.signal("SIGCONT");
+      await this.#child.kill();
+    }
+    await Promise.all([this.peerProxy.close(), this.controlProxy.close()]);
+  }
+
+  #spawn(): Child {
+    return new Child([
+      join(DIST, "src/daemon/main.js"),
+      this.#settingsFile,
+    ]);
+  }
+}
--- /dev/null
+++ b/tests/harness/fleet.ts
@@ -0,0 +1,259 @@
+import { randomUUID } from "node:crypto";
+import {
+  acceptChange,
+  readHead,
+} from "../../src/coordination/config/acceptance.ts";
+import type { HeadRecord } from "../../src/coordination/config/head_record.ts";
+import {
+  type BackendBehaviour,
+  BackendServer,
+} from "../../fakes/backend_server.ts";
+import { FaultProxy } from "../../fakes/fault_proxy.ts";
+import { StoreServer } from "../../fakes/store_server.ts";
+import {
+  type ConfigSource,
+  ResourceSet,
+} from "../../src/state/resource_set.ts";
+import { EtcdStore } from "../../src/transport/store/etcd_store.ts";
+import { DaemonProcess } from "./daemon_process.ts";
+import { until } from "./until.ts";
+
+/** One instance of a fleet: a daemon, with a backend server beside it. */
+export interface Instance {
+  readonly daemon: DaemonProcess;
+  backend: BackendServer | undefined;
+}
+
+/** Instances of one failure domain. */
+export interface DomainPlan {
+  readonly name: string;
+  readonly region?: string;
+  /** Service of each instance; "" for none. */
+  readonly services: readonly string[];
+}
+
+/** What a {@linkcode Fleet} is made of. */
+export interface FleetPlan {
+  readonly domains: readonly DomainPlan[];
+  readonly source: ConfigSource;
+  /** Further daemon settings. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+  readonly behaviour?: Partial<BackendBehaviour>;
+  /** First part of the loopback addresses, so that fleets do not meet. */
+  readonly network?: number;
+}
+
+/**
+ * A fleet of real daemon processes around a store stand-in.
+ *
+ * @example
+ * ```ts ignore
+ * const fleet = await Fleet.start(plan);
+ * try { await fleet.accept(source); } finally { await fleet.close(); }
+ * ```
+ */
+export class Fleet {
+  readonly store = new StoreServer();
+  readonly instances: Instance[] = [];
+  readonly #plan: FleetPlan;
+  #storeProxy: FaultProxy | undefined;
+  #storePort = 0;
+  #client: EtcdStore | undefined;
+
+  private constructor(plan: FleetPlan) {
+    this.#plan = plan;
+  }
+
+  /** Starts a fleet and waits until the first version is in force. */
+  static async start(plan: FleetPlan): Promise<Fleet> {
+    const fleet = new Fleet(plan);
+    const port = await fleet.store.listen(0);
+    fleet.#client = new EtcdStore([`127.0.0.1:${port}`], {
+      callsPerSecond: 1_000,
+    });
+    fleet.#storeProxy = new FaultProxy(port);
+    fleet.#storePort = await fleet.#storeProxy.listen();
+    await fleet.accept(plan.source);
+    await Promise.all(
+      plan.domains.flatMap((domain, index) =>
+        domain.services.map((service, number) =>
+          fleet.#add({ domain, index, number, service })
+        )
+      ),
+    );
+    await fleet.settled();
+    return fleet;
+  }
+
+  /** The store as the operator reaches it. */
+  get operatorStore(): EtcdStore {
+    return this.#client!;
+  }
+
+  /** Between the daemons and the store. */
+  get storeProxy(): FaultProxy {
+    return this.#storeProxy!;
+  }
+
+  /** Instances of a domain. */
+  inDomain(name: string): Instance[] {
+    return this.instances.filter((one) => one.daemon.plan.domain === name);
+  }
+
+  /** Instances of a service. */
+  ofService(name: string): Instance[] {
+    return this.instances.filter((one) =>
+      one.daemon.plan.instance.includes(`-${name}-`)
+    );
+  }
+
+  /** Accepts a configuration as an operator. */
+  async accept(source: ConfigSource): Promise<HeadRecord> {
+    const stored = await readHead(this.operatorStore);
+    if (stored.isErr()) throw stored.error;
+    const accepted = await acceptChange(this.operatorStore, {
+      resources: ResourceSet.fromSource(source),
+      author: "test",
+      note: "",
+      acceptanceId: randomUUID(),
+      acceptedAtMs: Date.now(),
+      expected: stored.value,
+    });
+    if (accepted.isErr()) throw accepted.error;
+    return accepted.value;
+  }
+
+  /** Waits until a version is in force everywhere. */
+  async inForce(version: number, timeoutMs = 15_000): Promise<void> {
+    await Promise.all(
+      this.instances.map((one) => one.daemon.holds(version, timeoutMs)),
+    );
+  }
+
+  /** Waits until all daemons know all members and ready backend servers. */
+  async settled(timeoutMs = 20_000): Promise<void> {
+    const ready = this.instances.filter((one) => one.backend).length;
+    await Promise.all(this.instances.map(({ daemon }) =>
+      until(
+        async () => {
+          const members = await livingMembers(daemon);
+          return members.length === this.instances.length &&
+            members.filter((one) => one.backendReady).length === ready &&
+            await daemon.version() > 0;
+        },
+        `${daemon.plan.instance} knows the fleet`,
+        timeoutMs,
+      )
+    ));
+  }
+
+  /** Cuts a domain off from all other domains, in both directions. */
+  cutDomain(name: string): void {
+    for (const { daemon } of this.instances) {
+      const isInside = daemon.plan.domain === name;
+      const matches = (address: string) =>
+        this.#isOf(address, name) !== isInside;
+      daemon.peerProxy.set({ kind: "cut" }, matches);
+      daemon.controlProxy.set({ kind: "cut" }, matches);
+    }
+  }
+
+  /** Cuts a domain off from the store. */
+  cutFromStore(name: string): void {
+    this.storeProxy.set({ kind: "cut" }, (source) => this.#isOf(source, name));
+  }
+
+  /** Ends all cuts. */
+  heal(): void {
+    this.storeProxy.set({ kind: "none" });
+    for (const { daemon } of this.instances) {
+      daemon.peerProxy.set({ kind: "none" });
+      daemon.controlProxy.set({ kind: "none" });
+    }
+  }
+
+  /** Ends all processes and stand-ins. */
+  async close(): Promise<void> {
+    await Promise.all(this.instances.map(async ({ daemon, backend }) => {
+      await daemon.close();
+      await backend?.close();
+    }));
+    await this.#client?.close();
+    await this.#storeProxy?.close();
+    await this.store.close();
+  }
+
+  async #add(parts: {
+    domain: DomainPlan;
+    index: number;
+    number: number;
+    service: string;
+  }): Promise<void> {
+    const { domain, index, number, service } = parts;
+    const network = this.#plan.network ?? 1;
+    const daemon = await DaemonProcess.start({
+      instance: `${domain.name}-${service || "none"}-${number}`,
+      domain: domain.name,
+      ...(domain.region === undefined ? {} : { region: domain.region }),
+      host: `127.${network}.${index + 1}.${number + 1}`,
+      storePort: this.#storePort,
+      settings: this.#plan.settings ?? {},
+    });
+    const instance: Instance = { daemon, backend: undefined };
+    this.instances.push(instance);
+    await daemon.holds(1);
+    if (service !== "") {
+      instance.backend = await startBackend(
+        daemon,
+        service,
+        this.#plan.behaviour,
+      );
+    }
+  }
+
+  #isOf(address: string, domain: string): boolean {
+    const host = address.replace(/^::ffff:/, "");
+    return this.inDomain(domain).some((one) => one.daemon.plan.host === host);
+  }
+}
+
+/** A member as the admin interface shows it. */
+export interface ShownMember {
+  readonly id: string;
+  readonly instance: string;
+  readonly state: string;
+  readonly backendReady: boolean;
+  readonly leasedSlots: readonly string[];
+  readonly domain: string;
+}
+
+/** Returns the members that a daemon counts as present. */
+export async function livingMembers(
+  daemon: DaemonProcess,
+): Promise<ShownMember[]> {
+  try {
+    const { members } = await daemon.page<{ members: ShownMember[] }>(
+      "/members",
+    );
+    return members.filter((one) =>
+      one.state !== "left" && one.state !== "dead"
+    );
+  } catch {
+    return [];
+  }
+}
+
+/** Starts a backend server beside a daemon. */
+export async function startBackend(
+  daemon: DaemonProcess,
+  service: string,
+  behaviour: Partial<BackendBehaviour> = {},
+): Promise<BackendServer> {
+  const backend = new BackendServer({
+    service,
+    daemon: daemon.admin,
+    behaviour: { slots: 8, ...behaviour },
+  });
+  await backend.listen(0);
+  return backend;
+}
--- /dev/null
+++ b/tests/harness/sample_config.ts
@@ -0,0 +1,65 @@
+import { sha256Hex } from "../../src/protocol/canonical_json.ts";
+import type { Service, SiteConfig } from "../../src/protocol/config_schema.ts";
+import { Delivery } from "../../src/protocol/config_schema.ts";
+import { Rank } from "../../src/protocol/rank.ts";
+import type { ConfigSource } from "../../src/state/resource_set.ts";
+
+/** Token of the caller that is approved for all services. */
+export const VENDOR_TOKEN = "vendor-token";
+/** Token of a caller that no owner approved. */
+export const STRANGER_TOKEN = "stranger-token";
+
+/** Builds a service with the defaults of the tests. */
+export function sampleService(fields: Partial<Service> = {}): Service {
+  return {
+    owner: "team",
+    rank: Rank.Urgent,
+    delivery: Delivery.Idempotent,
+    timeoutMs: 2_000,
+    maxBodyBytes: 16 * 1024 * 1024,
+    shares: { urgent: 0.5, standard: 0.3, bulk: 0.2 },
+    queuePerRank: 100,
+    maxEjectedShare: 0.5,
+    slowStartMs: 0,
+    approvedCallers: ["vendor"],
+    health: {
+      path: "/health",
+      intervalMs: 200,
+      timeoutMs: 500,
+      failuresToEject: 3,
+    },
+    ...fields,
+  };
+}
+
+/** A base with a service of each rank, as the Association runs them. */
+export function sampleBase(): SiteConfig {
+  return {
+    services: {
+      lookup: sampleService(),
+      order: sampleService({
+        rank: Rank.Standard,
+        delivery: Delivery.AtMostOnce,
+        timeoutMs: 5_000,
+      }),
+      proof: sampleService({ rank: Rank.Bulk, timeoutMs: 20_000 }),
+    },
+    routes: {
+      lookup: { pathPrefix: "/lookup", service: "lookup" },
+      order: { pathPrefix: "/order", service: "order" },
+      proof: { pathPrefix: "/proof", service: "proof" },
+    },
+    callers: {
+      vendor: { tokenDigests: [sha256Hex(VENDOR_TOKEN)], maxRunning: 1_000 },
+      stranger: {
+        tokenDigests: [sha256Hex(STRANGER_TOKEN)],
+        maxRunning: 1_000,
+      },
+    },
+  };
+}
+
+/** The sample base without overlays. */
+export function sampleSource(base: SiteConfig = sampleBase()): ConfigSource {
+  return { base: JSON.parse(JSON.stringify(base)), sites: {} };
+}
--- /dev/null
+++ b/tests/integration/path_test.ts
@@ -0,0 +1,64 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { call, newKey, order } from "../harness/caller.ts";
+import { Fleet } from "../harness/fleet.ts";
+import { sampleSource, STRANGER_TOKEN } from "../harness/sample_config.ts";
+
+let fleet: Fleet;
+
+test.before(async () => {
+  fleet = await Fleet.start({
+    network: 11,
+    source: sampleSource(),
+    domains: [
+      { name: "east", services: ["lookup", "order"] },
+      { name: "west", services: ["lookup", "proof"] },
+    ],
+  });
+});
+
+test.after(async () => {
+  await fleet.close();
+});
+
+test("a call of each rank is served through every daemon", async () => {
+  for (const { daemon } of fleet.instances) {
+    const lookup = await call(daemon.ingress, "/lookup/stock/7");
+    assert.is(lookup.status, 200, lookup.reason);
+    assert.is(lookup.outcome, "ran");
+    const placed = await order(daemon.ingress, newKey());
+    assert.is(placed.status, 200, placed.reason);
+    const proof = await call(daemon.ingress, "/proof/echo", {
+      method: "POST",
+      body: "x".repeat(300_000),
+    });
+    assert.is(proof.status, 200, proof.reason);
+    assert.is(proof.body.length, 300_000);
+  }
+});
+
+test("a caller that was not approved is refused as not run", async () => {
+  const { daemon } = fleet.instances[0]!;
+  const answer = await call(daemon.ingress, "/lookup/1", {
+    token: STRANGER_TOKEN,
+  });
+  assert.equal(
+    { status: answer.status, outcome: answer.outcome, reason: answer.reason },
+    { status: 403, outcome: "not-run", reason: "caller-not-approved" },
+  );
+});
+
+test("a resent order runs once and gets the first answer", async () => {
+  const key = newKey();
+  const [first, second] = fleet.instances;
+  const placed = await order(first!.daemon.ingress, key);
+  const resent = await order(second!.daemon.ingress, key);
+  assert.is(placed.status, 200, placed.reason);
+  assert.is(resent.body, placed.body, resent.reason);
+  assert.is(resent.replayed, "whole");
+  const runs = fleet.instances.flatMap((one) => one.backend?.executions ?? [])
+    .filter((one) => one.key === key);
+  assert.is(runs.length, 1);
+});
+
+test.run();
--- /dev/null
+++ b/tests/run_tests.ts
@@ -0,0 +1,66 @@
+import { readdirSync } from "node:fs";
+import { dirname, join } from "node:path";
+import process from "node:process";
+import { fileURLToPath, pathToFileURL } from "node:url";
+
+/** Folders whose compiled tests run, next to this program's own. */
+const FOLDERS = ["src", "fakes", "tests"];
+
+/** What a suite of uvu returns: errors, passed, skipped and total. */
+type SuiteResult = [string | true, number, number, number];
+type Suite = () => Promise<SuiteResult>;
+
+/** The variables by which uvu's own command line drives its suites. */
+interface UvuGlobals {
+  UVU_DEFER?: number;
+  UVU_INDEX?: number;
+  UVU_QUEUE?: (string | Suite)[][];
+}
+
+const uvu = globalThis as UvuGlobals;
+const counts = { passed: 0, failed: 0 };
+
+function findTests(folder: string): string[] {
+  return readdirSync(folder, { recursive: true, encoding: "utf8" })
+    .filter((name) => name.endsWith("_test.js"))
+    .map((name) => join(folder, name))
+    .sort();
+}
+
+function counted(suite: Suite): Suite {
+  return async () => {
+    const result = await suite();
+    const [, passed, , total] = result;
+    counts.passed += passed;
+    counts.failed += total - passed;
+    return result;
+  };
+}
+
+async function main(): Promise<void> {
+  const root = join(dirname(fileURLToPath(import.meta.url)), "..");
+  const pattern = new RegExp(process.argv[2] ?? "");
+  const files = FOLDERS.flatMap((folder) => findTests(join(root, folder)))
+    .filter((file) => pattern.test(file));
+  // Set before uvu is loaded, or it would run the suites by itself.
+  uvu.UVU_DEFER = 1;
+  const { exec } = await import("uvu");
+  const queue: (string | Suite)[][] = uvu.UVU_QUEUE ??= [];
+  for (const [index, file] of files.entries()) {
+    uvu.UVU_INDEX = index;
+    queue[index] = [file.slice(root.length + 1)];
+    await import(pathToFileURL(file).href);
+    queue[index] = queue[index]!.map((entry) =>
+      typeof entry === "string" ? entry : counted(entry)
+    );
+  }
+  await exec(false);
+  process.stdout.write(
+    `\n${counts.passed} passed, ${counts.failed} failed\n`,
+  );
+  const isGood = counts.failed === 0 && counts.passed > 0;
+  // Handles that a failed test left open must not keep the run from ending.
+  process.exit(isGood ? 0 : 1);
+}
+
+await main();
