Measure what the daemons add to a call

Cause: the cost of a hop decides the shape of the request path. Change: bench tool with the hop measurement next to naive proxies.

--- /dev/null
+++ b/bench/hop.ts
@@ -0,0 +1,134 @@
+import { performance } from "node:perf_hooks";
+import { Pool } from "undici";
+import { Child } from "../testkit/child.ts";
+import { distFile } from "../testkit/dist_file.ts";
+import { Fleet } from "../testkit/fleet.ts";
+import { openLoop } from "../testkit/open_loop.ts";
+import { sampleSource, VENDOR_TOKEN } from "../testkit/sample_config.ts";
+import { median, round, summarize, type Summary } from "../testkit/statistics.ts";
+
+/** Calls a second at a daemon in two years. */
+const RATE_PER_SECOND = 225;
+/** Length of one window, in ms. */
+const WINDOW_MS = 3_000;
+/** Interleaved windows of each way. */
+const WINDOWS = 6;
+/** Size of an answer, in bytes. */
+const ANSWER_BYTES = 1_024;
+/** Target of the time added for 99 calls in 100, in ms. */
+const TARGET_P99_MS = 0.94;
+
+/**
+ * Ways of a call: straight to the backend server; through the daemon beside
+ * it; through two daemons; through one and two naive proxies.
+ */
+type Way = "direct" | "local" | "remote" | "naiveOne" | "naiveTwo";
+
+/** Measures the time that the daemons add to a call. */
+export async function benchHop(): Promise<unknown> {
+  const fleet = await Fleet.start({
+    network: 31,
+    source: sampleSource(),
+    behaviour: { serviceMs: 2 },
+    isBackendInProcess: false,
+    domains: [{ name: "east", services: ["lookup", ""] }],
+  });
+  try {
+    return await measure(fleet);
+  } finally {
+    await fleet.close();
+  }
+}
+
+async function measure(fleet: Fleet): Promise<unknown> {
+  const beside = fleet.ofService("lookup")[0]!;
+  const apart = fleet.ofService("none")[0]!;
+  const backendAddress = `127.0.0.1:${beside.backend!.port}`;
+  const [one, two] = await startNaive(backendAddress);
+  const pools: Record<Way, Pool> = {
+    direct: new Pool(`http://${backendAddress}`),
+    naiveOne: new Pool(`http://${one}`),
+    naiveTwo: new Pool(`http://${two}`),
+    local: new Pool(`http://${beside.daemon.ingress}`),
+    remote: new Pool(`http://${apart.daemon.ingress}`),
+  };
+  const ways: Way[] = ["direct", "local", "remote", "naiveOne", "naiveTwo"];
+  for (const way of ways) await runWindow(pools[way], 1_000);
+  const windows: Record<Way, Summary[]> = {
+    direct: [],
+    local: [],
+    remote: [],
+    naiveOne: [],
+    naiveTwo: [],
+  };
+  for (let window = 0; window < WINDOWS; window++) {
+    for (const way of ways) {
+      windows[way].push(await runWindow(pools[way], WINDOW_MS));
+    }
+  }
+  await Promise.all(ways.map((way) => pools[way].destroy()));
+  return {
+    ratePerSecond: RATE_PER_SECOND,
+    windows: WINDOWS,
+    targetP99Ms: TARGET_P99_MS,
+    direct: middle(windows.direct),
+    local: added(windows.direct, windows.local),
+    remote: added(windows.direct, windows.remote),
+    naiveOne: added(windows.direct, windows.naiveOne),
+    naiveTwo: added(windows.direct, windows.naiveTwo),
+  };
+}
+
+/** Starts a naive proxy before a backend server, and another before it. */
+async function startNaive(backend: string): Promise<[string, string]> {
+  const one = await new Child([
+    distFile("fakes/naive_main.js"),
+    JSON.stringify({ "/": [backend] }),
+  ]).port();
+  const two = await new Child([
+    distFile("fakes/naive_main.js"),
+    JSON.stringify({ "/": [`127.0.0.1:${one}`] }),
+  ]).port();
+  return [`127.0.0.1:${one}`, `127.0.0.1:${two}`];
+}
+
+async function runWindow(pool: Pool, durationMs: number): Promise<Summary> {
+  const plan = { ratePerSecond: RATE_PER_SECOND, durationMs };
+  const latenciesMs = await openLoop(plan, async () => {
+    const startMs = performance.now();
+    const answer = await pool.request({
+      method: "GET",
+      path: `/lookup/size/${ANSWER_BYTES}`,
+      headers: { authorization: `Bearer ${VENDOR_TOKEN}` },
+    });
+    await answer.body.arrayBuffer();
+    if (answer.statusCode !== 200) {
+      throw new Error(`Cannot measure: status ${answer.statusCode}`);
+    }
+    return performance.now() - startMs;
+  });
+  return summarize(latenciesMs);
+}
+
+function middle(windows: readonly Summary[]): { p50Ms: number; p99Ms: number } {
+  return {
+    p50Ms: round(median(windows.map((one) => one.p50Ms))),
+    p99Ms: round(median(windows.map((one) => one.p99Ms))),
+  };
+}
+
+/** Differences of each pair of neighbouring windows. */
+function added(
+  direct: readonly Summary[],
+  through: readonly Summary[],
+): unknown {
+  const p50Ms = through.map((one, index) => one.p50Ms - direct[index]!.p50Ms);
+  const p99Ms = through.map((one, index) => one.p99Ms - direct[index]!.p99Ms);
+  return {
+    ...middle(through),
+    addedP50Ms: round(median(p50Ms)),
+    addedP99Ms: round(median(p99Ms)),
+    leastAddedP99Ms: round(Math.min(...p99Ms)),
+    addedP99MsByWindow: p99Ms.map(round).sort((a, b) => a - b),
+  };
+}
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,35 @@
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { benchHop } from "./hop.ts";
+
+/** A measurement, given the seed of its random choices. */
+type Bench = (seed: number) => Promise<unknown>;
+
+const BENCHES: Readonly<Record<string, Bench>> = {
+  hop: benchHop,
+};
+
+const args = await yargs(hideBin(process.argv))
+  .scriptName("npm run bench --")
+  .usage("$0 NAME [--seed N]")
+  .positional("name", { type: "string" })
+  .option("seed", { type: "number", default: 1, describe: "random seed" })
+  .demandCommand(1, `name one of: ${Object.keys(BENCHES).join(", ")}`)
+  .parseAsync();
+
+const name = String(args._[0]);
+const bench = BENCHES[name];
+if (bench === undefined) {
+  process.stderr.write(
+    `Cannot run "${name}": the names are ${Object.keys(BENCHES).join(", ")}\n`,
+  );
+  process.exit(2);
+}
+const startedAtMs = Date.now();
+const result = await bench(args.seed);
+const elapsedMs = Date.now() - startedAtMs;
+process.stdout.write(
+  `${JSON.stringify({ bench: name, seed: args.seed, elapsedMs, result })}\n`,
+);
+process.exit(0);
--- a/fakes/backend_server.ts
+++ b/fakes/backend_server.ts
@@ -77,7 +77,7 @@
  */
 export class BackendServer {
   readonly behaviour: BackendBehaviour;
-  readonly executions: Execution[] = [];
+  readonly #executions: Execution[] = [];
   /** Called where a marked request asks for a crash. */
   onCrash: () => void = () => process.exit(1);
   readonly #service: string;
@@ -107,6 +107,16 @@
     this.#server.on("connection", (socket) => this.#onConnection(socket));
   }
 
+  /** The requests that it ran. */
+  executions(): Execution[] {
+    return [...this.#executions];
+  }
+
+  /** The port that it listens on. */
+  get port(): number {
+    return this.#port;
+  }
+
   /** Connections that are open. */
   get connections(): number {
     return this.#sockets.size;
@@ -171,7 +181,7 @@
     const path = req.url ?? "/";
     if (path === "/health") return this.#health(res);
     if (path === "/executions") {
-      return void res.end(JSON.stringify(this.executions));
+      return void res.end(JSON.stringify(this.#executions));
     }
     if (this.behaviour.isFailing) {
       res.writeHead(500);
@@ -236,8 +246,8 @@
   }
 
   #record(req: IncomingMessage, path: string): void {
-    if (this.executions.length >= MAX_EXECUTIONS) this.executions.shift();
-    this.executions.push({
+    if (this.#executions.length >= MAX_EXECUTIONS) this.#executions.shift();
+    this.#executions.push({
       id: String(req.headers["x-sesamepond-request-id"] ?? ""),
       key: String(req.headers["idempotency-key"] ?? ""),
       path,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -23,6 +23,7 @@
 import { PeerAuth } from "../transport/control/peer_auth.ts";
 import { EventLog } from "../transport/observe/event_log.ts";
 import { type Metrics, openMetrics } from "../transport/observe/metrics.ts";
+import { SocketMeter } from "../transport/observe/socket_meter.ts";
 import { EtcdStore } from "../transport/store/etcd_store.ts";
 import { AdminServer } from "./admin_server.ts";
 import { BackendTask } from "./backend_task.ts";
@@ -77,6 +78,8 @@
   readonly #bus = createFleetBus();
   readonly #log: EventLog;
   readonly #metrics: Metrics;
+  /** Bytes of control: calls of peers, to peers and to the store. */
+  readonly #meter = new SocketMeter();
   readonly #store: EtcdStore;
   readonly #clients: FleetClients;
   readonly #membership: Membership;
@@ -112,7 +115,10 @@
     this.#log = openLog(settings);
     this.#metrics = openMetrics(settings.statsd, settings.instance);
     this.#store = this.#openStore();
-    this.#clients = new FleetClients(token, settings.sourceAddress);
+    this.#clients = new FleetClients(token, {
+      sourceAddress: settings.sourceAddress,
+      meter: this.#meter,
+    });
 
     const balancer = new Balancer(self, random);
     const decisions = new DecisionLog();
@@ -212,6 +218,7 @@
         surveyor,
       }),
       auth,
+      this.#meter,
     );
     this.#admin = new AdminServer({
       ...shared,
@@ -350,6 +357,7 @@
       callsPerSecond,
       timeoutMs,
       sourceAddress: this.#settings.sourceAddress,
+      meter: this.#meter,
       onCall: (step) => {
         this.#storeCalls++;
         this.#metrics.count("store.calls", 1, [`step:${step}`]);
@@ -384,6 +392,7 @@
       version: this.#config.version,
       members: this.#membership.table.size,
       storeCalls: this.#storeCalls,
+      controlBytes: this.#meter.bytes,
       claims: this.#claims.size,
       ledger: this.#destination.ledger.size,
       ingressRunning: this.#ingress.running,
--- a/src/transport/control/control_server.ts
+++ b/src/transport/control/control_server.ts
@@ -10,6 +10,7 @@
 import { HEADER_PEER_TOKEN } from "../../protocol/headers.ts";
 import { MAX_MESSAGE_BYTES } from "./fleet_client.ts";
 import { closeServer, listen } from "../http/listen.ts";
+import { SocketMeter } from "../observe/socket_meter.ts";
 import type { PeerAuth } from "./peer_auth.ts";
 
 /** Time for which an idle connection of a peer stays open, in ms. */
@@ -35,8 +36,13 @@
    *
    * @param handler Answers the calls.
    * @param auth Checks the callers.
+   * @param meter Counts the bytes of all connections.
    */
-  constructor(handler: FleetHandler, auth: PeerAuth) {
+  constructor(
+    handler: FleetHandler,
+    auth: PeerAuth,
+    meter = new SocketMeter(),
+  ) {
     const authenticate: Interceptor = (next) => (request) => {
       const token = request.header.get(HEADER_PEER_TOKEN) ?? undefined;
       if (auth.verify(token, Date.now()) === undefined) {
@@ -55,6 +61,7 @@
         grpcWeb: false,
       }),
     );
+    this.#server.on("connection", (socket) => meter.track(socket));
   }
 
   /**
--- a/src/transport/control/fleet_client.ts
+++ b/src/transport/control/fleet_client.ts
@@ -1,4 +1,4 @@
-import { Agent } from "node:http";
+import type { Agent } from "node:http";
 import {
   Code,
   ConnectError,
@@ -16,6 +16,8 @@
   StepError,
 } from "../../protocol/step_error.ts";
 import type { Client } from "@connectrpc/connect";
+import { SocketMeter } from "../observe/socket_meter.ts";
+import { MeteredAgent } from "./metered_agent.ts";
 
 /** Peers whose clients are kept. */
 const MAX_CLIENTS = 64;
@@ -27,6 +29,14 @@
 /** A client of the control calls of one peer. */
 export type PeerClient = Client<typeof Fleet>;
 
+/** Optional settings of a {@linkcode FleetClients}. */
+export interface FleetClientsOptions {
+  /** IP address that connections come from. */
+  sourceAddress?: string | undefined;
+  /** Counts the bytes of all connections. */
+  meter?: SocketMeter;
+}
+
 /** Optional settings of one control call. */
 export interface ControlCallOptions {
   /** Longest time, in ms. @default {1000} */
@@ -55,19 +65,23 @@
    * Creates a client.
    *
    * @param token Returns the current token of this daemon.
-   * @param sourceAddress IP address that connections come from.
+   * @param options Source address and meter.
    */
-  constructor(token: () => string, sourceAddress?: string) {
+  constructor(token: () => string, options: FleetClientsOptions = {}) {
+    const { sourceAddress, meter = new SocketMeter() } = options;
     const source = sourceAddress === undefined
       ? {}
       : { localAddress: sourceAddress };
-    this.#agent = new Agent({
+    this.#agent = new MeteredAgent({
       keepAlive: true,
       timeout: IDLE_CONNECTION_MS,
       maxFreeSockets: 16,
       ...source,
-    });
-    this.#freshAgent = new Agent({ keepAlive: false, ...source });
+    }, meter);
+    this.#freshAgent = new MeteredAgent(
+      { keepAlive: false, ...source },
+      meter,
+    );
     this.#interceptor = (next) => (request) => {
       request.header.set(HEADER_PEER_TOKEN, token());
       return next(request);
--- a/src/transport/observe/mod.ts
+++ b/src/transport/observe/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from "./event_log.ts";
 export * from "./metrics.ts";
+export * from "./socket_meter.ts";
--- a/src/transport/store/etcd_store.ts
+++ b/src/transport/store/etcd_store.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { performance } from "node:perf_hooks";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
-import { Agent, type Dispatcher, request } from "undici";
+import { Agent, buildConnector, type Dispatcher, request } from "undici";
 import {
   FailureKind,
   messageOf,
@@ -25,6 +25,7 @@
   toBase64,
   toEntry,
 } from "./etcd_messages.ts";
+import type { SocketMeter } from "../observe/socket_meter.ts";
 import { TokenBucket } from "./token_bucket.ts";
 
 /** Largest answer that is read, in bytes: one value of 1 MB in base64. */
@@ -42,6 +43,8 @@
   callsPerSecond?: number;
   /** IP address that connections come from. */
   sourceAddress?: string | undefined;
+  /** Counts the bytes of all connections. */
+  meter?: SocketMeter;
   /** Called for each call that is sent. */
   onCall?: (step: string) => void;
 }
@@ -79,9 +82,7 @@
     this.#agent = new Agent({
       connections: MAX_CONNECTIONS,
       pipelining: 1,
-      connect: options.sourceAddress === undefined
-        ? {}
-        : { localAddress: options.sourceAddress },
+      connect: meteredConnector(options),
     });
   }
 
@@ -253,6 +254,23 @@
   }
 }
 
+function meteredConnector(options: EtcdStoreOptions) {
+  const connect = buildConnector(
+    (options.sourceAddress === undefined
+      ? {}
+      : { localAddress: options.sourceAddress }) as buildConnector.BuildOptions,
+  );
+  return (
+    target: buildConnector.Options,
+    callback: buildConnector.Callback,
+  ): void => {
+    connect(target, (...result) => {
+      if (result[1] !== null) options.meter?.track(result[1]);
+      callback(...result);
+    });
+  };
+}
+
 const CONNECT_ERROR_CODES = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
--- /dev/null
+++ b/testkit/backend_process.ts
@@ -0,0 +1,57 @@
+import { request } from "undici";
+import type {
+  BackendBehaviour,
+  Execution,
+} from "../fakes/backend_server.ts";
+import { Child } from "./child.ts";
+import { distFile } from "./dist_file.ts";
+
+/**
+ * A backend server stand-in in a process of its own.
+ *
+ * @example
+ * ```ts ignore
+ * const backend = await BackendProcess.start("lookup", daemon.admin, {});
+ * ```
+ */
+export class BackendProcess {
+  readonly child: Child;
+  readonly port: number;
+
+  private constructor(child: Child, port: number) {
+    this.child = child;
+    this.port = port;
+  }
+
+  /** Starts a stand-in that announces itself to a daemon. */
+  static async start(
+    service: string,
+    daemonAdmin: string,
+    behaviour: Partial<BackendBehaviour>,
+  ): Promise<BackendProcess> {
+    const child = new Child([
+      distFile("fakes/backend_main.js"),
+      service,
+      daemonAdmin,
+      JSON.stringify(behaviour),
+    ]);
+    return new BackendProcess(child, await child.port());
+  }
+
+  /** The requests that it ran; none where it is gone. */
+  async executions(): Promise<Execution[]> {
+    try {
+      const answer = await request(`http://127.0.0.1:${this.port}/executions`);
+      return await answer.body.json() as Execution[];
+    } catch {
+      return [];
+    }
+  }
+
+  /** Ends the process at once. */
+  async close(): Promise<void> {
+    if (this.child.hasExited) return;
+    this.child.signal("SIGCONT");
+    await this.child.kill();
+  }
+}
--- a/tests/harness/caller.ts
+++ b/testkit/caller.ts
@@ -2,7 +2,7 @@
 import { performance } from "node:perf_hooks";
 import { randomBytes } from "node:crypto";
 import { Agent, request } from "undici";
-import { uuidV7 } from "../../src/coordination/claims/idempotency_key.ts";
+import { uuidV7 } from "../src/coordination/claims/idempotency_key.ts";
 import { VENDOR_TOKEN } from "./sample_config.ts";
 
 /** An answer as a caller sees it. */
--- a/tests/harness/child.ts
+++ b/testkit/child.ts
@@ -1,5 +1,6 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import process from "node:process";
+import { until } from "./until.ts";
 
 /** Last output of a child that is kept, in characters. */
 const KEPT_OUTPUT = 64 * 1024;
@@ -49,6 +50,15 @@
     return this.#process.exitCode !== null || this.#process.signalCode !== null;
   }
 
+  /** Waits until a stand-in tells its port. */
+  async port(): Promise<number> {
+    await until(
+      () => /port=\d+/.test(this.output),
+      `process ${this.pid} tells its port`,
+    );
+    return Number(/port=(\d+)/.exec(this.output)![1]);
+  }
+
   /** Sends a signal to this process alone. */
   signal(signal: NodeJS.Signals): void {
     this.#process.kill(signal);
--- a/tests/harness/daemon_process.ts
+++ b/testkit/daemon_process.ts
@@ -1,14 +1,13 @@
 import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
-import { dirname, join } from "node:path";
-import { fileURLToPath } from "node:url";
+import { join } from "node:path";
 import { request } from "undici";
-import { FaultProxy } from "../../fakes/fault_proxy.ts";
+import { FaultProxy } from "../fakes/fault_proxy.ts";
 import { Child } from "./child.ts";
+import { distFile } from "./dist_file.ts";
 import { freePorts } from "./free_ports.ts";
 import { until } from "./until.ts";
 
-const DIST = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 /** Key that all daemons of a test share. */
 export const FLEET_KEYS = [{ id: "k1", secret: "test-secret-0123456789" }];
 
@@ -180,7 +179,7 @@
 
   #spawn(): Child {
     return new Child([
-      join(DIST, "src/daemon/main.js"),
+      distFile("src/daemon/main.js"),
       this.#settingsFile,
     ]);
   }
--- a/tests/harness/fleet.ts
+++ b/testkit/fleet.ts
@@ -2,26 +2,28 @@
 import {
   acceptChange,
   readHead,
-} from "../../src/coordination/config/acceptance.ts";
-import type { HeadRecord } from "../../src/coordination/config/head_record.ts";
+} from "../src/coordination/config/acceptance.ts";
+import type { HeadRecord } from "../src/coordination/config/head_record.ts";
 import {
   type BackendBehaviour,
   BackendServer,
-} from "../../fakes/backend_server.ts";
-import { FaultProxy } from "../../fakes/fault_proxy.ts";
-import { StoreServer } from "../../fakes/store_server.ts";
+  type Execution,
+} from "../fakes/backend_server.ts";
+import { BackendProcess } from "./backend_process.ts";
+import { FaultProxy } from "../fakes/fault_proxy.ts";
+import { StoreServer } from "../fakes/store_server.ts";
 import {
   type ConfigSource,
   ResourceSet,
-} from "../../src/state/resource_set.ts";
-import { EtcdStore } from "../../src/transport/store/etcd_store.ts";
+} from "../src/state/resource_set.ts";
+import { EtcdStore } from "../src/transport/store/etcd_store.ts";
 import { DaemonProcess } from "./daemon_process.ts";
 import { until } from "./until.ts";
 
 /** One instance of a fleet: a daemon, with a backend server beside it. */
 export interface Instance {
   readonly daemon: DaemonProcess;
-  backend: BackendServer | undefined;
+  backend: BackendServer | BackendProcess | undefined;
 }
 
 /** Instances of one failure domain. */
@@ -39,6 +41,8 @@
   /** Further daemon settings. */
   readonly settings?: Readonly<Record<string, unknown>>;
   readonly behaviour?: Partial<BackendBehaviour>;
+  /** Whether backend servers run in this process. @default {true} */
+  readonly isBackendInProcess?: boolean;
   /** First part of the loopback addresses, so that fleets do not meet. */
   readonly network?: number;
 }
@@ -163,6 +167,14 @@
     this.storeProxy.set({ kind: "cut" }, (source) => this.#isOf(source, name));
   }
 
+  /** The requests that the backend servers ran. */
+  async executions(): Promise<Execution[]> {
+    const lists = await Promise.all(
+      this.instances.map(async ({ backend }) => await backend?.executions()),
+    );
+    return lists.flatMap((list) => list ?? []);
+  }
+
   /** Ends all cuts. */
   heal(): void {
     this.storeProxy.set({ kind: "none" });
@@ -203,11 +215,10 @@
     this.instances.push(instance);
     await daemon.holds(1);
     if (service !== "") {
-      instance.backend = await startBackend(
-        daemon,
-        service,
-        this.#plan.behaviour,
-      );
+      const start = this.#plan.isBackendInProcess === false
+        ? startBackendProcess
+        : startBackend;
+      instance.backend = await start(daemon, service, this.#plan.behaviour);
     }
   }
 
@@ -243,6 +254,18 @@
   }
 }
 
+/** Starts a backend server in a process of its own beside a daemon. */
+export function startBackendProcess(
+  daemon: DaemonProcess,
+  service: string,
+  behaviour: Partial<BackendBehaviour> = {},
+): Promise<BackendProcess> {
+  return BackendProcess.start(service, daemon.admin, {
+    slots: 8,
+    ...behaviour,
+  });
+}
+
 /** Starts a backend server beside a daemon. */
 export async function startBackend(
   daemon: DaemonProcess,
--- a/tests/harness/sample_config.ts
+++ b/testkit/sample_config.ts
@@ -1,8 +1,8 @@
-import { sha256Hex } from "../../src/protocol/canonical_json.ts";
-import type { Service, SiteConfig } from "../../src/protocol/config_schema.ts";
-import { Delivery } from "../../src/protocol/config_schema.ts";
-import { Rank } from "../../src/protocol/rank.ts";
-import type { ConfigSource } from "../../src/state/resource_set.ts";
+import { sha256Hex } from "../src/protocol/canonical_json.ts";
+import type { Service, SiteConfig } from "../src/protocol/config_schema.ts";
+import { Delivery } from "../src/protocol/config_schema.ts";
+import { Rank } from "../src/protocol/rank.ts";
+import type { ConfigSource } from "../src/state/resource_set.ts";
 
 /** Token of the caller that is approved for all services. */
 export const VENDOR_TOKEN = "vendor-token";
--- a/tests/integration/path_test.ts
+++ b/tests/integration/path_test.ts
@@ -1,8 +1,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { call, newKey, order } from "../harness/caller.ts";
-import { Fleet } from "../harness/fleet.ts";
-import { sampleSource, STRANGER_TOKEN } from "../harness/sample_config.ts";
+import { call, newKey, order } from "../../testkit/caller.ts";
+import { Fleet } from "../../testkit/fleet.ts";
+import { sampleSource, STRANGER_TOKEN } from "../../testkit/sample_config.ts";
 
 let fleet: Fleet;
 
@@ -56,8 +56,7 @@
   assert.is(placed.status, 200, placed.reason);
   assert.is(resent.body, placed.body, resent.reason);
   assert.is(resent.replayed, "whole");
-  const runs = fleet.instances.flatMap((one) => one.backend?.executions ?? [])
-    .filter((one) => one.key === key);
+  const runs = (await fleet.executions()).filter((one) => one.key === key);
   assert.is(runs.length, 1);
 });
 
