--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -78,10 +78,16 @@
   readonly #bus = createFleetBus();
   readonly #log: EventLog;
   readonly #metrics: Metrics;
-  /** Bytes of control: calls of peers, to peers and to the store. */
-  readonly #meter = new SocketMeter();
+  readonly #meters = {
+    control: new SocketMeter(),
+    requests: new SocketMeter(),
+  };
   readonly #store: EtcdStore;
+  /** Claims have a budget of their own, so that they never starve leases. */
+  readonly #claimStore: EtcdStore;
   readonly #clients: FleetClients;
+  /** Calls on behalf of requests, over connections of their own. */
+  readonly #requestClients: FleetClients;
   readonly #membership: Membership;
   readonly #config = new ConfigStore();
   readonly #backend: BackendTask;
@@ -114,10 +120,15 @@
     this.#settings = settings;
     this.#log = openLog(settings);
     this.#metrics = openMetrics(settings.statsd, settings.instance);
-    this.#store = this.#openStore();
+    this.#store = this.#openStore(this.#meters.control);
+    this.#claimStore = this.#openStore(this.#meters.requests);
     this.#clients = new FleetClients(token, {
       sourceAddress: settings.sourceAddress,
-      meter: this.#meter,
+      meter: this.#meters.control,
+    });
+    this.#requestClients = new FleetClients(token, {
+      sourceAddress: settings.sourceAddress,
+      meter: this.#meters.requests,
     });
 
     const balancer = new Balancer(self, random);
@@ -150,10 +161,15 @@
       ...shared,
       serviceOf: (name) => this.#config.snapshot?.service(name),
     });
-    this.#claims = new ClaimTask({ ...shared, ...settings.claims });
+    this.#claims = new ClaimTask({
+      ...shared,
+      ...settings.claims,
+      store: this.#claimStore,
+    });
     const claims = new ClaimClient({
       ...shared,
       ...settings.claims,
+      clients: this.#requestClients,
       members: this.#membership.table,
       task: this.#claims,
     });
@@ -179,7 +195,7 @@
       members: () => this.#slotMembers(),
     });
     this.#peers = new PeerCaller({
-      clients: this.#clients,
+      clients: this.#requestClients,
       token,
       sourceAddress: settings.sourceAddress,
     });
@@ -218,7 +234,7 @@
         surveyor,
       }),
       auth,
-      this.#meter,
+      this.#meters,
     );
     this.#admin = new AdminServer({
       ...shared,
@@ -320,7 +336,8 @@
     ]);
     this.#clients.close();
     this.#metrics.close();
-    await this.#store.close();
+    this.#requestClients.close();
+    await Promise.all([this.#store.close(), this.#claimStore.close()]);
   }
 
   /** Tells those who sent calls lately, and some peers, at once. */
@@ -351,13 +368,13 @@
     });
   }
 
-  #openStore(): EtcdStore {
+  #openStore(meter: SocketMeter): EtcdStore {
     const { endpoints, callsPerSecond, timeoutMs } = this.#settings.store;
     return new EtcdStore(endpoints, {
       callsPerSecond,
       timeoutMs,
       sourceAddress: this.#settings.sourceAddress,
-      meter: this.#meter,
+      meter,
       onCall: (step) => {
         this.#storeCalls++;
         this.#metrics.count("store.calls", 1, [`step:${step}`]);
@@ -392,7 +409,8 @@
       version: this.#config.version,
       members: this.#membership.table.size,
       storeCalls: this.#storeCalls,
-      controlBytes: this.#meter.bytes,
+      controlBytes: this.#meters.control.bytes,
+      requestBytes: this.#meters.requests.bytes,
       claims: this.#claims.size,
       ledger: this.#destination.ledger.size,
       ingressRunning: this.#ingress.running,
--- a/src/transport/control/control_server.ts
+++ b/src/transport/control/control_server.ts
@@ -16,6 +16,21 @@
 /** Time for which an idle connection of a peer stays open, in ms. */
 const IDLE_CONNECTION_MS = 15_000;
 
+/** Calls that belong to a caller's request; a connection carries no others. */
+const REQUEST_CALLS: ReadonlySet<string> = new Set([
+  "Claim",
+  "CompleteClaim",
+  "Settle",
+]);
+
+/** Counters of a daemon's own traffic. */
+export interface ControlMeters {
+  /** Membership, configuration, leases and surveys. */
+  readonly control: SocketMeter;
+  /** Claims and settled outcomes, which grow with the requests. */
+  readonly requests: SocketMeter;
+}
+
 /** What answers the control calls. */
 export type FleetHandler = ServiceImpl<typeof Fleet>;
 
@@ -30,18 +45,22 @@
  */
 export class ControlServer {
   readonly #server: Server;
+  readonly #tracked = new WeakSet<object>();
 
   /**
    * Creates a server.
    *
    * @param handler Answers the calls.
    * @param auth Checks the callers.
-   * @param meter Counts the bytes of all connections.
+   * @param meters Count the bytes of control and of requests' own calls.
    */
   constructor(
     handler: FleetHandler,
     auth: PeerAuth,
-    meter = new SocketMeter(),
+    meters: ControlMeters = {
+      control: new SocketMeter(),
+      requests: new SocketMeter(),
+    },
   ) {
     const authenticate: Interceptor = (next) => (request) => {
       const token = request.header.get(HEADER_PEER_TOKEN) ?? undefined;
@@ -61,7 +80,13 @@
         grpcWeb: false,
       }),
     );
-    this.#server.on("connection", (socket) => meter.track(socket));
+    this.#server.on("request", (request) => {
+      const { socket, url } = request;
+      if (this.#tracked.has(socket)) return;
+      this.#tracked.add(socket);
+      const isControl = !REQUEST_CALLS.has(url?.split("/").at(-1) ?? "");
+      (isControl ? meters.control : meters.requests).track(socket);
+    });
   }
 
   /**
