Test the decisions against naive versions and add the fleet measurements

Cause: the decisions had no tests of their own; a daemon whose store refused its first connection ended with a TypeError.

--- /dev/null
+++ b/bench/fleet.ts
@@ -0,0 +1,125 @@
+import process from "node:process";
+import { bigSource } from "../testkit/big_config.ts";
+import { Fleet } from "../testkit/fleet.ts";
+import { fitLine, round } from "../testkit/statistics.ts";
+import {
+  measureChurn,
+  measureControl,
+  measureConvergence,
+} from "./fleet_measures.ts";
+
+/** Sizes of the fleets, in daemons. */
+const SIZES = [12, 24, 48, 96];
+/** Failure domains of the fleet in two years. */
+const DOMAINS = [
+  "east",
+  "west",
+  "north",
+  "south",
+  "hill",
+  "lake",
+  "coast",
+] as const;
+/** Daemons of the fleet in two years. */
+const TARGET_SIZE = 2_400;
+
+type Measure = (fleet: Fleet) => Promise<unknown>;
+
+const MEASURES: Readonly<Record<string, Measure>> = {
+  convergence: measureConvergence,
+  control: measureControl,
+  churn: measureChurn,
+};
+
+/** Returns a bench that takes some measures of fleets of growing size. */
+export function benchFleet(names: readonly string[]) {
+  return async (): Promise<unknown> => {
+    const sizes = (process.env.BENCH_SIZES ?? SIZES.join(","))
+      .split(",").map(Number);
+    const results: Record<string, unknown>[] = [];
+    for (const size of sizes) {
+      process.stderr.write(`measuring ${size} daemons\n`);
+      results.push({ size, ...await measureSize(size, names) });
+    }
+    return { sizes: results, slopes: slopesOf(results) };
+  };
+}
+
+async function measureSize(
+  size: number,
+  names: readonly string[],
+): Promise<Record<string, unknown>> {
+  const fleet = await startFleet(size);
+  try {
+    const result: Record<string, unknown> = {};
+    for (const name of names) {
+      result[name] = await MEASURES[name]!(fleet);
+      process.stderr.write(`${size} ${name} ${JSON.stringify(result[name])}\n`);
+    }
+    return result;
+  } finally {
+    await fleet.close();
+  }
+}
+
+async function startFleet(size: number): Promise<Fleet> {
+  const services = DOMAINS.map((_, index) =>
+    Array.from(
+      {
+        length: Math.floor(
+          (size + DOMAINS.length - 1 - index) / DOMAINS.length,
+        ),
+      },
+      (_, number) => number === 0 ? (index % 2 === 0 ? "lookup" : "order") : "",
+    )
+  );
+  return await Fleet.start({
+    network: 41,
+    source: bigSource(0),
+    settings: { gossip: {}, claims: {}, leaseTtlS: 10 },
+    domains: DOMAINS.map((name, index) => ({
+      name,
+      services: services[index]!,
+    })),
+  });
+}
+
+/** Fits lines over the sizes and follows them to the size in two years. */
+function slopesOf(results: readonly Record<string, unknown>[]): unknown {
+  if (results.length < 2) return undefined;
+  const figures: Record<string, string> = {
+    convergenceP99Ms: "convergence.healthy.p99Ms",
+    convergenceMaxMs: "convergence.healthy.maxMs",
+    cpuPercentMedian: "control.cpuPercent.median",
+    cpuPercentMax: "control.cpuPercent.max",
+    bytesPerSMedian: "control.bytesPerS.median",
+    bytesPerSMax: "control.bytesPerS.max",
+    residentMbMedian: "control.residentMb.median",
+    storeCallsPerS: "control.storeCallsPerS",
+    churnStoreCallsPeakPerS: "churn.storeCallsPeakPerS",
+  };
+  const slopes: Record<string, unknown> = {};
+  for (const [name, path] of Object.entries(figures)) {
+    const points = results.flatMap((result) => {
+      const value = valueAt(result, path);
+      return value === undefined
+        ? []
+        : [[Math.log2(Number(result.size)), value] as const];
+    });
+    if (points.length < 2) continue;
+    const { slope, intercept } = fitLine(points);
+    slopes[name] = {
+      perDoubling: round(slope),
+      atTarget: round(intercept + slope * Math.log2(TARGET_SIZE)),
+    };
+  }
+  return slopes;
+}
+
+function valueAt(object: unknown, path: string): number | undefined {
+  let value = object;
+  for (const step of path.split(".")) {
+    value = (value as Record<string, unknown> | undefined)?.[step];
+  }
+  return value as number | undefined;
+}
--- /dev/null
+++ b/bench/fleet_measures.ts
@@ -0,0 +1,293 @@
+import { randomBytes } from "node:crypto";
+import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
+import { create } from "@bufbuild/protobuf";
+import { NaivePoller } from "../fakes/naive_poller.ts";
+import {
+  type Member,
+  MemberSchema,
+  MemberState,
+} from "../src/protocol/gen/sesamepond/v1/fleet_pb.ts";
+import { FleetClients } from "../src/transport/control/fleet_client.ts";
+import { PeerAuth } from "../src/transport/control/peer_auth.ts";
+import { bigSource } from "../testkit/big_config.ts";
+import { call } from "../testkit/caller.ts";
+import { FLEET_KEYS } from "../testkit/daemon_process.ts";
+import { type Fleet, livingMembers } from "../testkit/fleet.ts";
+import {
+  median,
+  round,
+  summarize,
+  type Summary,
+} from "../testkit/statistics.ts";
+import { until } from "../testkit/until.ts";
+
+/** Time between two changes at 7,300 a day, in ms. */
+const CHANGE_PERIOD_MS = 11_800;
+/** Length of the control measurement, in ms. */
+const CONTROL_MS = 3 * CHANGE_PERIOD_MS;
+/** Accepted changes of the convergence measurement. */
+const CHANGES = 8;
+/** Length of the store's outage, in ms. */
+const OUTAGE_MS = 3_000;
+/** Members of the fleet in two years. */
+const MEMBERS = 2_400;
+/** Pollers of the naive twin that share a process. */
+const POLLERS = 12;
+/** Time between two polls of the naive twin, in ms. */
+const POLL_PERIOD_MS = 1_000;
+
+let revision = 0;
+
+/** Accepts a change and returns the delay until each daemon held it. */
+async function changeOnce(fleet: Fleet, fromMs?: number): Promise<number[]> {
+  const head = await fleet.accept(bigSource(++revision));
+  await fleet.inForce(head.version, 30_000);
+  const pages = await Promise.all(
+    fleet.instances.map(({ daemon }) =>
+      daemon.page<{ adoptedAtMs: number }>("/version")
+    ),
+  );
+  const startMs = fromMs ?? head.acceptedAtMs;
+  return pages.map((page) => Math.max(0, page.adoptedAtMs - startMs));
+}
+
+/** Measures the time from acceptance to force on every daemon. */
+export async function measureConvergence(fleet: Fleet): Promise<unknown> {
+  const healthyMs: number[] = [];
+  for (let change = 0; change < CHANGES; change++) {
+    healthyMs.push(...await changeOnce(fleet));
+    await sleep(300);
+  }
+  return {
+    healthy: summarize(healthyMs),
+    naive: await naiveConvergence(fleet),
+    storeOutage: await outageAfterAcceptance(fleet),
+    cutDomain: await cutThenHealed(fleet),
+  };
+}
+
+async function naiveConvergence(fleet: Fleet): Promise<Summary> {
+  const pollers = Array.from(
+    { length: POLLERS },
+    () => new NaivePoller(fleet.storeAddress, POLL_PERIOD_MS),
+  );
+  for (const poller of pollers) {
+    await poller.poll();
+    poller.start();
+    await sleep(POLL_PERIOD_MS / POLLERS);
+  }
+  const delaysMs: number[] = [];
+  for (let change = 0; change < 3; change++) {
+    const head = await fleet.accept(bigSource(++revision));
+    await until(
+      () => pollers.every((one) => one.version >= head.version),
+      "the pollers hold the version",
+    );
+    delaysMs.push(...pollers.map((one) => one.adoptedAtMs - head.acceptedAtMs));
+  }
+  await Promise.all(pollers.map((poller) => poller.stop()));
+  return summarize(delaysMs);
+}
+
+/** The store goes down right after it took the change in. */
+async function outageAfterAcceptance(fleet: Fleet): Promise<Summary> {
+  const head = await fleet.accept(bigSource(++revision));
+  fleet.store.goDown();
+  const restored = sleep(OUTAGE_MS).then(() => fleet.store.comeBack());
+  await fleet.inForce(head.version, 30_000);
+  await restored;
+  const pages = await Promise.all(
+    fleet.instances.map(({ daemon }) =>
+      daemon.page<{ adoptedAtMs: number }>("/version")
+    ),
+  );
+  return summarize(
+    pages.map((page) => Math.max(0, page.adoptedAtMs - head.acceptedAtMs)),
+  );
+}
+
+/** A domain is cut off from the others and the store, and comes back. */
+async function cutThenHealed(fleet: Fleet): Promise<unknown> {
+  const domain = fleet.instances[0]!.daemon.plan.domain;
+  fleet.cutDomain(domain);
+  fleet.cutFromStore(domain);
+  const head = await fleet.accept(bigSource(++revision));
+  const outside = fleet.instances.filter((one) =>
+    one.daemon.plan.domain !== domain
+  );
+  await Promise.all(outside.map((one) => one.daemon.holds(head.version)));
+  const healedAtMs = Date.now();
+  fleet.heal();
+  const inside = fleet.inDomain(domain);
+  await Promise.all(
+    inside.map((one) => one.daemon.holds(head.version, 30_000)),
+  );
+  const delaysMs = await Promise.all(inside.map(async ({ daemon }) => {
+    const page = await daemon.page<{ adoptedAtMs: number }>("/version");
+    return Math.max(0, page.adoptedAtMs - healedAtMs);
+  }));
+  return { afterHealing: summarize(delaysMs) };
+}
+
+/** What a daemon spent since its start. */
+interface Spent {
+  readonly cpuMs: number;
+  readonly controlBytes: number;
+  readonly storeCalls: number;
+  readonly residentBytes: number;
+}
+
+async function readSpent(fleet: Fleet): Promise<Spent[]> {
+  return await Promise.all(
+    fleet.instances.map(({ daemon }) => daemon.page<Spent>("/statistics")),
+  );
+}
+
+/** Measures what control costs a daemon while changes come in. */
+export async function measureControl(fleet: Fleet): Promise<unknown> {
+  await addSyntheticMembers(fleet);
+  const naive = new NaivePoller(fleet.storeAddress, POLL_PERIOD_MS);
+  await naive.poll();
+  naive.start();
+  const naiveBefore = { bytes: naive.meter.bytes, calls: naive.calls };
+  const before = await readSpent(fleet);
+  const startMs = performance.now();
+  while (performance.now() - startMs < CONTROL_MS) {
+    await fleet.accept(bigSource(++revision));
+    await sleep(CHANGE_PERIOD_MS);
+  }
+  const elapsedS = (performance.now() - startMs) / 1_000;
+  const after = await readSpent(fleet);
+  const naiveAfter = { bytes: naive.meter.bytes, calls: naive.calls };
+  await naive.stop();
+  const rates = (pick: (spent: Spent) => number) =>
+    after.map((spent, index) =>
+      (pick(spent) - pick(before[index]!)) / elapsedS
+    );
+  const cpu = rates((spent) => spent.cpuMs / 10);
+  const bytes = rates((spent) => spent.controlBytes);
+  const calls = rates((spent) => spent.storeCalls);
+  const resident = after.map((spent) => spent.residentBytes / 1024 ** 2);
+  return {
+    members: MEMBERS + fleet.instances.length,
+    cpuPercent: { median: round(median(cpu)), max: round(Math.max(...cpu)) },
+    bytesPerS: {
+      median: Math.round(median(bytes)),
+      max: Math.round(Math.max(...bytes)),
+    },
+    residentMb: {
+      median: Math.round(median(resident)),
+      max: Math.round(Math.max(...resident)),
+    },
+    storeCallsPerS: round(calls.reduce((sum, one) => sum + one, 0)),
+    naive: {
+      bytesPerS: Math.round(
+        (naiveAfter.bytes - naiveBefore.bytes) / elapsedS,
+      ),
+      storeCallsPerS: round(
+        fleet.instances.length * (naiveAfter.calls - naiveBefore.calls) /
+          elapsedS,
+      ),
+    },
+  };
+}
+
+/** Tells the fleet of as many members as there will be in two years. */
+async function addSyntheticMembers(fleet: Fleet): Promise<void> {
+  const auth = new PeerAuth(FLEET_KEYS);
+  const clients = new FleetClients(() => auth.token("bench", Date.now()));
+  const { daemon } = fleet.instances[0]!;
+  const [host, port] = daemon.control.split(":") as [string, string];
+  const members: Member[] = Array.from(
+    { length: MEMBERS },
+    (_, number) =>
+      create(MemberSchema, {
+        id: `synthetic-${number}-${randomBytes(4).toString("hex")}`,
+        instance: `synthetic-${number}`,
+        domain: "synthetic",
+        // Answers as another process would, at the cost of a real exchange.
+        host,
+        controlPort: Number(port),
+        peerPort: 1,
+        service: `service-${number % 89}`,
+        state: MemberState.ALIVE,
+        incarnation: 1,
+        backendReady: true,
+        slots: 20,
+      }),
+  );
+  for (const { daemon } of fleet.instances) {
+    const result = await clients.call(
+      daemon.control,
+      "exchange",
+      (peer, options) => peer.exchange({ gossip: { members } }, options),
+      { timeoutMs: 10_000 },
+    );
+    if (result.isErr()) throw result.error;
+  }
+  clients.close();
+  // The news is passed on for a while; that is not what is measured.
+  await sleep(10_000);
+}
+
+/** Kills a third of all daemons at once and starts them again. */
+export async function measureChurn(fleet: Fleet): Promise<unknown> {
+  const killed = fleet.instances.filter((_, index) => index % 3 === 0);
+  const survivors = fleet.instances.filter((_, index) => index % 3 !== 0);
+  const callsBefore = { ...fleet.store.counts };
+  fleet.store.counts.peakPerSecond = 0;
+  let isOver = false;
+  const lookups = callWhile(survivors, () => isOver);
+  await Promise.all(killed.map(({ daemon }) => daemon.child.kill()));
+  const startMs = performance.now();
+  for (const { daemon } of killed) daemon.restart();
+  const version = await survivors[0]!.daemon.version();
+  await Promise.all(
+    killed.map(({ daemon }) => daemon.holds(version, 60_000)),
+  );
+  const versionMs = performance.now() - startMs;
+  await Promise.all(fleet.instances.map(({ daemon }) =>
+    until(
+      async () =>
+        (await livingMembers(daemon))
+          .filter((one) => one.domain !== "synthetic").length ===
+          fleet.instances.length,
+      `${daemon.plan.instance} knows the fleet`,
+      60_000,
+    )
+  ));
+  const membersMs = performance.now() - startMs;
+  isOver = true;
+  const answers = await lookups;
+  const executions = await Promise.all(
+    fleet.ofService("order").map(({ backend }) => backend!.executions()),
+  );
+  const wrong = executions.flat().filter((one) =>
+    one.path.startsWith("/lookup")
+  );
+  return {
+    killed: killed.length,
+    versionMs: Math.round(versionMs),
+    membersMs: Math.round(membersMs),
+    storeCallsPeakPerS: fleet.store.counts.peakPerSecond,
+    storeCalls: fleet.store.counts.reads + fleet.store.counts.writes -
+      callsBefore.reads - callsBefore.writes,
+    lookups: answers.length,
+    served: answers.filter((answer) => answer.status === 200).length,
+    wrongRoutes: wrong.length,
+  };
+}
+
+async function callWhile(
+  instances: Fleet["instances"],
+  isOver: () => boolean,
+) {
+  const answers = [];
+  for (let number = 0; !isOver(); number++) {
+    const { daemon } = instances[number % instances.length]!;
+    answers.push(await call(daemon.ingress, `/lookup/${number}`));
+    await sleep(20);
+  }
+  return answers;
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
+import { benchFleet } from "./fleet.ts";
 import { benchHop } from "./hop.ts";
 
 /** A measurement, given the seed of its random choices. */
@@ -8,6 +9,10 @@
 
 const BENCHES: Readonly<Record<string, Bench>> = {
   hop: benchHop,
+  convergence: benchFleet(["convergence"]),
+  control: benchFleet(["control"]),
+  churn: benchFleet(["churn"]),
+  fleet: benchFleet(["convergence", "control", "churn"]),
 };
 
 const args = await yargs(hideBin(process.argv))
--- /dev/null
+++ b/src/state/member_table_test.ts
@@ -0,0 +1,98 @@
+import { create } from "@bufbuild/protobuf";
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  type Member,
+  MemberSchema,
+  MemberState,
+} from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import { MemberTable, TOMBSTONE_MS } from "./member_table.ts";
+
+const STATES = [
+  MemberState.ALIVE,
+  MemberState.SUSPECT,
+  MemberState.DEAD,
+  MemberState.LEFT,
+];
+
+function member(fields: Partial<Omit<Member, "$typeName">>): Member {
+  return create(MemberSchema, {
+    id: "a",
+    domain: "east",
+    state: MemberState.ALIVE,
+    incarnation: 1,
+    ...fields,
+  });
+}
+
+const UPDATE = fc.record({
+  id: fc.constantFrom("a", "b", "c"),
+  incarnation: fc.integer({ min: 1, max: 4 }),
+  state: fc.constantFrom(...STATES),
+});
+
+test("merge() ends in the same table for any order and repetition when nobody has left", () => {
+  const updates = fc.array(
+    UPDATE.filter(({ state }) => state !== MemberState.LEFT),
+    { maxLength: 12 },
+  );
+  fc.assert(
+    fc.property(updates, fc.func(fc.integer()), (list, order) => {
+      const one = new MemberTable();
+      const two = new MemberTable();
+      for (const update of list) one.merge(member(update), 0);
+      const shuffled = [...list, ...list]
+        .map((update, index) => ({ update, key: order(index) }))
+        .sort((a, b) => a.key - b.key);
+      for (const { update } of shuffled) two.merge(member(update), 0);
+      assert.equal(one.bucketDigests, two.bucketDigests);
+    }),
+    { seed: 3, numRuns: 200 },
+  );
+});
+
+test("merge() never brings a member back that has left", () => {
+  const table = new MemberTable();
+  table.merge(member({ state: MemberState.LEFT, incarnation: 2 }), 0);
+  const change = table.merge(member({ incarnation: 9 }), 0);
+  assert.is(change, undefined);
+  assert.is(table.present().length, 0);
+});
+
+test("merge() lets a member refute its death by a higher incarnation", () => {
+  const table = new MemberTable();
+  table.merge(member({ state: MemberState.DEAD }), 0);
+  assert.is(table.merge(member({}), 0), undefined);
+  table.merge(member({ incarnation: 2 }), 0);
+  assert.is(table.present().length, 1);
+});
+
+test("forgetGone() keeps a gone member until late updates are over", () => {
+  const table = new MemberTable();
+  table.merge(member({ state: MemberState.DEAD }), 0);
+  assert.equal(table.forgetGone(TOMBSTONE_MS - 1), []);
+  assert.equal(table.forgetGone(TOMBSTONE_MS), ["a"]);
+});
+
+test("inBuckets() returns what makes two tables differ", () => {
+  const one = new MemberTable();
+  const two = new MemberTable();
+  for (let id = 0; id < 500; id++) {
+    one.merge(member({ id: `m${id}` }), 0);
+    two.merge(member({ id: `m${id}` }), 0);
+  }
+  one.merge(member({ id: "m7", incarnation: 2 }), 0);
+  const differing = new Set(
+    one.bucketDigests.flatMap((digest, bucket) =>
+      digest === two.bucketDigests[bucket] ? [] : [bucket]
+    ),
+  );
+  const sent = one.inBuckets(differing);
+  assert.is(differing.size, 1);
+  assert.ok(sent.length < 30, `${sent.length} members are sent`);
+  for (const update of sent) two.merge(update, 0);
+  assert.is(one.digest, two.digest);
+});
+
+test.run();
--- /dev/null
+++ b/src/state/request_ledger_test.ts
@@ -0,0 +1,75 @@
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { SettleState } from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import { MAX_LEDGER_ENTRIES, RequestLedger } from "./request_ledger.ts";
+
+/** Longer than any finished request is remembered, in ms. */
+const LONG_MS = 100_000;
+
+test("settle() refuses a late arrival when it answered not run", () => {
+  const ledger = new RequestLedger(0);
+  assert.is(ledger.settle("r", 10, 5_000), SettleState.NOT_RUN);
+  assert.is(ledger.begin("r", 5_001), false);
+});
+
+test("settle() knows nothing when the request was sent before the process started", () => {
+  const ledger = new RequestLedger(5_000);
+  assert.is(ledger.settle("r", 4_500, 6_000), SettleState.UNKNOWN);
+});
+
+test("settle() knows nothing when the request may have been forgotten", () => {
+  const ledger = new RequestLedger(0);
+  ledger.begin("r", 2_000);
+  ledger.run("r");
+  ledger.finish("r", 2_100);
+  assert.is(ledger.settle("r", 200, 2_200), SettleState.DONE);
+  ledger.begin("other", LONG_MS);
+  assert.is(ledger.settle("r", LONG_MS - 2_000, LONG_MS), SettleState.UNKNOWN);
+});
+
+test("settle() knows nothing when a full ledger dropped requests", () => {
+  const ledger = new RequestLedger(0);
+  for (let id = 0; id <= MAX_LEDGER_ENTRIES; id++) {
+    ledger.begin(`r${id}`, 10_000);
+    ledger.run(`r${id}`);
+    ledger.finish(`r${id}`, 10_000);
+  }
+  ledger.begin("last", 10_001);
+  assert.is(ledger.settle("r0", 1, 10_002), SettleState.UNKNOWN);
+  assert.ok(ledger.size <= MAX_LEDGER_ENTRIES + 1);
+});
+
+test("settle() never answers not run for what ran, and never lets run what it settled", () => {
+  const step = fc.record({
+    id: fc.constantFrom("a", "b", "c"),
+    kind: fc.constantFrom("begin", "run", "finish", "settle", "wait"),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const ledger = new RequestLedger(0);
+      const ran = new Set<string>();
+      const settled = new Set<string>();
+      const sentAtMs = new Map<string, number>();
+      let nowMs = 10_000;
+      for (const { id, kind } of steps) {
+        nowMs += kind === "wait" ? 30_000 : 1;
+        if (!sentAtMs.has(id)) sentAtMs.set(id, nowMs);
+        if (kind === "begin") ledger.begin(id, nowMs);
+        if (kind === "run" && ledger.run(id)) {
+          assert.not(settled.has(id), "it ran after it was settled");
+          ran.add(id);
+        }
+        if (kind === "finish" && ran.has(id)) ledger.finish(id, nowMs);
+        if (kind !== "settle") continue;
+        const state = ledger.settle(id, nowMs - sentAtMs.get(id)!, nowMs);
+        if (state !== SettleState.NOT_RUN) continue;
+        assert.not(ran.has(id), "it was settled as not run after it ran");
+        settled.add(id);
+      }
+    }),
+    { seed: 4, numRuns: 500 },
+  );
+});
+
+test.run();
--- a/src/transport/store/etcd_store.ts
+++ b/src/transport/store/etcd_store.ts
@@ -265,7 +265,8 @@
     callback: buildConnector.Callback,
   ): void => {
     connect(target, (...result) => {
-      if (result[1] !== null) options.meter?.track(result[1]);
+      // A failed connection has no socket.
+      if (result[1]) options.meter?.track(result[1]);
       callback(...result);
     });
   };
--- /dev/null
+++ b/testkit/big_config.ts
@@ -0,0 +1,43 @@
+import { sha256Hex } from "../src/protocol/canonical_json.ts";
+import type { SiteConfig } from "../src/protocol/config_schema.ts";
+import { Rank, RANKS } from "../src/protocol/rank.ts";
+import type { ConfigSource } from "../src/state/resource_set.ts";
+import { sampleBase, sampleService } from "./sample_config.ts";
+
+/** Services of the fleet in two years. */
+export const SERVICES = 89;
+/** Routes of each service. */
+const ROUTES_PER_SERVICE = 2;
+/** Callers that each service approves. */
+const CALLERS_PER_SERVICE = 8;
+
+/** Builds the configuration of the fleet in two years, in some revision. */
+export function bigSource(revision: number): ConfigSource {
+  const base: SiteConfig = sampleBase();
+  for (let number = 0; number < SERVICES; number++) {
+    const name = `service-${number}`;
+    const callers = Array.from(
+      { length: CALLERS_PER_SERVICE },
+      (_, index) => `service-${(number + index) % SERVICES}`,
+    );
+    base.callers[name] = {
+      tokenDigests: [sha256Hex(`${name}-token`)],
+      maxRunning: 1_000,
+    };
+    base.services[name] = sampleService({
+      rank: RANKS[number % RANKS.length] ?? Rank.Bulk,
+      timeoutMs: 1_000 + (number === 0 ? revision : 0),
+      approvedCallers: callers,
+    });
+    for (let route = 0; route < ROUTES_PER_SERVICE; route++) {
+      base.routes[`${name}-${route}`] = {
+        pathPrefix: `/${name}/${route}`,
+        service: name,
+      };
+    }
+  }
+  for (const service of Object.values(base.services)) {
+    service.health.intervalMs = 1_000;
+  }
+  return { base: JSON.parse(JSON.stringify(base)), sites: { east: {} } };
+}
--- a/testkit/fleet.ts
+++ b/testkit/fleet.ts
@@ -59,6 +59,7 @@
   readonly #plan: FleetPlan;
   #storeProxy: FaultProxy | undefined;
   #storePort = 0;
+  #directStorePort = 0;
   #client: EtcdStore | undefined;
 
   private constructor(plan: FleetPlan) {
@@ -72,6 +73,7 @@
     fleet.#client = new EtcdStore([`127.0.0.1:${port}`], {
       callsPerSecond: 1_000,
     });
+    fleet.#directStorePort = port;
     fleet.#storeProxy = new FaultProxy(port);
     fleet.#storePort = await fleet.#storeProxy.listen();
     await fleet.accept(plan.source);
@@ -91,6 +93,11 @@
     return this.#client!;
   }
 
+  /** Address of the store without a fault proxy. */
+  get storeAddress(): string {
+    return `127.0.0.1:${this.#directStorePort}`;
+  }
+
   /** Between the daemons and the store. */
   get storeProxy(): FaultProxy {
     return this.#storeProxy!;
