Prove configuration and request promises under process faults

Cause: the promises had no proof with real processes. The new tests found: a poisonous request crashed three backend servers, as the look at a dying process saw it alive and the ingress learned of crashes late. Change: checkers with negative controls; two suites behind fault proxies (store outage, cut domains, silent watches, corrupt answers, paused holders, old backups, stale newcomers, herds; leaving, draining and killed servers, silent connections, lost answers, poison); a look repeats until it is clear, and an ingress counts the crashes it saw itself under the same id.

--- a/fakes/backend_server.ts
+++ b/fakes/backend_server.ts
@@ -107,6 +107,11 @@
     this.#server.on("connection", (socket) => this.#onConnection(socket));
   }
 
+  /** The process, where it has one of its own. */
+  get child(): undefined {
+    return undefined;
+  }
+
   /** The requests that it ran. */
   executions(): Execution[] {
     return [...this.#executions];
--- /dev/null
+++ b/src/coordination/quarantine/quarantine_list_test.ts
@@ -0,0 +1,48 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { QUARANTINE_MS, QuarantineList } from "./quarantine_list.ts";
+
+function crash(list: QuarantineList, id: string, fingerprints: string[]) {
+  return list.crashed({ id, service: "lookup", fingerprints }, 0);
+}
+
+test("isRefused() holds from the second crash until the deadline", () => {
+  const list = new QuarantineList();
+  crash(list, "one", ["poison"]);
+  assert.is(list.isRefused("poison", 1), false);
+  crash(list, "two", ["poison"]);
+  assert.is(list.isRefused("poison", 1), true);
+  assert.is(list.isRefused("poison", QUARANTINE_MS), false);
+});
+
+test("crashed() spares requests that were served", () => {
+  const list = new QuarantineList();
+  list.served("popular");
+  crash(list, "one", ["popular", "poison"]);
+  crash(list, "two", ["popular", "poison"]);
+  assert.is(list.isRefused("popular", 1), false);
+  assert.is(list.isRefused("poison", 1), true);
+});
+
+test("served() clears a suspicion", () => {
+  const list = new QuarantineList();
+  crash(list, "one", ["innocent"]);
+  list.served("innocent");
+  crash(list, "two", ["innocent"]);
+  assert.is(list.isSuspect("innocent", 1), false);
+});
+
+test("receive() joins crashes that two daemons saw, and counts none twice", () => {
+  const one = new QuarantineList();
+  const two = new QuarantineList();
+  const [first] = crash(one, "crash-1", ["poison"]);
+  assert.is(two.receive(first!, 1), true);
+  assert.is(two.receive(first!, 1), false);
+  assert.is(two.isRefused("poison", 1), false);
+  const [second] = crash(two, "crash-2", ["poison"]);
+  assert.is(two.isRefused("poison", 1), true);
+  assert.is(one.receive(second!, 1), true);
+  assert.is(one.isRefused("poison", 1), true);
+});
+
+test.run();
--- a/src/daemon/backend_task.ts
+++ b/src/daemon/backend_task.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { type Dispatcher, Pool, request } from "undici";
 import { Delivery, type Service } from "../protocol/config_schema.ts";
 import { type PerRank, perRank, type Rank, RANKS } from "../protocol/rank.ts";
@@ -34,6 +35,10 @@
 /** Longest time to open a connection on the same instance, in ms. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
+/** Looks at a backend server whose connection broke, and pauses between. */
+const MAX_LOOKS = 5;
+const LOOK_PAUSE_MS = 20;
+
 /** What a {@linkcode BackendTask} needs. */
 export interface BackendTaskOptions {
   readonly bus: FleetBus;
@@ -164,11 +169,21 @@
     );
   }
 
+  /**
+   * Looks until the picture is clear: a process that is about to end may still
+   * accept a connection and break it.
+   */
   async #look(): Promise<Diagnosis> {
-    const failure = await this.#probe();
-    if (failure !== "refused") return Diagnosis.Alive;
-    this.#setReady(false, "crashed");
-    return Diagnosis.Crashed;
+    for (let look = 0; look < MAX_LOOKS; look++) {
+      const failure = await this.#probe();
+      if (failure === undefined) return Diagnosis.Alive;
+      if (failure === "refused") {
+        this.#setReady(false, "crashed");
+        return Diagnosis.Crashed;
+      }
+      await sleep(LOOK_PAUSE_MS);
+    }
+    return Diagnosis.Alive;
   }
 
   #probeNow(): void {
--- a/src/daemon/destination.ts
+++ b/src/daemon/destination.ts
@@ -83,7 +83,6 @@
   readonly #calls = new Map<string, DestinationCall>();
   #isDraining = false;
   #suspects: Set<string> | undefined;
-  #crashes = 0;
 
   /**
    * Creates a destination.
@@ -193,10 +192,9 @@
     const suspects = this.#suspects;
     if (suspects === undefined || suspects.size === 0) return;
     this.#suspects = new Set();
-    this.#crashes++;
-    const service = this.backend.status.service;
+    const { service, readyAtMs } = this.backend.status;
     const quarantines = this.quarantine.crashed({
-      id: `${this.#options.selfId}/${this.#crashes}`,
+      id: crashIdOf(this.#options.selfId, readyAtMs),
       service,
       fingerprints: [...suspects],
     }, monotonicMs());
@@ -226,6 +224,22 @@
   }
 }
 
+/**
+ * Names a crash, so that all who saw it count it once.
+ *
+ * @param memberId Id of the daemon beside the backend server.
+ * @param readyAtMs Unix time at which the backend server became ready.
+ * @returns The crash's id.
+ *
+ * @example
+ * ```ts
+ * crashIdOf("east-1", 5); // "east-1/5"
+ * ```
+ */
+export function crashIdOf(memberId: string, readyAtMs: number): string {
+  return `${memberId}/${readyAtMs}`;
+}
+
 /** Time for which suspects wait for the crash to be confirmed, in ms. */
 const SUSPECT_MEMORY_MS = 1_000;
 
--- a/src/daemon/ingress_call.ts
+++ b/src/daemon/ingress_call.ts
@@ -24,6 +24,7 @@
 import type { Metrics } from "../transport/observe/metrics.ts";
 import type { AnswerWriter } from "./answer_writer.ts";
 import { monotonicMs } from "./clocks.ts";
+import { crashIdOf } from "./destination.ts";
 import {
   type AttemptEvents,
   type AttemptOptions,
@@ -156,6 +157,7 @@
   onAttemptRefused(attempt: IngressAttempt, refusal: Refusal): void {
     this.#live.delete(attempt);
     if (refusal.outcome === Outcome.Unknown) this.#mayHaveRun = true;
+    if (refusal.reason === Reason.BackendCrashed) this.#noteCrash(attempt);
     this.#remember("attempt-refused", {
       attempt: attempt.call.id,
       backend: attempt.endpoint.member.id,
@@ -166,8 +168,22 @@
     this.#retryOrAnswer(refusal);
   }
 
+  /** Counts the crash here at once, ahead of the destination's news. */
+  #noteCrash(attempt: IngressAttempt): void {
+    const { member } = attempt.endpoint;
+    this.#context.quarantine.crashed({
+      id: crashIdOf(member.id, member.readyAtMs),
+      service: member.service,
+      fingerprints: [attempt.call.fingerprint],
+    }, monotonicMs());
+  }
+
   #retryOrAnswer(refusal: Refusal): void {
     const { template, route, body, evidence } = this.#accepted;
+    const { quarantine } = this.#context;
+    if (quarantine.isRefused(template.fingerprint, monotonicMs())) {
+      return this.#answer(refusal);
+    }
     const decision = decideRetry({
       refusal,
       delivery: route.service.delivery,
--- /dev/null
+++ b/testkit/checkers_test.ts
@@ -0,0 +1,98 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { Answer } from "./caller.ts";
+import {
+  checkApproved,
+  checkAtMostOnce,
+  checkInForce,
+  checkLeftAlone,
+  checkNothingCut,
+  checkNotRun,
+  checkOwnAnswers,
+  checkRoutesLead,
+  checkVersionsRise,
+} from "./checkers.ts";
+
+function adoption(instance: string, version: number, atMs = 0) {
+  return { instance, version, digest: `d${version}`, atMs };
+}
+
+function record(fields: Partial<Answer>, expected?: string) {
+  const answer: Answer = {
+    status: 200,
+    outcome: "ran",
+    reason: "",
+    requestId: "r1",
+    replayed: "",
+    body: "",
+    latencyMs: 1,
+    ...fields,
+  };
+  const rest = expected === undefined ? {} : { expected };
+  return { answer, path: "/p", sentAtMs: 0, ...rest };
+}
+
+function execution(id: string, key = "") {
+  return { id, key, path: "/p", atMs: 0 };
+}
+
+test("each checker passes a good record and fails a broken one", () => {
+  const accepted = new Map([[1, "d1"], [2, "d2"]]);
+  const leaving = { id: "b", sinceMs: 1_000 };
+  const inForce = { instances: ["i"], withinMs: 100 };
+  const results = {
+    versionsRise: [
+      checkVersionsRise([adoption("i", 1), adoption("i", 2)]),
+      checkVersionsRise([adoption("i", 2), adoption("i", 1)]),
+    ],
+    approved: [
+      checkApproved([adoption("i", 1)], accepted),
+      checkApproved([{ ...adoption("i", 1), digest: "x" }], accepted),
+    ],
+    atMostOnce: [
+      checkAtMostOnce([execution("r1.1", "k"), execution("r2.1")]),
+      checkAtMostOnce([execution("r1.1", "k"), execution("r2.1", "k")]),
+    ],
+    notRun: [
+      checkNotRun([record({ outcome: "not-run" })], [execution("r2.1")]),
+      checkNotRun([record({ outcome: "not-run" })], [execution("r1.2")]),
+    ],
+    ownAnswers: [
+      checkOwnAnswers([record({ body: "mine" }, "mine")]),
+      checkOwnAnswers([record({ body: "other" }, "mine")]),
+    ],
+    nothingCut: [
+      checkNothingCut([record({})]),
+      checkNothingCut([record({ status: 0, reason: "reset" })]),
+    ],
+    leftAlone: [
+      checkLeftAlone([{ backend: "b", atMs: 1_500 }], leaving, 1_000),
+      checkLeftAlone([{ backend: "b", atMs: 2_500 }], leaving, 1_000),
+    ],
+    routesLead: [
+      checkRoutesLead([{ backend: "b", atMs: 0 }], new Set(["b"])),
+      checkRoutesLead([{ backend: "c", atMs: 0 }], new Set(["b"])),
+    ],
+    inForce: [
+      checkInForce([adoption("i", 2, 50)], { version: 2, atMs: 0 }, inForce),
+      checkInForce([adoption("i", 2, 500)], { version: 2, atMs: 0 }, inForce),
+    ],
+  };
+  const lines = Object.entries(results).map(([name, [good, broken]]) =>
+    `${name}: ${good!.length} then ${broken!.join()}`
+  );
+  assert.snapshot(
+    lines.join("\n"),
+    `versionsRise: 0 then i went from version 2 to 1
+approved: 0 then i adopted 1 with digest x
+atMostOnce: 0 then k ran 2 times
+notRun: 0 then r1 was "not run" but ran
+ownAnswers: 0 then /p was answered "other"
+nothingCut: 0 then /p ended with 0 reset
+leftAlone: 0 then b got work 1500 ms after it left
+routesLead: 0 then a call was sent to c, which is not known
+inForce: 0 then i held version 2 after 500 ms`,
+  );
+});
+
+test.run();
--- a/testkit/daemon_process.ts
+++ b/testkit/daemon_process.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { request } from "undici";
 import { FaultProxy } from "../fakes/fault_proxy.ts";
+import type { Adoption, Dispatch } from "./checkers.ts";
 import { Child } from "./child.ts";
 import { distFile } from "./dist_file.ts";
 import { freePorts } from "./free_ports.ts";
@@ -154,13 +155,29 @@
     );
   }
 
-  /** Lines of the log that name an event. */
-  logLines(event: string): string[] {
+  /** Fields of each log line that names an event, over all starts. */
+  logged(event: string): LoggedEvent[] {
     return readFileSync(this.#logFile, "utf8").split("\n")
-      .filter((line) =>
-        line.includes(` event=${event} `) ||
-        line.includes(` event=${event}\n`) || line.endsWith(`event=${event}`)
-      );
+      .map(parseLine)
+      .filter((fields) => fields.event === event);
+  }
+
+  /** Versions that the daemon adopted, over all starts. */
+  adoptions(): Adoption[] {
+    return this.logged("config-adopted").map((fields) => ({
+      instance: this.plan.instance,
+      version: Number(fields.version),
+      digest: fields.digest ?? "",
+      atMs: Date.parse(fields.time ?? ""),
+    }));
+  }
+
+  /** Calls that the daemon sent on, over all starts. */
+  dispatches(): Dispatch[] {
+    return this.logged("route").map((fields) => ({
+      backend: fields.backend ?? "",
+      atMs: Date.parse(fields.time ?? ""),
+    }));
   }
 
   /** Starts the program again on the same instance. */
@@ -184,3 +201,15 @@
     ]);
   }
 }
+
+/** Fields of a log line. */
+export type LoggedEvent = Readonly<Record<string, string | undefined>>;
+
+function parseLine(line: string): LoggedEvent {
+  const fields: Record<string, string> = {};
+  for (const match of line.matchAll(/([\w-]+)=("(?:[^"\\]|\\.)*"|\S*)/g)) {
+    const [, name, value] = match as unknown as [string, string, string];
+    fields[name] = value.startsWith('"') ? JSON.parse(value) : value;
+  }
+  return fields;
+}
--- /dev/null
+++ b/tests/integration/config_faults_test.ts
@@ -0,0 +1,189 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { ConfigSource } from "../../src/state/resource_set.ts";
+import { call } from "../../testkit/caller.ts";
+import { checkInForce } from "../../testkit/checkers.ts";
+import { Fleet, livingMembers } from "../../testkit/fleet.ts";
+import { sampleBase, sampleSource } from "../../testkit/sample_config.ts";
+import { until } from "../../testkit/until.ts";
+
+/** Time in which an accepted change has to be in force. */
+const IN_FORCE_MS = 13_000;
+
+let fleet: Fleet;
+let revision = 0;
+
+function nextSource(): ConfigSource {
+  const base = sampleBase();
+  revision++;
+  base.routes[`r${revision}`] = {
+    pathPrefix: `/r${revision}`,
+    service: "lookup",
+  };
+  return sampleSource(base);
+}
+
+function instanceNames(): string[] {
+  return fleet.instances.map(({ daemon }) => daemon.plan.instance);
+}
+
+test.before(async () => {
+  fleet = await Fleet.start({
+    network: 12,
+    source: nextSource(),
+    domains: [
+      { name: "east", services: ["lookup", "", ""] },
+      { name: "west", services: ["lookup", "", ""] },
+      { name: "north", services: ["lookup", ""] },
+    ],
+  });
+});
+
+test.after.each(() => {
+  assert.equal(fleet.checkVersions(), []);
+});
+
+test.after(async () => {
+  await fleet.close();
+});
+
+test("a version is in force everywhere within seconds", async () => {
+  const head = await fleet.accept(nextSource());
+  await fleet.inForce(head.version);
+  // Log lines are written a moment later.
+  await sleep(500);
+  const broken = checkInForce(
+    fleet.adoptions(),
+    { version: head.version, atMs: head.acceptedAtMs },
+    { instances: instanceNames(), withinMs: IN_FORCE_MS },
+  );
+  assert.equal(broken, []);
+});
+
+test("a version accepted just before a store outage is in force after it", async () => {
+  const head = await fleet.accept(nextSource());
+  fleet.store.goDown();
+  await sleep(1_000);
+  fleet.store.comeBack();
+  await fleet.inForce(head.version);
+});
+
+test("a domain that is cut from the store gets versions from other domains", async () => {
+  fleet.cutFromStore("west");
+  const head = await fleet.accept(nextSource());
+  await fleet.inForce(head.version);
+  fleet.heal();
+});
+
+test("a domain that is cut off serves on and catches up when it is healed", async () => {
+  fleet.cutDomain("north");
+  fleet.cutFromStore("north");
+  const head = await fleet.accept(nextSource());
+  const outside = fleet.instances.filter(({ daemon }) =>
+    daemon.plan.domain !== "north"
+  );
+  await Promise.all(outside.map(({ daemon }) => daemon.holds(head.version)));
+  const [inside] = fleet.inDomain("north");
+  const served = await call(inside!.daemon.ingress, "/lookup/1");
+  assert.is(served.status, 200, served.reason);
+  assert.ok(await inside!.daemon.version() < head.version);
+  fleet.heal();
+  await fleet.inForce(head.version);
+  await fleet.settled();
+});
+
+test("a watch that goes silent is replaced in time", async () => {
+  fleet.store.faults.areWatchesSilent = true;
+  const head = await fleet.accept(nextSource());
+  await fleet.inForce(head.version, IN_FORCE_MS);
+  fleet.store.faults.areWatchesSilent = false;
+});
+
+test("corrupt store answers change nothing", async () => {
+  const before = await fleet.instances[0]!.daemon.version();
+  fleet.store.faults.isCorrupt = true;
+  await sleep(1_500);
+  fleet.store.faults.isCorrupt = false;
+  const versions = await Promise.all(
+    fleet.instances.map(({ daemon }) => daemon.version()),
+  );
+  assert.ok(versions.every((version) => version === before));
+  const head = await fleet.accept(nextSource());
+  await fleet.inForce(head.version);
+});
+
+test("a reader whose lease lapses while it is paused is replaced, and catches up", async () => {
+  const paused = await readerOf("east");
+  paused.daemon.child.signal("SIGSTOP");
+  await sleep(4_000);
+  const head = await fleet.accept(nextSource());
+  const others = fleet.instances.filter((one) => one !== paused);
+  await Promise.all(others.map(({ daemon }) => daemon.holds(head.version)));
+  paused.daemon.child.signal("SIGCONT");
+  await paused.daemon.holds(head.version);
+  await fleet.settled();
+});
+
+async function readerOf(domain: string) {
+  const holders = new Map<string, boolean>();
+  for (const member of await livingMembers(fleet.instances[0]!.daemon)) {
+    const isReader = member.leasedSlots.some((slot) =>
+      slot.startsWith(`slots/reader/${domain}/`)
+    );
+    holders.set(member.instance, isReader);
+  }
+  return fleet.inDomain(domain).find(({ daemon }) =>
+    holders.get(daemon.plan.instance)
+  )!;
+}
+
+test("a store restored from an old backup is reported and not followed", async () => {
+  const backup = fleet.store.data.backup();
+  const head = await fleet.accept(nextSource());
+  await fleet.inForce(head.version);
+  fleet.store.data.restore(backup);
+  await until(
+    () =>
+      fleet.instances.some(({ daemon }) =>
+        daemon.logged("store-behind-fleet").length > 0
+      ),
+    "a reader reports the old store",
+  );
+  const versions = await Promise.all(
+    fleet.instances.map(({ daemon }) => daemon.version()),
+  );
+  assert.ok(versions.every((version) => version === head.version));
+  // Two more changes lead the store past the fleet again.
+  await fleet.accept(nextSource());
+  fleet.accepted.set(head.version, head.digest);
+  const later = await fleet.accept(nextSource());
+  await fleet.inForce(later.version);
+});
+
+test("a daemon that restarts without the store does not fall behind its former self", async () => {
+  const head = await fleet.accept(nextSource());
+  await fleet.inForce(head.version);
+  fleet.store.goDown();
+  const [{ daemon }] = fleet.inDomain("west") as [typeof fleet.instances[0]];
+  await daemon.child.kill();
+  daemon.restart();
+  await sleep(1_500);
+  const version = await daemon.version();
+  assert.ok(version === 0 || version === head.version, `holds ${version}`);
+  fleet.store.comeBack();
+  await daemon.holds(head.version);
+});
+
+test("a herd that dies and restarts finds the fleet within the store's budget", async () => {
+  const victims = fleet.instances.filter((_, index) => index % 2 === 0);
+  fleet.store.counts.peakPerSecond = 0;
+  await Promise.all(victims.map(({ daemon }) => daemon.child.kill()));
+  for (const { daemon } of victims) daemon.restart();
+  await fleet.settled(30_000);
+  const head = await fleet.accept(nextSource());
+  await fleet.inForce(head.version);
+  assert.is(fleet.store.counts.refusedByBudget, 0);
+});
+
+test.run();
--- /dev/null
+++ b/tests/integration/request_faults_test.ts
@@ -0,0 +1,285 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { call, newKey, order } from "../../testkit/caller.ts";
+import {
+  type CallRecord,
+  checkAtMostOnce,
+  checkLeftAlone,
+  checkNothingCut,
+  checkNotRun,
+  checkOwnAnswers,
+} from "../../testkit/checkers.ts";
+import {
+  Fleet,
+  type Instance,
+  livingMembers,
+  startBackendProcess,
+} from "../../testkit/fleet.ts";
+import { openLoop } from "../../testkit/open_loop.ts";
+import { sampleSource } from "../../testkit/sample_config.ts";
+import { until } from "../../testkit/until.ts";
+
+/** Time after which a leaving backend server gets no new work, in ms. */
+const LEAVE_MS = 3_000;
+
+let fleet: Fleet;
+
+test.before(async () => {
+  fleet = await Fleet.start({
+    network: 13,
+    source: sampleSource(),
+    isBackendInProcess: false,
+    behaviour: { slots: 10 },
+    domains: [
+      { name: "east", services: ["lookup", "lookup", "order", "proof"] },
+      { name: "west", services: ["lookup", "order", "proof"] },
+    ],
+  });
+});
+
+test.after(async () => {
+  await fleet.close();
+});
+
+/** Sends lookups at a fixed rate through some daemons. */
+async function lookups(
+  instances: readonly Instance[],
+  plan: { ratePerSecond: number; durationMs: number },
+): Promise<CallRecord[]> {
+  return await openLoop(plan, async (number) => {
+    const path = `/lookup/echo/${number}`;
+    const { daemon } = instances[number % instances.length]!;
+    const expected = `question ${number}`;
+    const sentAtMs = Date.now();
+    const answer = await call(daemon.ingress, path, {
+      method: "POST",
+      body: expected,
+    });
+    return { answer, path, sentAtMs, expected };
+  });
+}
+
+async function memberId(instance: Instance): Promise<string> {
+  const page = await instance.daemon.page<{ self: string }>("/members");
+  return page.self;
+}
+
+function servedShare(records: readonly CallRecord[]): number {
+  const served = records.filter(({ answer }) => answer.status === 200);
+  return served.length / records.length;
+}
+
+test("a daemon that stops cuts no request, and gets no new work", async () => {
+  const [leaving, ...others] = fleet.ofService("lookup") as [
+    Instance,
+    ...Instance[],
+  ];
+  const id = await memberId(leaving);
+  const working = lookups(others, { ratePerSecond: 100, durationMs: 3_000 });
+  await sleep(800);
+  const sinceMs = Date.now();
+  assert.is(await leaving.daemon.child.stop(), 0);
+  const records = await working;
+  assert.equal(checkNothingCut(records), []);
+  assert.equal(checkOwnAnswers(records), []);
+  assert.is(servedShare(records), 1);
+  await sleep(300);
+  const dispatches = others.flatMap(({ daemon }) => daemon.dispatches());
+  assert.equal(checkLeftAlone(dispatches, { id, sinceMs }, LEAVE_MS), []);
+  leaving.daemon.restart();
+  await fleet.settled();
+});
+
+test("a backend server that drains cuts no request, and gets no new work", async () => {
+  const [first, second, third] = fleet.ofService("lookup") as [
+    Instance,
+    Instance,
+    Instance,
+  ];
+  const id = await memberId(first);
+  const working = lookups([second, third], {
+    ratePerSecond: 100,
+    durationMs: 3_000,
+  });
+  await sleep(800);
+  const sinceMs = Date.now();
+  first.backend!.child!.signal("SIGTERM");
+  await first.backend!.child!.exited();
+  const records = await working;
+  assert.equal(checkNothingCut(records), []);
+  assert.is(servedShare(records), 1);
+  await sleep(300);
+  const dispatches = [second, third].flatMap(({ daemon }) =>
+    daemon.dispatches()
+  );
+  assert.equal(checkLeftAlone(dispatches, { id, sinceMs }, LEAVE_MS), []);
+  first.backend = await startBackendProcess(first.daemon, "lookup", {
+    slots: 10,
+  });
+  await fleet.settled();
+});
+
+test("a backend server that is killed costs idempotent calls nothing", async () => {
+  const [first, second, third] = fleet.ofService("lookup") as [
+    Instance,
+    Instance,
+    Instance,
+  ];
+  const working = lookups([second, third], {
+    ratePerSecond: 100,
+    durationMs: 2_500,
+  });
+  await sleep(700);
+  await first.backend!.close();
+  const records = await working;
+  assert.equal(checkOwnAnswers(records), []);
+  assert.equal(checkNotRun(records, await fleet.executions()), []);
+  assert.ok(servedShare(records) >= 0.99, `served ${servedShare(records)}`);
+  first.backend = await startBackendProcess(first.daemon, "lookup", {
+    slots: 10,
+  });
+  await fleet.settled();
+});
+
+test("connections that go silent are replaced while work goes on", async () => {
+  const [first] = fleet.ofService("lookup") as [Instance];
+  const proofs = fleet.ofService("proof");
+  const working = lookups(proofs, { ratePerSecond: 60, durationMs: 3_000 });
+  await sleep(1_000);
+  first.daemon.peerProxy.set({ kind: "silence-open" });
+  const records = await working;
+  first.daemon.peerProxy.set({ kind: "none" });
+  assert.equal(checkOwnAnswers(records), []);
+  assert.is(servedShare(records), 1);
+});
+
+test("a daemon that stands still costs idempotent calls nothing", async () => {
+  const [first] = fleet.ofService("lookup") as [Instance];
+  const proofs = fleet.ofService("proof");
+  const working = lookups(proofs, { ratePerSecond: 60, durationMs: 4_000 });
+  await sleep(1_000);
+  first.daemon.child.signal("SIGSTOP");
+  await sleep(2_000);
+  first.daemon.child.signal("SIGCONT");
+  const records = await working;
+  assert.equal(checkOwnAnswers(records), []);
+  assert.ok(servedShare(records) >= 0.99, `served ${servedShare(records)}`);
+  await fleet.settled();
+});
+
+test("orders run at most once when holders die, answers are lost and callers resend", async () => {
+  const records: CallRecord[] = [];
+  const keys = Array.from({ length: 60 }, newKey);
+  const send = async (key: string, number: number) => {
+    const { daemon } = fleet.instances[number % fleet.instances.length]!;
+    const sentAtMs = Date.now();
+    const answer = await order(daemon.ingress, key);
+    records.push({ answer, path: "/order", sentAtMs, key });
+  };
+  const working = openLoop(
+    { ratePerSecond: 30, durationMs: 4_000 },
+    // Every key is sent twice, by way of two daemons, at nearly one time.
+    (number) => send(keys[number % keys.length]!, number * 3),
+  );
+  await sleep(500);
+  fleet.store.faults.lostAnswers = 5;
+  await sleep(500);
+  const holder = await claimHolder();
+  holder.daemon.child.signal("SIGSTOP");
+  await sleep(2_500);
+  holder.daemon.child.signal("SIGCONT");
+  await working;
+  await fleet.settled();
+  const executions = await fleet.executions();
+  assert.equal(checkAtMostOnce(executions), []);
+  assert.equal(checkNotRun(records, executions), []);
+  assert.ok(records.some(({ answer }) => answer.status === 200));
+});
+
+async function claimHolder(): Promise<Instance> {
+  const members = await livingMembers(fleet.instances[0]!.daemon);
+  const holders = new Set(
+    members.filter((one) =>
+      one.leasedSlots.some((slot) => slot.startsWith("slots/claims/"))
+    ).map((one) => one.instance),
+  );
+  return fleet.instances.find(({ daemon }) =>
+    holders.has(daemon.plan.instance)
+  )!;
+}
+
+test("orders are refused as not run while the store is down, and run after it", async () => {
+  await until(async () => {
+    const { daemon } = fleet.instances[0]!;
+    return (await order(daemon.ingress, newKey())).status === 200;
+  }, "orders are taken");
+  fleet.store.goDown();
+  await sleep(1_500);
+  const key = newKey();
+  const refused = await order(fleet.instances[0]!.daemon.ingress, key);
+  assert.equal(
+    { outcome: refused.outcome, reason: refused.reason },
+    { outcome: "not-run", reason: "claim-unavailable" },
+  );
+  fleet.store.comeBack();
+  await until(
+    async () => {
+      const { daemon } = fleet.instances[1]!;
+      return (await order(daemon.ingress, newKey())).status === 200;
+    },
+    "orders are taken again",
+    15_000,
+  );
+  assert.equal(checkAtMostOnce(await fleet.executions()), []);
+});
+
+test("a request that crashes backend servers is refused after two crashes", async () => {
+  const lookupServers = fleet.ofService("lookup");
+  const { daemon } = fleet.ofService("proof")[0]!;
+  const innocent = lookups([fleet.ofService("proof")[1]!], {
+    ratePerSecond: 40,
+    durationMs: 3_000,
+  });
+  await sleep(500);
+  for (let attempt = 0; attempt < 6; attempt++) {
+    await call(daemon.ingress, "/lookup/crash-me");
+    await sleep(200);
+  }
+  const last = await call(daemon.ingress, "/lookup/crash-me");
+  assert.equal(
+    { outcome: last.outcome, reason: last.reason },
+    { outcome: "not-run", reason: "quarantined" },
+  );
+  const crashed = lookupServers.filter(({ backend }) =>
+    backend!.child!.hasExited
+  );
+  assert.ok(crashed.length <= 2, `${crashed.length} backend servers crashed`);
+  const refused = (await innocent).filter(({ answer }) =>
+    answer.reason === "quarantined"
+  );
+  assert.is(refused.length, 0, "an innocent request was refused");
+  for (const instance of crashed) {
+    instance.backend = await startBackendProcess(instance.daemon, "lookup", {
+      slots: 10,
+    });
+  }
+  await fleet.settled();
+});
+
+test("a proof of many megabytes arrives whole while lookups go on", async () => {
+  const size = 8 * 1024 * 1024;
+  const { daemon } = fleet.ofService("lookup")[0]!;
+  const [proof, records] = await Promise.all([
+    call(daemon.ingress, "/proof/echo", {
+      method: "POST",
+      body: "p".repeat(size),
+    }),
+    lookups(fleet.instances, { ratePerSecond: 40, durationMs: 1_000 }),
+  ]);
+  assert.is(proof.status, 200, proof.reason);
+  assert.is(proof.body.length, size);
+  assert.is(servedShare(records), 1);
+});
+
+test.run();
