Spread crash reports to all domains at once, and clear who was served

Change: a broken connection of a replaced pool counts as a crash; the reporter tells each domain; serving a suspect ends its suspicion everywhere. Balancing goes by reported load and considers other domains from 60% of the slots on; headroom for urgent ranks is at most a tenth of the slots.

--- a/bench/flood.ts
+++ b/bench/flood.ts
@@ -58,7 +58,9 @@
   try {
     const ingresses = fleet.instances.map(({ daemon }) => daemon.ingress);
     const results: Record<string, unknown> = {};
+    const only = process.env.BENCH_FLOODS?.split(",");
     for (const [name, offered] of Object.entries(FLOODS)) {
+      if (only !== undefined && !only.includes(name)) continue;
       results[name] = {
         ours: await flood(deployment, offered, ingresses),
         naive: await flood(deployment, offered, naive.addresses),
--- a/src/coordination/admission/admission_queue.ts
+++ b/src/coordination/admission/admission_queue.ts
@@ -9,6 +9,8 @@
 
 /** Weight of the newest service time in the average. */
 const SERVICE_TIME_WEIGHT = 0.1;
+/** Share of the slots that may be kept free; few slots keep none. */
+const MAX_HEADROOM_SHARE = 0.1;
 /** Time for which a rank keeps its headroom after its last request, in ms. */
 const HEADROOM_MEMORY_MS = 10_000;
 
@@ -54,8 +56,8 @@
  *
  * Each rank is guaranteed its share: a rank that runs below it goes first,
  * most urgent first among several. What is left goes to the most urgent rank.
- * Less urgent ranks leave one slot free for each more urgent rank that was
- * seen lately, as a running request is never interrupted. A request that can
+ * Less urgent ranks leave up to a tenth of the slots free for more urgent ranks
+ * that were seen lately, as a running request is never interrupted. A request that can
  * not make its deadline is refused at once.
  *
  * @example
@@ -214,7 +216,10 @@
       const recent = nowMs - this.#seenAtMs[other] < HEADROOM_MEMORY_MS;
       if (recent && this.#running[other] < this.#guaranteed(other)) headroom++;
     }
-    return Math.min(headroom, this.limit.current - 1);
+    return Math.min(
+      headroom,
+      Math.floor(this.limit.current * MAX_HEADROOM_SHARE),
+    );
   }
 
   #nextRank(nowMs: number): Rank | undefined {
--- a/src/coordination/quarantine/quarantine_list.ts
+++ b/src/coordination/quarantine/quarantine_list.ts
@@ -53,10 +53,14 @@
    * Records that a request was served.
    *
    * @param fingerprint Its fingerprint.
+   * @returns What to tell the other daemons, where it was under suspicion.
    */
-  served(fingerprint: string): void {
+  served(fingerprint: string): Quarantine | undefined {
     this.#exonerated.set(fingerprint, true);
+    const suspect = this.#suspects.get(fingerprint);
+    if (suspect === undefined) return undefined;
     this.#suspects.delete(fingerprint);
+    return create(QuarantineSchema, { fingerprint, service: suspect.service });
   }
 
   /**
@@ -89,13 +93,16 @@
   }
 
   /**
-   * Takes in a suspicion of another daemon.
+   * Takes in a suspicion of another daemon, or its end.
    *
-   * @param message The suspicion.
+   * @param message The suspicion; one without crashes ends it.
    * @param nowMs Monotonic time.
    * @returns Whether it was news.
    */
   receive(message: Quarantine, nowMs: number): boolean {
+    if (message.crashIds.length === 0) {
+      return this.served(message.fingerprint) !== undefined;
+    }
     if (this.#exonerated.has(message.fingerprint)) return false;
     const known = this.#current(message.fingerprint, nowMs);
     const crashIds = [
--- a/src/coordination/quarantine/quarantine_list_test.ts
+++ b/src/coordination/quarantine/quarantine_list_test.ts
@@ -32,6 +32,17 @@
   assert.is(list.isSuspect("innocent", 1), false);
 });
 
+test("receive() ends a suspicion when another daemon served the request", () => {
+  const one = new QuarantineList();
+  const two = new QuarantineList();
+  for (const id of ["one", "two"]) two.receive(crash(one, id, ["f"])[0]!, 1);
+  assert.is(two.isRefused("f", 1), true);
+  const cleared = one.served("f");
+  assert.is(two.receive(cleared!, 1), true);
+  assert.is(two.receive(cleared!, 1), false);
+  assert.is(two.isRefused("f", 1), false);
+});
+
 test("receive() joins crashes that two daemons saw, and counts none twice", () => {
   const one = new QuarantineList();
   const two = new QuarantineList();
--- a/src/coordination/routing/balancer.ts
+++ b/src/coordination/routing/balancer.ts
@@ -8,6 +8,9 @@
 /** Most endpoints of a service that one daemon opens connections to. */
 export const MAX_SUBSET = 16;
 
+/** Share of busy slots from which other domains are considered too. */
+const SPILL_UTILIZATION = 0.6;
+
 /** Why an endpoint was chosen. */
 export enum Choice {
   Local = "local",
@@ -127,7 +130,9 @@
     const local = candidates.filter((endpoint) => this.#isLocal(endpoint));
     const remote = candidates.filter((endpoint) => !this.#isLocal(endpoint));
     const bestLocal = this.#betterOfTwo(local, options);
-    if (bestLocal !== undefined && !bestLocal.isSaturated) {
+    const isLocalFree = bestLocal !== undefined &&
+      bestLocal.utilization(options.nowMs) < SPILL_UTILIZATION;
+    if (isLocalFree) {
       return {
         endpoint: bestLocal,
         choice: panic ? Choice.Panic : Choice.Local,
--- a/src/coordination/routing/endpoint.ts
+++ b/src/coordination/routing/endpoint.ts
@@ -7,6 +7,8 @@
 /** Shortest and longest time for which an endpoint is ejected, in ms. */
 const MIN_EJECTION_MS = 1_000;
 const MAX_EJECTION_MS = 30_000;
+/** Time for which a load report counts, in ms. */
+const LOAD_MEMORY_MS = 500;
 /** Share of full weight with which a newly ready endpoint starts. */
 const SLOW_START_FLOOR = 0.1;
 
@@ -32,8 +34,8 @@
   running = 0;
   /** Peak-sensitive average latency, in ms. */
   latencyMs = INITIAL_LATENCY_MS;
-  /** Last report, if any. */
-  load: ReportedLoad | undefined;
+  #load: ReportedLoad | undefined;
+  #loadUntilMs = 0;
   #readySinceMs: number;
   #ejectedUntilMs = 0;
   #failures = 0;
@@ -96,11 +98,26 @@
     return nowMs < this.#ejectedUntilMs;
   }
 
-  /** Says whether all slots are known to be taken. */
-  get isSaturated(): boolean {
-    const limit = this.load?.limit ?? this.member.slots;
-    if (limit === 0) return false;
-    return (this.load?.queued ?? 0) > 0 || this.running >= limit;
+  /**
+   * Takes in a report that came with an answer.
+   *
+   * @param load The report, which counts for a short while.
+   * @param nowMs Monotonic time.
+   */
+  reported(load: ReportedLoad, nowMs: number): void {
+    this.#load = load;
+    this.#loadUntilMs = nowMs + LOAD_MEMORY_MS;
+  }
+
+  /**
+   * Estimates how busy the endpoint is, by this daemon's calls and others'.
+   *
+   * @param nowMs Monotonic time.
+   * @returns Running and waiting calls as a share of the slots.
+   */
+  utilization(nowMs: number): number {
+    const { running, queued, limit } = this.#estimate(nowMs);
+    return (running + queued) / Math.max(1, limit);
   }
 
   /**
@@ -111,10 +128,17 @@
    * @returns A number to compare with other endpoints'.
    */
   cost(slowStartMs: number, nowMs: number): number {
-    const queued = this.load?.queued ?? 0;
-    const limit = Math.max(1, this.load?.limit ?? this.member.slots);
-    const waiting = (this.running + queued) / limit;
-    return this.latencyMs * (1 + waiting) / this.#weight(slowStartMs, nowMs);
+    const load = 1 + this.utilization(nowMs);
+    return this.latencyMs * load / this.#weight(slowStartMs, nowMs);
+  }
+
+  #estimate(nowMs: number): ReportedLoad {
+    const load = nowMs < this.#loadUntilMs ? this.#load : undefined;
+    return {
+      running: Math.max(this.running, load?.running ?? 0),
+      queued: load?.queued ?? 0,
+      limit: load?.limit ?? this.member.slots,
+    };
   }
 
   #weight(slowStartMs: number, nowMs: number): number {
--- a/src/daemon/backend_task.ts
+++ b/src/daemon/backend_task.ts
@@ -154,9 +154,13 @@
   /**
    * Looks at the backend server after a connection broke.
    *
+   * @param pool Connections that the broken one belonged to.
    * @returns Whether it is gone. Calls at the same time share one look.
    */
-  diagnose(): Promise<Diagnosis> {
+  diagnose(pool: Dispatcher): Promise<Diagnosis> {
+    const isCurrent = RANKS.some((rank) => this.#pools?.[rank] === pool);
+    // A successor announced itself at another address: the old one is gone.
+    if (!isCurrent) return Promise.resolve(Diagnosis.Crashed);
     this.#diagnosis ??= this.#look().finally(() => {
       this.#diagnosis = undefined;
     });
@@ -178,8 +182,10 @@
    * accept a connection and break it.
    */
   async #look(): Promise<Diagnosis> {
+    const pools = this.#pools;
     for (let look = 0; look < MAX_LOOKS; look++) {
       const failure = await this.#probe();
+      if (this.#pools !== pools) return Diagnosis.Crashed;
       if (failure === undefined) return Diagnosis.Alive;
       if (failure === "refused") {
         this.#setReady(false, "crashed");
--- a/src/daemon/destination.ts
+++ b/src/daemon/destination.ts
@@ -27,7 +27,8 @@
   readonly ledger: RequestLedger;
   readonly backend: BackendTask;
   readonly claims: ClaimClient;
-  readonly quarantine: QuarantineList;
+  /** Records that a request was served, which clears it of suspicion. */
+  served(fingerprint: string): void;
   /** Forgets a call that ended. */
   ended(call: DestinationCall): void;
   /** Starts and expires waiting calls. */
@@ -167,6 +168,15 @@
     return state;
   }
 
+  served(fingerprint: string): void {
+    const cleared = this.quarantine.served(fingerprint);
+    if (cleared === undefined) return;
+    void this.#options.bus.emit("quarantineNews", {
+      quarantines: [cleared],
+      isOwn: true,
+    });
+  }
+
   ended(call: DestinationCall): void {
     this.#calls.delete(call.id);
   }
@@ -203,7 +213,10 @@
       running: suspects.size,
       suspects: quarantines.length,
     });
-    void this.#options.bus.emit("quarantineNews", { quarantines });
+    void this.#options.bus.emit("quarantineNews", {
+      quarantines,
+      isOwn: true,
+    });
   }
 
   #reasonToRefuse(call: Call): Reason | undefined {
--- a/src/daemon/destination_call.ts
+++ b/src/daemon/destination_call.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import type { Dispatcher } from "undici";
 import type { SlotRequest } from "../coordination/admission/admission_queue.ts";
 import type {
   AnswerHead,
@@ -56,6 +57,7 @@
   #sink: AnswerSink | undefined;
   #phase = Phase.Waiting;
   #exchange: Exchange | undefined;
+  #pool: Dispatcher | undefined;
   #deadline: NodeJS.Timeout | undefined;
   #startedAtMs = 0;
   #hasSlot = false;
@@ -223,6 +225,7 @@
       return this.refuse(notRun(Reason.NotReady, !this.#hasClaim));
     }
     this.#phase = Phase.Running;
+    this.#pool = pool;
     this.#startedAtMs = monotonicMs();
     this.#exchange = Exchange.send(pool, {
       method: this.call.method,
@@ -283,7 +286,7 @@
     if (this.#phase !== Phase.Running) return;
     const head = this.#head!;
     if (head.status < 500) {
-      this.#context.quarantine.served(this.call.fingerprint);
+      this.#context.served(this.call.fingerprint);
     }
     if (this.#hasClaim) {
       const hasBody = this.#storedBytes <= MAX_STORED_ANSWER_BYTES;
@@ -303,7 +306,7 @@
     if (this.#phase !== Phase.Running) return;
     // All that ran when the connection broke is suspect, not only this call.
     this.#context.noteCrashSuspects();
-    const diagnosis = await this.#context.backend.diagnose();
+    const diagnosis = await this.#context.backend.diagnose(this.#pool!);
     if (this.#phase !== Phase.Running) return;
     if (!sent && this.#head === undefined) return this.#failUnsent();
     if (diagnosis === Diagnosis.Crashed) {
--- a/src/daemon/fleet_bus.ts
+++ b/src/daemon/fleet_bus.ts
@@ -21,7 +21,11 @@
   /** The store named contacts. */
   contactsSeen: { readonly addresses: readonly string[] };
   /** Requests came under suspicion here or were reported so by a peer. */
-  quarantineNews: { readonly quarantines: readonly Quarantine[] };
+  quarantineNews: {
+    readonly quarantines: readonly Quarantine[];
+    /** Whether this daemon found out itself. */
+    readonly isOwn: boolean;
+  };
 }
 
 /** A slot that this daemon holds. */
--- a/src/daemon/gossip_task.ts
+++ b/src/daemon/gossip_task.ts
@@ -94,11 +94,13 @@
     this.#options = options;
     this.#membership = options.membership;
     this.#contacts = [...options.contacts];
-    options.bus.on("quarantineNews", ({ quarantines }) => {
+    options.bus.on("quarantineNews", ({ quarantines, isOwn }) => {
       for (const one of quarantines) {
         this.#quarantines.add(one.fingerprint, one);
       }
       this.spreadNow();
+      if (isOwn) this.#spreadToOtherDomains();
+      else this.#bridge();
     });
     options.bus.on("contactsSeen", ({ addresses }) => this.#meet(addresses));
   }
@@ -228,6 +230,15 @@
     if (this.#round % REVIVE_PERIODS === 0) this.#revive();
   }
 
+  #spreadToOtherDomains(): void {
+    const { table, self } = this.#membership;
+    for (const domain of table.domains()) {
+      if (domain === self.domain) continue;
+      const target = this.#options.random.pick(table.present(domain));
+      if (target !== undefined) void this.#exchange(target);
+    }
+  }
+
   #bridge(): void {
     const { table, self } = this.#membership;
     for (const partner of bridgeTargets(table, self, this.#options.random)) {
@@ -379,10 +390,10 @@
         crashes: one.crashIds.length,
       });
     }
-    const quarantines = news.flatMap((one) =>
-      quarantine.toMessage(one.fingerprint, nowMs) ?? []
+    const quarantines = news.map((one) =>
+      quarantine.toMessage(one.fingerprint, nowMs) ?? one
     );
-    void bus.emit("quarantineNews", { quarantines });
+    void bus.emit("quarantineNews", { quarantines, isOwn: false });
   }
 
   async #sync(address: string): Promise<SyncResponse | undefined> {
--- a/src/daemon/ingress_attempt.ts
+++ b/src/daemon/ingress_attempt.ts
@@ -76,9 +76,13 @@
   send(): void {
     const { member } = this.endpoint;
     this.endpoint.running++;
-    this.#execution = member.id === this.#options.selfId
-      ? this.#options.destination.execute(this.call, this)
-      : this.#options.peers.execute(member, this.call, this);
+    if (member.id !== this.#options.selfId) {
+      this.#execution = this.#options.peers.execute(member, this.call, this);
+      return;
+    }
+    const { destination } = this.#options;
+    this.#execution = destination.execute(this.call, this);
+    this.onLoad(destination.admission.load);
   }
 
   /** Gives up the attempt. */
@@ -111,7 +115,7 @@
   }
 
   onLoad(load: ReportedLoad): void {
-    this.endpoint.load = load;
+    this.endpoint.reported(load, monotonicMs());
   }
 
   onHead(head: AnswerHead): void {
