--- /dev/null
+++ b/tests/api_page_test.ts
@@ -0,0 +1,17 @@
+import { readFileSync } from "node:fs";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { formatApiPage, listApi } from "../tools/api_page.ts";
+
+test("every export of the library has a comment that is a sentence", () => {
+  const bare = listApi().filter(({ summary }) => !/[.;]$/.test(summary));
+  assert.equal(bare.map(({ file, name }) => `${file} ${name}`), []);
+});
+
+test("the library page is made from the comments as they stand", () => {
+  const words = (text: string) => text.split(/\s+/).join(" ").trim();
+  const page = readFileSync("docs/API.md", "utf8");
+  assert.is(words(page), words(formatApiPage(listApi())));
+});
+
+test.run();
--- /dev/null
+++ b/tools/api_page_main.ts
@@ -0,0 +1,4 @@
+import { writeFileSync } from "node:fs";
+import { formatApiPage, listApi } from "./api_page.ts";
+
+writeFileSync("docs/API.md", formatApiPage(listApi()));
