--- /dev/null
+++ b/fakes/broken_daemon_main.ts
@@ -0,0 +1,63 @@
+import process from "node:process";
+import { create } from "@bufbuild/protobuf";
+import { ClaimPartition } from "../src/coordination/claims/claim_partition.ts";
+import { Membership } from "../src/coordination/membership/membership.ts";
+import { Destination } from "../src/daemon/destination.ts";
+import { IngressCall } from "../src/daemon/ingress_call.ts";
+import { runDaemon } from "../src/daemon/run_daemon.ts";
+import {
+  ClaimResponseSchema,
+  ClaimState,
+  SettleState,
+} from "../src/protocol/gen/sesamepond/v1/fleet_pb.ts";
+import { ConfigStore } from "../src/state/config_store.ts";
+import { RequestLedger } from "../src/state/request_ledger.ts";
+
+/** Promises that a daemon can be made to break, by name. */
+const BREAKAGES: Readonly<Record<string, () => void>> = {
+  /** Grants every claim, so that orders run more than once. */
+  claims: () => {
+    ClaimPartition.prototype.claim = () => ({
+      kind: "answer",
+      response: create(ClaimResponseSchema, { state: ClaimState.GRANTED }),
+    });
+  },
+  /** Settles every request as not run. */
+  ledger: () => {
+    RequestLedger.prototype.settle = () => SettleState.NOT_RUN;
+  },
+  /** Tells nobody that it leaves, and takes new work until it ends. */
+  leaving: () => {
+    const updateSelf = Membership.prototype.updateSelf;
+    Membership.prototype.updateSelf = function (patch, nowMs) {
+      const { state: _state, ...rest } = patch;
+      return updateSelf.call(this, rest, nowMs);
+    };
+    Destination.prototype.drain = () => {};
+  },
+  /** Gives callers bytes that are not theirs. */
+  answers: () => {
+    const onData = IngressCall.prototype.onAttemptData;
+    IngressCall.prototype.onAttemptData = function (attempt, chunk) {
+      return onData.call(this, attempt, chunk.map((byte) => byte ^ 1));
+    };
+  },
+  /** Forgets now and then what version it held, as a restart would. */
+  versions: () => {
+    const version = Object.getOwnPropertyDescriptor(
+      ConfigStore.prototype,
+      "version",
+    )!;
+    const adopt = ConfigStore.prototype.adopt;
+    ConfigStore.prototype.adopt = function (snapshot, resources, nowMs) {
+      if (snapshot.version > version.get!.call(this)) {
+        adopt.call(this, snapshot, resources, nowMs);
+      }
+    };
+    Object.defineProperty(ConfigStore.prototype, "version", { get: () => 0 });
+  },
+};
+
+const [settingsFile, breakage] = process.argv.slice(2);
+BREAKAGES[breakage!]!();
+process.exitCode = await runDaemon(settingsFile!);
--- a/src/daemon/backend_task.ts
+++ b/src/daemon/backend_task.ts
@@ -5,6 +5,7 @@
 import { messageOf } from "../protocol/step_error.ts";
 import { Agent, Pool, request } from "../transport/http/undici_parts.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
+import { monotonicMs } from "./clocks.ts";
 import type { BackendStatus, FleetBus } from "./fleet_bus.ts";
 
 /** How a backend server announces itself. */
@@ -36,8 +37,8 @@
 /** Longest time to open a connection on the same instance, in ms. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
-/** Looks at a backend server whose connection broke, and pauses between. */
-const MAX_LOOKS = 5;
+/** Time to tell a crash from a broken connection, and pauses between looks. */
+const LOOK_TIMEOUT_MS = 1_000;
 const LOOK_PAUSE_MS = 20;
 
 /** What a {@linkcode BackendTask} needs. */
@@ -183,7 +184,8 @@
    */
   async #look(): Promise<Diagnosis> {
     const pools = this.#pools;
-    for (let look = 0; look < MAX_LOOKS; look++) {
+    const deadlineMs = monotonicMs() + LOOK_TIMEOUT_MS;
+    while (monotonicMs() < deadlineMs) {
       const failure = await this.#probe();
       if (this.#pools !== pools) return Diagnosis.Crashed;
       if (failure === undefined) return Diagnosis.Alive;
--- a/src/daemon/ingress_call.ts
+++ b/src/daemon/ingress_call.ts
@@ -156,8 +156,10 @@
 
   onAttemptRefused(attempt: IngressAttempt, refusal: Refusal): void {
     this.#live.delete(attempt);
-    if (refusal.outcome === Outcome.Unknown) this.#mayHaveRun = true;
-    if (refusal.reason === Reason.BackendCrashed) this.#noteCrash(attempt);
+    if (refusal.outcome === Outcome.Unknown) {
+      this.#mayHaveRun = true;
+      if (isBackendBroken(refusal.reason)) this.#noteCrash(attempt);
+    }
     this.#remember("attempt-refused", {
       attempt: attempt.call.id,
       backend: attempt.endpoint.member.id,
@@ -274,7 +276,11 @@
   #onLate(): void {
     if (this.#isOver || this.#winner !== undefined) return;
     const { template, route, body, evidence } = this.#accepted;
-    const mayHedge = route.service.delivery === Delivery.Idempotent &&
+    // A request that ran at a crash is not sent to two servers at a time.
+    const isSuspect = this.#context.quarantine
+      .isSuspect(template.fingerprint, monotonicMs());
+    const mayHedge = !isSuspect &&
+      route.service.delivery === Delivery.Idempotent &&
       this.#live.size === 1 && body.whole !== undefined &&
       template.retries.left > 0 && this.#hasAlternative();
     if (mayHedge && evidence.budget.trySpend()) {
@@ -355,3 +361,8 @@
     this.#context.decisions.add(requestId, { atMs, event, fields });
   }
 }
+
+/** A connection that broke is counted as a crash, as it may have been one. */
+function isBackendBroken(reason: Reason): boolean {
+  return reason === Reason.BackendCrashed || reason === Reason.BackendFailed;
+}
--- a/testkit/daemon_process.ts
+++ b/testkit/daemon_process.ts
@@ -24,6 +24,8 @@
   /** Loopback address of the instance. */
   readonly host: string;
   readonly storePort: number;
+  /** Promise that the daemon breaks, for negative controls. */
+  readonly breakage?: string;
   /** Further settings, laid over the harness's own. */
   readonly settings?: Readonly<Record<string, unknown>>;
 }
@@ -199,11 +201,11 @@
   }
 
   #spawn(): Child {
-    return new Child([
-      ...NODE_ARGS,
-      distFile("daemon.mjs"),
-      this.#settingsFile,
-    ]);
+    const { breakage } = this.plan;
+    const program = breakage === undefined
+      ? [distFile("daemon.mjs"), this.#settingsFile]
+      : [distFile("fakes/broken_daemon_main.js"), this.#settingsFile, breakage];
+    return new Child([...NODE_ARGS, ...program]);
   }
 }
 
--- a/testkit/fleet.ts
+++ b/testkit/fleet.ts
@@ -39,6 +39,8 @@
 export interface FleetPlan {
   readonly domains: readonly DomainPlan[];
   readonly source: ConfigSource;
+  /** Promise that all daemons break, for negative controls. */
+  readonly breakage?: string;
   /** Further daemon settings. */
   readonly settings?: Readonly<Record<string, unknown>>;
   readonly behaviour?: Partial<BackendBehaviour>;
@@ -169,7 +171,7 @@
           const members = await livingMembers(daemon);
           return members.length === this.instances.length &&
             members.filter((one) => one.backendReady).length === ready &&
-            await daemon.version() > 0;
+            (this.#plan.breakage === "versions" || await daemon.version() > 0);
         },
         `${daemon.plan.instance} knows the fleet`,
         timeoutMs,
@@ -236,10 +238,16 @@
       host: `127.${network}.${index + 1}.${number + 1}`,
       storePort: this.#storePort,
       settings: this.#plan.settings ?? {},
+      ...(this.#plan.breakage === undefined
+        ? {}
+        : { breakage: this.#plan.breakage }),
     });
     const instance: Instance = { daemon, backend: undefined };
     this.instances.push(instance);
-    await daemon.holds(1, START_TIMEOUT_MS);
+    // A daemon that breaks promises may misreport its version.
+    if (this.#plan.breakage !== "versions") {
+      await daemon.holds(1, START_TIMEOUT_MS);
+    }
     if (service !== "") {
       const start = this.#plan.isBackendInProcess === false
         ? startBackendProcess
--- a/tests/integration/config_faults_test.ts
+++ b/tests/integration/config_faults_test.ts
@@ -1,6 +1,12 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import { create, toBinary } from "@bufbuild/protobuf";
+import { request } from "undici";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { PushConfigRequestSchema } from "../../src/protocol/gen/sesamepond/v1/fleet_pb.ts";
+import { MAX_MESSAGE_BYTES } from "../../src/transport/control/fleet_client.ts";
+import { PeerAuth } from "../../src/transport/control/peer_auth.ts";
+import { FLEET_KEYS } from "../../testkit/daemon_process.ts";
 import type { ConfigSource } from "../../src/state/resource_set.ts";
 import { call } from "../../testkit/caller.ts";
 import { checkInForce } from "../../testkit/checkers.ts";
@@ -175,6 +181,43 @@
   await daemon.holds(head.version);
 });
 
+test("malformed, oversized and unauthenticated control messages change nothing", async () => {
+  const { daemon } = fleet.instances[0]!;
+  const before = await daemon.version();
+  const send = async (body: Uint8Array, token?: string) => {
+    const path = "/sesamepond.v1.Fleet/PushConfig";
+    try {
+      const answer = await request(`http://${daemon.control}${path}`, {
+        method: "POST",
+        headers: {
+          "content-type": "application/proto",
+          ...(token === undefined ? {} : { "x-sesamepond-peer": token }),
+        },
+        body,
+      });
+      await answer.body.dump();
+      return answer.statusCode;
+    } catch {
+      return 0;
+    }
+  };
+  const token = new PeerAuth(FLEET_KEYS).token("test", Date.now());
+  const forged = create(PushConfigRequestSchema, {
+    version: 999,
+    digest: "0".repeat(64),
+  });
+  const statuses = [
+    await send(toBinary(PushConfigRequestSchema, forged)),
+    await send(toBinary(PushConfigRequestSchema, forged), "k1.0.a.b"),
+    await send(new Uint8Array(100).fill(255), token),
+    await send(new Uint8Array(MAX_MESSAGE_BYTES + 1), token),
+  ];
+  assert.equal(statuses.map((status) => status === 200), Array(4).fill(false));
+  assert.is(await daemon.version(), before);
+  const head = await fleet.accept(nextSource());
+  await fleet.inForce(head.version);
+});
+
 test("a herd that dies and restarts finds the fleet within the store's budget", async () => {
   const victims = fleet.instances.filter((_, index) => index % 2 === 0);
   fleet.store.counts.peakPerSecond = 0;
--- /dev/null
+++ b/tests/integration/negative_controls_test.ts
@@ -0,0 +1,105 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { call, newKey, order } from "../../testkit/caller.ts";
+import {
+  checkAtMostOnce,
+  checkLeftAlone,
+  checkNotRun,
+  checkOwnAnswers,
+  checkVersionsRise,
+} from "../../testkit/checkers.ts";
+import { Fleet } from "../../testkit/fleet.ts";
+import { sampleBase, sampleSource } from "../../testkit/sample_config.ts";
+
+/** Runs a fleet whose daemons all break one promise. */
+async function withBroken(
+  breakage: string,
+  services: readonly string[],
+  run: (fleet: Fleet) => Promise<void>,
+): Promise<void> {
+  const fleet = await Fleet.start({
+    network: 14,
+    source: sampleSource(),
+    breakage,
+    domains: [{ name: "east", services }],
+  });
+  try {
+    await run(fleet);
+  } finally {
+    await fleet.close();
+  }
+}
+
+test("checkAtMostOnce() fails daemons that grant every claim", async () => {
+  await withBroken("claims", ["order", "order"], async (fleet) => {
+    const key = newKey();
+    for (const { daemon } of fleet.instances) await order(daemon.ingress, key);
+    const broken = checkAtMostOnce(await fleet.executions());
+    assert.equal(broken, [`${key} ran 2 times`]);
+  });
+});
+
+test("checkNotRun() fails daemons that settle every request as not run", async () => {
+  await withBroken("ledger", ["order", ""], async (fleet) => {
+    const [server, ingress] = fleet.instances;
+    const path = "/order/sleep/1500";
+    const sentAtMs = Date.now();
+    const answering = order(ingress!.daemon.ingress, newKey(), { path });
+    await sleep(300);
+    server!.daemon.peerProxy.set({ kind: "silence-open" });
+    const answer = await answering;
+    await sleep(1_500);
+    const records = [{ answer, path, sentAtMs }];
+    assert.is(checkNotRun(records, await fleet.executions()).length, 1);
+  });
+});
+
+test("checkLeftAlone() fails daemons that keep their leaving to themselves", async () => {
+  await withBroken("leaving", ["lookup", ""], async (fleet) => {
+    const [leaving, ingress] = fleet.instances;
+    const { self: id } = await leaving!.daemon.page<{ self: string }>(
+      "/members",
+    );
+    const sinceMs = Date.now();
+    leaving!.daemon.child.signal("SIGTERM");
+    await sleep(300);
+    await call(ingress!.daemon.ingress, "/lookup/1");
+    await sleep(300);
+    const broken = checkLeftAlone(
+      ingress!.daemon.dispatches(),
+      { id, sinceMs },
+      100,
+    );
+    assert.is(broken.length, 1);
+  });
+});
+
+test("checkOwnAnswers() fails daemons that change answers", async () => {
+  await withBroken("answers", ["lookup"], async (fleet) => {
+    const path = "/lookup/echo";
+    const answer = await call(fleet.instances[0]!.daemon.ingress, path, {
+      method: "POST",
+      body: "mine",
+    });
+    const records = [{ answer, path, sentAtMs: 0, expected: "mine" }];
+    assert.is(checkOwnAnswers(records).length, 1);
+  });
+});
+
+test("checkVersionsRise() fails daemons that forget what they held", async () => {
+  await withBroken("versions", [""], async (fleet) => {
+    const { daemon } = fleet.instances[0]!;
+    const backup = fleet.store.data.backup();
+    const base = sampleBase();
+    base.routes.more = { pathPrefix: "/more", service: "lookup" };
+    await sleep(2_500);
+    await fleet.accept(sampleSource(base));
+    await sleep(1_000);
+    fleet.store.data.restore(backup);
+    await sleep(1_500);
+    assert.ok(checkVersionsRise(daemon.adoptions()).length > 0);
+  });
+});
+
+test.run();
--- a/tests/integration/request_faults_test.ts
+++ b/tests/integration/request_faults_test.ts
@@ -70,6 +70,17 @@
   return served.length / records.length;
 }
 
+/** Counts the answers that are not the backend server's, by reason. */
+function unserved(records: readonly CallRecord[]): string {
+  const counts: Record<string, number> = {};
+  for (const { answer } of records) {
+    if (answer.status === 200) continue;
+    const reason = `${answer.status} ${answer.outcome} ${answer.reason}`;
+    counts[reason] = (counts[reason] ?? 0) + 1;
+  }
+  return JSON.stringify(counts);
+}
+
 test("a daemon that stops cuts no request, and gets no new work", async () => {
   const [leaving, ...others] = fleet.ofService("lookup") as [
     Instance,
@@ -135,7 +146,7 @@
   const records = await working;
   assert.equal(checkOwnAnswers(records), []);
   assert.equal(checkNotRun(records, await fleet.executions()), []);
-  assert.ok(servedShare(records) >= 0.99, `served ${servedShare(records)}`);
+  assert.ok(servedShare(records) >= 0.99, unserved(records));
   first.backend = await startBackendProcess(first.daemon, "lookup", {
     slots: 10,
   });
@@ -164,10 +175,40 @@
   first.daemon.child.signal("SIGCONT");
   const records = await working;
   assert.equal(checkOwnAnswers(records), []);
-  assert.ok(servedShare(records) >= 0.99, `served ${servedShare(records)}`);
+  assert.ok(servedShare(records) >= 0.99, unserved(records));
   await fleet.settled();
 });
 
+test("a rolling replacement of all daemons cuts no request", async () => {
+  let isOver = false;
+  const records: CallRecord[] = [];
+  const leaving = new Set<Instance["daemon"]>();
+  const working = (async () => {
+    for (let number = 0; !isOver; number++) {
+      const up = fleet.instances.filter(({ daemon }) =>
+        !daemon.child.hasExited && !leaving.has(daemon)
+      );
+      const sent = lookups([up[number % up.length]!], {
+        ratePerSecond: 50,
+        durationMs: 100,
+      });
+      records.push(...await sent);
+    }
+  })();
+  for (const { daemon } of fleet.instances) {
+    leaving.add(daemon);
+    assert.is(await daemon.child.stop(), 0);
+    daemon.restart();
+    await fleet.settled();
+    leaving.delete(daemon);
+  }
+  isOver = true;
+  await working;
+  assert.equal(checkNothingCut(records), []);
+  assert.equal(checkOwnAnswers(records), []);
+  assert.is(servedShare(records), 1);
+});
+
 test("orders run at most once when holders die, answers are lost and callers resend", async () => {
   const records: CallRecord[] = [];
   const keys = Array.from({ length: 60 }, newKey);
