Claim before the slot, hand slots over early, and never give up a waiting call

One daemon held nearly all claim partitions, an order held its slot while its claim was committed, only a lapsed lease freed a dead holder's slots, and a question about a late call gave up calls that merely waited. Change: slots of a kind are spread and given up above the fair part; slots of members known to be gone are taken over by a fenced write; a refused or broken probe that relays confirm declares a member dead at once; a leaving daemon hands its slots over before it drains; claims wait up to 2.5 s for a partition to change hands and come before the slot; a question gives up a waiting call only when its connection broke; idempotent calls are tried elsewhere on a server error, and a server that fails exchanges is ejected for growing times. The large files of the daemon are split.

--- a/src/coordination/slots/slot_keeper.ts
+++ b/src/coordination/slots/slot_keeper.ts
@@ -3,9 +3,9 @@
 /** Candidates that try to take a vacant slot, one after the other. */
 export const CANDIDATES_PER_SLOT = 3;
 /** Time for which a slot has to be vacant before a candidate takes it, in ms. */
-const VACANCY_GRACE_MS = 1_000;
+const VACANCY_GRACE_MS = 500;
 /** Head start of each candidate over the next, in ms. */
-const STAGGER_MS = 1_500;
+const STAGGER_MS = 1_000;
 /** Pause after an attempt that another holder won, in ms. */
 const RETRY_PAUSE_MS = 5_000;
 
@@ -57,7 +57,7 @@
   }
 
   /**
-   * Returns the slots to try to take now.
+   * Returns the slots to try to take now, one of a kind at most.
    *
    * @param members Present members, this daemon included.
    * @param nowMs Monotonic time.
@@ -65,6 +65,7 @@
    */
   wanted(members: readonly SlotMember[], nowMs: number): string[] {
     const held = new Set(members.flatMap((member) => member.leasedSlots));
+    const wantedKinds = new Set<string>();
     return this.#slots.filter((slot) => {
       if (held.has(slot.name)) {
         this.#vacantSinceMs.delete(slot.name);
@@ -72,11 +73,31 @@
       }
       const sinceMs = this.#vacantSinceMs.get(slot.name) ?? nowMs;
       this.#vacantSinceMs.set(slot.name, sinceMs);
-      return this.#isDue(slot, members, nowMs - sinceMs) &&
-        nowMs >= (this.#pausedUntilMs.get(slot.name) ?? 0);
+      const kind = kindOf(slot.name);
+      const isDue = !wantedKinds.has(kind) &&
+        nowMs >= (this.#pausedUntilMs.get(slot.name) ?? 0) &&
+        this.#isDue(slot, members, nowMs - sinceMs);
+      if (isDue) wantedKinds.add(kind);
+      return isDue;
     }).map((slot) => slot.name);
   }
 
+  /**
+   * Returns a slot to give up, where this daemon holds more than its part.
+   *
+   * @param members Present members, this daemon included.
+   * @returns The slot's name, if there is one.
+   */
+  surplus(members: readonly SlotMember[]): string | undefined {
+    const self = members.find((member) => member.id === this.#selfId);
+    return self?.leasedSlots.find((name) => {
+      const slot = this.#slots.find((one) => one.name === name);
+      if (slot === undefined) return false;
+      const eligible = eligibleFor(slot, members);
+      return heldOfKind(self, name) > this.#fairPart(slot, eligible.length);
+    });
+  }
+
   /**
    * Records that another daemon holds a slot that looked vacant.
    *
@@ -92,23 +113,42 @@
     members: readonly SlotMember[],
     vacantMs: number,
   ): boolean {
-    const eligible = members
-      .filter((member) => member.isStable)
-      .filter((member) =>
-        slot.domain === undefined || member.domain === slot.domain
-      );
-    // Slots of a kind are spread over daemons as far as there are enough.
-    const free = eligible.filter((member) => !holdsKind(member, slot.name));
-    const ids = (free.length > 0 ? free : eligible).map((member) => member.id);
+    const eligible = eligibleFor(slot, members);
+    const part = this.#fairPart(slot, eligible.length);
+    const ids = eligible
+      .filter((member) => heldOfKind(member, slot.name) < part)
+      .map((member) => member.id);
     const order = rendezvous(slot.name, ids, CANDIDATES_PER_SLOT);
     const index = order.indexOf(this.#selfId);
     return index >= 0 && vacantMs >= VACANCY_GRACE_MS + index * STAGGER_MS;
   }
+
+  /** Slots of a kind that each of some members holds at most. */
+  #fairPart(slot: SlotDefinition, memberCount: number): number {
+    const kind = kindOf(slot.name);
+    const total = this.#slots.filter((one) => kindOf(one.name) === kind).length;
+    return Math.ceil(total / Math.max(1, memberCount));
+  }
+}
+
+function eligibleFor(
+  slot: SlotDefinition,
+  members: readonly SlotMember[],
+): SlotMember[] {
+  return members.filter((member) =>
+    member.isStable &&
+    (slot.domain === undefined || member.domain === slot.domain)
+  );
+}
+
+/** Slots of a kind have all but the last part of their names in common. */
+function kindOf(name: string): string {
+  return name.slice(0, name.lastIndexOf("/") + 1);
 }
 
-function holdsKind(member: SlotMember, name: string): boolean {
-  const kind = name.slice(0, name.lastIndexOf("/") + 1);
-  return member.leasedSlots.some((held) => held.startsWith(kind));
+function heldOfKind(member: SlotMember, name: string): number {
+  const kind = kindOf(name);
+  return member.leasedSlots.filter((held) => kindOf(held) === kind).length;
 }
 
 /** Readers of the store, which are also contacts, in each failure domain. */
--- a/src/daemon/backend_task.ts
+++ b/src/daemon/backend_task.ts
@@ -37,6 +37,11 @@
 /** Longest time to open a connection on the same instance, in ms. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
+/** Pauses of a server that passes probes but fails exchanges, in ms. */
+const MIN_EJECTION_MS = 1_000;
+const MAX_EJECTION_MS = 30_000;
+/** Exchanges in a row after which the next pause is short again. */
+const SUCCESSES_TO_TRUST = 50;
 /** Time to tell a crash from a broken connection, and pauses between looks. */
 const LOOK_TIMEOUT_MS = 1_000;
 const LOOK_PAUSE_MS = 20;
@@ -71,6 +76,9 @@
   #readyAtMs = 0;
   #probeFailures = 0;
   #exchangeFailures = 0;
+  #successes = 0;
+  #ejections = 0;
+  #ejectedUntilMs = 0;
   #timer: NodeJS.Timeout | undefined;
   #diagnosis: Promise<Diagnosis> | undefined;
   #stopped = false;
@@ -139,6 +147,8 @@
   /** Records that the backend server answered an exchange properly. */
   exchangeSucceeded(): void {
     this.#exchangeFailures = 0;
+    this.#successes++;
+    if (this.#successes >= SUCCESSES_TO_TRUST) this.#ejections = 0;
   }
 
   /**
@@ -147,8 +157,12 @@
    */
   exchangeFailed(): void {
     this.#exchangeFailures++;
-    const limit = this.#health().failuresToEject * 2;
+    this.#successes = 0;
+    const limit = this.#health().failuresToEject;
     if (this.#exchangeFailures < limit || !this.#isReady) return;
+    const pauseMs = MIN_EJECTION_MS * 2 ** this.#ejections;
+    this.#ejectedUntilMs = monotonicMs() + Math.min(pauseMs, MAX_EJECTION_MS);
+    this.#ejections++;
     this.#setReady(false, "exchanges-failed");
   }
 
@@ -222,11 +236,14 @@
   #probeSucceeded(): void {
     this.#probeFailures = 0;
     if (this.#announced?.isDraining === true || this.#isReady) return;
-    // A server that passes probes but failed exchanges is tried again.
-    this.#exchangeFailures = Math.floor(this.#exchangeFailures / 2);
-    if (this.#exchangeFailures < this.#health().failuresToEject) {
-      this.#setReady(true, "probe-passed");
-    }
+    if (monotonicMs() < this.#ejectedUntilMs) return;
+    // A server that failed exchanges is tried again, but not trusted yet.
+    const { failuresToEject } = this.#health();
+    this.#exchangeFailures = Math.min(
+      this.#exchangeFailures,
+      failuresToEject - 1,
+    );
+    this.#setReady(true, "probe-passed");
   }
 
   /** Probes over a connection of its own. */
--- a/src/daemon/claim_client.ts
+++ b/src/daemon/claim_client.ts
@@ -20,7 +20,6 @@
   CompleteClaimRequestSchema,
   type Member,
   type StoredAnswer,
-  StoredAnswerSchema,
 } from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
 import { Reason } from "../protocol/outcome.ts";
 import { FailureKind } from "../protocol/step_error.ts";
@@ -33,6 +32,8 @@
 
 /** Longest time of one call to a holder, in ms. */
 const CALL_TIMEOUT_MS = 2_000;
+/** Time for which a claim waits for a partition to change hands, in ms. */
+const HANDOVER_MS = 2_500;
 /** Attempts to record the end of a request. */
 const COMPLETE_ATTEMPTS = 5;
 /** Pause between attempts, in ms; it grows with each. */
@@ -85,9 +86,14 @@
     );
     if (verdict.kind === "refused") return refusedClaim(verdict.reason);
     const request = this.#request(call);
+    const waitUntilMs = monotonicMs() + HANDOVER_MS;
     let isAmbiguous = false;
     while (monotonicMs() < call.deadlineMs) {
       const response = await this.#claimOnce(request);
+      if (response === NO_HOLDER && monotonicMs() < waitUntilMs) {
+        await sleep(PAUSE_MS);
+        continue;
+      }
       if (response.state !== ClaimState.UNKNOWN) {
         // A refusal after a lost answer does not prove that nothing is held.
         const isDoubtful = isAmbiguous && response.state === ClaimState.REFUSED;
@@ -105,13 +111,10 @@
    * @param call The call.
    * @param answer Its answer.
    */
-  complete(
-    call: Call,
-    answer: Pick<StoredAnswer, "status" | "contentType" | "body" | "hasBody">,
-  ): void {
+  complete(call: Call, answer: StoredAnswer): void {
     void this.#completeUntilDone(create(CompleteClaimRequestSchema, {
       ...this.#identity(call),
-      answer: create(StoredAnswerSchema, answer),
+      answer,
     }));
   }
 
@@ -132,7 +135,7 @@
       return await this.#options.task.claim(request);
     }
     const holder = this.#holderOf(request.partition);
-    if (holder === undefined) return refusedClaim(Reason.ClaimUnavailable);
+    if (holder === undefined) return NO_HOLDER;
     const result = await this.#options.clients.call(
       `${holder.host}:${holder.controlPort}`,
       "claim",
@@ -146,7 +149,7 @@
       error: result.error.message,
     });
     return result.error.kind === FailureKind.Unavailable
-      ? refusedClaim(Reason.ClaimUnavailable)
+      ? NO_HOLDER
       : unknownClaim();
   }
 
@@ -205,6 +208,9 @@
   }
 }
 
+/** The partition changes hands, or its holder is gone: nothing was written. */
+const NO_HOLDER = refusedClaim(Reason.ClaimUnavailable);
+
 function unknownClaim(): ClaimResponse {
   return create(ClaimResponseSchema, { state: ClaimState.UNKNOWN });
 }
--- a/src/daemon/config_task.ts
+++ b/src/daemon/config_task.ts
@@ -19,7 +19,7 @@
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { Metrics } from "../transport/observe/metrics.ts";
 import type { FleetBus } from "./fleet_bus.ts";
-import { controlAddress } from "./gossip_task.ts";
+import { controlAddress } from "./control_address.ts";
 
 /** Peers of the own domain that learn of a new version at once. */
 const FANOUT = 4;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -17,6 +17,7 @@
 import { Random } from "../protocol/random.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
 import { ConfigStore } from "../state/config_store.ts";
+import { isPresent } from "../state/member_table.ts";
 import { DecisionLog } from "../state/decision_log.ts";
 import { ControlServer } from "../transport/control/control_server.ts";
 import { FleetClients } from "../transport/control/fleet_client.ts";
@@ -34,7 +35,8 @@
 import { Destination } from "./destination.ts";
 import { createFleetBus } from "./fleet_bus.ts";
 import { createFleetHandler } from "./fleet_handler.ts";
-import { controlAddress, GossipTask } from "./gossip_task.ts";
+import { controlAddress } from "./control_address.ts";
+import { GossipTask } from "./gossip_task.ts";
 import { IngressServer } from "./ingress_server.ts";
 import { LeaseTask } from "./lease_task.ts";
 import { PeerCaller } from "./peer_caller.ts";
@@ -193,6 +195,7 @@
       ttlS: settings.leaseTtlS,
       address: controlAddress(self),
       members: () => this.#slotMembers(),
+      isGone: (address) => this.#isGone(address),
     });
     this.#peers = new PeerCaller({
       clients: this.#requestClients,
@@ -300,7 +303,9 @@
     this.#destination.drain();
     this.#ingress.drain();
     this.#membership.updateSelf({ state: MemberState.DRAINING }, Date.now());
-    await this.#tellSenders();
+    // Successors take the slots over while this daemon drains.
+    this.#claims.stop();
+    await Promise.all([this.#tellSenders(), this.#leases.stop()]);
     await sleep(this.#settings.drainMs);
     await this.#callsEnded();
     await this.#leave();
@@ -318,8 +323,6 @@
 
   async #leave(): Promise<void> {
     this.#reader.stop();
-    this.#claims.stop();
-    await this.#leases.stop();
     this.#membership.updateSelf(
       { state: MemberState.LEFT, leasedSlots: [] },
       Date.now(),
@@ -391,6 +394,13 @@
     }));
   }
 
+  /** A member that restarted at the address counts as present. */
+  #isGone(address: string): boolean {
+    const members = this.#membership.table.all()
+      .filter((member) => controlAddress(member) === address);
+    return members.length > 0 && !members.some(isPresent);
+  }
+
   #logMember(member: Member, previous: Member | undefined): void {
     if (member.state === previous?.state) return;
     this.#log.info("member-changed", {
--- a/src/daemon/destination.ts
+++ b/src/daemon/destination.ts
@@ -13,7 +13,7 @@
 import { notRun, Reason } from "../protocol/outcome.ts";
 import type { Rank } from "../protocol/rank.ts";
 import type { ConfigStore } from "../state/config_store.ts";
-import { RequestLedger } from "../state/request_ledger.ts";
+import { RequestLedger, type SettleQuestion } from "../state/request_ledger.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { BackendTask } from "./backend_task.ts";
 import type { ClaimClient } from "./claim_client.ts";
@@ -159,11 +159,11 @@
    * Settles what became of a call whose answer was lost.
    *
    * @param id The attempt's id.
-   * @param ageMs Time since it was sent.
+   * @param question Its age, and whether it is given up where it waits.
    * @returns What is known; "not run" is final.
    */
-  settle(id: string, ageMs: number): SettleState {
-    const state = this.ledger.settle(id, ageMs, monotonicMs());
+  settle(id: string, question: SettleQuestion): SettleState {
+    const state = this.ledger.settle(id, question, monotonicMs());
     if (state === SettleState.NOT_RUN) this.#calls.get(id)?.settleNotRun();
     return state;
   }
--- a/src/daemon/destination_call.ts
+++ b/src/daemon/destination_call.ts
@@ -1,4 +1,3 @@
-import { Buffer } from "node:buffer";
 import type { Dispatcher } from "undici";
 import type { SlotRequest } from "../coordination/admission/admission_queue.ts";
 import type {
@@ -27,13 +26,11 @@
 import { FailureKind, StepError } from "../protocol/step_error.ts";
 import { Exchange } from "../transport/http/exchange.ts";
 import { singleHeader } from "../transport/http/header_filter.ts";
+import { AnswerCopy } from "./answer_copy.ts";
 import { Diagnosis, isInterruptible } from "./backend_task.ts";
 import { monotonicMs } from "./clocks.ts";
 import type { DestinationContext } from "./destination.ts";
 
-/** Largest answer that is kept for a resend, in bytes. */
-const MAX_STORED_ANSWER_BYTES = 4 * 1024;
-
 enum Phase {
   Waiting = "waiting",
   Claiming = "claiming",
@@ -63,8 +60,7 @@
   #hasSlot = false;
   #hasClaim = false;
   #head: AnswerHead | undefined;
-  #stored: Uint8Array[] = [];
-  #storedBytes = 0;
+  readonly #copy = new AnswerCopy();
 
   /**
    * Creates a call that has not asked for a slot yet.
@@ -105,28 +101,13 @@
     const leftMs = this.deadlineMs - nowMs;
     if (leftMs <= 0) return this.refuse(notRun(Reason.DeadlineExceeded));
     this.#deadline = setTimeout(() => this.#onDeadline(), leftMs);
-    const admission = this.#context.admission.ask(this, nowMs);
-    switch (admission.kind) {
-      case "start":
-        return this.start();
-      case "queued":
-        return;
-      case "refused":
-        // Another destination may have room, unless time is too short.
-        return this.refuse(
-          notRun(admission.reason, admission.reason === Reason.Overloaded),
-        );
-    }
+    if (this.#service.delivery === Delivery.AtMostOnce) void this.#claim();
+    else this.#askSlot();
   }
 
   /** Uses the slot that the call was given. */
   start(): void {
     this.#hasSlot = true;
-    if (this.#service.delivery === Delivery.AtMostOnce) {
-      this.#phase = Phase.Claiming;
-      void this.#claim();
-      return;
-    }
     this.#run();
   }
 
@@ -144,8 +125,9 @@
 
   /** Settles a waiting call as not run. */
   settleNotRun(): void {
-    if (this.#phase !== Phase.Waiting) return;
-    this.refuse(notRun(Reason.Cancelled));
+    const mayRun = this.#phase === Phase.Waiting ||
+      this.#phase === Phase.Claiming;
+    if (mayRun) this.refuse(notRun(Reason.Cancelled));
   }
 
   cancel(): void {
@@ -166,7 +148,26 @@
     this.#exchange?.resume();
   }
 
+  #askSlot(): void {
+    const admission = this.#context.admission.ask(this, monotonicMs());
+    switch (admission.kind) {
+      case "start":
+        return this.start();
+      case "queued":
+        return;
+      case "refused": {
+        // Another destination may have room, unless time is too short or the
+        // claim has to be given up first.
+        const isElsewhere = admission.reason === Reason.Overloaded &&
+          !this.#hasClaim;
+        return this.refuse(notRun(admission.reason, isElsewhere));
+      }
+    }
+  }
+
+  /** Claims the key before a slot is asked for, as the claim takes its time. */
   async #claim(): Promise<void> {
+    this.#phase = Phase.Claiming;
     const response = await this.#context.claims.claim(this.call);
     if (this.#phase !== Phase.Claiming) {
       if (response.state === ClaimState.GRANTED) {
@@ -177,7 +178,8 @@
     switch (response.state) {
       case ClaimState.GRANTED:
         this.#hasClaim = true;
-        return this.#run();
+        this.#phase = Phase.Waiting;
+        return this.#askSlot();
       case ClaimState.DONE:
         return this.#replay(response.answer!);
       case ClaimState.HELD:
@@ -220,10 +222,7 @@
     const pool = this.#context.backend.pool(this.rank);
     const mayRun = pool !== undefined && this.deadlineMs > monotonicMs() &&
       this.#context.ledger.run(this.id);
-    if (!mayRun) {
-      if (this.#hasClaim) this.#context.claims.release(this.call);
-      return this.refuse(notRun(Reason.NotReady, !this.#hasClaim));
-    }
+    if (!mayRun) return this.refuse(notRun(Reason.NotReady, !this.#hasClaim));
     this.#phase = Phase.Running;
     this.#pool = pool;
     this.#startedAtMs = monotonicMs();
@@ -270,18 +269,11 @@
   }
 
   #onData(chunk: Uint8Array): boolean {
-    if (this.#hasClaim) this.#keep(chunk);
+    if (this.#hasClaim) this.#copy.add(chunk);
     // Without a receiver the answer is read to its end and dropped.
     return this.#sink?.onData(chunk) ?? true;
   }
 
-  #keep(chunk: Uint8Array): void {
-    this.#storedBytes += chunk.length;
-    if (this.#storedBytes <= MAX_STORED_ANSWER_BYTES) {
-      this.#stored.push(Buffer.from(chunk));
-    } else this.#stored = [];
-  }
-
   #onEnd(): void {
     if (this.#phase !== Phase.Running) return;
     const head = this.#head!;
@@ -289,13 +281,7 @@
       this.#context.served(this.call.fingerprint);
     }
     if (this.#hasClaim) {
-      const hasBody = this.#storedBytes <= MAX_STORED_ANSWER_BYTES;
-      this.#context.claims.complete(this.call, {
-        status: head.status,
-        contentType: singleHeader(head.headers, "content-type") ?? "",
-        body: hasBody ? Buffer.concat(this.#stored) : Buffer.alloc(0),
-        hasBody,
-      });
+      this.#context.claims.complete(this.call, this.#copy.toAnswer(head));
     }
     const sink = this.#sink;
     this.#end(monotonicMs() - this.#startedAtMs);
@@ -325,12 +311,9 @@
 
   /** The connection could not be opened, so the request did not run. */
   #failUnsent(): void {
-    if (this.#hasClaim) this.#context.claims.release(this.call);
-    const sink = this.#sink;
-    this.#sink = undefined;
-    this.#context.ledger.refuse(this.id, monotonicMs());
-    this.#end(undefined);
-    sink?.onRefused(notRun(Reason.BackendFailed, !this.#hasClaim));
+    const isElsewhere = !this.#hasClaim;
+    this.#phase = Phase.Waiting;
+    this.refuse(notRun(Reason.BackendFailed, isElsewhere));
   }
 
   #fail(refusal: Refusal, cause?: Error): void {
@@ -352,12 +335,8 @@
   #onDeadline(): void {
     switch (this.#phase) {
       case Phase.Waiting:
+      case Phase.Claiming:
         return this.refuse(notRun(Reason.DeadlineExceeded));
-      case Phase.Claiming: {
-        // Nothing has run, and a claim that is granted later is given up.
-        this.#phase = Phase.Ended;
-        return this.refuse(notRun(Reason.DeadlineExceeded));
-      }
       case Phase.Running:
         return this.#onRunningDeadline();
       case Phase.Ended:
@@ -399,7 +378,7 @@
 
   /** Gives back the slot; runs once. */
   #end(serviceMs: number | undefined): void {
-    if (this.#phase === Phase.Ended && !this.#hasSlot) return;
+    if (this.#phase === Phase.Ended) return;
     const ran = this.#phase === Phase.Running;
     const waited = this.#phase === Phase.Waiting && !this.#hasSlot;
     this.#phase = Phase.Ended;
@@ -408,6 +387,7 @@
     if (ran) this.#context.ledger.finish(this.id, nowMs);
     else this.#context.ledger.refuse(this.id, nowMs);
     if (waited) this.#context.admission.cancel(this);
+    if (this.#hasClaim && !ran) this.#context.claims.release(this.call);
     this.#context.ended(this);
     if (!this.#hasSlot) return;
     this.#hasSlot = false;
--- a/src/daemon/fleet_handler.ts
+++ b/src/daemon/fleet_handler.ts
@@ -53,7 +53,7 @@
       create(PullConfigResponseSchema, { delta: config.onPull(request) }),
     settle: (request) =>
       create(SettleResponseSchema, {
-        state: destination.settle(request.requestId, request.ageMs),
+        state: destination.settle(request.requestId, request),
         memberId: tasks.selfId,
       }),
     claim: (request) => claims.claim(request),
--- a/src/daemon/gossip_task.ts
+++ b/src/daemon/gossip_task.ts
@@ -1,6 +1,5 @@
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError } from "@connectrpc/connect";
-import { LRUCache } from "lru-cache";
 import type { Result } from "neverthrow";
 import { bridgeTargets } from "../coordination/membership/bridges.ts";
 import { Dissemination } from "../coordination/membership/dissemination.ts";
@@ -25,10 +24,15 @@
 import { FailureKind, type StepError } from "../protocol/step_error.ts";
 import type { ConfigStore } from "../state/config_store.ts";
 import { BUCKETS } from "../state/member_table.ts";
-import type { FleetClients } from "../transport/control/fleet_client.ts";
+import {
+  type FleetClients,
+  isTimeout,
+} from "../transport/control/fleet_client.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import { readClocks } from "./clocks.ts";
+import { controlAddress } from "./control_address.ts";
 import type { FleetBus } from "./fleet_bus.ts";
+import { GossipIntake } from "./gossip_intake.ts";
 
 /** Most member updates in one message. */
 const MAX_UPDATES = 32;
@@ -40,8 +44,6 @@
 const URGENT_FANOUT = 4;
 /** Periods between attempts to reach members that were declared dead. */
 const REVIVE_PERIODS = 10;
-/** Instances whose last version is remembered. */
-const MAX_INSTANCES = 5_000;
 /** Changes in one table comparison from which they are not spread further. */
 const MAX_SPREAD_CHANGES = 64;
 /** Part of the period by which rounds are shifted at random. */
@@ -77,7 +79,7 @@
   readonly #options: GossipTaskOptions;
   readonly #membership: Membership;
   readonly #quarantines = new Dissemination<Quarantine>();
-  readonly #lastVersions = new LRUCache<string, number>({ max: MAX_INSTANCES });
+  readonly #intake: GossipIntake;
   #timer: NodeJS.Timeout | undefined;
   #round = 0;
   #syncedAtMs = -Infinity;
@@ -94,6 +96,7 @@
     this.#options = options;
     this.#membership = options.membership;
     this.#contacts = [...options.contacts];
+    this.#intake = new GossipIntake(options);
     options.bus.on("quarantineNews", ({ quarantines, isOwn }) => {
       for (const one of quarantines) {
         this.#quarantines.add(one.fingerprint, one);
@@ -167,7 +170,7 @@
       );
     }
     const sender = request.sender;
-    const lastSeenVersion = this.#lastVersions.get(sender?.instance ?? "") ?? 0;
+    const lastSeenVersion = this.#intake.lastVersionOf(sender?.instance ?? "");
     if (sender !== undefined) this.#receive(sender, request.gossip);
     return create(ExchangeResponseSchema, {
       receiver: self,
@@ -200,11 +203,12 @@
     for (let bucket = 0; bucket < BUCKETS; bucket++) {
       if (request.bucketDigests[bucket] !== own[bucket]) differing.add(bucket);
     }
-    const instance = request.sender?.instance ?? "";
     return create(SyncResponseSchema, {
       members: this.#membership.table.inBuckets(differing),
       configVersion: this.#options.config.version,
-      lastSeenVersion: this.#lastVersions.get(instance) ?? 0,
+      lastSeenVersion: this.#intake.lastVersionOf(
+        request.sender?.instance ?? "",
+      ),
       quarantines: this.#options.quarantine.refused(readClocks().monotonicMs),
     });
   }
@@ -276,6 +280,10 @@
       return this.#membership.declareDead(target.id, readClocks());
     }
     if (await this.#probeIndirectly(target)) return;
+    if (!isTimeout(direct.error)) {
+      // Its address answers that nobody is there, to the relays too.
+      return this.#membership.declareDead(target.id, readClocks());
+    }
     this.#options.log.info("probe-missed", {
       member: target.id,
       peer: controlAddress(target),
@@ -341,59 +349,12 @@
 
   #receive(peer: Member, gossip: Gossip | undefined): void {
     const now = readClocks();
-    this.#membership.receive([peer, ...gossip?.members ?? []], now);
-    if (gossip === undefined) return;
-    this.#receiveQuarantines(gossip.quarantines, now.monotonicMs);
-    this.#receiveVersion(peer, gossip);
-    const { table, pendingUpdates } = this.#membership;
-    if (
-      gossip.tableDigest !== table.digest && pendingUpdates === 0 &&
-      now.monotonicMs - this.#syncedAtMs > SYNC_PERIOD_MS
-    ) {
-      this.#syncedAtMs = now.monotonicMs;
-      void this.#sync(controlAddress(peer));
-    }
-  }
-
-  #receiveVersion(peer: Member, gossip: Gossip): void {
-    const known = this.#lastVersions.get(peer.instance) ?? 0;
-    const version = Math.max(known, gossip.configVersion);
-    this.#lastVersions.set(peer.instance, version);
-    const { config, log, bus } = this.#options;
-    if (gossip.configVersion > config.version) {
-      void bus.emit("versionSeen", {
-        version: gossip.configVersion,
-        digest: gossip.configDigest,
-        address: controlAddress(peer),
-      });
-    } else if (
-      gossip.configVersion === config.version && config.version > 0 &&
-      gossip.configDigest !== config.digest
-    ) {
-      log.error("config-fork", {
-        version: config.version,
-        digest: config.digest,
-        peer: peer.id,
-        peer_digest: gossip.configDigest,
-      });
+    const mayDiffer = this.#intake.receive(peer, gossip, now);
+    if (!mayDiffer || now.monotonicMs - this.#syncedAtMs <= SYNC_PERIOD_MS) {
+      return;
     }
-  }
-
-  #receiveQuarantines(messages: readonly Quarantine[], nowMs: number): void {
-    const { quarantine, bus, log } = this.#options;
-    const news = messages.filter((one) => quarantine.receive(one, nowMs));
-    if (news.length === 0) return;
-    for (const one of news) {
-      log.info("quarantine-received", {
-        fingerprint: one.fingerprint,
-        service: one.service,
-        crashes: one.crashIds.length,
-      });
-    }
-    const quarantines = news.map((one) =>
-      quarantine.toMessage(one.fingerprint, nowMs) ?? one
-    );
-    void bus.emit("quarantineNews", { quarantines, isOwn: false });
+    this.#syncedAtMs = now.monotonicMs;
+    void this.#sync(controlAddress(peer));
   }
 
   async #sync(address: string): Promise<SyncResponse | undefined> {
@@ -420,18 +381,3 @@
     return result.value;
   }
 }
-
-/**
- * Returns the control address of a member.
- *
- * @param member The member.
- * @returns "ip:port".
- *
- * @example
- * ```ts ignore
- * controlAddress(member); // "10.0.0.2:7003"
- * ```
- */
-export function controlAddress(member: Member): string {
-  return `${member.host}:${member.controlPort}`;
-}
--- a/src/daemon/ingress_attempt.ts
+++ b/src/daemon/ingress_attempt.ts
@@ -105,7 +105,7 @@
     if (this.#isSettling || this.#isOver) return;
     if (this.endpoint.member.id === this.#options.selfId) return;
     this.#isSettling = true;
-    const state = await this.#settle();
+    const state = await this.#settle(false);
     this.#isSettling = false;
     if (this.#isOver || state === SettleState.RUNNING) return;
     if (state === SettleState.UNKNOWN) return;
@@ -148,12 +148,15 @@
   onBroken(): void {
     if (this.#isOver) return;
     this.#fail();
-    void this.#settle().then((state) => this.#refused(refusalOf(state)));
+    void this.#settle(true).then((state) => this.#refused(refusalOf(state)));
   }
 
-  #settle(): Promise<SettleState> {
-    return this.#options.peers
-      .settle(this.endpoint.member, this.call.id, this.#sentAtMs);
+  #settle(givesUp: boolean): Promise<SettleState> {
+    return this.#options.peers.settle(this.endpoint.member, {
+      id: this.call.id,
+      sentAtMs: this.#sentAtMs,
+      givesUp,
+    });
   }
 
   #refused(refusal: Refusal): void {
--- a/src/daemon/ingress_call.ts
+++ b/src/daemon/ingress_call.ts
@@ -121,6 +121,10 @@
 
   onAttemptHead(attempt: IngressAttempt, head: AnswerHead): void {
     if (this.#winner !== undefined || this.#isOver) return attempt.cancel();
+    if (head.status >= 500 && this.#mayTryElsewhere()) {
+      attempt.cancel();
+      return this.onAttemptRefused(attempt, SERVER_ERROR);
+    }
     this.#winner = attempt;
     clearTimeout(this.#patience);
     for (const other of this.#live) if (other !== attempt) other.cancel();
@@ -275,14 +279,12 @@
   /** Hedges a late call, or finds out whether it arrived. */
   #onLate(): void {
     if (this.#isOver || this.#winner !== undefined) return;
-    const { template, route, body, evidence } = this.#accepted;
+    const { template, evidence } = this.#accepted;
     // A request that ran at a crash is not sent to two servers at a time.
     const isSuspect = this.#context.quarantine
       .isSuspect(template.fingerprint, monotonicMs());
-    const mayHedge = !isSuspect &&
-      route.service.delivery === Delivery.Idempotent &&
-      this.#live.size === 1 && body.whole !== undefined &&
-      template.retries.left > 0 && this.#hasAlternative();
+    const mayHedge = !isSuspect && this.#live.size === 1 &&
+      this.#mayTryElsewhere();
     if (mayHedge && evidence.budget.trySpend()) {
       template.retries.left--;
       this.#context.metrics.count("ingress.hedges");
@@ -291,13 +293,16 @@
     for (const attempt of this.#live) void attempt.checkArrival();
   }
 
-  #hasAlternative(): boolean {
-    const { route } = this.#accepted;
-    return this.#context.balancer.choose(route.serviceName, {
-      service: route.service,
-      tried: this.#tried,
-      nowMs: monotonicMs(),
-    }) !== undefined;
+  /** Whether the request may run twice and another endpoint is left for it. */
+  #mayTryElsewhere(): boolean {
+    const { route, body, template } = this.#accepted;
+    const mayRepeat = route.service.delivery === Delivery.Idempotent &&
+      body.whole !== undefined && template.retries.left > 0;
+    return mayRepeat && this.#context.balancer.choose(route.serviceName, {
+          service: route.service,
+          tried: this.#tried,
+          nowMs: monotonicMs(),
+        }) !== undefined;
   }
 
   #onDeadline(): void {
@@ -362,6 +367,13 @@
   }
 }
 
+/** A server error to an idempotent request, which another may serve. */
+const SERVER_ERROR: Refusal = {
+  outcome: Outcome.Unknown,
+  reason: Reason.ServerError,
+  retryable: true,
+};
+
 /** A connection that broke is counted as a crash, as it may have been one. */
 function isBackendBroken(reason: Reason): boolean {
   return reason === Reason.BackendCrashed || reason === Reason.BackendFailed;
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -1,4 +1,3 @@
-import { hash } from "node:crypto";
 import {
   createServer,
   type IncomingMessage,
@@ -6,32 +5,14 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { LRUCache } from "lru-cache";
 import {
   type IngressCall as LimitedCall,
   IngressLimiter,
 } from "../coordination/admission/ingress_limiter.ts";
 import { LatencyTracker } from "../coordination/retry/latency_tracker.ts";
 import { RetryBudget } from "../coordination/retry/retry_budget.ts";
-import { checkKey } from "../coordination/claims/idempotency_key.ts";
-import { Delivery } from "../protocol/config_schema.ts";
-import {
-  HEADER_IDEMPOTENCY_KEY,
-  HEADER_PARENT,
-  HEADER_TIMEOUT_MS,
-} from "../protocol/headers.ts";
-import {
-  notRun,
-  Outcome,
-  Reason,
-  type Refusal,
-  unknownOutcome,
-} from "../protocol/outcome.ts";
-import type {
-  ConfigSnapshot,
-  ResolvedCaller,
-  ResolvedRoute,
-} from "../state/config_snapshot.ts";
+import { HEADER_IDEMPOTENCY_KEY } from "../protocol/headers.ts";
+import { notRun, Outcome, Reason, type Refusal } from "../protocol/outcome.ts";
 import type { ConfigStore } from "../state/config_store.ts";
 import {
   endToEndHeaders,
@@ -41,27 +22,21 @@
 import { RequestBody } from "../transport/http/request_body.ts";
 import { AnswerWriter } from "./answer_writer.ts";
 import { monotonicMs } from "./clocks.ts";
-import type { Destination, ParentCall } from "./destination.ts";
+import type { Destination } from "./destination.ts";
+import { type CheckedHead, HeadChecker } from "./head_checker.ts";
+import { digestRequest } from "./request_digests.ts";
 import {
   IngressCall,
   type IngressContext,
   type ServiceEvidence,
 } from "./ingress_call.ts";
 
-/** Deepest nesting of calls. */
-export const MAX_DEPTH = 32;
 /** Retries that a whole call tree may make. */
 const RETRIES_PER_TREE = 3;
 /** Time for which an idle connection of a caller stays open, in ms. */
 const IDLE_CONNECTION_MS = 60_000;
 /** Longest time for a caller to send its headers, in ms. */
 const HEADERS_TIMEOUT_MS = 10_000;
-/** Credentials whose digests are remembered. */
-const MAX_DIGESTS = 2_000;
-/** Longest credential, in characters. */
-const MAX_TOKEN_LENGTH = 512;
-/** Longest fingerprint that is not hashed, in characters. */
-const MAX_PLAIN_FINGERPRINT = 160;
 /** Headers that are not passed on. */
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(["authorization"]);
 
@@ -76,18 +51,6 @@
   readonly claimWindowMs: number;
 }
 
-/** A call that passed the checks of its head. */
-interface CheckedHead {
-  readonly route: ResolvedRoute;
-  readonly caller: ResolvedCaller;
-  readonly parent: ParentCall | undefined;
-  readonly deadlineMs: number;
-}
-
-type HeadCheck =
-  | { readonly kind: "checked"; readonly head: CheckedHead }
-  | { readonly kind: "refused"; readonly refusal: Refusal };
-
 /**
  * Serves callers, and the outgoing calls of the own backend server.
  *
@@ -101,7 +64,7 @@
   readonly #options: IngressServerOptions;
   readonly #server: Server;
   readonly #limiter: IngressLimiter;
-  readonly #digests = new LRUCache<string, string>({ max: MAX_DIGESTS });
+  readonly #checker: HeadChecker;
   readonly #evidence = new Map<string, ServiceEvidence>();
   #requests = 0;
   #isDraining = false;
@@ -113,6 +76,7 @@
    */
   constructor(options: IngressServerOptions) {
     this.#options = options;
+    this.#checker = new HeadChecker(options);
     this.#limiter = new IngressLimiter(options.maxRunning);
     this.#server = createServer(
       {
@@ -167,7 +131,7 @@
       kind: "caller",
       isLeaving: this.#isDraining,
     });
-    const check = this.#checkHead(request);
+    const check = this.#checker.check(request);
     if (check.kind === "refused") {
       return this.#refuse(request, { requestId, writer }, check.refusal);
     }
@@ -247,79 +211,6 @@
     }, this.#options.context).start();
   }
 
-  #checkHead(request: IncomingMessage): HeadCheck {
-    const { snapshot } = this.#options.config;
-    if (snapshot === undefined) return refused(notRun(Reason.NotReady));
-    const caller = this.#callerOf(snapshot, request);
-    if (caller === undefined) return refused(notRun(Reason.UnknownCaller));
-    const path = request.url!.split("?", 1)[0]!;
-    const route = snapshot.findRoute(request.method!, path);
-    if (route === undefined) return refused(notRun(Reason.NoRoute));
-    if (!snapshot.isApproved(caller.name, route.serviceName)) {
-      return refused(notRun(Reason.NotApproved));
-    }
-    const refusal = this.#checkIdempotencyKey(route, request);
-    if (refusal !== undefined) return refused(refusal);
-    return this.#checkTime(request, route, caller);
-  }
-
-  #checkIdempotencyKey(
-    route: ResolvedRoute,
-    request: IncomingMessage,
-  ): Refusal | undefined {
-    if (route.service.delivery !== Delivery.AtMostOnce) return undefined;
-    const verdict = checkKey(
-      singleHeader(request.headers, HEADER_IDEMPOTENCY_KEY),
-      this.#options.claimWindowMs,
-      Date.now(),
-    );
-    if (verdict.kind === "usable") return undefined;
-    // An expired key may belong to a request that ran.
-    return verdict.reason === Reason.KeyExpired
-      ? unknownOutcome(verdict.reason)
-      : notRun(verdict.reason);
-  }
-
-  #checkTime(
-    request: IncomingMessage,
-    route: ResolvedRoute,
-    caller: ResolvedCaller,
-  ): HeadCheck {
-    const parentId = singleHeader(request.headers, HEADER_PARENT);
-    const parent = parentId === undefined
-      ? undefined
-      : this.#options.destination.parent(parentId);
-    const asked = singleHeader(request.headers, HEADER_TIMEOUT_MS);
-    const askedMs = asked === undefined ? Infinity : Number(asked);
-    if (!(askedMs > 0)) return refused(notRun(Reason.HeaderInvalid));
-    if ((parent?.depth ?? 0) >= MAX_DEPTH) {
-      return refused(notRun(Reason.HeaderInvalid));
-    }
-    const timeoutMs = Math.min(askedMs, route.service.timeoutMs);
-    const deadlineMs = Math.min(
-      monotonicMs() + timeoutMs,
-      parent?.deadlineMs ?? Infinity,
-    );
-    return { kind: "checked", head: { route, caller, parent, deadlineMs } };
-  }
-
-  #callerOf(
-    snapshot: ConfigSnapshot,
-    request: IncomingMessage,
-  ): ResolvedCaller | undefined {
-    const [scheme, token] = (request.headers.authorization ?? "").split(" ", 2);
-    if (scheme?.toLowerCase() !== "bearer" || token === undefined) {
-      return undefined;
-    }
-    if (token.length > MAX_TOKEN_LENGTH) return undefined;
-    let digest = this.#digests.get(token);
-    if (digest === undefined) {
-      digest = hash("sha256", token, "hex");
-      this.#digests.set(token, digest);
-    }
-    return snapshot.callerOf(digest);
-  }
-
   #evidenceOf(service: string): ServiceEvidence {
     let evidence = this.#evidence.get(service);
     if (evidence === undefined) {
@@ -374,32 +265,3 @@
     );
   }
 }
-
-function refused(refusal: Refusal): HeadCheck {
-  return { kind: "refused", refusal };
-}
-
-/** What a request is recognized by. */
-interface RequestDigests {
-  /** Equal for requests that ask for the same. */
-  readonly fingerprint: string;
-  /** Digest of the content, where a claim needs it. */
-  readonly contentDigest: string;
-}
-
-/** Digests a request; of a long body only its size counts. */
-function digestRequest(
-  request: IncomingMessage,
-  route: ResolvedRoute,
-  body: Uint8Array | undefined,
-): RequestDigests {
-  const size = body?.length ?? request.headers["content-length"] ?? "?";
-  const head = `${route.serviceName} ${request.method} ${request.url} ${size}`;
-  const hasBody = body !== undefined && body.length > 0;
-  const isClaimed = route.service.delivery === Delivery.AtMostOnce;
-  const isShort = head.length <= MAX_PLAIN_FINGERPRINT && !hasBody;
-  if (isShort && !isClaimed) return { fingerprint: head, contentDigest: "" };
-  const content = hasBody ? head + hash("sha1", body, "base64url") : head;
-  const contentDigest = hash("sha1", content, "base64url");
-  return { fingerprint: contentDigest, contentDigest };
-}
--- a/src/daemon/lease_task.ts
+++ b/src/daemon/lease_task.ts
@@ -4,13 +4,15 @@
   SlotKeeper,
 } from "../coordination/slots/slot_keeper.ts";
 import { FailureKind, type StepError } from "../protocol/step_error.ts";
-import type { Store } from "../protocol/store.ts";
+import type { Store, StoreWrite } from "../protocol/store.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import { monotonicMs } from "./clocks.ts";
 import type { FleetBus, HeldSlot } from "./fleet_bus.ts";
 
 /** Time between two looks for vacant slots, in ms. */
 const LOOK_PERIOD_MS = 500;
+/** Rounds after which a daemon with more than its part gives up a slot. */
+const ROUNDS_PER_GIFT = 3;
 /** Renewals within the life of a lease. */
 const RENEWALS_PER_TTL = 3;
 
@@ -26,6 +28,8 @@
   readonly log: EventLog;
   /** Returns the present members, this daemon included. */
   readonly members: () => readonly SlotMember[];
+  /** Says whether the member with a control address is known to be gone. */
+  readonly isGone: (address: string) => boolean;
 }
 
 interface Lease {
@@ -52,6 +56,7 @@
   #held: HeldSlot[] = [];
   #lease: Lease | undefined;
   #renewAtMs = 0;
+  #rounds = 0;
   #timer: NodeJS.Timeout | undefined;
   #isStopped = false;
 
@@ -98,6 +103,11 @@
     for (const name of this.#keeper.wanted(this.#options.members(), nowMs)) {
       await this.#take(name);
     }
+    this.#rounds++;
+    const surplus = this.#keeper.surplus(this.#options.members());
+    if (surplus !== undefined && this.#rounds % ROUNDS_PER_GIFT === 0) {
+      await this.#giveUp(surplus);
+    }
     await this.#endUnusedLease();
   }
 
@@ -134,29 +144,65 @@
     if (lease === undefined || this.#isStopped) return;
     const result = await this.#options.store.commit({
       conditions: [{ kind: "absent", key: name }],
-      writes: [{
-        kind: "put",
-        key: name,
-        value: this.#options.address,
-        leaseId: lease.id,
-      }],
+      writes: [this.#claimOf(name, lease)],
     });
     if (result.isOk() && result.value.succeeded) {
       return this.#hold({ name, epoch: result.value.revision });
     }
     this.#keeper.lost(name, monotonicMs());
-    if (result.isOk()) return await this.#meetHolder(name);
+    if (result.isOk()) return await this.#lookAtHolder(name, lease);
     this.#report("slot-not-taken", result.error);
     // The write may still arrive. Without its lease it can not last.
     if (result.error.kind === FailureKind.Ambiguous) this.#dropAll("unsure");
   }
 
-  /** Meets the holder of a slot that looked vacant, as it is not known yet. */
-  async #meetHolder(name: string): Promise<void> {
+  /**
+   * Looks at the holder of a slot that looked vacant: it is not known yet, or it
+   * is known to be gone before its lease lapsed.
+   */
+  async #lookAtHolder(name: string, lease: Lease): Promise<void> {
     const entry = await this.#options.store.get(name);
     if (entry.isErr() || entry.value === undefined) return;
-    const addresses = [new TextDecoder().decode(entry.value.value)];
-    void this.#options.bus.emit("contactsSeen", { addresses });
+    const { value, modRevision } = entry.value;
+    const address = new TextDecoder().decode(value);
+    if (this.#options.isGone(address)) {
+      return await this.#takeOver(name, lease, modRevision);
+    }
+    void this.#options.bus.emit("contactsSeen", { addresses: [address] });
+  }
+
+  /** The epoch changes, so that a holder that is alive after all is fenced. */
+  async #takeOver(
+    name: string,
+    lease: Lease,
+    modRevision: number,
+  ): Promise<void> {
+    const result = await this.#options.store.commit({
+      conditions: [{ kind: "unchanged", key: name, modRevision }],
+      writes: [this.#claimOf(name, lease)],
+    });
+    if (result.isOk() && result.value.succeeded) {
+      this.#hold({ name, epoch: result.value.revision });
+    } else if (result.isErr()) this.#dropAll("unsure");
+  }
+
+  #claimOf(name: string, lease: Lease): StoreWrite {
+    const { address } = this.#options;
+    return { kind: "put", key: name, value: address, leaseId: lease.id };
+  }
+
+  /** Gives up a slot that others should hold. */
+  async #giveUp(name: string): Promise<void> {
+    const slot = this.#held.find((one) => one.name === name);
+    if (slot === undefined) return;
+    this.#setHeld(this.#held.filter((one) => one !== slot));
+    this.#options.log.info("slot-given-up", { slot: name });
+    this.#keeper.lost(name, monotonicMs());
+    const result = await this.#options.store.commit({
+      conditions: [{ kind: "unchanged", key: name, modRevision: slot.epoch }],
+      writes: [{ kind: "delete", key: name }],
+    });
+    if (result.isErr()) this.#dropAll("unsure");
   }
 
   #hold(slot: HeldSlot): void {
--- a/src/daemon/lease_task_test.ts
+++ b/src/daemon/lease_task_test.ts
@@ -13,6 +13,8 @@
 let server: StoreServer;
 let store: EtcdStore;
 const tasks: LeaseTask[] = [];
+/** Addresses of daemons that died. */
+const gone = new Set<string>();
 
 test.before.each(async () => {
   server = new StoreServer({ writesPerSecond: 1e6, readsPerSecond: 1e6 });
@@ -45,6 +47,7 @@
       leasedSlots: task.held.map((slot) => slot.name),
       isStable: true,
     }],
+    isGone: (address) => gone.has(address),
   });
   tasks.push(task);
   task.start();
@@ -73,6 +76,19 @@
   await until(() => task.held.length === 1, "the slot is held", 12_000);
 });
 
+test("a slot of a daemon that died is taken over before its lease lapses", async () => {
+  const leaseId = (await store.grantLease(600))._unsafeUnwrap();
+  await store.commit({
+    conditions: [],
+    writes: [{ kind: "put", key: SLOT, value: "dead:1", leaseId }],
+  });
+  const task = startTask("a");
+  await sleep(1_500);
+  assert.is(task.held.length, 0);
+  gone.add("dead:1");
+  await until(() => task.held.length === 1, "the slot is taken over");
+});
+
 test("a holder whose lease lapsed gives its epoch up", async () => {
   const task = startTask("a");
   await until(() => task.held.length === 1, "the slot is held");
--- a/src/daemon/peer_caller.ts
+++ b/src/daemon/peer_caller.ts
@@ -101,20 +101,24 @@
    * Asks the destination over a new connection what became of a call.
    *
    * @param member The destination.
-   * @param id The attempt's id.
-   * @param sentAtMs Monotonic time at which it was sent.
+   * @param call The attempt's id, when it was sent, and whether it is given up
+   * where it waits.
    * @returns What is known; unknown where the destination does not answer.
    */
   async settle(
     member: Member,
-    id: string,
-    sentAtMs: number,
+    call: {
+      readonly id: string;
+      readonly sentAtMs: number;
+      readonly givesUp: boolean;
+    },
   ): Promise<SettleState> {
-    const ageMs = Math.ceil(monotonicMs() - sentAtMs);
+    const ageMs = Math.ceil(monotonicMs() - call.sentAtMs);
+    const { id: requestId, givesUp } = call;
     const result = await this.#options.clients.call(
       `${member.host}:${member.controlPort}`,
       "settle",
-      (peer, options) => peer.settle({ requestId: id, ageMs }, options),
+      (peer, options) => peer.settle({ requestId, ageMs, givesUp }, options),
       { timeoutMs: SETTLE_TIMEOUT_MS, isFresh: true },
     );
     if (result.isErr()) return SettleState.UNKNOWN;
--- /dev/null
+++ b/src/daemon/request_digests.ts
@@ -0,0 +1,44 @@
+import { hash } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import { Delivery } from "../protocol/config_schema.ts";
+import type { ResolvedRoute } from "../state/config_snapshot.ts";
+
+/** Longest fingerprint that is not hashed, in characters. */
+const MAX_PLAIN_FINGERPRINT = 160;
+
+/** What a request is recognized by. */
+export interface RequestDigests {
+  /** Equal for requests that ask for the same. */
+  readonly fingerprint: string;
+  /** Digest of the content, where a claim needs it. */
+  readonly contentDigest: string;
+}
+
+/**
+ * Digests a request; of a long body only its size counts.
+ *
+ * @param request The request.
+ * @param route Its route.
+ * @param body Its body where it was read whole.
+ * @returns What the request is recognized by.
+ *
+ * @example
+ * ```ts ignore
+ * const { fingerprint } = digestRequest(request, route, body);
+ * ```
+ */
+export function digestRequest(
+  request: IncomingMessage,
+  route: ResolvedRoute,
+  body: Uint8Array | undefined,
+): RequestDigests {
+  const size = body?.length ?? request.headers["content-length"] ?? "?";
+  const head = `${route.serviceName} ${request.method} ${request.url} ${size}`;
+  const hasBody = body !== undefined && body.length > 0;
+  const isClaimed = route.service.delivery === Delivery.AtMostOnce;
+  const isShort = head.length <= MAX_PLAIN_FINGERPRINT && !hasBody;
+  if (isShort && !isClaimed) return { fingerprint: head, contentDigest: "" };
+  const content = hasBody ? head + hash("sha1", body, "base64url") : head;
+  const contentDigest = hash("sha1", content, "base64url");
+  return { fingerprint: contentDigest, contentDigest };
+}
--- a/src/daemon/start_up.ts
+++ b/src/daemon/start_up.ts
@@ -7,7 +7,8 @@
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { ConfigTask } from "./config_task.ts";
 import { monotonicMs } from "./clocks.ts";
-import { controlAddress, type GossipTask } from "./gossip_task.ts";
+import { controlAddress } from "./control_address.ts";
+import type { GossipTask } from "./gossip_task.ts";
 import type { ReaderTask } from "./reader_task.ts";
 
 /** Contacts that a newcomer asks at the same time. */
--- a/src/daemon/survey.ts
+++ b/src/daemon/survey.ts
@@ -8,7 +8,7 @@
 import type { Random } from "../protocol/random.ts";
 import type { ConfigStore } from "../state/config_store.ts";
 import type { FleetClients } from "../transport/control/fleet_client.ts";
-import { controlAddress } from "./gossip_task.ts";
+import { controlAddress } from "./control_address.ts";
 
 /** Members that are asked at the same time. */
 const CONCURRENCY = 16;
--- a/src/state/request_ledger.ts
+++ b/src/state/request_ledger.ts
@@ -18,6 +18,14 @@
 /** Allowance for the time that a request spends on the way, in ms. */
 const TRANSIT_MARGIN_MS = 1_000;
 
+/** What a sender asks about a request whose answer is late or lost. */
+export interface SettleQuestion {
+  /** Time since the request was sent. */
+  readonly ageMs: number;
+  /** Whether a request that waits is given up; else it counts as running. */
+  readonly givesUp: boolean;
+}
+
 /**
  * Remembers the requests that reached this destination.
  *
@@ -27,7 +35,7 @@
  * @example
  * ```ts
  * const ledger = new RequestLedger(0);
- * ledger.settle("r1", 10, 5_000); // SettleState.NOT_RUN
+ * ledger.settle("r1", { ageMs: 10, givesUp: true }, 5_000); // SettleState.NOT_RUN
  * ledger.begin("r1", 5_001); // false: refused for good
  * ```
  */
@@ -104,14 +112,20 @@
    * Tells what became of a request, and makes "not run" final.
    *
    * @param id The attempt's id.
-   * @param ageMs Time since it was sent.
+   * @param question Time since it was sent, and whether it is given up where
+   * it still waits.
    * @param nowMs Monotonic time.
    * @returns What is known.
    */
-  settle(id: string, ageMs: number, nowMs: number): SettleState {
+  settle(
+    id: string,
+    question: SettleQuestion,
+    nowMs: number,
+  ): SettleState {
     const state = this.#stateOf(id);
     switch (state) {
       case LedgerState.Waiting:
+        if (!question.givesUp) return SettleState.RUNNING;
         this.refuse(id, nowMs);
         return SettleState.NOT_RUN;
       case LedgerState.Tombstone:
@@ -121,7 +135,7 @@
       case LedgerState.Done:
         return SettleState.DONE;
       case undefined:
-        return this.#settleUnseen(id, ageMs, nowMs);
+        return this.#settleUnseen(id, question.ageMs, nowMs);
     }
   }
 
--- a/src/transport/control/fleet_client.ts
+++ b/src/transport/control/fleet_client.ts
@@ -154,6 +154,22 @@
   }
 }
 
+/**
+ * Says whether a peer did not answer in time, as one that stands still.
+ *
+ * @param error The failure of a control call.
+ * @returns False where the connection was refused or broken.
+ *
+ * @example
+ * ```ts ignore
+ * if (isTimeout(error)) suspect(peer);
+ * ```
+ */
+export function isTimeout(error: StepError): boolean {
+  return error.cause instanceof ConnectError &&
+    error.cause.code === Code.DeadlineExceeded;
+}
+
 function kindOf(error: unknown): FailureKind {
   if (!(error instanceof ConnectError)) return FailureKind.Ambiguous;
   switch (error.code) {
