--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,7 +3,7 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { messageOf, StepError } from "../protocol/step_error.ts";
-import { apply, diff, rollback } from "./apply.ts";
+import { apply, type ApplyOptions, diff, rollback } from "./apply.ts";
 import { ExitCode, exitCodeOf } from "./exit_code.ts";
 import { explainCall, explainRequest, explainVersion } from "./explain.ts";
 import { OperatorSession } from "./operator_session.ts";
@@ -14,18 +14,6 @@
 
 const DEFAULT_OPERATOR_FILE = "operator.jsonc";
 
-async function withSession(
-  file: string,
-  run: (session: OperatorSession) => Promise<ExitCode>,
-): Promise<ExitCode> {
-  const session = OperatorSession.open(file);
-  try {
-    return await run(session);
-  } finally {
-    await session.close();
-  }
-}
-
 /** Runs a command and turns its failure into a message and an exit code. */
 async function finish(
   output: Output,
@@ -46,6 +34,50 @@
   }
 }
 
+/** Arguments as yargs parsed them; every command has `json` and `operator`. */
+type CommonArgs = Readonly<Record<string, unknown>>;
+
+/** Runs a command that needs no connection. */
+function runLocal(
+  args: CommonArgs,
+  run: (output: Output) => Promise<ExitCode> | ExitCode,
+): Promise<void> {
+  const output = openOutput(args.json === true);
+  return finish(output, () => run(output));
+}
+
+/** Runs a command with the operator's connections. */
+function runSession(
+  args: CommonArgs,
+  run: (session: OperatorSession, output: Output) => Promise<ExitCode>,
+): Promise<void> {
+  return runLocal(args, async (output) => {
+    const session = OperatorSession.open(String(args.operator));
+    try {
+      return await run(session, output);
+    } finally {
+      await session.close();
+    }
+  });
+}
+
+/** Options of a command that accepts a version, as they were given. */
+interface WaitingArgs {
+  readonly note: string;
+  readonly wait: boolean;
+  readonly "wait-ms": number;
+  readonly expect?: number | undefined;
+}
+
+function toApplyOptions(args: WaitingArgs): ApplyOptions {
+  return {
+    note: args.note,
+    isWaiting: args.wait,
+    waitMs: args["wait-ms"],
+    ...(args.expect === undefined ? {} : { expectedVersion: args.expect }),
+  };
+}
+
 const directory = {
   type: "string",
   describe: "directory with base.jsonc and sites/SITE.jsonc",
@@ -83,23 +115,17 @@
     "validate <directory>",
     "check a configuration without the store",
     (builder) => builder.positional("directory", directory),
-    (args) => {
-      const output = openOutput(args.json);
-      return finish(output, () => validate(args.directory, output));
-    },
+    (args) => runLocal(args, (output) => validate(args.directory, output)),
   )
   .command(
     "diff <directory>",
     "show what applying a configuration would change",
     (builder) => builder.positional("directory", directory),
-    (args) => {
-      const output = openOutput(args.json);
-      return finish(output, () =>
-        withSession(
-          args.operator,
-          (session) => diff(args.directory, session, output),
-        ));
-    },
+    (args) =>
+      runSession(
+        args,
+        (session, output) => diff(args.directory, session, output),
+      ),
   )
   .command(
     "apply <directory>",
@@ -110,20 +136,11 @@
           type: "number",
           describe: "version that the change was prepared on",
         }),
-    (args) => {
-      const output = openOutput(args.json);
-      const options = {
-        note: args.note,
-        isWaiting: args.wait,
-        waitMs: args["wait-ms"],
-        ...(args.expect === undefined ? {} : { expectedVersion: args.expect }),
-      };
-      return finish(output, () =>
-        withSession(
-          args.operator,
-          (session) => apply(args.directory, session, { output, options }),
-        ));
-    },
+    (args) =>
+      runSession(args, (session, output) => {
+        const parts = { output, options: toApplyOptions(args) };
+        return apply(args.directory, session, parts);
+      }),
   )
   .command(
     "rollback <version>",
@@ -131,41 +148,24 @@
     (builder) =>
       builder.positional("version", { type: "number", demandOption: true })
         .options(waiting),
-    (args) => {
-      const output = openOutput(args.json);
-      const options = {
-        note: args.note,
-        isWaiting: args.wait,
-        waitMs: args["wait-ms"],
-      };
-      return finish(output, () =>
-        withSession(
-          args.operator,
-          (session) => rollback(args.version, session, { output, options }),
-        ));
-    },
+    (args) =>
+      runSession(args, (session, output) => {
+        const parts = { output, options: toApplyOptions(args) };
+        return rollback(args.version, session, parts);
+      }),
   )
   .command(
     "status",
     "show the accepted version and who holds it",
     {},
-    (args) => {
-      const output = openOutput(args.json as boolean);
-      return finish(output, () =>
-        withSession(
-          args.operator as string,
-          (session) => status(session, output),
-        ));
-    },
+    (args) => runSession({ ...args }, status),
+  )
+  .command(
+    "history",
+    "list the accepted versions",
+    {},
+    (args) => runSession({ ...args }, history),
   )
-  .command("history", "list the accepted versions", {}, (args) => {
-    const output = openOutput(args.json as boolean);
-    return finish(output, () =>
-      withSession(
-        args.operator as string,
-        (session) => history(session, output),
-      ));
-  })
   .command(
     "explain",
     "explain a call, a request or a version",
@@ -182,13 +182,11 @@
               path: { type: "string", demandOption: true },
               daemon: { type: "string", describe: "admin address of a daemon" },
             }),
-          (args) => {
-            const output = openOutput(args.json as boolean);
-            return finish(
-              output,
-              () => explainCall(args.directory, args, output),
-            );
-          },
+          (args) =>
+            runLocal(
+              args,
+              (output) => explainCall(args.directory, args, output),
+            ),
         )
         .command(
           "request <id>",
@@ -200,13 +198,11 @@
                 demandOption: true,
                 describe: "admin address of the daemon that the caller used",
               }),
-          (args) => {
-            const output = openOutput(args.json as boolean);
-            return finish(
-              output,
-              () => explainRequest(args.daemon, args.id, output),
-            );
-          },
+          (args) =>
+            runLocal(
+              args,
+              (output) => explainRequest(args.daemon, args.id, output),
+            ),
         )
         .command(
           "version <version>",
@@ -216,14 +212,12 @@
               type: "number",
               demandOption: true,
             }),
-          (args) => {
-            const output = openOutput(args.json as boolean);
-            return finish(output, () =>
-              withSession(
-                args.operator as string,
-                (session) => explainVersion(args.version, session, output),
-              ));
-          },
+          (args) =>
+            runSession(
+              args,
+              (session, output) =>
+                explainVersion(args.version, session, output),
+            ),
         )
         .demandCommand(1),
   )
@@ -234,13 +228,15 @@
       builder.positional("settings", { type: "string", demandOption: true }),
     async (args) => {
       const { runDaemon } = await import("../daemon/run_daemon.ts");
-      await finish(openOutput(false), () => runDaemon(args.settings));
+      await runLocal(args, () => runDaemon(args.settings));
     },
   )
-  .command("token", "make a caller's credential and its digest", {}, (args) => {
-    const output = openOutput(args.json as boolean);
-    return finish(output, () => makeToken(output));
-  })
+  .command(
+    "token",
+    "make a caller's credential and its digest",
+    {},
+    (args) => runLocal({ ...args }, makeToken),
+  )
   .completion("completion", "write a completion script for the shell")
   .demandCommand(1, "name a command")
   .strict()
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,7 +1,6 @@
 import process from "node:process";
 import { randomBytes } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
-import { create } from "@bufbuild/protobuf";
 import { Membership } from "../coordination/membership/membership.ts";
 import { QuarantineList } from "../coordination/quarantine/quarantine_list.ts";
 import { Balancer } from "../coordination/routing/balancer.ts";
@@ -11,7 +10,6 @@
 } from "../coordination/slots/slot_keeper.ts";
 import {
   type Member,
-  MemberSchema,
   MemberState,
 } from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
 import { Random } from "../protocol/random.ts";
@@ -22,7 +20,7 @@
 import { ControlServer } from "../transport/control/control_server.ts";
 import { FleetClients } from "../transport/control/fleet_client.ts";
 import { PeerAuth } from "../transport/control/peer_auth.ts";
-import { EventLog } from "../transport/observe/event_log.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
 import { type Metrics, openMetrics } from "../transport/observe/metrics.ts";
 import { SocketMeter } from "../transport/observe/socket_meter.ts";
 import { EtcdStore } from "../transport/store/etcd_store.ts";
@@ -32,6 +30,7 @@
 import { ClaimTask } from "./claim_task.ts";
 import { monotonicMs } from "./clocks.ts";
 import { ConfigTask } from "./config_task.ts";
+import { createSelf, openLog } from "./daemon_setup.ts";
 import { Destination } from "./destination.ts";
 import { createFleetBus } from "./fleet_bus.ts";
 import { createFleetHandler } from "./fleet_handler.ts";
@@ -199,7 +198,7 @@
       config: this.#config,
       destination: this.#destination,
       claimWindowMs: settings.claims.windowMs,
-      idPrefix: requestPrefix(self),
+      idPrefix: self.id,
       context: {
         balancer,
         quarantine,
@@ -431,30 +430,3 @@
     };
   }
 }
-
-function openLog(settings: Settings): EventLog {
-  return new EventLog({
-    file: settings.log.file,
-    level: settings.log.level,
-    fields: { instance: settings.instance, domain: settings.domain },
-  });
-}
-
-function createSelf(settings: Settings): Member {
-  const suffix = randomBytes(4).toString("hex");
-  return create(MemberSchema, {
-    id: `${settings.instance}-${suffix}`,
-    instance: settings.instance,
-    domain: settings.domain,
-    host: settings.host,
-    peerPort: settings.advertised?.peer ?? settings.ports.peer,
-    controlPort: settings.advertised?.control ?? settings.ports.control,
-    state: MemberState.ALIVE,
-    incarnation: 1,
-  });
-}
-
-/** Request ids start with the process's own suffix, so that they are unique. */
-function requestPrefix(self: Member): string {
-  return self.id;
-}
--- /dev/null
+++ b/src/daemon/daemon_setup.ts
@@ -0,0 +1,53 @@
+import { randomBytes } from "node:crypto";
+import { create } from "@bufbuild/protobuf";
+import {
+  type Member,
+  MemberSchema,
+  MemberState,
+} from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import type { Settings } from "../protocol/settings_schema.ts";
+import { EventLog } from "../transport/observe/event_log.ts";
+
+/**
+ * Opens the log that the settings name.
+ *
+ * @param settings Checked settings.
+ * @returns The log.
+ *
+ * @example
+ * ```ts ignore
+ * const log = openLog(settings);
+ * ```
+ */
+export function openLog(settings: Settings): EventLog {
+  return new EventLog({
+    file: settings.log.file,
+    level: settings.log.level,
+    fields: { instance: settings.instance, domain: settings.domain },
+  });
+}
+
+/**
+ * Creates the own member record, with an id of its own for each start.
+ *
+ * @param settings Checked settings.
+ * @returns The record.
+ *
+ * @example
+ * ```ts ignore
+ * createSelf(settings).id; // "east-1-0a1b2c3d"
+ * ```
+ */
+export function createSelf(settings: Settings): Member {
+  const suffix = randomBytes(4).toString("hex");
+  return create(MemberSchema, {
+    id: `${settings.instance}-${suffix}`,
+    instance: settings.instance,
+    domain: settings.domain,
+    host: settings.host,
+    peerPort: settings.advertised?.peer ?? settings.ports.peer,
+    controlPort: settings.advertised?.control ?? settings.ports.control,
+    state: MemberState.ALIVE,
+    incarnation: 1,
+  });
+}
