Cut no call that arrives as a daemon closes; wait for spread partitions in tests

Change: a stopping ingress closes its port first and its connections once what was on its way has been answered, with a test; the control waits for the spread.

--- a/fakes/naive_poller.ts
+++ b/fakes/naive_poller.ts
@@ -1,7 +1,7 @@
 import {
   readHead,
   readResources,
-} from "../src/coordination/config/acceptance.ts";
+} from "../src/coordination/config/version_records.ts";
 import { ResourceSet } from "../src/state/resource_set.ts";
 import { SocketMeter } from "../src/transport/observe/socket_meter.ts";
 import { EtcdStore } from "../src/transport/store/etcd_store.ts";
--- a/src/cli/apply.ts
+++ b/src/cli/apply.ts
@@ -1,13 +1,13 @@
 import { randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
+import { acceptChange } from "../coordination/config/acceptance.ts";
 import {
-  acceptChange,
   pruneHistory,
   readHead,
   readResources,
   readVersion,
   type StoredHead,
-} from "../coordination/config/acceptance.ts";
+} from "../coordination/config/version_records.ts";
 import type { HeadRecord } from "../coordination/config/head_record.ts";
 import { formatProblem } from "../protocol/source_document.ts";
 import { ResourceSet } from "../state/resource_set.ts";
--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -1,5 +1,5 @@
 import { request } from "undici";
-import { readVersion } from "../coordination/config/acceptance.ts";
+import { readVersion } from "../coordination/config/version_records.ts";
 import { compileSite } from "../coordination/config/compile_site.ts";
 import { formatProblem } from "../protocol/source_document.ts";
 import { FailureKind, StepError } from "../protocol/step_error.ts";
--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -1,4 +1,7 @@
-import { readHead, readHistory } from "../coordination/config/acceptance.ts";
+import {
+  readHead,
+  readHistory,
+} from "../coordination/config/version_records.ts";
 import { MemberState } from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
 import { missingFrom } from "./apply.ts";
 import { ExitCode } from "./exit_code.ts";
--- a/src/coordination/config/mod.ts
+++ b/src/coordination/config/mod.ts
@@ -10,3 +10,4 @@
 export * from "./compile_site.ts";
 export * from "./head_record.ts";
 export * from "./merge_patch.ts";
+export * from "./version_records.ts";
--- a/src/daemon/backend_task.ts
+++ b/src/daemon/backend_task.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Dispatcher } from "undici";
-import { Delivery, type Service } from "../protocol/config_schema.ts";
+import type { Service } from "../protocol/config_schema.ts";
 import { type PerRank, perRank, type Rank, RANKS } from "../protocol/rank.ts";
 import { messageOf } from "../protocol/step_error.ts";
 import { Agent, Pool, request } from "../transport/http/undici_parts.ts";
@@ -312,23 +312,3 @@
     for (const rank of RANKS) void old[rank].close().catch(() => {});
   }
 }
-
-/**
- * Says whether a request may be interrupted once it runs.
- *
- * @param delivery How often requests of the service may run.
- * @returns False where its end has to be recorded.
- *
- * @example
- * ```ts
- * isInterruptible(Delivery.AtMostOnce); // false
- * ```
- */
-export function isInterruptible(delivery: Delivery): boolean {
-  switch (delivery) {
-    case Delivery.Idempotent:
-      return true;
-    case Delivery.AtMostOnce:
-      return false;
-  }
-}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -46,6 +46,8 @@
 
 /** Time between two looks at calls that still run while stopping, in ms. */
 const DRAIN_POLL_MS = 20;
+/** Time for requests on connections that were just opened to arrive, in ms. */
+const LINGER_MS = 300;
 /** Longest time for running calls to end while stopping, in ms. */
 const MAX_DRAIN_MS = 3_600_000;
 
@@ -306,6 +308,8 @@
     this.#claims.stop();
     await Promise.all([this.#tellSenders(), this.#leases.stop()]);
     await sleep(this.#settings.drainMs);
+    this.#ingress.stopAccepting();
+    await sleep(LINGER_MS);
     await this.#callsEnded();
     await this.#leave();
     this.#log.info("daemon-stopped");
--- a/src/daemon/destination_call.ts
+++ b/src/daemon/destination_call.ts
@@ -27,7 +27,7 @@
 import { Exchange } from "../transport/http/exchange.ts";
 import { singleHeader } from "../transport/http/header_filter.ts";
 import { AnswerCopy } from "./answer_copy.ts";
-import { Diagnosis, isInterruptible } from "./backend_task.ts";
+import { Diagnosis } from "./backend_task.ts";
 import { monotonicMs } from "./clocks.ts";
 import type { DestinationContext } from "./destination.ts";
 
@@ -400,3 +400,13 @@
 function isOverloadStatus(status: number): boolean {
   return status === 503 || status === 429;
 }
+
+/** Says whether a running request may be broken off; else its end is recorded. */
+function isInterruptible(delivery: Delivery): boolean {
+  switch (delivery) {
+    case Delivery.Idempotent:
+      return true;
+    case Delivery.AtMostOnce:
+      return false;
+  }
+}
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import {
   type IngressCall as LimitedCall,
   IngressLimiter,
@@ -115,6 +115,13 @@
     this.#isDraining = true;
   }
 
+  /** Closes the port; connections that are open go on. */
+  stopAccepting(): void {
+    // The method of http.Server would close unused connections too, and cut a
+    // request that is just on its way on one of them.
+    NetServer.prototype.close.call(this.#server);
+  }
+
   /** Closes the port and all connections. */
   close(): Promise<void> {
     return closeServer(this.#server);
--- a/src/daemon/reader_task.ts
+++ b/src/daemon/reader_task.ts
@@ -1,5 +1,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { readHead, readResources } from "../coordination/config/acceptance.ts";
+import {
+  readHead,
+  readResources,
+} from "../coordination/config/version_records.ts";
 import { checkVersion } from "../coordination/config/adoption.ts";
 import {
   HEAD_KEY,
--- a/src/transport/http/listen.ts
+++ b/src/transport/http/listen.ts
@@ -53,6 +53,7 @@
  */
 export function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
+    // An error here says that the port is closed already.
     server.close(() => resolve());
     server.closeAllConnections();
   });
--- a/testkit/caller.ts
+++ b/testkit/caller.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import { performance } from "node:perf_hooks";
 import { randomBytes } from "node:crypto";
-import { Agent, request } from "undici";
+import { Agent, type Dispatcher, request } from "undici";
 import { uuidV7 } from "../src/coordination/claims/idempotency_key.ts";
 import { VENDOR_TOKEN } from "./sample_config.ts";
 
@@ -24,6 +24,8 @@
   body?: string | Uint8Array;
   headers?: Record<string, string>;
   timeoutMs?: number;
+  /** Connections to use; shared ones where absent. */
+  dispatcher?: Dispatcher;
   /** Path of an order. */
   path?: string;
 }
@@ -45,7 +47,7 @@
         ...options.headers,
       },
       body: options.body ?? null,
-      dispatcher: AGENT,
+      dispatcher: options.dispatcher ?? AGENT,
       headersTimeout: options.timeoutMs ?? 30_000,
       bodyTimeout: options.timeoutMs ?? 30_000,
     });
--- a/testkit/fleet.ts
+++ b/testkit/fleet.ts
@@ -1,8 +1,6 @@
 import { randomUUID } from "node:crypto";
-import {
-  acceptChange,
-  readHead,
-} from "../src/coordination/config/acceptance.ts";
+import { acceptChange } from "../src/coordination/config/acceptance.ts";
+import { readHead } from "../src/coordination/config/version_records.ts";
 import type { HeadRecord } from "../src/coordination/config/head_record.ts";
 import {
   type BackendBehaviour,
--- a/tests/integration/negative_controls_test.ts
+++ b/tests/integration/negative_controls_test.ts
@@ -9,7 +9,8 @@
   checkOwnAnswers,
   checkVersionsRise,
 } from "../../testkit/checkers.ts";
-import { Fleet } from "../../testkit/fleet.ts";
+import { Fleet, livingMembers } from "../../testkit/fleet.ts";
+import { until } from "../../testkit/until.ts";
 import { sampleBase, sampleSource } from "../../testkit/sample_config.ts";
 
 /** Runs a fleet whose daemons all break one promise. */
@@ -43,6 +44,14 @@
 test("checkNotRun() fails daemons that settle every request as not run", async () => {
   await withBroken("ledger", ["order", ""], async (fleet) => {
     const [server, ingress] = fleet.instances;
+    // Until the partitions are spread, a claim may wait and not run in time.
+    await until(async () => {
+      const members = await livingMembers(ingress!.daemon);
+      return members.every(({ leasedSlots }) =>
+        leasedSlots.filter((slot) => slot.includes("claims")).length === 2
+      );
+    }, "the claim partitions are spread");
+    await order(ingress!.daemon.ingress, newKey());
     const path = "/order/sleep/1500";
     const sentAtMs = Date.now();
     const answering = order(ingress!.daemon.ingress, newKey(), { path });
--- a/tests/integration/request_faults_test.ts
+++ b/tests/integration/request_faults_test.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import { Agent } from "undici";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { call, newKey, order } from "../../testkit/caller.ts";
@@ -102,6 +103,33 @@
   await fleet.settled();
 });
 
+test("a daemon that stops cuts no call of its own callers", async () => {
+  const [{ daemon }] = fleet.ofService("proof") as [Instance];
+  const dispatcher = new Agent({ connections: 4 });
+  const working = openLoop(
+    { ratePerSecond: 100, durationMs: 3_000 },
+    async (number) => {
+      const path = `/lookup/${number}`;
+      const sentAtMs = Date.now();
+      const answer = await call(daemon.ingress, path, { dispatcher });
+      return { answer, path, sentAtMs };
+    },
+  );
+  await sleep(700);
+  await daemon.child.stop();
+  const records = await working;
+  // A refused connection is no cut: nothing was sent.
+  const sent = records.filter(({ answer }) =>
+    !answer.reason.includes("ECONNREFUSED")
+  );
+  assert.ok(sent.length < records.length, "the daemon stopped meanwhile");
+  assert.equal(checkNothingCut(sent), []);
+  assert.is(servedShare(sent), 1, unserved(sent));
+  await dispatcher.destroy();
+  daemon.restart();
+  await fleet.settled();
+});
+
 test("a backend server that drains cuts no request, and gets no new work", async () => {
   const [first, second, third] = fleet.ofService("lookup") as [
     Instance,
