Bound the list of recent senders

Cause: a daemon kept the id of each sender for good. Change: at most 5,000 senders of the last minute.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,6 +1,7 @@
 import process from "node:process";
 import { randomBytes } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
+import { LRUCache } from "lru-cache";
 import { Membership } from "../coordination/membership/membership.ts";
 import { QuarantineList } from "../coordination/quarantine/quarantine_list.ts";
 import { Balancer } from "../coordination/routing/balancer.ts";
@@ -46,6 +47,9 @@
 
 /** Time between two looks at calls that still run while stopping, in ms. */
 const DRAIN_POLL_MS = 20;
+/** Daemons that sent calls lately and are told first of a change. */
+const MAX_SENDERS = 5_000;
+const SENDER_MEMORY_MS = 60_000;
 /** Time for requests on connections that were just opened to arrive, in ms. */
 const LINGER_MS = 300;
 /** Longest time for running calls to end while stopping, in ms. */
@@ -97,7 +101,10 @@
   readonly #peerServer: PeerServer;
   readonly #control: ControlServer;
   readonly #admin: AdminServer;
-  readonly #recentSenders = new Map<string, number>();
+  readonly #recentSenders = new LRUCache<string, true>({
+    max: MAX_SENDERS,
+    ttl: SENDER_MEMORY_MS,
+  });
   #storeCalls = 0;
   #isStopping = false;
 
@@ -216,7 +223,7 @@
       },
     });
     this.#peerServer = new PeerServer(this.#destination, auth, (sender) => {
-      this.#recentSenders.set(sender, monotonicMs());
+      this.#recentSenders.set(sender, true);
     });
     const surveyor = new Surveyor(shared);
     this.#control = new ControlServer(
