--- a/src/coordination/routing/endpoint.ts
+++ b/src/coordination/routing/endpoint.ts
@@ -128,8 +128,10 @@
    * @returns A number to compare with other endpoints'.
    */
   cost(slowStartMs: number, nowMs: number): number {
-    const load = 1 + this.utilization(nowMs);
-    return this.latencyMs * load / this.#weight(slowStartMs, nowMs);
+    // The latency holds past queueing, which the load tells better and sooner.
+    const load = (1 + this.utilization(nowMs)) ** 2;
+    const slowness = Math.sqrt(this.latencyMs);
+    return slowness * load / this.#weight(slowStartMs, nowMs);
   }
 
   #estimate(nowMs: number): ReportedLoad {
