Make one piece of code serve twice-written ejections and source addresses

Change: Ejection and localAddressOf serve all of them; the surplus is worked out when it is used; the event is gone. Behaviour and tests are as they were. Conclusion: left for later: ReportedLoad and AdmissionLoad are the same type, and MemberTable.digest is hashed at each exchange though its buckets are kept.

--- a/src/coordination/membership/failure_detector.ts
+++ b/src/coordination/membership/failure_detector.ts
@@ -3,7 +3,6 @@
 /** What the failure detector learns. */
 export type DetectorEvent =
   | { readonly kind: "tick"; readonly peers: readonly string[] }
-  | { readonly kind: "reached"; readonly id: string }
   | { readonly kind: "missed"; readonly id: string }
   | { readonly kind: "suspected"; readonly id: string }
   | { readonly kind: "cleared"; readonly id: string };
@@ -75,8 +74,6 @@
     switch (event.kind) {
       case "tick":
         return this.#tick(event.peers, nowMs);
-      case "reached":
-        return [];
       case "missed":
         if (this.#quietTicks > 0 || this.#isLate(nowMs)) return [];
         return [{ kind: "suspect", id: event.id }];
--- /dev/null
+++ b/src/coordination/routing/ejection.ts
@@ -0,0 +1,39 @@
+/** Shortest and longest time for which an endpoint is ejected, in ms. */
+const MIN_EJECTION_MS = 1_000;
+const MAX_EJECTION_MS = 30_000;
+
+/**
+ * Keeps a failing endpoint out for times that double with each ejection.
+ *
+ * @example
+ * ```ts
+ * const ejection = new Ejection();
+ * ejection.start(0);
+ * ejection.isActive(999); // true
+ * ```
+ */
+export class Ejection {
+  #count = 0;
+  #untilMs = 0;
+
+  /**
+   * Starts an ejection.
+   *
+   * @param nowMs Monotonic time.
+   */
+  start(nowMs: number): void {
+    const ejectionMs = MIN_EJECTION_MS * 2 ** this.#count;
+    this.#untilMs = nowMs + Math.min(ejectionMs, MAX_EJECTION_MS);
+    this.#count++;
+  }
+
+  /** Makes the next ejection short again. */
+  forgive(): void {
+    this.#count = 0;
+  }
+
+  /** Says whether an ejection lasts at a monotonic time. */
+  isActive(nowMs: number): boolean {
+    return nowMs < this.#untilMs;
+  }
+}
--- a/src/coordination/routing/endpoint.ts
+++ b/src/coordination/routing/endpoint.ts
@@ -1,12 +1,10 @@
 import type { Member } from "../../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import { Ejection } from "./ejection.ts";
 
 /** Weight of the newest latency where it is below the average. */
 const DECAY_WEIGHT = 0.1;
 /** Latency assumed of an endpoint without evidence, in ms. */
 const INITIAL_LATENCY_MS = 5;
-/** Shortest and longest time for which an endpoint is ejected, in ms. */
-const MIN_EJECTION_MS = 1_000;
-const MAX_EJECTION_MS = 30_000;
 /** Time for which a load report counts, in ms. */
 const LOAD_MEMORY_MS = 500;
 /** Share of full weight with which a newly ready endpoint starts. */
@@ -37,9 +35,8 @@
   #load: ReportedLoad | undefined;
   #loadUntilMs = 0;
   #readySinceMs: number;
-  #ejectedUntilMs = 0;
+  readonly #ejection = new Ejection();
   #failures = 0;
-  #ejections = 0;
 
   /**
    * Creates an endpoint without evidence.
@@ -71,7 +68,7 @@
    */
   succeeded(latencyMs: number): void {
     this.#failures = 0;
-    this.#ejections = 0;
+    this.#ejection.forgive();
     this.latencyMs = latencyMs > this.latencyMs
       ? (this.latencyMs + latencyMs) / 2
       : this.latencyMs + (latencyMs - this.latencyMs) * DECAY_WEIGHT;
@@ -87,15 +84,13 @@
   failed(failuresToEject: number, nowMs: number): boolean {
     this.#failures++;
     if (this.#failures < failuresToEject || this.isEjected(nowMs)) return false;
-    const ejectionMs = MIN_EJECTION_MS * 2 ** this.#ejections;
-    this.#ejectedUntilMs = nowMs + Math.min(ejectionMs, MAX_EJECTION_MS);
-    this.#ejections++;
+    this.#ejection.start(nowMs);
     return true;
   }
 
   /** Says whether the endpoint is ejected at a monotonic time. */
   isEjected(nowMs: number): boolean {
-    return nowMs < this.#ejectedUntilMs;
+    return this.#ejection.isActive(nowMs);
   }
 
   /**
--- a/src/coordination/routing/mod.ts
+++ b/src/coordination/routing/mod.ts
@@ -4,4 +4,5 @@
  * @module
  */
 export * from "./balancer.ts";
+export * from "./ejection.ts";
 export * from "./endpoint.ts";
--- a/src/daemon/backend_task.ts
+++ b/src/daemon/backend_task.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Dispatcher } from "undici";
+import { Ejection } from "../coordination/routing/ejection.ts";
 import type { Service } from "../protocol/config_schema.ts";
 import { type PerRank, perRank, type Rank, RANKS } from "../protocol/rank.ts";
 import { messageOf } from "../protocol/step_error.ts";
@@ -37,9 +38,6 @@
 /** Longest time to open a connection on the same instance, in ms. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
-/** Pauses of a server that passes probes but fails exchanges, in ms. */
-const MIN_EJECTION_MS = 1_000;
-const MAX_EJECTION_MS = 30_000;
 /** Exchanges in a row after which the next pause is short again. */
 const SUCCESSES_TO_TRUST = 50;
 /** Time to tell a crash from a broken connection, and pauses between looks. */
@@ -77,8 +75,7 @@
   #probeFailures = 0;
   #exchangeFailures = 0;
   #successes = 0;
-  #ejections = 0;
-  #ejectedUntilMs = 0;
+  readonly #ejection = new Ejection();
   #timer: NodeJS.Timeout | undefined;
   #diagnosis: Promise<Diagnosis> | undefined;
   #stopped = false;
@@ -148,7 +145,7 @@
   exchangeSucceeded(): void {
     this.#exchangeFailures = 0;
     this.#successes++;
-    if (this.#successes >= SUCCESSES_TO_TRUST) this.#ejections = 0;
+    if (this.#successes >= SUCCESSES_TO_TRUST) this.#ejection.forgive();
   }
 
   /**
@@ -160,9 +157,7 @@
     this.#successes = 0;
     const limit = this.#health().failuresToEject;
     if (this.#exchangeFailures < limit || !this.#isReady) return;
-    const pauseMs = MIN_EJECTION_MS * 2 ** this.#ejections;
-    this.#ejectedUntilMs = monotonicMs() + Math.min(pauseMs, MAX_EJECTION_MS);
-    this.#ejections++;
+    this.#ejection.start(monotonicMs());
     this.#setReady(false, "exchanges-failed");
   }
 
@@ -236,7 +231,7 @@
   #probeSucceeded(): void {
     this.#probeFailures = 0;
     if (this.#announced?.isDraining === true || this.#isReady) return;
-    if (monotonicMs() < this.#ejectedUntilMs) return;
+    if (this.#ejection.isActive(monotonicMs())) return;
     // A server that failed exchanges is tried again, but not trusted yet.
     const { failuresToEject } = this.#health();
     this.#exchangeFailures = Math.min(
--- a/src/daemon/lease_task.ts
+++ b/src/daemon/lease_task.ts
@@ -104,9 +104,9 @@
       await this.#take(name);
     }
     this.#rounds++;
-    const surplus = this.#keeper.surplus(this.#options.members());
-    if (surplus !== undefined && this.#rounds % ROUNDS_PER_GIFT === 0) {
-      await this.#giveUp(surplus);
+    if (this.#rounds % ROUNDS_PER_GIFT === 0) {
+      const surplus = this.#keeper.surplus(this.#options.members());
+      if (surplus !== undefined) await this.#giveUp(surplus);
     }
     await this.#endUnusedLease();
   }
--- a/src/daemon/peer_caller.ts
+++ b/src/daemon/peer_caller.ts
@@ -26,6 +26,7 @@
 import { FailureKind, StepError } from "../protocol/step_error.ts";
 import type { FleetClients } from "../transport/control/fleet_client.ts";
 import { Pool } from "../transport/http/undici_parts.ts";
+import { localAddressOf } from "../transport/http/local_address.ts";
 import { Exchange } from "../transport/http/exchange.ts";
 import { singleHeader } from "../transport/http/header_filter.ts";
 import { monotonicMs } from "./clocks.ts";
@@ -255,7 +256,3 @@
     );
   }
 }
-
-function localAddressOf(sourceAddress: string | undefined) {
-  return sourceAddress === undefined ? {} : { localAddress: sourceAddress };
-}
--- a/src/transport/control/fleet_client.ts
+++ b/src/transport/control/fleet_client.ts
@@ -16,6 +16,7 @@
   StepError,
 } from "../../protocol/step_error.ts";
 import type { Client } from "@connectrpc/connect";
+import { localAddressOf } from "../http/local_address.ts";
 import { SocketMeter } from "../observe/socket_meter.ts";
 import { MeteredAgent } from "./metered_agent.ts";
 
@@ -69,9 +70,7 @@
    */
   constructor(token: () => string, options: FleetClientsOptions = {}) {
     const { sourceAddress, meter = new SocketMeter() } = options;
-    const source = sourceAddress === undefined
-      ? {}
-      : { localAddress: sourceAddress };
+    const source = localAddressOf(sourceAddress);
     this.#agent = new MeteredAgent({
       keepAlive: true,
       timeout: IDLE_CONNECTION_MS,
--- a/src/transport/store/etcd_store.ts
+++ b/src/transport/store/etcd_store.ts
@@ -2,6 +2,7 @@
 import { performance } from "node:perf_hooks";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import type { buildConnector as Connector, Dispatcher } from "undici";
+import { localAddressOf } from "../http/local_address.ts";
 import { Agent, buildConnector, request } from "../http/undici_parts.ts";
 import {
   FailureKind,
@@ -83,9 +84,7 @@
     this.#agent = new Agent({
       connections: MAX_CONNECTIONS,
       pipelining: 1,
-      ...(options.sourceAddress === undefined
-        ? {}
-        : { localAddress: options.sourceAddress }),
+      ...localAddressOf(options.sourceAddress),
       connect: meteredConnector(options.meter),
     });
   }
