--- a/bench/flood.ts
+++ b/bench/flood.ts
@@ -51,6 +51,8 @@
     source: sourceOf(deployment),
     settings: { gossip: {}, claims: {}, leaseTtlS: 4 },
     isBackendInProcess: false,
+    // The way of a call has no proxies but the daemons.
+    isProxied: false,
     behaviour: { serviceMs: SERVICE_MS, slots: deployment.slots },
     domains: domainsOf(deployment),
   });
--- a/bench/hop.ts
+++ b/bench/hop.ts
@@ -44,6 +44,8 @@
     settings: { gossip: {}, claims: {}, leaseTtlS: 4 },
     behaviour: { serviceMs: 2, slots: 40, maxConnections: 200 },
     isBackendInProcess: false,
+    // The way of a call has no proxies but the daemons.
+    isProxied: false,
     domains: [{ name: "east", services: ["lookup", ""] }],
   });
   try {
--- a/testkit/daemon_process.ts
+++ b/testkit/daemon_process.ts
@@ -24,6 +24,11 @@
   /** Loopback address of the instance. */
   readonly host: string;
   readonly storePort: number;
+  /**
+   * Whether peers reach the daemon through fault proxies, which run in this
+   * process and add to each call's time. @default {true}
+   */
+  readonly isProxied?: boolean;
   /** Promise that the daemon breaks, for negative controls. */
   readonly breakage?: string;
   /** Further settings, laid over the harness's own. */
@@ -81,6 +86,9 @@
     const controlProxy = new FaultProxy(control, plan.host);
     await peerProxy.listen(peerOut, plan.host);
     await controlProxy.listen(controlOut, plan.host);
+    const advertised = plan.isProxied === false
+      ? { peer, control }
+      : { peer: peerOut, control: controlOut };
     const folder = mkdtempSync(join(tmpdir(), "sesamepond-"));
     const settingsFile = join(folder, "settings.jsonc");
     const logFile = join(folder, "daemon.log");
@@ -91,7 +99,7 @@
       host: plan.host,
       sourceAddress: plan.host,
       ports: { ingress, peer, control, admin },
-      advertised: { peer: peerOut, control: controlOut },
+      advertised,
       store: { endpoints: [`127.0.0.1:${plan.storePort}`], timeoutMs: 1_000 },
       fleetKeys: FLEET_KEYS,
       gossip: {
@@ -108,7 +116,7 @@
     };
     writeFileSync(settingsFile, JSON.stringify(settings));
     return new DaemonProcess(plan, {
-      ports: { ingress, admin, control: controlOut },
+      ports: { ingress, admin, control: advertised.control },
       proxies: [peerProxy, controlProxy],
       settingsFile,
       logFile,
--- a/testkit/fleet.ts
+++ b/testkit/fleet.ts
@@ -44,6 +44,8 @@
   readonly behaviour?: Partial<BackendBehaviour>;
   /** Whether backend servers run in this process. @default {true} */
   readonly isBackendInProcess?: boolean;
+  /** Whether daemons reach each other through fault proxies. @default {true} */
+  readonly isProxied?: boolean;
   /** First part of the loopback addresses, so that fleets do not meet. */
   readonly network?: number;
 }
@@ -236,6 +238,7 @@
       host: `127.${network}.${index + 1}.${number + 1}`,
       storePort: this.#storePort,
       settings: this.#plan.settings ?? {},
+      isProxied: this.#plan.isProxied ?? true,
       ...(this.#plan.breakage === undefined
         ? {}
         : { breakage: this.#plan.breakage }),
