Place calls by what destinations know, and start at all slots

Three faults added up, found by reading a daemon's reported limit (9 of 40 slots without any overload): - The adaptive limit started at the one slot that a destination has before its backend server announces itself, and kept it: more slots did not raise it. - Load reports were read when a request arrived, and counted the request that they were sent with, so an endpoint looked full at the moment it had room. - Choices of eleven ingresses rest on reports that are older than a call takes.

Also, a call to the only server of a service failed with 502 where its connection went silent, or was merely overtaken by the question after it: the warm-up of the hop measurement showed three such calls (peer-failed).

Change: the limit follows a larger announcement; reports are made as the answer is written, without the answered request, and count for as long as a call takes. While another endpoint seems free, a destination without a free slot refuses the call at once instead of queueing it, at most twice for a call, outside the retry budget. Placement keeps what one call tried; an endpoint whose connection was lost may be tried again after all others. A call counts as lost from 100 ms on.

bench hop compares calls that go straight and another way at the same time, so that noise of the machine strikes both.

--- a/bench/hop.ts
+++ b/bench/hop.ts
@@ -16,10 +16,10 @@
 /** Calls a second at a daemon in two years. */
 const RATE_PER_SECOND = 225;
 /** One window of the measurement. */
-const WINDOW = { ratePerSecond: RATE_PER_SECOND, durationMs: 3_000 };
+const WINDOW = { ratePerSecond: RATE_PER_SECOND, durationMs: 4_000 };
 /** Calls before the measurement, so that all code has been compiled. */
 const WARM_UP = { ratePerSecond: 800, durationMs: 6_000 };
-/** Interleaved windows of each way. */
+/** Windows of each way, in turns. */
 const WINDOWS = 6;
 /** Calls by which processor time is compared, some at a time, in turns. */
 const COST_CALLS = 2_000;
@@ -31,10 +31,16 @@
 const TARGET_P99_MS = 0.94;
 
 /**
- * Ways of a call: straight to the backend server; through the daemon beside
- * it; through two daemons; through one and two naive proxies.
+ * Ways of a call: through the daemon beside the backend server; through two
+ * daemons; through one and two naive proxies.
  */
-type Way = "direct" | "local" | "remote" | "naiveOne" | "naiveTwo";
+type Way = "local" | "remote" | "naiveOne" | "naiveTwo";
+
+/** Latencies of calls that went straight and another way at the same time. */
+interface Pair {
+  readonly direct: Summary;
+  readonly through: Summary;
+}
 
 /** Measures the time that the daemons add to a call. */
 export async function benchHop(): Promise<unknown> {
@@ -60,17 +66,18 @@
   const apart = fleet.ofService("none")[0]!;
   const backendAddress = `127.0.0.1:${beside.backend!.port}`;
   const [one, two] = await startNaive(backendAddress);
+  const direct = new Pool(`http://${backendAddress}`);
   const pools: Record<Way, Pool> = {
-    direct: new Pool(`http://${backendAddress}`),
     naiveOne: new Pool(`http://${one}`),
     naiveTwo: new Pool(`http://${two}`),
     local: new Pool(`http://${beside.daemon.ingress}`),
     remote: new Pool(`http://${apart.daemon.ingress}`),
   };
-  const ways: Way[] = ["direct", "local", "remote", "naiveOne", "naiveTwo"];
-  for (const way of ways) await runWindow(pools[way], WARM_UP);
-  const windows: Record<Way, Summary[]> = {
-    direct: [],
+  const ways: Way[] = ["local", "remote", "naiveOne", "naiveTwo"];
+  for (const pool of [direct, ...ways.map((way) => pools[way])]) {
+    await runWindow(pool, WARM_UP);
+  }
+  const pairs: Record<Way, Pair[]> = {
     local: [],
     remote: [],
     naiveOne: [],
@@ -78,21 +85,24 @@
   };
   for (let window = 0; window < WINDOWS; window++) {
     for (const way of ways) {
-      windows[way].push(await runWindow(pools[way], WINDOW));
+      pairs[way].push(await runPair(direct, pools[way]));
     }
   }
   const cost = await measureCost(beside.daemon, pools.local);
-  await Promise.all(ways.map((way) => pools[way].destroy()));
+  await Promise.all([
+    direct.destroy(),
+    ...ways.map((way) => pools[way].destroy()),
+  ]);
   return {
     cost,
     ratePerSecond: RATE_PER_SECOND,
     windows: WINDOWS,
     targetP99Ms: TARGET_P99_MS,
-    direct: middle(windows.direct),
-    local: added(windows.direct, windows.local),
-    remote: added(windows.direct, windows.remote),
-    naiveOne: added(windows.direct, windows.naiveOne),
-    naiveTwo: added(windows.direct, windows.naiveTwo),
+    direct: middle(ways.flatMap((way) => pairs[way].map((one) => one.direct))),
+    local: added(pairs.local),
+    remote: added(pairs.remote),
+    naiveOne: added(pairs.naiveOne),
+    naiveTwo: added(pairs.naiveTwo),
   };
 }
 
@@ -164,15 +174,21 @@
   };
 }
 
-/** Differences of each pair of neighbouring windows. */
-function added(
-  direct: readonly Summary[],
-  through: readonly Summary[],
-): unknown {
-  const p50Ms = through.map((one, index) => one.p50Ms - direct[index]!.p50Ms);
-  const p99Ms = through.map((one, index) => one.p99Ms - direct[index]!.p99Ms);
+/** Calls straight and another way at once, so that noise strikes both. */
+async function runPair(direct: Pool, through: Pool): Promise<Pair> {
+  const [one, other] = await Promise.all([
+    runWindow(direct, WINDOW),
+    runWindow(through, WINDOW),
+  ]);
+  return { direct: one, through: other };
+}
+
+/** Differences within each pair. */
+function added(pairs: readonly Pair[]): unknown {
+  const p50Ms = pairs.map((one) => one.through.p50Ms - one.direct.p50Ms);
+  const p99Ms = pairs.map((one) => one.through.p99Ms - one.direct.p99Ms);
   return {
-    ...middle(through),
+    ...middle(pairs.map((one) => one.through)),
     addedP50Ms: round(median(p50Ms)),
     addedP99Ms: round(median(p99Ms)),
     leastAddedP99Ms: round(Math.min(...p99Ms)),
--- a/src/coordination/admission/adaptive_limit.ts
+++ b/src/coordination/admission/adaptive_limit.ts
@@ -34,10 +34,13 @@
     return Math.max(1, Math.floor(this.#limit));
   }
 
-  /** Takes in a new number of slots. */
+  /**
+   * Takes in a new number of slots. More slots are used at once, as nothing
+   * speaks against them yet; repeats leave the limit as it is.
+   */
   set slots(slots: number) {
+    this.#limit = slots > this.#slots ? slots : Math.min(this.#limit, slots);
     this.#slots = slots;
-    this.#limit = Math.min(this.#limit, slots);
   }
 
   /**
--- a/src/coordination/admission/admission_queue.ts
+++ b/src/coordination/admission/admission_queue.ts
@@ -51,6 +51,22 @@
   readonly limit: number;
 }
 
+/**
+ * Returns the load once a running request has ended, as its answer reports it.
+ *
+ * @param load The load with the request.
+ * @returns The load without it; the next one that waits takes its slot.
+ *
+ * @example
+ * ```ts
+ * loadWithoutOne({ running: 4, queued: 1, limit: 4 }); // { running: 4, queued: 0, limit: 4 }
+ * ```
+ */
+export function loadWithoutOne(load: AdmissionLoad): AdmissionLoad {
+  if (load.queued > 0) return { ...load, queued: load.queued - 1 };
+  return { ...load, running: Math.max(0, load.running - 1) };
+}
+
 /**
  * Gives the slots of one backend server to requests by rank.
  *
@@ -117,7 +133,7 @@
     const { rank } = request;
     this.#seenAtMs[rank] = nowMs;
     const queue = this.#queues[rank];
-    if (queue.length === 0 && this.#mayStart(rank, nowMs)) {
+    if (this.isFree(rank, nowMs)) {
       this.#running[rank]++;
       return { kind: "start" };
     }
@@ -131,6 +147,17 @@
     return { kind: "queued", position: queue.length };
   }
 
+  /**
+   * Says whether a request would start at once.
+   *
+   * @param rank Its rank.
+   * @param nowMs Monotonic time.
+   * @returns Whether a slot is free for the rank.
+   */
+  isFree(rank: Rank, nowMs: number): boolean {
+    return this.#queues[rank].length === 0 && this.#mayStart(rank, nowMs);
+  }
+
   /**
    * Ends a running request.
    *
--- a/src/coordination/routing/balancer.ts
+++ b/src/coordination/routing/balancer.ts
@@ -3,6 +3,7 @@
 import { rendezvous } from "../../protocol/hash.ts";
 import type { Random } from "../../protocol/random.ts";
 import { takesWork } from "../../state/member_table.ts";
+import type { AdmissionLoad } from "../admission/admission_queue.ts";
 import { Endpoint } from "./endpoint.ts";
 
 /** Most endpoints of a service that one daemon opens connections to. */
@@ -122,6 +123,31 @@
     return this.#pick(panic ? untried : healthy, panic, options);
   }
 
+  /**
+   * Says whether an endpoint that was not tried seems to have a free slot.
+   *
+   * @param serviceName Name of the service.
+   * @param options Endpoints to leave out, and time.
+   * @returns Whether there is one.
+   */
+  hasFreeSlot(serviceName: string, options: ChooseOptions): boolean {
+    const { tried, nowMs } = options;
+    return this.endpointsOf(serviceName).some((endpoint) =>
+      !tried.has(endpoint.member.id) && !endpoint.isEjected(nowMs) &&
+      endpoint.utilization(nowMs) < 1
+    );
+  }
+
+  /**
+   * Takes in the load of this daemon's own backend server.
+   *
+   * @param load The load now.
+   * @param nowMs Monotonic time.
+   */
+  reportOwn(load: AdmissionLoad, nowMs: number): void {
+    this.#endpoints.get(this.#selfId)?.reported(load, nowMs);
+  }
+
   #pick(
     candidates: readonly Endpoint[],
     panic: boolean,
--- a/src/coordination/routing/endpoint.ts
+++ b/src/coordination/routing/endpoint.ts
@@ -1,22 +1,20 @@
 import type { Member } from "../../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import type { AdmissionLoad } from "../admission/admission_queue.ts";
 import { Ejection } from "./ejection.ts";
 
 /** Weight of the newest latency where it is below the average. */
 const DECAY_WEIGHT = 0.1;
 /** Latency assumed of an endpoint without evidence, in ms. */
 const INITIAL_LATENCY_MS = 5;
-/** Time for which a load report counts, in ms. */
-const LOAD_MEMORY_MS = 500;
+/**
+ * Bounds of the time for which a load report counts, in ms: as long as a call
+ * takes, since most of what ran at the report has ended by then.
+ */
+const MIN_LOAD_MEMORY_MS = 20;
+const MAX_LOAD_MEMORY_MS = 500;
 /** Share of full weight with which a newly ready endpoint starts. */
 const SLOW_START_FLOOR = 0.1;
 
-/** Load that an endpoint reports on its answers. */
-export interface ReportedLoad {
-  readonly running: number;
-  readonly queued: number;
-  readonly limit: number;
-}
-
 /**
  * A backend server as this daemon's own calls see it.
  *
@@ -32,7 +30,7 @@
   running = 0;
   /** Peak-sensitive average latency, in ms. */
   latencyMs = INITIAL_LATENCY_MS;
-  #load: ReportedLoad | undefined;
+  #load: AdmissionLoad | undefined;
   #loadUntilMs = 0;
   #readySinceMs: number;
   readonly #ejection = new Ejection();
@@ -99,9 +97,10 @@
    * @param load The report, which counts for a short while.
    * @param nowMs Monotonic time.
    */
-  reported(load: ReportedLoad, nowMs: number): void {
+  reported(load: AdmissionLoad, nowMs: number): void {
     this.#load = load;
-    this.#loadUntilMs = nowMs + LOAD_MEMORY_MS;
+    const memoryMs = Math.max(MIN_LOAD_MEMORY_MS, this.latencyMs);
+    this.#loadUntilMs = nowMs + Math.min(MAX_LOAD_MEMORY_MS, memoryMs);
   }
 
   /**
@@ -129,7 +128,7 @@
     return slowness * load / this.#weight(slowStartMs, nowMs);
   }
 
-  #estimate(nowMs: number): ReportedLoad {
+  #estimate(nowMs: number): AdmissionLoad {
     const load = nowMs < this.#loadUntilMs ? this.#load : undefined;
     return {
       running: Math.max(this.running, load?.running ?? 0),
--- a/src/coordination/routing/mod.ts
+++ b/src/coordination/routing/mod.ts
@@ -6,3 +6,4 @@
 export * from "./balancer.ts";
 export * from "./ejection.ts";
 export * from "./endpoint.ts";
+export * from "./placement.ts";
--- /dev/null
+++ b/src/coordination/routing/placement.ts
@@ -0,0 +1,110 @@
+import type { Service } from "../../protocol/config_schema.ts";
+import type { Balancer, Chosen } from "./balancer.ts";
+
+/** Destinations without a free slot that may send one call on. */
+export const MAX_REDIRECTS = 2;
+
+/** Service of a call that is to be placed. */
+export interface PlacementService {
+  readonly name: string;
+  readonly service: Service;
+}
+
+/**
+ * Places the attempts of one call.
+ *
+ * An endpoint is tried again only after all others, and only where the call did
+ * not fail there: it had no free slot, or the connection was lost on the way.
+ *
+ * @example
+ * ```ts ignore
+ * const placement = new Placement(balancer, { name: "lookup", service });
+ * const chosen = placement.next(performance.now());
+ * ```
+ */
+export class Placement {
+  readonly #balancer: Balancer;
+  readonly #target: PlacementService;
+  readonly #tried = new Set<string>();
+  readonly #reusable = new Set<string>();
+  #redirects = 0;
+
+  /**
+   * Starts without attempts.
+   *
+   * @param balancer Endpoints of all services.
+   * @param target The call's service.
+   */
+  constructor(balancer: Balancer, target: PlacementService) {
+    this.#balancer = balancer;
+    this.#target = target;
+  }
+
+  /**
+   * Chooses the endpoint of the next attempt.
+   *
+   * @param nowMs Monotonic time.
+   * @returns The endpoint; `undefined` where none is left.
+   */
+  next(nowMs: number): Chosen | undefined {
+    const chosen = this.#choose(nowMs) ?? this.#chooseAgain(nowMs);
+    if (chosen !== undefined) this.#tried.add(chosen.endpoint.member.id);
+    return chosen;
+  }
+
+  /**
+   * Says whether an endpoint is left that was not tried.
+   *
+   * @param nowMs Monotonic time.
+   * @returns Whether there is one.
+   */
+  isElsewhereLeft(nowMs: number): boolean {
+    return this.#choose(nowMs) !== undefined;
+  }
+
+  /**
+   * Says whether a destination without a free slot may send the call on, as
+   * another endpoint seems to have one.
+   *
+   * @param nowMs Monotonic time.
+   * @returns Whether it may; false where the call has to queue.
+   */
+  mayBeRedirected(nowMs: number): boolean {
+    return this.#redirects < MAX_REDIRECTS &&
+      this.#balancer.hasFreeSlot(this.#target.name, {
+        service: this.#target.service,
+        tried: this.#tried,
+        nowMs,
+      });
+  }
+
+  /**
+   * Records that a destination had no free slot.
+   *
+   * @param id Id of the endpoint's member.
+   */
+  redirected(id: string): void {
+    this.#redirects++;
+    this.#reusable.add(id);
+  }
+
+  /**
+   * Records that the call did not arrive, as its connection was lost.
+   *
+   * @param id Id of the endpoint's member.
+   */
+  unreached(id: string): void {
+    this.#reusable.add(id);
+  }
+
+  #chooseAgain(nowMs: number): Chosen | undefined {
+    for (const id of this.#reusable) this.#tried.delete(id);
+    this.#reusable.clear();
+    return this.#choose(nowMs);
+  }
+
+  #choose(nowMs: number): Chosen | undefined {
+    const { name, service } = this.#target;
+    return this.#balancer.choose(name, { service, tried: this.#tried, nowMs });
+  }
+}
--- a/src/daemon/answer_writer.ts
+++ b/src/daemon/answer_writer.ts
@@ -1,6 +1,9 @@
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
-import type { AdmissionLoad } from "../coordination/admission/admission_queue.ts";
+import {
+  type AdmissionLoad,
+  loadWithoutOne,
+} from "../coordination/admission/admission_queue.ts";
 import type { AnswerHead } from "../protocol/call.ts";
 import {
   HEADER_OUTCOME,
@@ -27,7 +30,7 @@
   /** A caller gets a header for each field. */
   | { readonly kind: "caller"; readonly isLeaving: boolean }
   /** A daemon gets all fields in one header, with the load. */
-  | { readonly kind: "peer"; readonly load: AdmissionLoad };
+  | { readonly kind: "peer"; readonly load: () => AdmissionLoad };
 
 /**
  * Writes an answer to a caller or a peer.
@@ -114,7 +117,7 @@
           outcome: state.outcome,
           reason: state.reason,
           isRetryable: state.retryable,
-          ...reader.load,
+          ...(state === RAN ? loadWithoutOne(reader.load()) : reader.load()),
         });
         return;
       case "caller":
--- a/src/daemon/destination_call.ts
+++ b/src/daemon/destination_call.ts
@@ -100,6 +100,10 @@
     const nowMs = monotonicMs();
     const leftMs = this.deadlineMs - nowMs;
     if (leftMs <= 0) return this.refuse(notRun(Reason.DeadlineExceeded));
+    const { admission } = this.#context;
+    if (this.call.isRedirectable && !admission.isFree(this.rank, nowMs)) {
+      return this.refuse(notRun(Reason.Busy, true));
+    }
     this.#deadline = setTimeout(() => this.#onDeadline(), leftMs);
     if (this.#service.delivery === Delivery.AtMostOnce) void this.#claim();
     else this.#askSlot();
--- a/src/daemon/ingress_attempt.ts
+++ b/src/daemon/ingress_attempt.ts
@@ -1,8 +1,6 @@
 import type { Chosen } from "../coordination/routing/balancer.ts";
-import type {
-  Endpoint,
-  ReportedLoad,
-} from "../coordination/routing/endpoint.ts";
+import type { AdmissionLoad } from "../coordination/admission/admission_queue.ts";
+import type { Endpoint } from "../coordination/routing/endpoint.ts";
 import type { AnswerHead, Call, Execution } from "../protocol/call.ts";
 import { SettleState } from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
 import {
@@ -16,6 +14,12 @@
 import { monotonicMs } from "./clocks.ts";
 import type { PeerCaller, PeerSink } from "./peer_caller.ts";
 
+/**
+ * Age from which a call that did not arrive counts as lost, in ms. A question
+ * over a new connection may overtake the call.
+ */
+const MIN_LOST_AGE_MS = 100;
+
 /** Receives what becomes of an attempt. */
 export interface AttemptEvents {
   onAttemptHead(attempt: IngressAttempt, head: AnswerHead): void;
@@ -23,6 +27,8 @@
   onAttemptEnd(attempt: IngressAttempt): void;
   onAttemptCut(attempt: IngressAttempt, error: StepError): void;
   onAttemptRefused(attempt: IngressAttempt, refusal: Refusal): void;
+  /** The call did not arrive, as its connection was lost; a refusal follows. */
+  onAttemptLost(attempt: IngressAttempt): void;
 }
 
 /** What an attempt needs. */
@@ -104,6 +110,7 @@
   async checkArrival(): Promise<void> {
     if (this.#isSettling || this.#isOver) return;
     if (this.endpoint.member.id === this.#options.selfId) return;
+    if (monotonicMs() - this.#sentAtMs < MIN_LOST_AGE_MS) return;
     this.#isSettling = true;
     const state = await this.#settle(false);
     this.#isSettling = false;
@@ -111,10 +118,11 @@
     if (state === SettleState.UNKNOWN) return;
     // Not run, or its answer was lost: the connection has gone silent.
     this.#execution?.cancel();
+    if (state === SettleState.NOT_RUN) this.#events.onAttemptLost(this);
     this.#refused(refusalOf(state));
   }
 
-  onLoad(load: ReportedLoad): void {
+  onLoad(load: AdmissionLoad): void {
     this.endpoint.reported(load, monotonicMs());
   }
 
--- a/src/daemon/ingress_call.ts
+++ b/src/daemon/ingress_call.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { Balancer } from "../coordination/routing/balancer.ts";
+import type { Placement } from "../coordination/routing/placement.ts";
 import type { LatencyTracker } from "../coordination/retry/latency_tracker.ts";
 import type { RetryBudget } from "../coordination/retry/retry_budget.ts";
 import { decideRetry } from "../coordination/retry/retry_policy.ts";
@@ -63,13 +64,14 @@
 /** What is known of a call that was let in. */
 export interface AcceptedCall {
   /** The call without its attempt's id and body. */
-  readonly template: Omit<Call, "id" | "body">;
+  readonly template: Omit<Call, "id" | "body" | "isRedirectable">;
   readonly requestId: string;
   readonly route: ResolvedRoute;
   readonly body: RequestBody;
   readonly writer: AnswerWriter;
   readonly response: ServerResponse;
   readonly evidence: ServiceEvidence;
+  readonly placement: Placement;
   readonly onOver: () => void;
 }
 
@@ -88,7 +90,6 @@
   readonly #accepted: AcceptedCall;
   readonly #context: IngressContext;
   readonly #startedAtMs = monotonicMs();
-  readonly #tried = new Set<string>();
   readonly #live = new Set<IngressAttempt>();
   #winner: IngressAttempt | undefined;
   #attempts = 0;
@@ -171,9 +172,21 @@
       reason: refusal.reason,
     });
     if (this.#isOver || this.#live.size > 0) return;
+    if (refusal.reason === Reason.Busy) return this.#redirect(attempt);
     this.#retryOrAnswer(refusal);
   }
 
+  onAttemptLost(attempt: IngressAttempt): void {
+    this.#accepted.placement.unreached(attempt.endpoint.member.id);
+  }
+
+  /** Goes on to another endpoint; this is no retry, as nothing failed. */
+  #redirect(attempt: IngressAttempt): void {
+    this.#accepted.placement.redirected(attempt.endpoint.member.id);
+    this.#context.metrics.count("ingress.redirects");
+    this.#attempt(notRun(Reason.Overloaded));
+  }
+
   /** Counts the crash here at once, ahead of the destination's news. */
   #noteCrash(attempt: IngressAttempt): void {
     const { member } = attempt.endpoint;
@@ -215,18 +228,22 @@
   /** Makes an attempt, or gives the answer that stands where none is left. */
   #attempt(standing: Refusal = notRun(Reason.NoBackend)): void {
     if (this.#isOver) return;
-    const { template, route, body, requestId } = this.#accepted;
-    const chosen = this.#context.balancer.choose(route.serviceName, {
-      service: route.service,
-      tried: this.#tried,
-      nowMs: monotonicMs(),
-    });
+    const { template, route, body, requestId, placement } = this.#accepted;
+    const { balancer, attempts } = this.#context;
+    const nowMs = monotonicMs();
+    balancer.reportOwn(attempts.destination.admission.load, nowMs);
+    const chosen = placement.next(nowMs);
     if (chosen === undefined) return this.#answer(standing);
     const { endpoint } = chosen;
     this.#attempts++;
-    this.#tried.add(endpoint.member.id);
     const attempt = new IngressAttempt(
-      { ...template, id: `${requestId}.${this.#attempts}`, body: body.open() },
+      {
+        ...template,
+        id: `${requestId}.${this.#attempts}`,
+        body: body.open(),
+        isRedirectable: body.whole !== undefined && this.#live.size === 0 &&
+          placement.mayBeRedirected(nowMs),
+      },
       chosen,
       { events: this, options: this.#attemptOptions() },
     );
@@ -295,14 +312,10 @@
 
   /** Whether the request may run twice and another endpoint is left for it. */
   #mayTryElsewhere(): boolean {
-    const { route, body, template } = this.#accepted;
+    const { route, body, template, placement } = this.#accepted;
     const mayRepeat = route.service.delivery === Delivery.Idempotent &&
       body.whole !== undefined && template.retries.left > 0;
-    return mayRepeat && this.#context.balancer.choose(route.serviceName, {
-          service: route.service,
-          tried: this.#tried,
-          nowMs: monotonicMs(),
-        }) !== undefined;
+    return mayRepeat && placement.isElsewhereLeft(monotonicMs());
   }
 
   #onDeadline(): void {
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -10,6 +10,7 @@
   IngressLimiter,
 } from "../coordination/admission/ingress_limiter.ts";
 import { LatencyTracker } from "../coordination/retry/latency_tracker.ts";
+import { Placement } from "../coordination/routing/placement.ts";
 import { RetryBudget } from "../coordination/retry/retry_budget.ts";
 import { HEADER_IDEMPOTENCY_KEY } from "../protocol/headers.ts";
 import { notRun, Outcome, Reason, type Refusal } from "../protocol/outcome.ts";
@@ -202,6 +203,10 @@
       response,
       onOver,
       evidence: this.#evidenceOf(route.serviceName),
+      placement: new Placement(this.#options.context.balancer, {
+        name: route.serviceName,
+        service: route.service,
+      }),
       template: {
         service: route.serviceName,
         rank: parent?.rank ?? route.rank,
--- a/src/daemon/peer_caller.ts
+++ b/src/daemon/peer_caller.ts
@@ -1,5 +1,5 @@
 import { LRUCache } from "lru-cache";
-import type { ReportedLoad } from "../coordination/routing/endpoint.ts";
+import type { AdmissionLoad } from "../coordination/admission/admission_queue.ts";
 import type {
   AnswerHead,
   AnswerSink,
@@ -44,7 +44,7 @@
 
 /** A sink that also learns the destination's load. */
 export interface PeerSink extends AnswerSink {
-  onLoad(load: ReportedLoad): void;
+  onLoad(load: AdmissionLoad): void;
   /** The connection broke; the outcome has to be settled. */
   onBroken(error: StepError): void;
 }
@@ -164,6 +164,7 @@
       timeoutMs: leftMs,
       depth: call.depth,
       retriesLeft: call.retries.left,
+      isRedirectable: call.isRedirectable,
       contentDigest: call.contentDigest,
       fingerprint: call.fingerprint,
     });
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -91,7 +91,7 @@
     const header = parsePeerCall(singleHeader(headers, HEADER_PEER_CALL));
     const writer = new AnswerWriter(response, header?.id ?? "", {
       kind: "peer",
-      load: this.#destination.admission.load,
+      load: () => this.#destination.admission.load,
     });
     const token = singleHeader(headers, HEADER_PEER_TOKEN);
     const sender = this.#auth.verify(token, Date.now());
--- a/src/protocol/call.ts
+++ b/src/protocol/call.ts
@@ -28,6 +28,11 @@
   readonly fingerprint: string;
   readonly contentDigest: string;
   readonly idempotencyKey: string | undefined;
+  /**
+   * Whether a destination without a free slot is to refuse the call instead of
+   * queueing it, as another one seems to have a slot.
+   */
+  readonly isRedirectable: boolean;
   /** Retries left to the call tree, shared by all of its calls here. */
   readonly retries: RetryAllowance;
 }
--- a/src/protocol/fuzz_test.ts
+++ b/src/protocol/fuzz_test.ts
@@ -99,6 +99,7 @@
     timeoutMs: fc.integer({ min: 1, max: 3_600_000 }),
     depth: count,
     retriesLeft: count,
+    isRedirectable: fc.boolean(),
     contentDigest: word,
     fingerprint: fc.stringMatching(/^[ -~]{0,40}$/),
   });
--- a/src/protocol/outcome.ts
+++ b/src/protocol/outcome.ts
@@ -17,6 +17,8 @@
   NoBackend = "no-backend",
   Draining = "draining",
   Overloaded = "overloaded",
+  /** No slot is free now, but another destination may have one. */
+  Busy = "busy",
   CallerLimit = "caller-limit",
   DeadlineTooShort = "deadline-too-short",
   DeadlineExceeded = "deadline-exceeded",
@@ -46,6 +48,7 @@
   [Reason.NoBackend]: 503,
   [Reason.Draining]: 503,
   [Reason.Overloaded]: 503,
+  [Reason.Busy]: 503,
   [Reason.CallerLimit]: 429,
   [Reason.DeadlineTooShort]: 503,
   [Reason.DeadlineExceeded]: 504,
--- a/src/protocol/peer_headers.ts
+++ b/src/protocol/peer_headers.ts
@@ -17,6 +17,7 @@
   readonly timeoutMs: number;
   readonly depth: number;
   readonly retriesLeft: number;
+  readonly isRedirectable: boolean;
   readonly contentDigest: string;
   /** Stands last, as it may hold any character. */
   readonly fingerprint: string;
@@ -34,7 +35,7 @@
   readonly limit: number;
 }
 
-const CALL_FIELDS = 9;
+const CALL_FIELDS = 10;
 const ANSWER_FIELDS = 7;
 const OUTCOMES: ReadonlySet<string> = new Set(Object.values(Outcome));
 const REASONS: ReadonlySet<string> = new Set(Object.values(Reason));
@@ -53,6 +54,7 @@
 export function formatPeerCall(call: PeerCallHeader): string {
   return `${call.id};${call.service};${call.rank};${call.caller};` +
     `${call.timeoutMs};${call.depth};${call.retriesLeft};` +
+    `${call.isRedirectable ? "1" : "0"};` +
     `${call.contentDigest};${call.fingerprint}`;
 }
 
@@ -88,7 +90,8 @@
     timeoutMs,
     depth,
     retriesLeft,
-    contentDigest: parts[7]!,
+    isRedirectable: parts[7] === "1",
+    contentDigest: parts[8]!,
     fingerprint: parts.slice(CALL_FIELDS - 1).join(";"),
   };
 }
--- a/tests/integration/path_test.ts
+++ b/tests/integration/path_test.ts
@@ -48,6 +48,19 @@
   );
 });
 
+test("a call outlives the silent connection to the only server", async () => {
+  const { daemon } = fleet.instances[0]!;
+  const [only] = fleet.ofService("proof");
+  const proof = () =>
+    call(daemon.ingress, "/proof/echo", { method: "POST", body: "mine" });
+  assert.is((await proof()).status, 200);
+  only!.daemon.peerProxy.set({ kind: "silence-open" });
+  const answer = await proof();
+  only!.daemon.peerProxy.set({ kind: "none" });
+  assert.is(answer.status, 200, answer.reason);
+  assert.is(answer.body, "mine");
+});
+
 test("a resent order runs once and gets the first answer", async () => {
   const key = newKey();
   const [first, second] = fleet.instances;
