Give every checker a control on broken daemons, and routes a scenario

Four checkers had negative controls on records only, and checkRoutesLead() was used by no scenario. Daemons can now also be made to adopt a version in part, to send calls to the servers of any service, to end at once when asked to stop, and to keep their first version; the checkers fail each of them. Routes, their service and its server come and go in config_faults while calls are sent, and every dispatch of the fleet is checked against the service of its member.

The control of checkNotRun() makes new connections silent too: since an endpoint whose connection was lost is tried again, the next attempt arrived and the claim answered truthfully, so that the daemons' false word was never given.

--- a/fakes/broken_daemon_main.ts
+++ b/fakes/broken_daemon_main.ts
@@ -2,6 +2,9 @@
 import { create } from "@bufbuild/protobuf";
 import { ClaimPartition } from "../src/coordination/claims/claim_partition.ts";
 import { Membership } from "../src/coordination/membership/membership.ts";
+import { Balancer } from "../src/coordination/routing/balancer.ts";
+import { ConfigTask } from "../src/daemon/config_task.ts";
+import { Daemon } from "../src/daemon/daemon.ts";
 import { Destination } from "../src/daemon/destination.ts";
 import { IngressCall } from "../src/daemon/ingress_call.ts";
 import { runDaemon } from "../src/daemon/run_daemon.ts";
@@ -11,6 +14,7 @@
   SettleState,
 } from "../src/protocol/gen/sesamepond/v1/fleet_pb.ts";
 import { ConfigStore } from "../src/state/config_store.ts";
+import { ResourceSet } from "../src/state/resource_set.ts";
 import { RequestLedger } from "../src/state/request_ledger.ts";
 
 /** Promises that a daemon can be made to break, by name. */
@@ -42,6 +46,37 @@
       return onData.call(this, attempt, chunk.map((byte) => byte ^ 1));
     };
   },
+  /** Drops a resource of each version but the first. */
+  approved: () => {
+    const adopt = ConfigStore.prototype.adopt;
+    ConfigStore.prototype.adopt = function (snapshot, resources, nowMs) {
+      const kept = snapshot.version === 1
+        ? resources
+        : ResourceSet.fromEntries(resources.entries().slice(1));
+      return adopt.call(this, snapshot, kept, nowMs);
+    };
+  },
+  /** Sends calls to the servers of any service. */
+  routes: () => {
+    const endpointsOf = Balancer.prototype.endpointsOf;
+    Balancer.prototype.endpointsOf = function () {
+      return ["lookup", "proof"].flatMap((service) =>
+        endpointsOf.call(this, service)
+      );
+    };
+  },
+  /** Ends at once when it is asked to stop. */
+  stopping: () => {
+    Daemon.prototype.stop = () => Promise.resolve(process.exit(0));
+  },
+  /** Keeps its first version for ever. */
+  force: () => {
+    const adopt = ConfigTask.prototype.adopt;
+    ConfigTask.prototype.adopt = function (checked, origin) {
+      if (checked.snapshot.version > 1) return false;
+      return adopt.call(this, checked, origin);
+    };
+  },
   /** Forgets now and then what version it held, as a restart would. */
   versions: () => {
     const version = Object.getOwnPropertyDescriptor(
--- a/testkit/checkers.ts
+++ b/testkit/checkers.ts
@@ -22,6 +22,7 @@
 /** A dispatch as a daemon logged it. */
 export interface Dispatch {
   readonly backend: string;
+  readonly service: string;
   readonly atMs: number;
 }
 
@@ -146,18 +147,23 @@
 }
 
 /**
- * Checks that every dispatch went to a member that its daemon knew.
+ * Checks that every dispatch went to a member of its service.
  *
- * @param dispatches Dispatches of one daemon.
- * @param known Members that it ever knew with the right service.
+ * @param dispatches Dispatches of all daemons.
+ * @param services Service of each member that there was.
  * @returns What broke the promise.
  */
 export function checkRoutesLead(
   dispatches: readonly Dispatch[],
-  known: ReadonlySet<string>,
+  services: ReadonlyMap<string, string>,
 ): string[] {
-  return dispatches.filter(({ backend }) => !known.has(backend))
-    .map(({ backend }) => `a call was sent to ${backend}, which is not known`);
+  return dispatches
+    .filter(({ backend, service }) => services.get(backend) !== service)
+    .map(({ backend, service }) =>
+      `a call of ${service} was sent to ${backend} of ${
+        services.get(backend) ?? "none"
+      }`
+    );
 }
 
 /**
--- a/testkit/checkers_test.ts
+++ b/testkit/checkers_test.ts
@@ -36,6 +36,10 @@
   return { id, key, path: "/p", atMs: 0 };
 }
 
+function dispatch(backend: string, atMs = 0) {
+  return { backend, service: "s", atMs };
+}
+
 test("each checker passes a good record and fails a broken one", () => {
   const accepted = new Map([[1, "d1"], [2, "d2"]]);
   const leaving = { id: "b", sinceMs: 1_000 };
@@ -66,12 +70,15 @@
       checkNothingCut([record({ status: 0, reason: "reset" })]),
     ],
     leftAlone: [
-      checkLeftAlone([{ backend: "b", atMs: 1_500 }], leaving, 1_000),
-      checkLeftAlone([{ backend: "b", atMs: 2_500 }], leaving, 1_000),
+      checkLeftAlone([dispatch("b", 1_500)], leaving, 1_000),
+      checkLeftAlone([dispatch("b", 2_500)], leaving, 1_000),
     ],
     routesLead: [
-      checkRoutesLead([{ backend: "b", atMs: 0 }], new Set(["b"])),
-      checkRoutesLead([{ backend: "c", atMs: 0 }], new Set(["b"])),
+      checkRoutesLead([dispatch("b")], new Map([["b", "s"]])),
+      checkRoutesLead(
+        [dispatch("b"), dispatch("c")],
+        new Map([["b", "other"]]),
+      ),
     ],
     inForce: [
       checkInForce([adoption("i", 2, 50)], { version: 2, atMs: 0 }, inForce),
@@ -90,7 +97,7 @@
 ownAnswers: 0 then /p was answered "other"
 nothingCut: 0 then /p ended with 0 reset
 leftAlone: 0 then b got work 1500 ms after it left
-routesLead: 0 then a call was sent to c, which is not known
+routesLead: 0 then a call of s was sent to b of other,a call of s was sent to c of none
 inForce: 0 then i held version 2 after 500 ms`,
   );
 });
--- a/testkit/daemon_process.ts
+++ b/testkit/daemon_process.ts
@@ -190,6 +190,7 @@
   dispatches(): Dispatch[] {
     return this.logged("route").map((fields) => ({
       backend: fields.backend ?? "",
+      service: fields.service ?? "",
       atMs: Date.parse(fields.time ?? ""),
     }));
   }
--- a/testkit/fleet.ts
+++ b/testkit/fleet.ts
@@ -12,7 +12,12 @@
 import { StoreServer } from "../fakes/store_server.ts";
 import { type ConfigSource, ResourceSet } from "../src/state/resource_set.ts";
 import { EtcdStore } from "../src/transport/store/etcd_store.ts";
-import { type Adoption, checkApproved, checkVersionsRise } from "./checkers.ts";
+import {
+  type Adoption,
+  checkApproved,
+  checkVersionsRise,
+  type Dispatch,
+} from "./checkers.ts";
 import { DaemonProcess } from "./daemon_process.ts";
 import { until } from "./until.ts";
 
@@ -129,6 +134,11 @@
     return this.instances.flatMap(({ daemon }) => daemon.adoptions());
   }
 
+  /** Calls that all daemons sent on, over all their starts. */
+  dispatches(): Dispatch[] {
+    return this.instances.flatMap(({ daemon }) => daemon.dispatches());
+  }
+
   /** What broke the promises about versions so far. */
   checkVersions(): string[] {
     const adoptions = this.adoptions();
@@ -268,6 +278,7 @@
   readonly id: string;
   readonly instance: string;
   readonly state: string;
+  readonly service: string;
   readonly backendReady: boolean;
   readonly leasedSlots: readonly string[];
   readonly domain: string;
@@ -289,6 +300,16 @@
   }
 }
 
+/** Returns the service of each member that a daemon remembers. */
+export async function servicesById(
+  daemon: DaemonProcess,
+): Promise<Map<string, string>> {
+  const { members } = await daemon.page<{ members: ShownMember[] }>(
+    "/members",
+  );
+  return new Map(members.map(({ id, service }) => [id, service]));
+}
+
 /** Starts a backend server in a process of its own beside a daemon. */
 export function startBackendProcess(
   daemon: DaemonProcess,
--- a/tests/integration/config_faults_test.ts
+++ b/tests/integration/config_faults_test.ts
@@ -9,9 +9,18 @@
 import { FLEET_KEYS } from "../../testkit/daemon_process.ts";
 import type { ConfigSource } from "../../src/state/resource_set.ts";
 import { call } from "../../testkit/caller.ts";
-import { checkInForce } from "../../testkit/checkers.ts";
-import { Fleet, livingMembers } from "../../testkit/fleet.ts";
-import { sampleBase, sampleSource } from "../../testkit/sample_config.ts";
+import { checkInForce, checkRoutesLead } from "../../testkit/checkers.ts";
+import {
+  Fleet,
+  livingMembers,
+  servicesById,
+  startBackend,
+} from "../../testkit/fleet.ts";
+import {
+  sampleBase,
+  sampleService,
+  sampleSource,
+} from "../../testkit/sample_config.ts";
 import { until } from "../../testkit/until.ts";
 
 /** Time in which an accepted change has to be in force. */
@@ -67,6 +76,45 @@
   assert.equal(broken, []);
 });
 
+test("routes lead to servers of their service while routes, services and servers come and go", async () => {
+  const [holder] = fleet.inDomain("west").slice(1);
+  const statuses = async () =>
+    await Promise.all(
+      fleet.instances.map(async ({ daemon }) =>
+        (await call(daemon.ingress, "/extra/1")).status
+      ),
+    );
+  const services = new Map<string, string>();
+  const remember = async () => {
+    const now = await servicesById(holder!.daemon);
+    for (const [id, service] of now) services.set(id, service);
+  };
+  const base = sampleBase();
+  base.services.extra = sampleService();
+  base.routes.extra = { pathPrefix: "/extra", service: "extra" };
+  const added = await fleet.accept(sampleSource(base));
+  await fleet.inForce(added.version);
+  assert.equal(new Set(await statuses()), new Set([503]));
+  holder!.backend = await startBackend(holder!.daemon, "extra");
+  await fleet.settled();
+  await remember();
+  assert.equal(new Set(await statuses()), new Set([200]));
+  const removed = await fleet.accept(nextSource());
+  await fleet.inForce(removed.version);
+  assert.equal(new Set(await statuses()), new Set([404]));
+  await holder!.backend.close();
+  holder!.backend = undefined;
+  await fleet.settled();
+  // Log lines are written a moment later.
+  await sleep(500);
+  const dispatches = fleet.dispatches();
+  assert.is(
+    dispatches.filter(({ service }) => service === "extra").length,
+    fleet.instances.length,
+  );
+  assert.equal(checkRoutesLead(dispatches, services), []);
+});
+
 test("a version accepted just before a store outage is in force after it", async () => {
   const head = await fleet.accept(nextSource());
   fleet.store.goDown();
--- a/tests/integration/negative_controls_test.ts
+++ b/tests/integration/negative_controls_test.ts
@@ -3,16 +3,24 @@
 import * as assert from "uvu/assert";
 import { call, newKey, order } from "../../testkit/caller.ts";
 import {
+  checkApproved,
   checkAtMostOnce,
+  checkInForce,
   checkLeftAlone,
+  checkNothingCut,
   checkNotRun,
   checkOwnAnswers,
+  checkRoutesLead,
   checkVersionsRise,
 } from "../../testkit/checkers.ts";
-import { Fleet, livingMembers } from "../../testkit/fleet.ts";
+import type { ConfigSource } from "../../src/state/resource_set.ts";
+import { Fleet, livingMembers, servicesById } from "../../testkit/fleet.ts";
 import { until } from "../../testkit/until.ts";
 import { sampleBase, sampleSource } from "../../testkit/sample_config.ts";
 
+/** Time after which log lines have been written, in ms. */
+const LOG_MS = 500;
+
 /** Runs a fleet whose daemons all break one promise. */
 async function withBroken(
   breakage: string,
@@ -32,6 +40,13 @@
   }
 }
 
+/** The sample configuration with one more route. */
+function sourceWithRoute(): ConfigSource {
+  const base = sampleBase();
+  base.routes.more = { pathPrefix: "/more", service: "lookup" };
+  return sampleSource(base);
+}
+
 /** Waits until each of two daemons holds its two claim partitions. */
 async function claimsAreSpread(fleet: Fleet): Promise<void> {
   await Promise.all(fleet.instances.map(({ daemon }) =>
@@ -68,7 +83,8 @@
     const sentAtMs = Date.now();
     const answering = order(ingress!.daemon.ingress, newKey(), { path });
     await sleep(300);
-    server!.daemon.peerProxy.set({ kind: "silence-open" });
+    // New connections are silent too, so that no further attempt arrives.
+    server!.daemon.peerProxy.set({ kind: "silence" });
     const answer = await answering;
     await sleep(1_500);
     const records = [{ answer, path, sentAtMs }];
@@ -112,10 +128,8 @@
   await withBroken("versions", [""], async (fleet) => {
     const { daemon } = fleet.instances[0]!;
     const backup = fleet.store.data.backup();
-    const base = sampleBase();
-    base.routes.more = { pathPrefix: "/more", service: "lookup" };
     await sleep(2_500);
-    await fleet.accept(sampleSource(base));
+    await fleet.accept(sourceWithRoute());
     await sleep(1_000);
     fleet.store.data.restore(backup);
     await sleep(1_500);
@@ -123,4 +137,50 @@
   });
 });
 
+test("checkApproved() fails daemons that adopt a version in part", async () => {
+  await withBroken("approved", ["lookup"], async (fleet) => {
+    const head = await fleet.accept(sourceWithRoute());
+    await fleet.inForce(head.version);
+    await sleep(LOG_MS);
+    assert.is(checkApproved(fleet.adoptions(), fleet.accepted).length, 1);
+  });
+});
+
+test("checkRoutesLead() fails daemons that send calls to any server", async () => {
+  await withBroken("routes", ["lookup", "proof"], async (fleet) => {
+    const { daemon } = fleet.instances[0]!;
+    for (let number = 0; number < 40; number++) {
+      await call(daemon.ingress, `/lookup/${number}`);
+    }
+    await sleep(LOG_MS);
+    const services = await servicesById(daemon);
+    assert.ok(checkRoutesLead(fleet.dispatches(), services).length > 0);
+  });
+});
+
+test("checkNothingCut() fails daemons that end at once", async () => {
+  await withBroken("stopping", ["lookup"], async (fleet) => {
+    const { daemon } = fleet.instances[0]!;
+    const path = "/lookup/sleep/1500";
+    const answering = call(daemon.ingress, path);
+    await sleep(300);
+    daemon.child.signal("SIGTERM");
+    const records = [{ answer: await answering, path, sentAtMs: 0 }];
+    assert.is(checkNothingCut(records).length, 1);
+  });
+});
+
+test("checkInForce() fails daemons that keep their first version", async () => {
+  await withBroken("force", ["lookup"], async (fleet) => {
+    const head = await fleet.accept(sourceWithRoute());
+    await sleep(2_000);
+    const broken = checkInForce(
+      fleet.adoptions(),
+      { version: head.version, atMs: head.acceptedAtMs },
+      { instances: ["east-lookup-0"], withinMs: 13_000 },
+    );
+    assert.equal(broken, ["east-lookup-0 never held version 2"]);
+  });
+});
+
 test.run();
