Let readers stand in for claim holders that a domain cannot reach

Members of other domains are never declared dead, so the slots of claim partitions that they hold were never seen as vacant; the same held for a domain that died. Domains that reached the store but not each other could not claim in each other's partitions at all. Ruled out: the lease's life, which is 2 s there.

Change: a partition's log is safe for any number of writers. Every commit moves the log's head by compare-and-swap and, where another was first, returns what it wrote in the same call; a holder takes that in, drops own entries that contradict it, and goes on. The slot's epoch is no fence any more. Readers of a domain stand in for holders out of reach, commit to the same log at most four times a second, and take the slot once it is free. Claims try the holder, then the readers; members of other domains that failed are passed over for a while. The epoch was a 32-bit field that the store's revision would have outgrown in months; the log names its writers instead, and numbers are doubles.

--- a/bench/scale.ts
+++ b/bench/scale.ts
@@ -171,7 +171,7 @@
     claimHolder: {
       perSecond: 0,
       run: (number) => {
-        membership.table.holderOf(claimSlot(number % PARTITIONS));
+        membership.table.holdersOf(claimSlot(number % PARTITIONS));
       },
     },
     choice: {
--- a/fakes/store_server.ts
+++ b/fakes/store_server.ts
@@ -201,7 +201,16 @@
       this.faults.lostAnswers--;
       return void response.destroy();
     }
-    answer(response, 200, { header: this.#header(), succeeded });
+    const otherwise = (body.failure ?? []) as {
+      request_range: { key: string; range_end?: string };
+    }[];
+    const responses = succeeded ? [] : otherwise.map(({ request_range }) => ({
+      response_range: {
+        kvs: this.data.range(request_range.key, request_range.range_end)
+          .map(toWire),
+      },
+    }));
+    answer(response, 200, { header: this.#header(), succeeded, responses });
   }
 
   #watch(body: Json, response: ServerResponse): void {
--- a/src/coordination/claims/claim_log.ts
+++ b/src/coordination/claims/claim_log.ts
@@ -4,11 +4,14 @@
   type ClaimBatch,
   ClaimBatchSchema,
   type ClaimEntry,
+  type ClaimHead,
+  ClaimHeadSchema,
 } from "../../protocol/gen/sesamepond/v1/fleet_pb.ts";
 import { FailureKind, StepError } from "../../protocol/step_error.ts";
 import type {
   Store,
   StoreCondition,
+  StoreEntry,
   StoreWrite,
 } from "../../protocol/store.ts";
 
@@ -17,52 +20,59 @@
 /** Largest segment in bytes; the store's values may take 1 MB. */
 const MAX_SEGMENT_BYTES = 600 * 1024;
 
-/** The holder's right to write a partition's log. */
-export interface HolderEpoch {
+/** What became of a batch. */
+export type AppendOutcome =
+  | { readonly kind: "durable" }
+  /** Another writer committed first; its entries are in commit order. */
+  | { readonly kind: "overtaken"; readonly foreign: readonly ClaimEntry[] };
+
+/** Whose log a {@linkcode ClaimLog} is. */
+export interface ClaimLogOptions {
   readonly partition: number;
-  /** Key that is bound to the holder's lease. */
-  readonly slotKey: string;
-  /** Revision at which the holder took the slot: the fencing epoch. */
-  readonly epoch: number;
+  /** Names this process; no two have the same name. */
+  readonly writer: string;
 }
 
 /**
  * The durable log of a claim partition in the platform's store.
  *
- * Every write is conditional on the holder's slot being unchanged since it was
- * taken, so that a holder whose lease lapsed while it was paused can not write.
+ * Every write moves the log's head by compare-and-swap, so a writer that does
+ * not know of another's batch cannot commit. Any number of writers may share a
+ * log: the lease of a partition only keeps their number small.
  *
  * @example
  * ```ts ignore
- * const log = new ClaimLog(store, { partition: 3, slotKey, epoch });
+ * const log = new ClaimLog(store, { partition: 3, writer: selfId });
  * const entries = await log.load();
  * ```
  */
 export class ClaimLog {
   readonly #store: Store;
-  readonly #holder: HolderEpoch;
-  #sequence = 0;
-  #segmentKeys: string[] = [];
+  readonly #options: ClaimLogOptions;
+  #head: ClaimHead = create(ClaimHeadSchema);
+  /** Store revision of the head; 0 before the first commit. */
+  #headRevision = 0;
 
   /**
-   * Creates a log for a holder.
+   * Creates a log that has read nothing yet.
    *
    * @param store The platform's store.
-   * @param holder The holder's right.
+   * @param options Partition and writer.
    */
-  constructor(store: Store, holder: HolderEpoch) {
+  constructor(store: Store, options: ClaimLogOptions) {
     this.#store = store;
-    this.#holder = holder;
+    this.#options = options;
   }
 
-  /** Number of the next batch. */
-  get nextSequence(): number {
-    return this.#sequence + 1;
+  /** Number of the last batch that is known. */
+  get sequence(): number {
+    return this.#head.sequence;
   }
 
   /** Whether enough batches gathered to merge them. */
   get wantsCompaction(): boolean {
-    return this.#sequence > 0 && this.#sequence % BATCHES_PER_COMPACTION === 0;
+    const { sequence, compactedSequence } = this.#head;
+    return sequence - compactedSequence >= BATCHES_PER_COMPACTION;
   }
 
   /**
@@ -71,72 +81,136 @@
    * @returns Entries in commit order.
    */
   load(): ResultAsync<ClaimEntry[], StepError> {
-    return this.#store.list(this.#prefix()).map((range) => {
-      const batches = range.entries.map((entry) =>
-        fromBinary(ClaimBatchSchema, entry.value)
-      );
-      const sequences = batches.map((batch) => batch.sequence);
-      this.#sequence = Math.max(0, ...sequences);
-      this.#segmentKeys = range.entries.map((entry) => entry.key)
-        .filter((key) => key.startsWith(`${this.#prefix()}seg/`));
-      return batches
+    return this.#store.list(this.#prefix()).map(({ entries }) => {
+      const head = entries.find((entry) => entry.key === this.#headKey());
+      this.#follow(head);
+      return entries
+        .filter((entry) => entry !== head)
+        .map(toBatch)
         .sort((a, b) => a.sequence - b.sequence)
         .flatMap((batch) => batch.entries);
     });
   }
 
   /**
-   * Makes a batch durable.
+   * Reads what other writers committed since the last look.
    *
-   * Where the answer is lost, the batch's key is read to learn whether it was
-   * written.
+   * @returns Their entries in commit order; all of the partition where some
+   * were merged into segments meanwhile.
+   */
+  catchUp(): ResultAsync<readonly ClaimEntry[], StepError> {
+    return this.#store.get(this.#headKey()).andThen((head) => {
+      const isSame = (head?.modRevision ?? 0) === this.#headRevision;
+      if (isSame) return okAsync([]);
+      return this.#store.list(this.#logPrefix())
+        .andThen(({ entries }) => this.#takeIn(head, entries));
+    });
+  }
+
+  /**
+   * Makes entries durable as one batch.
+   *
+   * Where the answer is lost the same batch is written once more: the head
+   * tells whether it was written before.
    *
-   * @param batch The batch, numbered {@linkcode nextSequence}.
-   * @returns Nothing; a conflict where the holder's lease lapsed.
+   * @param entries The entries.
+   * @returns What became of it; after an error the same entries have to be
+   * given again.
    */
-  append(batch: ClaimBatch): ResultAsync<void, StepError> {
-    const key = this.#batchKey(batch.sequence);
-    return this.#commit([{ kind: "absent", key }], [{
-      kind: "put",
-      key,
-      value: toBinary(ClaimBatchSchema, batch),
-    }])
-      .orElse((error) =>
-        error.kind === FailureKind.Invalid
-          ? errAsync(error)
-          : this.#resolve(key, batch, error)
-      )
-      .map(() => {
-        this.#sequence = batch.sequence;
-      });
+  append(
+    entries: readonly ClaimEntry[],
+  ): ResultAsync<AppendOutcome, StepError> {
+    return this.#appendOnce(entries).orElse((error) =>
+      error.kind === FailureKind.Ambiguous
+        ? this.#appendOnce(entries)
+        : errAsync(error)
+    );
   }
 
   /**
    * Merges all batches into segments and drops what expired.
    *
    * @param entries All entries that are to be kept.
-   * @returns Nothing; a conflict where the holder's lease lapsed.
+   * @returns Nothing; a conflict where another writer committed first.
    */
   compact(entries: readonly ClaimEntry[]): ResultAsync<void, StepError> {
+    const { sequence, segmentKeys } = this.#head;
     const puts = splitBySize(entries)
       .map((segment, index) => this.#putSegment(segment, index));
-    const writes: StoreWrite[] = [
-      { kind: "delete-prefix", prefix: `${this.#prefix()}log/` },
-      ...this.#segmentKeys.map((key) => ({ kind: "delete", key }) as const),
+    const next = create(ClaimHeadSchema, {
+      sequence,
+      compactedSequence: sequence,
+      segmentKeys: puts.map((put) => put.key),
+    });
+    return this.#commit(next, [
+      { kind: "delete-prefix", prefix: this.#logPrefix() },
+      ...segmentKeys.map((key) => ({ kind: "delete", key }) as const),
       ...puts,
-    ];
-    return this.#commit([], writes).map(() => {
-      this.#segmentKeys = puts.map((put) => put.key);
+    ]).andThen((read) =>
+      read === undefined ? okAsync(undefined) : errAsync(this.#conflict())
+    );
+  }
+
+  #appendOnce(
+    entries: readonly ClaimEntry[],
+  ): ResultAsync<AppendOutcome, StepError> {
+    const sequence = this.sequence + 1;
+    const key = this.#batchKey(sequence);
+    const batch = create(ClaimBatchSchema, {
+      writer: this.#options.writer,
+      sequence,
+      entries: [...entries],
     });
+    const next = create(ClaimHeadSchema, { ...this.#head, sequence });
+    const value = toBinary(ClaimBatchSchema, batch);
+    return this.#commit(next, [{ kind: "put", key, value }])
+      .andThen((read) => {
+        if (read === undefined) return okAsync(DURABLE);
+        const own = read.find((entry) => entry.key === key);
+        if (own !== undefined && this.#isOwn(own)) {
+          this.#move(next, own.modRevision);
+          return okAsync(DURABLE);
+        }
+        const head = read.find((entry) => entry.key === this.#headKey());
+        return this.#takeIn(head, read.filter((entry) => entry !== head))
+          .map((foreign) => ({ kind: "overtaken", foreign }) as const);
+      });
+  }
+
+  #isOwn(entry: StoreEntry): boolean {
+    return toBatch(entry).writer === this.#options.writer;
+  }
+
+  /** Takes in the batches after the last known one, up to a head. */
+  #takeIn(
+    head: StoreEntry | undefined,
+    entries: readonly StoreEntry[],
+  ): ResultAsync<readonly ClaimEntry[], StepError> {
+    if (head === undefined) return this.load();
+    const { sequence } = fromBinary(ClaimHeadSchema, head.value);
+    const batches = entries.map(toBatch).filter((one) =>
+      one.sequence > this.sequence && one.sequence <= sequence
+    );
+    // Another writer merged some of them into segments.
+    if (batches.length !== sequence - this.sequence) return this.load();
+    this.#follow(head);
+    return okAsync(batches.flatMap((batch) => batch.entries));
+  }
+
+  #follow(head: StoreEntry | undefined): void {
+    const next = head === undefined
+      ? create(ClaimHeadSchema)
+      : fromBinary(ClaimHeadSchema, head.value);
+    this.#move(next, head?.modRevision ?? 0);
   }
 
   #putSegment(entries: ClaimEntry[], index: number) {
     const batch = create(ClaimBatchSchema, {
-      epoch: this.#holder.epoch,
-      sequence: this.#sequence,
+      writer: this.#options.writer,
+      sequence: this.sequence,
       entries,
     });
-    const name = `${pad(this.#sequence)}-${pad(index)}`;
+    const name = `${pad(this.sequence)}-${pad(index)}`;
     return {
       kind: "put",
       key: `${this.#prefix()}seg/${name}`,
@@ -144,54 +218,71 @@
     } as const;
   }
 
+  /**
+   * Writes where nobody moved the head since it was read.
+   *
+   * @returns What is in the log instead, where somebody did.
+   */
   #commit(
-    conditions: readonly StoreCondition[],
+    next: ClaimHead,
     writes: readonly StoreWrite[],
-  ): ResultAsync<void, StepError> {
-    const fence: StoreCondition = {
-      kind: "unchanged",
-      key: this.#holder.slotKey,
-      modRevision: this.#holder.epoch,
-    };
-    return this.#store.commit({ conditions: [fence, ...conditions], writes })
-      .andThen(({ succeeded }) =>
-        succeeded ? okAsync(undefined) : errAsync(this.#fenced())
-      );
-  }
-
-  /** Learns whether a batch whose answer was lost is durable. */
-  #resolve(
-    key: string,
-    batch: ClaimBatch,
-    cause: StepError,
-  ): ResultAsync<void, StepError> {
-    return this.#store.get(key).andThen((entry) => {
-      if (entry === undefined) return errAsync(cause);
-      const stored = fromBinary(ClaimBatchSchema, entry.value);
-      return stored.epoch === batch.epoch
-        ? okAsync(undefined)
-        : errAsync(this.#fenced());
+  ): ResultAsync<readonly StoreEntry[] | undefined, StepError> {
+    const key = this.#headKey();
+    const condition: StoreCondition = this.#headRevision === 0
+      ? { kind: "absent", key }
+      : { kind: "unchanged", key, modRevision: this.#headRevision };
+    const value = toBinary(ClaimHeadSchema, next);
+    return this.#store.commit({
+      conditions: [condition],
+      writes: [{ kind: "put", key, value }, ...writes],
+      otherwise: [
+        { kind: "key", key },
+        { kind: "prefix", prefix: this.#logPrefix() },
+      ],
+    }).map(({ succeeded, revision, entries }) => {
+      if (!succeeded) return entries;
+      this.#move(next, revision);
+      return undefined;
     });
   }
 
-  #fenced(): StepError {
+  #move(head: ClaimHead, revision: number): void {
+    this.#head = head;
+    this.#headRevision = revision;
+  }
+
+  #conflict(): StepError {
     return new StepError(
       FailureKind.Conflict,
-      "commit-claims",
-      `Cannot commit claims of partition ${this.#holder.partition}: the lease lapsed`,
+      "compact-claims",
+      `Cannot compact claims of partition ${this.#options.partition}: another writer committed first`,
       { peer: "store" },
     );
   }
 
   #prefix(): string {
-    return `claims/${this.#holder.partition}/`;
+    return `claims/${this.#options.partition}/`;
+  }
+
+  #headKey(): string {
+    return `${this.#prefix()}head`;
+  }
+
+  #logPrefix(): string {
+    return `${this.#prefix()}log/`;
   }
 
   #batchKey(sequence: number): string {
-    return `${this.#prefix()}log/${pad(sequence)}`;
+    return `${this.#logPrefix()}${pad(sequence)}`;
   }
 }
 
+const DURABLE = { kind: "durable" } as const;
+
+function toBatch(entry: StoreEntry): ClaimBatch {
+  return fromBinary(ClaimBatchSchema, entry.value);
+}
+
 function pad(number: number): string {
   return String(number).padStart(10, "0");
 }
--- a/src/coordination/claims/claim_partition.ts
+++ b/src/coordination/claims/claim_partition.ts
@@ -1,8 +1,6 @@
 import { Buffer } from "node:buffer";
 import { create, toBinary } from "@bufbuild/protobuf";
 import {
-  type ClaimBatch,
-  ClaimBatchSchema,
   type ClaimEntry,
   ClaimEntrySchema,
   type ClaimRequest,
@@ -28,10 +26,11 @@
   | { readonly kind: "await-commit"; readonly response: ClaimResponse };
 
 /**
- * The claims of one partition, as its leased holder keeps them.
+ * The claims of one partition, as a holder keeps them.
  *
  * A claim is granted only once it is durable. Entries gather while a commit is
- * under way and go out together in the next one.
+ * under way and go out together in the next one. What another holder committed
+ * first counts, and own entries that contradict it are dropped.
  *
  * @example
  * ```ts
@@ -132,15 +131,51 @@
   /**
    * Takes the entries of the next group commit.
    *
-   * @param epoch The holder's fencing epoch.
-   * @param sequence Number of the batch.
-   * @returns The batch.
+   * @returns The entries.
    */
-  takeBatch(epoch: number, sequence: number): ClaimBatch {
+  takeBatch(): ClaimEntry[] {
     const entries = this.#pending;
     this.#pending = [];
     this.#pendingBytes = 0;
-    return create(ClaimBatchSchema, { epoch, sequence, entries });
+    return entries;
+  }
+
+  /**
+   * Takes in what another holder committed before an own batch.
+   *
+   * @param foreign The other's entries in commit order.
+   * @param batch The own batch, which is not durable.
+   * @returns What is left of the own batch.
+   */
+  rebase(
+    foreign: readonly ClaimEntry[],
+    batch: readonly ClaimEntry[],
+  ): ClaimEntry[] {
+    const touched = new Set(foreign.map((entry) => keyOf(entry.key)));
+    // What is known already stays: a store that was restored from an old backup
+    // must not make this holder forget.
+    for (const entry of foreign) this.#put(entry);
+    const reapply = (entry: ClaimEntry) =>
+      !touched.has(keyOf(entry.key)) || this.#reapply(entry);
+    const left = batch.filter(reapply);
+    const pending = this.#pending.filter(reapply);
+    this.#pending = [];
+    this.#pendingBytes = 0;
+    for (const entry of pending) this.#enqueue(entry);
+    return left;
+  }
+
+  /**
+   * Answers a claim whose batch has been settled.
+   *
+   * @param request The claim.
+   * @returns A grant, unless another holder's entry came first.
+   */
+  settled(request: ClaimRequest): ClaimResponse {
+    const known = this.#entries.get(keyOf(request.key));
+    return known === undefined
+      ? create(ClaimResponseSchema, { state: ClaimState.UNKNOWN })
+      : answerKnown(known, request).response;
   }
 
   /** Whether the next batch is full. */
@@ -151,10 +186,25 @@
 
   #append(entry: ClaimEntry): void {
     this.#put(entry);
+    this.#enqueue(entry);
+  }
+
+  #enqueue(entry: ClaimEntry): void {
     this.#pending.push(entry);
     this.#pendingBytes += toBinary(ClaimEntrySchema, entry).length;
   }
 
+  /** Returns whether an own entry still stands, and puts it on top again. */
+  #reapply(entry: ClaimEntry): boolean {
+    const known = this.#entries.get(keyOf(entry.key));
+    const isClaim = entry.answer === undefined && !entry.released;
+    const stands = isClaim
+      ? known === undefined
+      : known?.requestId === entry.requestId;
+    if (stands) this.#put(entry);
+    return stands;
+  }
+
   #put(entry: ClaimEntry): void {
     const key = keyOf(entry.key);
     if (entry.released) this.#entries.delete(key);
--- a/src/coordination/slots/slot_keeper.ts
+++ b/src/coordination/slots/slot_keeper.ts
@@ -91,7 +91,14 @@
    */
   surplus(members: readonly SlotMember[]): string | undefined {
     const self = members.find((member) => member.id === this.#selfId);
+    // A member that is out of reach may seem to hold a slot that it lost. If
+    // this daemon gave such a slot up, nobody would see that it is vacant.
+    const ofOthers = new Set(
+      members.filter((member) => member !== self)
+        .flatMap((member) => member.leasedSlots),
+    );
     return self?.leasedSlots.find((name) => {
+      if (ofOthers.has(name)) return false;
       const slot = this.#slots.find((one) => one.name === name);
       if (slot === undefined) return false;
       const eligible = eligibleFor(slot, members);
@@ -153,6 +160,8 @@
   return member.leasedSlots.filter((held) => kindOf(held) === kind).length;
 }
 
+/** Prefix of the names of all reader slots. */
+export const READER_PREFIX = "slots/reader/";
 /** Readers of the store, which are also contacts, in each failure domain. */
 export const READERS_PER_DOMAIN = 2;
 
@@ -169,7 +178,7 @@
  * ```
  */
 export function readerSlot(domain: string, index: number): string {
-  return `slots/reader/${domain}/${index}`;
+  return `${READER_PREFIX}${domain}/${index}`;
 }
 
 /**
--- a/src/daemon/claim_client.ts
+++ b/src/daemon/claim_client.ts
@@ -8,7 +8,7 @@
   issueTimeMs,
   partitionOf,
 } from "../coordination/claims/idempotency_key.ts";
-import { claimSlot } from "../coordination/slots/slot_keeper.ts";
+import { HolderChoice } from "../coordination/claims/holder_choice.ts";
 import type { Call } from "../protocol/call.ts";
 import {
   type ClaimRequest,
@@ -30,8 +30,9 @@
 import type { ClaimTask } from "./claim_task.ts";
 import { monotonicMs } from "./clocks.ts";
 
-/** Longest time of one call to a holder, in ms. */
+/** Longest time of one call to a holder of the own or another domain, in ms. */
 const CALL_TIMEOUT_MS = 2_000;
+const FAR_CALL_TIMEOUT_MS = 750;
 /** Time for which a claim waits for a partition to change hands, in ms. */
 const HANDOVER_MS = 2_500;
 /** Attempts to record the end of a request. */
@@ -44,6 +45,8 @@
   readonly members: MemberTable;
   readonly clients: FleetClients;
   readonly task: ClaimTask;
+  /** Failure domain of this daemon. */
+  readonly domain: string;
   readonly log: EventLog;
   readonly partitions: number;
   readonly windowMs: number;
@@ -59,6 +62,7 @@
  */
 export class ClaimClient {
   readonly #options: ClaimClientOptions;
+  readonly #holders: HolderChoice;
 
   /**
    * Creates a client.
@@ -67,6 +71,7 @@
    */
   constructor(options: ClaimClientOptions) {
     this.#options = options;
+    this.#holders = new HolderChoice(options.members, options.domain);
   }
 
   /**
@@ -130,19 +135,34 @@
     }));
   }
 
+  /** Asks the holder, and what stands in for it where it can not be asked. */
   async #claimOnce(request: ClaimRequest): Promise<ClaimResponse> {
-    if (this.#options.task.holds(request.partition)) {
-      return await this.#options.task.claim(request);
+    const { task } = this.#options;
+    if (task.holds(request.partition)) return await task.claim(request);
+    let last: ClaimResponse = NO_HOLDER;
+    for (const holder of this.#holders.of(request.partition, monotonicMs())) {
+      const response = await this.#claimAt(holder, request);
+      if (!isUndecided(response)) return response;
+      if (response !== NO_HOLDER) last = response;
     }
-    const holder = this.#holderOf(request.partition);
-    if (holder === undefined) return NO_HOLDER;
+    return task.isSubstitute ? await task.claim(request) : last;
+  }
+
+  async #claimAt(
+    holder: Member,
+    request: ClaimRequest,
+  ): Promise<ClaimResponse> {
     const result = await this.#options.clients.call(
       `${holder.host}:${holder.controlPort}`,
       "claim",
       (peer, options) => peer.claim(request, options),
-      { timeoutMs: CALL_TIMEOUT_MS },
+      { timeoutMs: this.#timeoutMs(holder) },
     );
-    if (result.isOk()) return result.value;
+    if (result.isOk()) {
+      this.#holders.answered(holder.id);
+      return result.value;
+    }
+    this.#holders.failed(holder.id, monotonicMs());
     this.#options.log.warn("claim-failed", {
       partition: request.partition,
       peer: result.error.peer,
@@ -165,22 +185,32 @@
   }
 
   async #completeOnce(request: CompleteClaimRequest): Promise<boolean> {
-    if (this.#options.task.holds(request.partition)) {
-      return await this.#options.task.complete(request);
+    const { task } = this.#options;
+    if (task.holds(request.partition)) return await task.complete(request);
+    for (const holder of this.#holders.of(request.partition, monotonicMs())) {
+      if (await this.#completeAt(holder, request)) return true;
     }
-    const holder = this.#holderOf(request.partition);
-    if (holder === undefined) return false;
+    return task.isSubstitute && await task.complete(request);
+  }
+
+  async #completeAt(
+    holder: Member,
+    request: CompleteClaimRequest,
+  ): Promise<boolean> {
     const result = await this.#options.clients.call(
       `${holder.host}:${holder.controlPort}`,
       "complete-claim",
       (peer, options) => peer.completeClaim(request, options),
-      { timeoutMs: CALL_TIMEOUT_MS },
+      { timeoutMs: this.#timeoutMs(holder) },
     );
+    if (result.isErr()) this.#holders.failed(holder.id, monotonicMs());
     return result.isOk() && result.value.recorded;
   }
 
-  #holderOf(partition: number): Member | undefined {
-    return this.#options.members.holderOf(claimSlot(partition));
+  #timeoutMs(holder: Member): number {
+    return holder.domain === this.#options.domain
+      ? CALL_TIMEOUT_MS
+      : FAR_CALL_TIMEOUT_MS;
   }
 
   #request(call: Call): ClaimRequest {
@@ -208,6 +238,12 @@
 /** The partition changes hands, or its holder is gone: nothing was written. */
 const NO_HOLDER = refusedClaim(Reason.ClaimUnavailable);
 
+/** Whether nothing was written nor decided, so that another may be asked. */
+function isUndecided(response: ClaimResponse): boolean {
+  return response.state === ClaimState.REFUSED &&
+    response.reason === Reason.ClaimUnavailable;
+}
+
 function unknownClaim(): ClaimResponse {
   return create(ClaimResponseSchema, { state: ClaimState.UNKNOWN });
 }
--- a/src/daemon/claim_holder.ts
+++ b/src/daemon/claim_holder.ts
@@ -2,9 +2,8 @@
 import { create } from "@bufbuild/protobuf";
 import { ClaimLog } from "../coordination/claims/claim_log.ts";
 import { ClaimPartition } from "../coordination/claims/claim_partition.ts";
-import { claimSlot } from "../coordination/slots/slot_keeper.ts";
 import {
-  type ClaimBatch,
+  type ClaimEntry,
   type ClaimRequest,
   type ClaimResponse,
   ClaimResponseSchema,
@@ -12,7 +11,7 @@
   type CompleteClaimRequest,
 } from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
 import { Reason } from "../protocol/outcome.ts";
-import { FailureKind, type StepError } from "../protocol/step_error.ts";
+import type { StepError } from "../protocol/step_error.ts";
 import type { Store } from "../protocol/store.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { Metrics } from "../transport/observe/metrics.ts";
@@ -24,11 +23,19 @@
 const STALL_MS = 1_000;
 /** Pause before a failed load is tried again, in ms. */
 const LOAD_RETRY_MS = 500;
+/** Longest time for which a claim waits for the partition to load, in ms. */
+const LOAD_WAIT_MS = 1_000;
+/** Shortest time between two looks at what others committed, in ms. */
+const LOOK_PERIOD_MS = 1_000;
+
+/** Holders that this process has had. */
+let holders = 0;
 
 type Waiter = (isDurable: boolean) => void;
 
 /** What a {@linkcode ClaimHolder} needs. */
 export interface ClaimHolderOptions {
+  readonly selfId: string;
   readonly store: Store;
   readonly log: EventLog;
   readonly metrics: Metrics;
@@ -37,14 +44,15 @@
 }
 
 /**
- * Holds one claim partition for as long as its lease lasts.
+ * Makes the claims of one partition durable, many in one commit.
  *
  * One commit is under way at a time. What arrives meanwhile goes into the next
- * one, so that the store's writes do not grow with the claims.
+ * one, so that the store's writes do not grow with the claims. Where another
+ * holder commits to the same partition, the two take turns.
  *
  * @example
  * ```ts ignore
- * const holder = new ClaimHolder(3, { name, epoch }, options);
+ * const holder = new ClaimHolder(3, options);
  * const response = await holder.claim(request);
  * ```
  */
@@ -53,37 +61,31 @@
   readonly #options: ClaimHolderOptions;
   readonly #partition: ClaimPartition;
   readonly #log: ClaimLog;
-  readonly #epoch: number;
+  readonly #loading: Promise<void>;
   #waiters: Waiter[] = [];
   #isReady = false;
   #isStopped = false;
   #committing = false;
   #commitStartedMs = 0;
   #lastCommitMs = -Infinity;
+  #lookedAtMs = -Infinity;
 
   /**
    * Starts to load the partition.
    *
    * @param partition Number of the partition.
-   * @param epoch Store revision at which its slot was taken.
    * @param options Store, log and timing.
    */
-  constructor(partition: number, epoch: number, options: ClaimHolderOptions) {
+  constructor(partition: number, options: ClaimHolderOptions) {
     this.#partitionNumber = partition;
-    this.#epoch = epoch;
     this.#options = options;
     this.#partition = new ClaimPartition(options.windowMs);
     this.#log = new ClaimLog(options.store, {
       partition,
-      slotKey: claimSlot(partition),
-      epoch,
+      // Not even an earlier holder of this process has the same name.
+      writer: `${options.selfId}/${++holders}`,
     });
-    void this.#load();
-  }
-
-  /** Store revision at which the slot was taken. */
-  get epoch(): number {
-    return this.#epoch;
+    this.#loading = this.#load();
   }
 
   /** Number of claims that are kept. */
@@ -98,17 +100,22 @@
    * @returns The answer; a grant only once it is durable.
    */
   async claim(request: ClaimRequest): Promise<ClaimResponse> {
-    if (!this.#isReady || this.#isStopped || this.#isStalled()) {
+    if (!await this.#isUsable()) {
       return refusedClaim(Reason.ClaimUnavailable);
     }
-    const decision = this.#partition.claim(request, Date.now());
+    let decision = this.#partition.claim(request, Date.now());
+    if (decision.response.state === ClaimState.HELD) {
+      // Another holder may have recorded its end.
+      await this.#lookAtOthers();
+      decision = this.#partition.claim(request, Date.now());
+    }
     switch (decision.kind) {
       case "answer":
         return decision.response;
       case "await-commit": {
         const isDurable = await this.#durable();
         return isDurable
-          ? decision.response
+          ? this.#partition.settled(request)
           : create(ClaimResponseSchema, { state: ClaimState.UNKNOWN });
       }
     }
@@ -121,8 +128,12 @@
    * @returns Whether it is durable.
    */
   async complete(request: CompleteClaimRequest): Promise<boolean> {
-    if (!this.#isReady || this.#isStopped) return false;
-    if (!this.#partition.complete(request)) return false;
+    if (!await this.#isUsable()) return false;
+    if (!this.#partition.complete(request)) {
+      // Another holder may have granted the claim.
+      await this.#lookAtOthers();
+      if (!this.#partition.complete(request)) return false;
+    }
     return await this.#durable();
   }
 
@@ -132,6 +143,14 @@
     for (const waiter of this.#waiters.splice(0)) waiter(false);
   }
 
+  async #isUsable(): Promise<boolean> {
+    if (!this.#isReady) {
+      const given = AbortSignal.timeout(LOAD_WAIT_MS);
+      await Promise.race([this.#loading, aborted(given)]);
+    }
+    return this.#isReady && !this.#isStopped && !this.#isStalled();
+  }
+
   async #load(): Promise<void> {
     while (!this.#isStopped) {
       const result = await this.#log.load();
@@ -149,6 +168,18 @@
     }
   }
 
+  /** Takes in what others committed, unless a commit will find it out anyway. */
+  async #lookAtOthers(): Promise<void> {
+    const nowMs = monotonicMs();
+    if (this.#committing || nowMs - this.#lookedAtMs < LOOK_PERIOD_MS) return;
+    this.#lookedAtMs = nowMs;
+    this.#committing = true;
+    const result = await this.#log.catchUp();
+    if (result.isOk()) this.#partition.rebase(result.value, []);
+    this.#committing = false;
+    if (this.#waiters.length > 0) void this.#commitLoop();
+  }
+
   /** Waits until what is pending now is durable. */
   #durable(): Promise<boolean> {
     return new Promise((resolve) => {
@@ -170,29 +201,34 @@
 
   async #commitOnce(): Promise<void> {
     const waiters = this.#waiters.splice(0);
-    const batch = this.#partition
-      .takeBatch(this.#epoch, this.#log.nextSequence);
+    const entries = this.#partition.takeBatch();
     this.#commitStartedMs = monotonicMs();
-    const isDurable = batch.entries.length === 0 ||
-      await this.#appendUntilSettled(batch);
+    const isDurable = await this.#appendUntilSettled(entries);
     this.#lastCommitMs = monotonicMs();
     this.#commitStartedMs = 0;
     for (const waiter of waiters) waiter(isDurable);
-    this.#options.metrics.count("claims.committed", batch.entries.length);
+    this.#options.metrics.count("claims.committed", entries.length);
     if (isDurable && this.#log.wantsCompaction) await this.#compact();
   }
 
-  /** Writes the same batch until it is known to be durable or fenced. */
-  async #appendUntilSettled(batch: ClaimBatch): Promise<boolean> {
+  /** Writes entries until they are durable, or overruled by another holder's. */
+  async #appendUntilSettled(entries: readonly ClaimEntry[]): Promise<boolean> {
+    let left = entries;
     while (!this.#isStopped) {
-      const result = await this.#log.append(batch);
-      if (result.isOk()) return true;
-      this.#report("claims-commit-failed", result.error);
-      if (result.error.kind === FailureKind.Conflict) {
-        this.stop();
-        return false;
+      if (left.length === 0) return true;
+      const result = await this.#log.append(left);
+      if (result.isErr()) {
+        this.#report("claims-commit-failed", result.error);
+        await sleep(RETRY_PAUSE_MS);
+        continue;
+      }
+      switch (result.value.kind) {
+        case "durable":
+          return true;
+        case "overtaken":
+          left = this.#partition.rebase(result.value.foreign, left);
+          this.#options.metrics.count("claims.conflicts");
       }
-      await sleep(RETRY_PAUSE_MS);
     }
     return false;
   }
@@ -218,6 +254,12 @@
   }
 }
 
+function aborted(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    signal.addEventListener("abort", () => resolve(), { once: true });
+  });
+}
+
 /**
  * Builds the answer to a claim that was not written.
  *
--- a/src/daemon/claim_task.ts
+++ b/src/daemon/claim_task.ts
@@ -1,4 +1,4 @@
-import { claimSlot } from "../coordination/slots/slot_keeper.ts";
+import { claimSlot, READER_PREFIX } from "../coordination/slots/slot_keeper.ts";
 import type {
   ClaimRequest,
   ClaimResponse,
@@ -10,17 +10,43 @@
   type ClaimHolderOptions,
   refusedClaim,
 } from "./claim_holder.ts";
+import { monotonicMs } from "./clocks.ts";
 import type { FleetBus, HeldSlot } from "./fleet_bus.ts";
 
+/** Shortest time between two commits of a substitute, in ms. */
+const SUBSTITUTE_INTERVAL_MS = 250;
+/** Time after which an unused substitute ends, in ms. */
+const SUBSTITUTE_IDLE_MS = 10_000;
+/** Time between two looks at the substitutes, in ms. */
+const SWEEP_PERIOD_MS = 2_000;
+
 /** What a {@linkcode ClaimTask} needs. */
 export interface ClaimTaskOptions extends ClaimHolderOptions {
   readonly bus: FleetBus;
   readonly partitions: number;
 }
 
+/** A holder without the partition's slot. */
+interface Substitute {
+  readonly holder: ClaimHolder;
+  /** Monotonic time at which it ends unless it is used again. */
+  idleAtMs: number;
+}
+
+/** A holder by the partition's slot. */
+interface Held {
+  readonly holder: ClaimHolder;
+  /** Store revision at which the slot was taken. */
+  readonly epoch: number;
+}
+
 /**
  * Holds the claim partitions whose slots this daemon was given.
  *
+ * A reader of its failure domain also stands in for holders that the domain
+ * cannot reach: it commits to the same log, more slowly, and takes the slot
+ * once the holder has lost it.
+ *
  * @example
  * ```ts ignore
  * const task = new ClaimTask(options);
@@ -29,7 +55,10 @@
  */
 export class ClaimTask {
   readonly #options: ClaimTaskOptions;
-  readonly #holders = new Map<number, ClaimHolder>();
+  readonly #held = new Map<number, Held>();
+  readonly #substitutes = new Map<number, Substitute>();
+  #isReader = false;
+  #sweeper: NodeJS.Timeout | undefined;
 
   /**
    * Creates a task that follows the bus.
@@ -44,28 +73,33 @@
   /** Number of claims in the partitions held here. */
   get size(): number {
     let size = 0;
-    for (const holder of this.#holders.values()) size += holder.size;
+    for (const { holder } of this.#held.values()) size += holder.size;
     return size;
   }
 
   /**
-   * Says whether a partition is held here.
+   * Says whether a partition's slot is held here.
    *
    * @param partition Number of the partition.
    * @returns Whether claims can be made directly.
    */
   holds(partition: number): boolean {
-    return this.#holders.has(partition);
+    return this.#held.has(partition);
+  }
+
+  /** Whether this daemon stands in for holders that are out of reach. */
+  get isSubstitute(): boolean {
+    return this.#isReader;
   }
 
   /**
-   * Claims a key in a partition held here.
+   * Claims a key, as the holder of its partition or in the holder's place.
    *
    * @param request The claim.
-   * @returns The answer; refused where the partition is not held.
+   * @returns The answer; refused where this daemon does neither.
    */
   async claim(request: ClaimRequest): Promise<ClaimResponse> {
-    const holder = this.#holders.get(request.partition);
+    const holder = this.#holderOf(request.partition);
     return holder === undefined
       ? refusedClaim(Reason.ClaimUnavailable)
       : await holder.claim(request);
@@ -78,28 +112,82 @@
    * @returns Whether it is durable.
    */
   async complete(request: CompleteClaimRequest): Promise<boolean> {
-    const holder = this.#holders.get(request.partition);
+    const holder = this.#holderOf(request.partition);
     return holder === undefined ? false : await holder.complete(request);
   }
 
   /** Gives up all partitions. */
   stop(): void {
-    for (const holder of this.#holders.values()) holder.stop();
-    this.#holders.clear();
+    this.#isReader = false;
+    clearInterval(this.#sweeper);
+    for (const { holder } of this.#held.values()) holder.stop();
+    this.#held.clear();
+    this.#endSubstitutes(() => true);
+  }
+
+  #holderOf(partition: number): ClaimHolder | undefined {
+    const held = this.#held.get(partition);
+    if (held !== undefined) return held.holder;
+    if (!this.#isReader || partition >= this.#options.partitions) {
+      return undefined;
+    }
+    let substitute = this.#substitutes.get(partition);
+    if (substitute === undefined) {
+      substitute = { holder: this.#startSubstitute(partition), idleAtMs: 0 };
+      this.#substitutes.set(partition, substitute);
+    }
+    substitute.idleAtMs = monotonicMs() + SUBSTITUTE_IDLE_MS;
+    return substitute.holder;
+  }
+
+  #startSubstitute(partition: number): ClaimHolder {
+    const { log, commitIntervalMs } = this.#options;
+    log.warn("claims-substituted", { partition });
+    this.#doubt(partition);
+    this.#sweeper ??= setInterval(() => this.#sweep(), SWEEP_PERIOD_MS);
+    return new ClaimHolder(partition, {
+      ...this.#options,
+      commitIntervalMs: Math.max(commitIntervalMs, SUBSTITUTE_INTERVAL_MS),
+    });
   }
 
-  #follow(held: readonly HeldSlot[]): void {
+  #doubt(partition: number): void {
+    void this.#options.bus.emit("slotDoubted", { name: claimSlot(partition) });
+  }
+
+  /** Ends what is not used, and looks whether the slots of the rest are free. */
+  #sweep(): void {
+    const nowMs = monotonicMs();
+    this.#endSubstitutes((_, { idleAtMs }) => idleAtMs <= nowMs);
+    for (const partition of this.#substitutes.keys()) this.#doubt(partition);
+    if (this.#substitutes.size > 0) return;
+    clearInterval(this.#sweeper);
+    this.#sweeper = undefined;
+  }
+
+  #endSubstitutes(
+    isOver: (partition: number, substitute: Substitute) => boolean,
+  ): void {
+    for (const [partition, substitute] of this.#substitutes) {
+      if (!isOver(partition, substitute)) continue;
+      substitute.holder.stop();
+      this.#substitutes.delete(partition);
+    }
+  }
+
+  #follow(slots: readonly HeldSlot[]): void {
+    this.#isReader = slots.some((slot) => slot.name.startsWith(READER_PREFIX));
     for (let number = 0; number < this.#options.partitions; number++) {
-      const slot = held.find((one) => one.name === claimSlot(number));
-      const holder = this.#holders.get(number);
-      if (holder !== undefined && holder.epoch !== slot?.epoch) {
-        holder.stop();
-        this.#holders.delete(number);
-      }
-      if (slot !== undefined && !this.#holders.has(number)) {
-        const next = new ClaimHolder(number, slot.epoch, this.#options);
-        this.#holders.set(number, next);
+      const slot = slots.find((one) => one.name === claimSlot(number));
+      const held = this.#held.get(number);
+      if (held !== undefined && held.epoch !== slot?.epoch) {
+        held.holder.stop();
+        this.#held.delete(number);
       }
+      if (slot === undefined || this.#held.has(number)) continue;
+      const holder = new ClaimHolder(number, this.#options);
+      this.#held.set(number, { holder, epoch: slot.epoch });
     }
+    this.#endSubstitutes((number) => !this.#isReader || this.#held.has(number));
   }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -79,7 +79,6 @@
     requests: new SocketMeter(),
   };
   readonly #store: EtcdStore;
-  /** Claims have a budget of their own, so that they never starve leases. */
   readonly #claimStore: EtcdStore;
   readonly #clients: FleetClients;
   /** Calls on behalf of requests, over connections of their own. */
@@ -119,8 +118,12 @@
     this.#settings = settings;
     this.#log = openLog(settings);
     this.#metrics = openMetrics(settings.statsd, settings.instance);
-    this.#store = this.#openStore(this.#meters.control);
-    this.#claimStore = this.#openStore(this.#meters.requests);
+    const { store, claims: claimSettings } = settings;
+    this.#store = this.#openStore(this.#meters.control, store.callsPerSecond);
+    this.#claimStore = this.#openStore(
+      this.#meters.requests,
+      claimSettings.storeCallsPerSecond,
+    );
     this.#clients = new FleetClients(token, {
       sourceAddress: settings.sourceAddress,
       meter: this.#meters.control,
@@ -170,6 +173,7 @@
       ...settings.claims,
       clients: this.#requestClients,
       members: this.#membership.table,
+      domain: self.domain,
       task: this.#claims,
     });
     this.#destination = new Destination({
@@ -378,8 +382,8 @@
     });
   }
 
-  #openStore(meter: SocketMeter): EtcdStore {
-    const { endpoints, callsPerSecond, timeoutMs } = this.#settings.store;
+  #openStore(meter: SocketMeter, callsPerSecond: number): EtcdStore {
+    const { endpoints, timeoutMs } = this.#settings.store;
     return new EtcdStore(endpoints, {
       callsPerSecond,
       timeoutMs,
--- a/src/daemon/fleet_bus.ts
+++ b/src/daemon/fleet_bus.ts
@@ -18,6 +18,8 @@
   backendChanged: BackendStatus;
   /** The slots that this daemon holds changed. */
   slotsChanged: { readonly held: readonly HeldSlot[] };
+  /** The holder of a slot is out of reach and may have lost it. */
+  slotDoubted: { readonly name: string };
   /** The store named contacts. */
   contactsSeen: { readonly addresses: readonly string[] };
   /** Requests came under suspicion here or were reported so by a peer. */
--- a/src/daemon/lease_task.ts
+++ b/src/daemon/lease_task.ts
@@ -57,6 +57,7 @@
   #lease: Lease | undefined;
   #renewAtMs = 0;
   #rounds = 0;
+  readonly #doubted = new Set<string>();
   #timer: NodeJS.Timeout | undefined;
   #isStopped = false;
 
@@ -68,6 +69,7 @@
   constructor(options: LeaseTaskOptions) {
     this.#options = options;
     this.#keeper = new SlotKeeper(options.selfId, options.slots);
+    options.bus.on("slotDoubted", ({ name }) => void this.#doubted.add(name));
   }
 
   /** The slots that this daemon holds. */
@@ -100,8 +102,10 @@
     if (this.#lease !== undefined) await this.#keepLease(this.#lease);
     if (this.#isStopped) return;
     const nowMs = monotonicMs();
-    for (const name of this.#keeper.wanted(this.#options.members(), nowMs)) {
-      await this.#take(name);
+    const wanted = this.#keeper.wanted(this.#options.members(), nowMs);
+    for (const name of new Set([...wanted, ...this.#doubted])) {
+      this.#doubted.delete(name);
+      if (!this.#holds(name)) await this.#take(name);
     }
     this.#rounds++;
     if (this.#rounds % ROUNDS_PER_GIFT === 0) {
@@ -205,6 +209,10 @@
     if (result.isErr()) this.#dropAll("unsure");
   }
 
+  #holds(name: string): boolean {
+    return this.#held.some((slot) => slot.name === name);
+  }
+
   #hold(slot: HeldSlot): void {
     this.#options.log.info("slot-taken", {
       slot: slot.name,
--- a/src/daemon/reader_task.ts
+++ b/src/daemon/reader_task.ts
@@ -9,6 +9,7 @@
   type HeadRecord,
   parseHead,
 } from "../coordination/config/head_record.ts";
+import { READER_PREFIX } from "../coordination/slots/slot_keeper.ts";
 import type { Random } from "../protocol/random.ts";
 import { messageOf, type StepError } from "../protocol/step_error.ts";
 import type { Store } from "../protocol/store.ts";
@@ -17,8 +18,6 @@
 import type { ConfigTask } from "./config_task.ts";
 import type { FleetBus } from "./fleet_bus.ts";
 
-/** Prefix of the keys of all reader slots. */
-const READER_PREFIX = "slots/reader/";
 /** Pauses after a failed watch, in ms. */
 const MIN_PAUSE_MS = 200;
 const MAX_PAUSE_MS = 5_000;
--- a/src/protocol/settings_schema.ts
+++ b/src/protocol/settings_schema.ts
@@ -50,6 +50,8 @@
     partitions: z.number().int().min(1).max(1_024).default(16),
     commitIntervalMs: z.number().int().min(0).max(1_000).default(50),
     windowMs: z.number().int().min(300_000).default(900_000),
+    /** Budget of its own, so that claims never starve leases and readers. */
+    storeCallsPerSecond: z.number().min(0.1).max(10_000).default(60),
   }).prefault({}),
   ingress: z.strictObject({
     maxRunning: z.number().int().min(1).default(2_000),
--- a/src/protocol/store.ts
+++ b/src/protocol/store.ts
@@ -36,12 +36,21 @@
 export interface StoreTransaction {
   readonly conditions: readonly StoreCondition[];
   readonly writes: readonly StoreWrite[];
+  /** Keys and prefixes to read, at one revision, where a condition fails. */
+  readonly otherwise?: readonly StoreRange[];
 }
 
+/** Keys to read. */
+export type StoreRange =
+  | { readonly kind: "key"; readonly key: string }
+  | { readonly kind: "prefix"; readonly prefix: string };
+
 /** What a transaction did. */
 export interface TransactionResult {
   readonly succeeded: boolean;
   readonly revision: number;
+  /** What was read as a condition failed. */
+  readonly entries: readonly StoreEntry[];
 }
 
 /** Entries of a range with the revision that they were read at. */
--- a/src/state/member_table.ts
+++ b/src/state/member_table.ts
@@ -39,7 +39,7 @@
   readonly present: readonly Member[];
   readonly presentByDomain: ReadonlyMap<string, readonly Member[]>;
   readonly domains: readonly string[];
-  readonly holderBySlot: ReadonlyMap<string, Member>;
+  readonly holdersBySlot: ReadonlyMap<string, readonly Member[]>;
 }
 
 const NO_MEMBERS: readonly Member[] = [];
@@ -118,13 +118,13 @@
   }
 
   /**
-   * Returns the present member that says it holds a leased slot.
+   * Returns the present members that say they hold a leased slot.
    *
    * @param slot Name of the slot.
-   * @returns The member, if there is one.
+   * @returns The members: one, or more where some are out of reach.
    */
-  holderOf(slot: string): Member | undefined {
-    return this.#views().holderBySlot.get(slot);
+  holdersOf(slot: string): readonly Member[] {
+    return this.#views().holdersBySlot.get(slot) ?? NO_MEMBERS;
   }
 
   /**
@@ -188,17 +188,23 @@
 function viewsOf(all: readonly Member[]): Views {
   const present = all.filter(isPresent);
   const presentByDomain = new Map<string, Member[]>();
-  const holderBySlot = new Map<string, Member>();
+  const holdersBySlot = new Map<string, Member[]>();
   for (const member of present) {
-    const inDomain = presentByDomain.get(member.domain);
-    if (inDomain === undefined) presentByDomain.set(member.domain, [member]);
-    else inDomain.push(member);
-    for (const slot of member.leasedSlots) {
-      if (!holderBySlot.has(slot)) holderBySlot.set(slot, member);
-    }
+    addTo(presentByDomain, member.domain, member);
+    for (const slot of member.leasedSlots) addTo(holdersBySlot, slot, member);
   }
   const domains = [...presentByDomain.keys()].sort();
-  return { all, present, presentByDomain, domains, holderBySlot };
+  return { all, present, presentByDomain, domains, holdersBySlot };
+}
+
+function addTo(
+  groups: Map<string, Member[]>,
+  key: string,
+  member: Member,
+): void {
+  const group = groups.get(key);
+  if (group === undefined) groups.set(key, [member]);
+  else group.push(member);
 }
 
 function digestPartOf(member: Member): number {
--- a/src/transport/store/etcd_messages.ts
+++ b/src/transport/store/etcd_messages.ts
@@ -2,6 +2,7 @@
 import type {
   StoreCondition,
   StoreEntry,
+  StoreRange,
   StoreTransaction,
   StoreWrite,
 } from "../../protocol/store.ts";
@@ -29,6 +30,7 @@
 export interface EtcdTxnAnswer {
   header?: EtcdHeader;
   succeeded?: boolean;
+  responses?: { response_range?: EtcdRangeAnswer }[];
 }
 
 /** One message of a watch stream. */
@@ -102,16 +104,42 @@
  *
  * @example
  * ```ts
- * encodeTransaction({ conditions: [], writes: [] }); // { compare: [], success: [] }
+ * encodeTransaction({ conditions: [], writes: [] }); // { compare: [], success: [], failure: [] }
  * ```
  */
 export function encodeTransaction(transaction: StoreTransaction): unknown {
   return {
     compare: transaction.conditions.map(encodeCondition),
     success: transaction.writes.map(encodeWrite),
+    failure: (transaction.otherwise ?? []).map((range) => ({
+      request_range: encodeRange(range),
+    })),
   };
 }
 
+/**
+ * Encodes the keys of a range request.
+ *
+ * @param range One key, or all with a prefix.
+ * @returns The request body.
+ *
+ * @example
+ * ```ts
+ * encodeRange({ kind: "key", key: "a" }); // { key: "YQ==" }
+ * ```
+ */
+export function encodeRange(range: StoreRange): unknown {
+  switch (range.kind) {
+    case "key":
+      return { key: toBase64(range.key) };
+    case "prefix":
+      return {
+        key: toBase64(range.prefix),
+        range_end: toBase64(prefixEnd(range.prefix)),
+      };
+  }
+}
+
 function encodeCondition(condition: StoreCondition): unknown {
   const key = toBase64(condition.key);
   switch (condition.kind) {
--- a/src/transport/store/etcd_store.ts
+++ b/src/transport/store/etcd_store.ts
@@ -19,11 +19,11 @@
   WatchOptions,
 } from "../../protocol/store.ts";
 import {
+  encodeRange,
   encodeTransaction,
   type EtcdRangeAnswer,
   type EtcdTxnAnswer,
   type EtcdWatchMessage,
-  prefixEnd,
   toBase64,
   toEntry,
 } from "./etcd_messages.ts";
@@ -90,15 +90,12 @@
   }
 
   get(key: string): ResultAsync<StoreEntry | undefined, StepError> {
-    return this.#read({ key: toBase64(key) })
+    return this.#read(encodeRange({ kind: "key", key }))
       .map((result) => result.entries[0]);
   }
 
   list(prefix: string): ResultAsync<RangeResult, StepError> {
-    return this.#read({
-      key: toBase64(prefix),
-      range_end: toBase64(prefixEnd(prefix)),
-    });
+    return this.#read(encodeRange({ kind: "prefix", prefix }));
   }
 
   commit(
@@ -111,6 +108,7 @@
     ).map((answer) => ({
       succeeded: answer.succeeded === true,
       revision: Number(answer.header?.revision ?? 0),
+      entries: answer.succeeded === true ? [] : entriesOf(answer),
     }));
   }
 
@@ -272,6 +270,13 @@
   };
 }
 
+/** What a transaction read instead of writing. */
+function entriesOf(answer: EtcdTxnAnswer): StoreEntry[] {
+  return (answer.responses ?? [])
+    .flatMap((response) => response.response_range?.kvs ?? [])
+    .map(toEntry);
+}
+
 const CONNECT_ERROR_CODES = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
--- a/tests/integration/request_faults_test.ts
+++ b/tests/integration/request_faults_test.ts
@@ -278,6 +278,68 @@
   )!;
 }
 
+/** Instances of a domain that an order can enter by. */
+async function ordersWithin(
+  instances: readonly Instance[],
+): Promise<CallRecord[]> {
+  return await openLoop(
+    { ratePerSecond: 30, durationMs: 3_000 },
+    async (number) => {
+      const { daemon } = instances[number % instances.length]!;
+      const key = newKey();
+      const sentAtMs = Date.now();
+      const answer = await order(daemon.ingress, key);
+      return { answer, path: "/order", sentAtMs, key };
+    },
+  );
+}
+
+test("orders go on while a domain is cut off from the others and the store", async () => {
+  fleet.cutDomain("west");
+  fleet.cutFromStore("west");
+  // Connections that were open break with the cut; their orders may be lost.
+  await sleep(3_000);
+  const records = await ordersWithin(fleet.inDomain("east"));
+  fleet.heal();
+  assert.is(servedShare(records), 1, unserved(records));
+  await fleet.settled();
+  const executions = await fleet.executions();
+  assert.equal(checkAtMostOnce(executions), []);
+  assert.equal(checkNotRun(records, executions), []);
+});
+
+test("domains that reach only the store serve their orders, and race on a key without doubling it", async () => {
+  fleet.cutDomain("west");
+  await sleep(3_000);
+  const raced: CallRecord[] = [];
+  const race = openLoop({ ratePerSecond: 10, durationMs: 3_000 }, async () => {
+    const key = newKey();
+    await Promise.all(["east", "west"].map(async (domain) => {
+      const { daemon } = fleet.inDomain(domain)[0]!;
+      const sentAtMs = Date.now();
+      const answer = await order(daemon.ingress, key);
+      raced.push({ answer, path: "/order", sentAtMs, key });
+    }));
+  });
+  const parts = await Promise.all([
+    ordersWithin(fleet.inDomain("east")),
+    ordersWithin(fleet.inDomain("west")),
+  ]);
+  await race;
+  fleet.heal();
+  await fleet.settled();
+  for (const records of parts) {
+    assert.is(servedShare(records), 1, unserved(records));
+  }
+  const executions = await fleet.executions();
+  const all = [...parts.flat(), ...raced];
+  assert.equal(checkAtMostOnce(executions), []);
+  assert.equal(checkNotRun(all, executions), []);
+  const keys = new Set(raced.map(({ key }) => key));
+  const served = raced.filter(({ answer }) => answer.status === 200);
+  assert.is(new Set(served.map(({ key }) => key)).size, keys.size);
+});
+
 test("orders are refused as not run while the store is down, and run after it", async () => {
   await until(async () => {
     const { daemon } = fleet.instances[0]!;
