Leave out endpoints that are out of reach; hear announcements of the own instance only

Cause: while a domain was cut off, its servers counted as ejected, more than the share that may be. So all were used (panic), also those that could not answer, and an at-most-once call that was sent there ended as unknown. A broken connection counted as one of three failures even where the question after it was not answered either.

Change: an endpoint whose daemon does not answer is out of reach for 1 to 4 s, doubling. It is left out while any other endpoint is left, and is no part of the decision to panic.

Any process of the network could announce a backend server elsewhere to a daemon's admin port, and have calls sent to it. Announcements are taken from the loopback and own addresses only, and name only those.

--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -38,10 +38,17 @@
 
 interface Fault {
   readonly isPlanned: boolean;
+  /** Failure domain that the fault cuts off from the others. */
+  readonly cutDomain?: string;
   readonly strike: (fleet: Fleet, deployment: Deployment) => Promise<void>;
   readonly heal: (fleet: Fleet, deployment: Deployment) => Promise<void>;
 }
 
+/** A call with the failure domain that it entered by. */
+interface Work extends CallRecord {
+  readonly domain: string;
+}
+
 /** The daemon that stands still now. */
 let paused: Instance | undefined;
 
@@ -134,6 +141,7 @@
   },
   cutDomain: {
     isPlanned: false,
+    cutDomain: "one",
     strike: (fleet) => {
       fleet.cutDomain("one");
       fleet.cutFromStore("one");
@@ -152,6 +160,15 @@
       await restartBackend(fleet, deployment);
     },
   },
+  cutFromPeers: {
+    isPlanned: false,
+    cutDomain: "one",
+    strike: (fleet) => {
+      fleet.cutDomain("one");
+      return Promise.resolve();
+    },
+    heal: healAll,
+  },
   stopDaemon: {
     isPlanned: true,
     strike: (fleet, deployment) =>
@@ -223,7 +240,7 @@
   const ranks = Object.fromEntries(
     RANKS.map((rank, index) => [
       rank,
-      judge(records[index]!, struckAtMs),
+      judge(records[index]!, struckAtMs, fault.cutDomain),
     ]),
   );
   return {
@@ -248,7 +265,7 @@
   fleet: Fleet,
   deployment: Deployment,
   rank: Rank,
-): Promise<CallRecord[]> {
+): Promise<Work[]> {
   const service = deployment.services[rank];
   const capacity = deployment.servers[rank] * deployment.slots *
     1_000 / SERVICE_MS;
@@ -259,8 +276,7 @@
   return await openLoop(plan, async (number) => {
     const sentAtMs = Date.now();
     const path = `/${service}/echo/${number}`;
-    const { answer, expected } = await attempt(fleet, rank, path, number);
-    return { answer, path, sentAtMs, expected };
+    return { path, sentAtMs, ...await attempt(fleet, rank, path, number) };
   });
 }
 
@@ -270,14 +286,16 @@
   rank: Rank,
   path: string,
   number: number,
-): Promise<{ answer: Answer; expected: string }> {
+): Promise<Pick<Work, "answer" | "expected" | "domain">> {
   const expected = `work ${number}`;
   const key = newKey();
   let answer: Answer | undefined;
+  let domain = "";
   for (let hop = 0; hop < 3; hop++) {
     // A caller that is stuck on an ingress that stands still is not the point.
     const up = fleet.instances.filter((one) => one !== paused);
     const { daemon } = up[(number + hop * 5) % up.length]!;
+    domain = daemon.plan.domain;
     const timeoutMs = rank === Rank.Urgent ? 1_000 : 5_000;
     const options = { method: "POST", body: expected, timeoutMs };
     answer = rank === Rank.Standard
@@ -285,10 +303,26 @@
       : await call(daemon.ingress, path, options);
     if (!answer.reason.includes("ECONNREFUSED")) break;
   }
-  return { answer: answer!, expected };
+  return { answer: answer!, expected, domain };
+}
+
+function judge(
+  records: readonly Work[],
+  struckAtMs: number,
+  cutDomain: string | undefined,
+) {
+  const ofAll = judgePart(records, struckAtMs);
+  if (cutDomain === undefined) return ofAll;
+  const isInside = ({ domain }: Work) => domain === cutDomain;
+  const outside = records.filter((one) => !isInside(one));
+  return {
+    ...ofAll,
+    inside: judgePart(records.filter(isInside), struckAtMs),
+    outside: judgePart(outside, struckAtMs),
+  };
 }
 
-function judge(records: readonly CallRecord[], struckAtMs: number) {
+function judgePart(records: readonly Work[], struckAtMs: number) {
   const served = records.filter(({ answer }) => answer.status === 200);
   return {
     sent: records.length,
--- a/src/coordination/routing/balancer.ts
+++ b/src/coordination/routing/balancer.ts
@@ -40,7 +40,8 @@
  *
  * Two random endpoints are compared by latency and running calls. The own
  * failure domain goes first and spills over when its endpoints are saturated.
- * Ejected endpoints are left out, but never more than the configured share.
+ * Ejected endpoints are left out, but never more than the configured share;
+ * endpoints out of reach are left out while any other is left.
  *
  * @example
  * ```ts ignore
@@ -110,17 +111,19 @@
    * @returns The endpoint; `undefined` where none is left.
    */
   choose(serviceName: string, options: ChooseOptions): Chosen | undefined {
+    const { tried, nowMs, service } = options;
     const all = this.endpointsOf(serviceName);
-    const untried = all.filter((endpoint) =>
-      !options.tried.has(endpoint.member.id)
+    const untried = all.filter((endpoint) => !tried.has(endpoint.member.id));
+    // Who is out of reach cannot help, however many are ejected.
+    const inReach = untried.filter((endpoint) =>
+      !endpoint.isUnreachable(nowMs)
     );
-    const healthy = untried.filter((endpoint) =>
-      !endpoint.isEjected(options.nowMs)
-    );
-    const ejected = all.filter((endpoint) => endpoint.isEjected(options.nowMs));
+    const candidates = inReach.length > 0 ? inReach : untried;
+    const healthy = candidates.filter((endpoint) => !endpoint.isEjected(nowMs));
+    const ejected = all.filter((endpoint) => endpoint.isEjected(nowMs));
     const panic = healthy.length === 0 ||
-      ejected.length > all.length * options.service.maxEjectedShare;
-    return this.#pick(panic ? untried : healthy, panic, options);
+      ejected.length > all.length * service.maxEjectedShare;
+    return this.#pick(panic ? candidates : healthy, panic, options);
   }
 
   /**
@@ -134,7 +137,7 @@
     const { tried, nowMs } = options;
     return this.endpointsOf(serviceName).some((endpoint) =>
       !tried.has(endpoint.member.id) && !endpoint.isEjected(nowMs) &&
-      endpoint.utilization(nowMs) < 1
+      !endpoint.isUnreachable(nowMs) && endpoint.utilization(nowMs) < 1
     );
   }
 
--- a/src/coordination/routing/balancer_test.ts
+++ b/src/coordination/routing/balancer_test.ts
@@ -99,6 +99,22 @@
   assert.is(a!.isEjected(11_001), false);
 });
 
+test("choose() uses who is out of reach only when nobody else is left", () => {
+  const balancer = balancerOf(
+    server("near", "east"),
+    server("far1", "west"),
+    server("far2", "west"),
+  );
+  for (const endpoint of balancer.endpointsOf("lookup")) {
+    if (endpoint.member.domain === "west") endpoint.unreached(10_000);
+  }
+  // Two of three are out of reach, and the near one is full: no panic.
+  assert.equal(spread(balancer, 12), { near: 12 });
+  const none = balancerOf(server("far", "west"));
+  none.endpointsOf("lookup")[0]!.unreached(10_000);
+  assert.equal(spread(none, 1), { far: 1 });
+});
+
 test("choose() returns nothing when every endpoint was tried", () => {
   const balancer = balancerOf(server("a", "east"));
   const chosen = balancer.choose("lookup", {
--- a/src/coordination/routing/ejection.ts
+++ b/src/coordination/routing/ejection.ts
@@ -1,4 +1,4 @@
-/** Shortest and longest time for which an endpoint is ejected, in ms. */
+/** Shortest and, by default, longest time of an ejection, in ms. */
 const MIN_EJECTION_MS = 1_000;
 const MAX_EJECTION_MS = 30_000;
 
@@ -13,9 +13,19 @@
  * ```
  */
 export class Ejection {
+  readonly #maxMs: number;
   #count = 0;
   #untilMs = 0;
 
+  /**
+   * Creates an ejection that has not started.
+   *
+   * @param maxMs Longest time, in ms.
+   */
+  constructor(maxMs = MAX_EJECTION_MS) {
+    this.#maxMs = maxMs;
+  }
+
   /**
    * Starts an ejection.
    *
@@ -23,7 +33,7 @@
    */
   start(nowMs: number): void {
     const ejectionMs = MIN_EJECTION_MS * 2 ** this.#count;
-    this.#untilMs = nowMs + Math.min(ejectionMs, MAX_EJECTION_MS);
+    this.#untilMs = nowMs + Math.min(ejectionMs, this.#maxMs);
     this.#count++;
   }
 
--- a/src/coordination/routing/endpoint.ts
+++ b/src/coordination/routing/endpoint.ts
@@ -12,6 +12,8 @@
  */
 const MIN_LOAD_MEMORY_MS = 20;
 const MAX_LOAD_MEMORY_MS = 500;
+/** Longest time for which an endpoint out of reach is not tried, in ms. */
+const MAX_UNREACHABLE_MS = 4_000;
 /** Share of full weight with which a newly ready endpoint starts. */
 const SLOW_START_FLOOR = 0.1;
 
@@ -34,6 +36,7 @@
   #loadUntilMs = 0;
   #readySinceMs: number;
   readonly #ejection = new Ejection();
+  readonly #unreachable = new Ejection(MAX_UNREACHABLE_MS);
   #failures = 0;
 
   /**
@@ -67,6 +70,7 @@
   succeeded(latencyMs: number): void {
     this.#failures = 0;
     this.#ejection.forgive();
+    this.#unreachable.forgive();
     this.latencyMs = latencyMs > this.latencyMs
       ? (this.latencyMs + latencyMs) / 2
       : this.latencyMs + (latencyMs - this.latencyMs) * DECAY_WEIGHT;
@@ -86,6 +90,23 @@
     return true;
   }
 
+  /**
+   * Records that the endpoint's daemon did not answer.
+   *
+   * @param nowMs Monotonic time.
+   * @returns Whether it counted as in reach until now.
+   */
+  unreached(nowMs: number): boolean {
+    if (this.isUnreachable(nowMs)) return false;
+    this.#unreachable.start(nowMs);
+    return true;
+  }
+
+  /** Says whether the endpoint is out of reach at a monotonic time. */
+  isUnreachable(nowMs: number): boolean {
+    return this.#unreachable.isActive(nowMs);
+  }
+
   /** Says whether the endpoint is ejected at a monotonic time. */
   isEjected(nowMs: number): boolean {
     return this.#ejection.isActive(nowMs);
--- a/src/daemon/admin_server.ts
+++ b/src/daemon/admin_server.ts
@@ -157,10 +157,10 @@
   }
 
   #announce(request: Request, response: Response): void {
-    const parsed = parseAnnouncement(
-      String(request.body ?? ""),
-      request.socket.remoteAddress ?? "127.0.0.1",
-    );
+    const parsed = parseAnnouncement(String(request.body ?? ""), {
+      remoteAddress: request.socket.remoteAddress ?? "",
+      ownAddress: this.#options.membership.self.host,
+    });
     if (parsed.isErr()) {
       this.#options.log.warn("announcement-refused", {
         error: parsed.error.message,
--- a/src/daemon/announcement.ts
+++ b/src/daemon/announcement.ts
@@ -1,3 +1,4 @@
+import { BlockList, isIPv6 } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import * as z from "zod";
 import { FailureKind, messageOf, StepError } from "../protocol/step_error.ts";
@@ -12,22 +13,43 @@
   state: z.enum(["ready", "draining"]).default("ready"),
 });
 
+/** Loopback addresses of both families. */
+const LOOPBACK = new BlockList();
+LOOPBACK.addSubnet("127.0.0.0", 8, "ipv4");
+LOOPBACK.addAddress("::1", "ipv6");
+
+/** Where an announcement came from. */
+export interface AnnouncementSource {
+  /** Address that it was sent from. */
+  readonly remoteAddress: string;
+  /** Address of this instance. */
+  readonly ownAddress: string;
+}
+
 /**
  * Parses what a backend server says of itself.
  *
+ * Only the instance itself is heard, or any process of the network could have
+ * calls sent to it.
+ *
  * @param text JSON text.
- * @param defaultHost Address that it was sent from.
+ * @param source Where it came from.
  * @returns The announcement, or an error that names the field.
  *
  * @example
  * ```ts
- * parseAnnouncement("{}", "127.0.0.1").isErr(); // true
+ * const source = { remoteAddress: "127.0.0.1", ownAddress: "10.0.0.1" };
+ * parseAnnouncement("{}", source).isErr(); // true
  * ```
  */
 export function parseAnnouncement(
   text: string,
-  defaultHost: string,
+  source: AnnouncementSource,
 ): Result<Announcement, StepError> {
+  const sender = source.remoteAddress.replace(/^::ffff:/, "");
+  if (!isOwn(sender, source)) {
+    return err(invalid(`${sender} is another instance`));
+  }
   let json: unknown;
   try {
     json = JSON.parse(text);
@@ -39,12 +61,16 @@
     const issue = parsed.error.issues[0]!;
     return err(invalid(`${issue.path.join(".")}: ${issue.message}`));
   }
-  const { state, host, ...rest } = parsed.data;
-  return ok({
-    ...rest,
-    host: host ?? defaultHost.replace(/^::ffff:/, ""),
-    isDraining: state === "draining",
-  });
+  const { state, host = sender, ...rest } = parsed.data;
+  if (!isOwn(host, source)) {
+    return err(invalid(`host: ${host} is another instance`));
+  }
+  return ok({ ...rest, host, isDraining: state === "draining" });
+}
+
+function isOwn(address: string, source: AnnouncementSource): boolean {
+  return address === source.ownAddress ||
+    LOOPBACK.check(address, isIPv6(address) ? "ipv6" : "ipv4");
 }
 
 function invalid(reason: string): StepError {
--- a/src/daemon/ingress_attempt.ts
+++ b/src/daemon/ingress_attempt.ts
@@ -156,7 +156,11 @@
   onBroken(): void {
     if (this.#isOver) return;
     this.#fail();
-    void this.#settle(true).then((state) => this.#refused(refusalOf(state)));
+    void this.#settle(true).then((state) => {
+      // Nobody answers the question either.
+      if (state === SettleState.UNKNOWN) this.#unreached();
+      this.#refused(refusalOf(state));
+    });
   }
 
   #settle(givesUp: boolean): Promise<SettleState> {
@@ -171,10 +175,17 @@
     if (this.#finish()) this.#events.onAttemptRefused(this, refusal);
   }
 
+  #unreached(): void {
+    if (this.endpoint.unreached(monotonicMs())) {
+      this.#options.onEjected(this.endpoint);
+    }
+  }
+
   #fail(reason?: Reason): void {
-    // Nobody listens there, or the backend server is gone.
-    const isGone = reason === Reason.PeerFailed ||
-      reason === Reason.BackendCrashed || reason === Reason.Draining;
+    // Nobody listens there.
+    if (reason === Reason.PeerFailed) return this.#unreached();
+    const isGone = reason === Reason.BackendCrashed ||
+      reason === Reason.Draining;
     const failures = isGone ? 1 : this.#options.failuresToEject;
     if (this.endpoint.failed(failures, monotonicMs())) {
       this.#options.onEjected(this.endpoint);
--- a/src/protocol/fuzz_test.ts
+++ b/src/protocol/fuzz_test.ts
@@ -57,12 +57,39 @@
     fc.property(TEXT, (text) => {
       failsCleanly(() => parseSettings(SourceDocument.parse("s.jsonc", text)));
       failsCleanly(() => parseHead(text));
-      assert.ok(parseAnnouncement(text, "127.0.0.1").isErr());
+      const announced = parseAnnouncement(text, {
+        remoteAddress: "127.0.0.1",
+        ownAddress: "10.0.0.1",
+      });
+      assert.ok(announced.isErr());
     }),
     RUNS,
   );
 });
 
+test("an announcement is taken from its own instance only", () => {
+  const body = { service: "lookup", port: 80, slots: 4, maxConnections: 10 };
+  const announce = (remoteAddress: string, host?: string) =>
+    parseAnnouncement(JSON.stringify({ ...body, host }), {
+      remoteAddress,
+      ownAddress: "10.0.0.1",
+    }).match((one) => `taken: ${one.host}`, (error) => error.message);
+  assert.snapshot(
+    [
+      announce("::ffff:127.0.0.1"),
+      announce("::1", "10.0.0.1"),
+      announce("10.0.0.1"),
+      announce("10.0.0.2"),
+      announce("127.0.0.1", "10.0.0.2"),
+    ].join("\n"),
+    `taken: 127.0.0.1
+taken: 10.0.0.1
+taken: 10.0.0.1
+Cannot take the announcement: 10.0.0.2 is another instance
+Cannot take the announcement: host: 10.0.0.2 is another instance`,
+  );
+});
+
 test("any control message decodes or fails as a protobuf error", () => {
   fc.assert(
     fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
