--- a/bench/scale.ts
+++ b/bench/scale.ts
@@ -1,8 +1,10 @@
+import { hash } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { create, toBinary } from "@bufbuild/protobuf";
+import { ClaimPartition } from "../src/coordination/claims/claim_partition.ts";
 import { Membership } from "../src/coordination/membership/membership.ts";
 import { Balancer } from "../src/coordination/routing/balancer.ts";
 import {
@@ -12,6 +14,8 @@
   slotsFor,
 } from "../src/coordination/slots/slot_keeper.ts";
 import {
+  ClaimRequestSchema,
+  CompleteClaimRequestSchema,
   ExchangeRequestSchema,
   GossipSchema,
   type Member,
@@ -34,6 +38,9 @@
 const RUNS = 200;
 const TURNS = 5;
 
+/** Claims by which the memory of one is measured. */
+const CLAIMS = 20_000;
+
 /** A step of a daemon's control, with how often it runs. */
 interface Step {
   readonly perSecond: number;
@@ -55,7 +62,38 @@
       microsPer1000Members: round(fitLine(points).slope * 1_000),
     }];
   }));
-  return Promise.resolve({ sizes, slopes });
+  const heapBytesPerClaim = measureClaims();
+  return Promise.resolve({ sizes, slopes, heapBytesPerClaim });
+}
+
+/** Measures what a holder keeps of a claim whose answer has no body. */
+function measureClaims(): number {
+  const collect = collector();
+  const before = collect();
+  const partition = new ClaimPartition(900_000);
+  for (let number = 0; number < CLAIMS; number++) {
+    const key = hash("sha256", `key-${number}`, "buffer");
+    const requestId = `instance-1-0a1b2c3d-${number.toString(36)}.1`;
+    const content = hash("sha1", `content-${number}`, "buffer");
+    const nowMs = Date.now();
+    partition.claim(
+      create(ClaimRequestSchema, {
+        key,
+        requestId,
+        content,
+        issuedAtMs: nowMs,
+      }),
+      nowMs,
+    );
+    partition.complete(create(CompleteClaimRequestSchema, {
+      key,
+      requestId,
+      answer: { status: 200, contentType: "text/plain", hasBody: true },
+    }));
+    partition.takeBatch();
+  }
+  const heapBytes = Math.round((collect() - before) / CLAIMS);
+  return partition.size === CLAIMS ? heapBytes : Number.NaN;
 }
 
 function measureSize(size: number, seed: number) {
--- a/src/coordination/config/check_documents.ts
+++ b/src/coordination/config/check_documents.ts
@@ -9,7 +9,7 @@
   SourceDocument,
 } from "../../protocol/source_document.ts";
 import { checkReferences } from "./check_references.ts";
-import { mergeSections } from "./compile_site.ts";
+import { mergePatch } from "./merge_patch.ts";
 
 /** The operator's files. */
 export interface ConfigDocuments {
@@ -54,7 +54,7 @@
 ): Problem[] {
   const own = checkOne(overlay, () => overlay.check(OVERLAY_SCHEMA));
   if (own.length > 0) return own;
-  const merged = mergeSections(base.value, overlay.value);
+  const merged = mergePatch(base.value, overlay.value);
   const parsed = BASE_SCHEMA.safeParse(merged);
   if (!parsed.success) {
     return parsed.error.issues.map((issue) => {
--- a/src/coordination/config/compile_site.ts
+++ b/src/coordination/config/compile_site.ts
@@ -1,6 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
 import { BASE_SCHEMA, type SiteConfig } from "../../protocol/config_schema.ts";
-import type { Json } from "../../protocol/canonical_json.ts";
 import { FailureKind, StepError } from "../../protocol/step_error.ts";
 import type { ConfigSource } from "../../state/resource_set.ts";
 import { checkReferences } from "./check_references.ts";
@@ -25,7 +24,7 @@
   source: ConfigSource,
   site: string,
 ): Result<SiteConfig, StepError> {
-  const merged = mergeSections(source.base, source.sites[site] ?? {});
+  const merged = mergePatch(source.base, source.sites[site] ?? {});
   const parsed = BASE_SCHEMA.safeParse(merged);
   if (!parsed.success) {
     const issue = parsed.error.issues[0]!;
@@ -37,22 +36,6 @@
     : err(invalid(site, problem.message));
 }
 
-/**
- * Lays an overlay over a base.
- *
- * @param base The base document.
- * @param overlay The merge patch of a site.
- * @returns The merged document, unchecked.
- *
- * @example
- * ```ts
- * mergeSections({ routes: { a: {} } }, { routes: { a: null } }); // { routes: {} }
- * ```
- */
-export function mergeSections(base: Json, overlay: Json): Json {
-  return mergePatch(base, overlay);
-}
-
 function invalid(site: string, message: string): StepError {
   return new StepError(
     FailureKind.Invalid,
--- a/src/coordination/retry/mod.ts
+++ b/src/coordination/retry/mod.ts
@@ -4,5 +4,6 @@
  * @module
  */
 export * from "./latency_tracker.ts";
+export * from "./patience.ts";
 export * from "./retry_budget.ts";
 export * from "./retry_policy.ts";
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -71,6 +71,7 @@
  */
 export class Daemon {
   readonly #settings: Settings;
+  readonly #random: Random;
   readonly #bus = createFleetBus();
   readonly #log: EventLog;
   readonly #metrics: Metrics;
@@ -112,6 +113,7 @@
    */
   constructor(settings: Settings, options: DaemonOptions = {}) {
     const random = new Random(options.seed ?? randomBytes(4).readInt32LE());
+    this.#random = random;
     const self = createSelf(settings);
     const auth = new PeerAuth(settings.fleetKeys);
     const token = () => auth.token(self.id, Date.now());
@@ -287,6 +289,7 @@
       configTask: this.#configTask,
       config: this.#config,
       log: this.#log,
+      random: this.#random,
       isStopped: () => this.#isStopping,
     });
     if (this.#config.version > 0) await opened;
--- a/src/daemon/destination_call.ts
+++ b/src/daemon/destination_call.ts
@@ -28,6 +28,7 @@
 import { singleHeader } from "../transport/http/header_filter.ts";
 import { AnswerCopy } from "./answer_copy.ts";
 import { Diagnosis } from "./backend_task.ts";
+import { verdictOf } from "./claim_verdict.ts";
 import { monotonicMs } from "./clocks.ts";
 import type { DestinationContext } from "./destination.ts";
 
@@ -179,30 +180,17 @@
       }
       return;
     }
-    switch (response.state) {
-      case ClaimState.GRANTED:
+    const verdict = verdictOf(response);
+    switch (verdict.kind) {
+      case "granted":
         this.#hasClaim = true;
         this.#phase = Phase.Waiting;
         return this.#askSlot();
-      case ClaimState.DONE:
-        return this.#replay(response.answer!);
-      case ClaimState.HELD:
-        return this.refuse(
-          response.contentDiffers
-            ? notRun(Reason.KeyReused)
-            : unknownOutcome(Reason.KeyHeld),
-        );
-      case ClaimState.REFUSED:
-        return this.refuse(
-          response.reason === Reason.KeyExpired
-            ? unknownOutcome(Reason.KeyExpired)
-            : notRun(Reason.ClaimUnavailable),
-        );
-      case ClaimState.UNKNOWN:
-      case ClaimState.UNSPECIFIED:
-        // The claim may be held, but this daemon will not run the request.
-        this.#context.claims.release(this.call);
-        return this.refuse(notRun(Reason.ClaimUnavailable));
+      case "replay":
+        return this.#replay(verdict.answer);
+      case "refused":
+        if (verdict.mayBeHeld) this.#context.claims.release(this.call);
+        return this.refuse(verdict.refusal);
     }
   }
 
--- a/src/daemon/gossip_task.ts
+++ b/src/daemon/gossip_task.ts
@@ -20,23 +20,19 @@
   SyncResponseSchema,
 } from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
 import type { Random } from "../protocol/random.ts";
-import { FailureKind, type StepError } from "../protocol/step_error.ts";
+import type { StepError } from "../protocol/step_error.ts";
 import type { ConfigStore } from "../state/config_store.ts";
 import { BUCKETS } from "../state/member_table.ts";
-import {
-  type FleetClients,
-  isTimeout,
-} from "../transport/control/fleet_client.ts";
+import type { FleetClients } from "../transport/control/fleet_client.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import { readClocks } from "./clocks.ts";
 import { controlAddress } from "./control_address.ts";
 import type { FleetBus } from "./fleet_bus.ts";
 import { GossipIntake } from "./gossip_intake.ts";
+import { MemberProber } from "./member_prober.ts";
 
 /** Most member updates in one message. */
 const MAX_UPDATES = 32;
-/** Members that are asked to probe a third one. */
-const INDIRECT_PROBES = 2;
 /** Shortest time between two table comparisons, in ms. */
 const SYNC_PERIOD_MS = 2_000;
 /** Peers that learn of an urgent update at once. */
@@ -79,6 +75,7 @@
   readonly #membership: Membership;
   readonly #quarantines = new Dissemination<Quarantine>();
   readonly #intake: GossipIntake;
+  readonly #prober: MemberProber;
   #timer: NodeJS.Timeout | undefined;
   #round = 0;
   #syncedAtMs = -Infinity;
@@ -96,6 +93,10 @@
     this.#membership = options.membership;
     this.#contacts = [...options.contacts];
     this.#intake = new GossipIntake(options);
+    this.#prober = new MemberProber({
+      ...options,
+      exchange: (target) => this.#exchange(target),
+    });
     options.bus.on("quarantineNews", ({ quarantines, isOwn }) => {
       for (const one of quarantines) {
         this.#quarantines.add(one.fingerprint, one);
@@ -225,7 +226,9 @@
   #runRound(): void {
     const now = readClocks();
     this.#round++;
-    for (const target of this.#membership.tick(now)) void this.#probe(target);
+    for (const target of this.#membership.tick(now)) {
+      void this.#prober.probe(target);
+    }
     if (now.monotonicMs - this.#bridgedAtMs >= this.#options.bridgePeriodMs) {
       this.#bridgedAtMs = now.monotonicMs;
       this.#bridge();
@@ -270,49 +273,6 @@
     if (strangers.length > 0) void this.join(strangers);
   }
 
-  async #probe(target: Member): Promise<void> {
-    const direct = await this.#exchange(target);
-    if (direct.isOk()) return;
-    if (direct.error.kind === FailureKind.Conflict) {
-      // Another process answers there, so the member is gone.
-      return this.#membership.declareDead(target.id, readClocks());
-    }
-    if (await this.#probeIndirectly(target)) return;
-    if (!isTimeout(direct.error)) {
-      // Its address answers that nobody is there, to the relays too.
-      return this.#membership.declareDead(target.id, readClocks());
-    }
-    this.#options.log.info("probe-missed", {
-      member: target.id,
-      peer: controlAddress(target),
-      error: direct.error.message,
-    });
-    this.#membership.missed(target.id, readClocks());
-  }
-
-  async #probeIndirectly(target: Member): Promise<boolean> {
-    const relays = this.#options.random.sample(
-      this.#membership.domainPeers().filter((peer) => peer.id !== target.id),
-      INDIRECT_PROBES,
-    );
-    const { probeTimeoutMs, clients } = this.#options;
-    const reached = await Promise.all(relays.map(async (relay) => {
-      const result = await clients.call(
-        controlAddress(relay),
-        "probe-for",
-        (peer, options) =>
-          peer.probeFor({
-            senderId: this.#membership.self.id,
-            target,
-            timeoutMs: probeTimeoutMs,
-          }, options),
-        { timeoutMs: 2 * probeTimeoutMs },
-      );
-      return result.isOk() && result.value.reached;
-    }));
-    return reached.includes(true);
-  }
-
   async #exchange(
     target: Member,
     timeoutMs = this.#options.probeTimeoutMs,
--- a/src/daemon/ingress_call.ts
+++ b/src/daemon/ingress_call.ts
@@ -2,6 +2,7 @@
 import type { Balancer } from "../coordination/routing/balancer.ts";
 import type { Placement } from "../coordination/routing/placement.ts";
 import type { LatencyTracker } from "../coordination/retry/latency_tracker.ts";
+import { patienceMs } from "../coordination/retry/patience.ts";
 import type { RetryBudget } from "../coordination/retry/retry_budget.ts";
 import { decideRetry } from "../coordination/retry/retry_policy.ts";
 import type { QuarantineList } from "../coordination/quarantine/quarantine_list.ts";
@@ -14,7 +15,6 @@
   type Refusal,
   unknownOutcome,
 } from "../protocol/outcome.ts";
-import { Rank } from "../protocol/rank.ts";
 import type { Random } from "../protocol/random.ts";
 import type { StepError } from "../protocol/step_error.ts";
 import type { ResolvedRoute } from "../state/config_snapshot.ts";
@@ -34,16 +34,6 @@
 
 /** Time that destinations get beyond the deadline to answer precisely, in ms. */
 const ANSWER_GRACE_MS = 50;
-/** Bounds of the time after which a call is looked after, in ms. */
-const MIN_URGENT_PATIENCE_MS = 10;
-const MIN_PATIENCE_MS = 250;
-/** Patience with calls that are not urgent, in 95th percentiles. */
-const PATIENCE_PERCENTILES = 4;
-/** Percentile of the latencies beyond which a call is late. */
-const LATE_PERCENTILE = 0.95;
-/** Patience while there are too few latencies, in ms. */
-const DEFAULT_PATIENCE_MS = 500;
-
 /** What ingress calls share. */
 export interface IngressContext {
   readonly balancer: Balancer;
@@ -258,7 +248,8 @@
     });
     this.#live.add(attempt);
     attempt.send();
-    this.#armPatience(this.#patienceMs());
+    const { latency } = this.#accepted.evidence;
+    this.#armPatience(patienceMs(template.rank, latency));
   }
 
   #attemptOptions(): AttemptOptions {
@@ -275,22 +266,13 @@
     };
   }
 
-  #patienceMs(): number {
-    const { evidence, template } = this.#accepted;
-    const lateMs = evidence.latency.percentileMs(LATE_PERCENTILE);
-    if (lateMs === undefined) return DEFAULT_PATIENCE_MS;
-    return template.rank === Rank.Urgent
-      ? Math.max(MIN_URGENT_PATIENCE_MS, lateMs * 2)
-      : Math.max(MIN_PATIENCE_MS, lateMs * PATIENCE_PERCENTILES);
-  }
-
-  #armPatience(patienceMs: number): void {
+  #armPatience(delayMs: number): void {
     if (this.#isOver || this.#winner !== undefined) return;
     clearTimeout(this.#patience);
     this.#patience = setTimeout(() => {
       this.#onLate();
-      this.#armPatience(patienceMs * 2);
-    }, patienceMs);
+      this.#armPatience(delayMs * 2);
+    }, delayMs);
   }
 
   /** Hedges a late call, or finds out whether it arrived. */
--- a/src/daemon/start_up.ts
+++ b/src/daemon/start_up.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Membership } from "../coordination/membership/membership.ts";
 import type { HeadRecord } from "../coordination/config/head_record.ts";
+import type { Random } from "../protocol/random.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
 import { StepError } from "../protocol/step_error.ts";
 import type { ConfigStore } from "../state/config_store.ts";
@@ -30,6 +31,7 @@
   readonly configTask: ConfigTask;
   readonly config: ConfigStore;
   readonly log: EventLog;
+  readonly random: Random;
   readonly isStopped: () => boolean;
   /** Monotonic time of the start. */
   readonly startedAtMs: number;
@@ -60,7 +62,7 @@
   let pauseMs = MIN_PAUSE_MS;
   while (!options.isStopped() && options.config.version === 0) {
     // Full jitter keeps a herd of newcomers apart.
-    await sleep(Math.random() * pauseMs);
+    await sleep(options.random.fraction() * pauseMs);
     pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
     if (await attempt(options)) return;
   }
@@ -94,7 +96,7 @@
   const known = membership.domainPeers().map(controlAddress);
   const all = new Set([...stored, ...settings.contacts, ...known]);
   all.delete(own);
-  return shuffled([...all]).slice(0, MAX_CONTACTS);
+  return options.random.sample([...all], MAX_CONTACTS);
 }
 
 /** Returns whether enough peers vouched for a floor. */
@@ -134,10 +136,3 @@
   if (head === undefined || options.config.version > 0) return true;
   return await options.reader.follow(head);
 }
-
-function shuffled<T>(items: readonly T[]): T[] {
-  return items
-    .map((item) => ({ item, order: Math.random() }))
-    .sort((a, b) => a.order - b.order)
-    .map(({ item }) => item);
-}
--- a/tools/report.ts
+++ b/tools/report.ts
@@ -54,6 +54,8 @@
       return poisonPlots(
         result as Record<string, { crashesByPoison: number[] }>,
       );
+    case "scale":
+      return scalePlots(result as { sizes: ScaleSize[] });
     default:
       return fleetPlots(result as { sizes: Record<string, unknown>[] });
   }
@@ -144,6 +146,38 @@
   }];
 }
 
+interface ScaleSize {
+  readonly size: number;
+  readonly corePercent: number;
+  readonly microsPerRun: Readonly<Record<string, number>>;
+}
+
+function scalePlots({ sizes }: { sizes: ScaleSize[] }): PlotSpec[] {
+  const categories = sizes.map(({ size }) => String(size));
+  const steps = Object.keys(sizes[0]?.microsPerRun ?? {});
+  return [
+    {
+      title: "One run of a control step over members",
+      unit: "µs",
+      kind: "line",
+      categories,
+      series: Object.fromEntries(
+        steps.map((step) => [
+          step,
+          sizes.map(({ microsPerRun }) => microsPerRun[step]),
+        ]),
+      ),
+    },
+    {
+      title: "All control decisions of a daemon over members",
+      unit: "% of a core",
+      kind: "line",
+      categories,
+      series: { decisions: sizes.map(({ corePercent }) => corePercent) },
+    },
+  ];
+}
+
 function fleetPlots(result: { sizes: Record<string, unknown>[] }): PlotSpec[] {
   const categories = result.sizes.map((size) => String(size.size));
   const of = (path: string) =>
