--- /dev/null
+++ b/src/daemon/daemon_links.ts
@@ -0,0 +1,88 @@
+import type { Settings } from "../protocol/settings_schema.ts";
+import { FleetClients } from "../transport/control/fleet_client.ts";
+import { PeerAuth } from "../transport/control/peer_auth.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import { type Metrics, openMetrics } from "../transport/observe/metrics.ts";
+import { SocketMeter } from "../transport/observe/socket_meter.ts";
+import { EtcdStore } from "../transport/store/etcd_store.ts";
+import { openLog } from "./daemon_setup.ts";
+
+/**
+ * A daemon's log, metrics and connections to others.
+ *
+ * What belongs to a caller's request has connections, meters and a budget of
+ * store calls of its own, so that it never starves control.
+ *
+ * @example
+ * ```ts ignore
+ * const links = new DaemonLinks(settings, self.id);
+ * await links.close();
+ * ```
+ */
+export class DaemonLinks {
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  readonly meters = {
+    control: new SocketMeter(),
+    requests: new SocketMeter(),
+  };
+  readonly auth: PeerAuth;
+  /** Returns the current token of this daemon. */
+  readonly token: () => string;
+  readonly store: EtcdStore;
+  readonly claimStore: EtcdStore;
+  readonly clients: FleetClients;
+  readonly requestClients: FleetClients;
+  #storeCalls = 0;
+
+  /**
+   * Creates the links; connections open on demand.
+   *
+   * @param settings Checked settings.
+   * @param selfId Id of this daemon.
+   */
+  constructor(settings: Settings, selfId: string) {
+    const { store, claims, sourceAddress } = settings;
+    const { control, requests } = this.meters;
+    this.log = openLog(settings);
+    this.metrics = openMetrics(settings.statsd, settings.instance);
+    this.auth = new PeerAuth(settings.fleetKeys);
+    this.token = () => this.auth.token(selfId, Date.now());
+    const openStore = (meter: SocketMeter, callsPerSecond: number) =>
+      new EtcdStore(store.endpoints, {
+        callsPerSecond,
+        timeoutMs: store.timeoutMs,
+        sourceAddress,
+        meter,
+        onCall: (step) => this.#countCall(step),
+      });
+    this.store = openStore(control, store.callsPerSecond);
+    this.claimStore = openStore(requests, claims.storeCallsPerSecond);
+    this.clients = new FleetClients(this.token, {
+      sourceAddress,
+      meter: control,
+    });
+    this.requestClients = new FleetClients(this.token, {
+      sourceAddress,
+      meter: requests,
+    });
+  }
+
+  /** Calls of the store so far. */
+  get storeCalls(): number {
+    return this.#storeCalls;
+  }
+
+  /** Closes all connections and sends what metrics are left. */
+  async close(): Promise<void> {
+    this.clients.close();
+    this.requestClients.close();
+    this.metrics.close();
+    await Promise.all([this.store.close(), this.claimStore.close()]);
+  }
+
+  #countCall(step: string): void {
+    this.#storeCalls++;
+    this.metrics.count("store.calls", 1, [`step:${step}`]);
+  }
+}
--- a/src/daemon/lease_task.ts
+++ b/src/daemon/lease_task.ts
@@ -175,7 +175,7 @@
     void this.#options.bus.emit("contactsSeen", { addresses: [address] });
   }
 
-  /** The epoch changes, so that a holder that is alive after all is fenced. */
+  /** Harmless where the holder is alive after all: claims are safe with two. */
   async #takeOver(
     name: string,
     lease: Lease,
--- a/src/transport/observe/event_log.ts
+++ b/src/transport/observe/event_log.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { closeSync, openSync, writeSync } from "node:fs";
 import winston from "winston";
 import Transport from "winston-transport";
@@ -6,8 +7,8 @@
 const FLUSH_PERIOD_MS = 100;
 /** Lines are written early from this size on, in characters. */
 const FLUSH_SIZE = 32 * 1024;
-/** Lines beyond this size are dropped, oldest first, in characters. */
-const MAX_BUFFERED = 4 * 1024 * 1024;
+/** Lines beyond this size are dropped, oldest first, in bytes. */
+const MAX_UNWRITTEN_BYTES = 4 * 1024 * 1024;
 
 /** A value of a log field. */
 export type LogValue = string | number | boolean | undefined;
@@ -19,7 +20,7 @@
 /** Writes to a file descriptor; what does not fit now stays for later. */
 class DescriptorTransport extends Transport {
   readonly #descriptor: number;
-  #unwritten = "";
+  #unwritten = Buffer.alloc(0);
 
   constructor(file: string | undefined) {
     super();
@@ -27,16 +28,23 @@
   }
 
   override log(info: { [MESSAGE]?: string }, next: () => void): void {
-    this.#unwritten = (this.#unwritten + info[MESSAGE]).slice(-MAX_BUFFERED);
+    const lines = Buffer.from(info[MESSAGE] ?? "");
+    this.#unwritten = Buffer.concat([this.#unwritten, lines])
+      .subarray(-MAX_UNWRITTEN_BYTES);
     try {
-      writeSync(this.#descriptor, this.#unwritten);
-      this.#unwritten = "";
+      while (this.#unwritten.length > 0) this.#writeSome();
     } catch {
       // A full pipe: the lines stay for the next batch.
     }
     next();
   }
 
+  /** A pipe may take a part only. */
+  #writeSome(): void {
+    const sizeBytes = writeSync(this.#descriptor, this.#unwritten);
+    this.#unwritten = this.#unwritten.subarray(sizeBytes);
+  }
+
   override close(): void {
     if (this.#descriptor > 2) closeSync(this.#descriptor);
   }
--- /dev/null
+++ b/src/transport/observe/event_log_test.ts
@@ -0,0 +1,45 @@
+import { spawn } from "node:child_process";
+import { setTimeout as sleep } from "node:timers/promises";
+import process from "node:process";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { formatFields } from "./event_log.ts";
+
+const LINES = 3_000;
+
+/** Logs more than a pipe takes, then ticks until all has been read. */
+const WRITER = `
+import { EventLog } from "${new URL("./event_log.js", import.meta.url)}";
+// Opening the stream makes the pipe refuse what does not fit.
+process.stdout.on("error", () => {});
+const log = new EventLog();
+for (let number = 0; number < ${LINES}; number++) {
+  log.info("line", { number, filler: "x".repeat(200) });
+}
+const ticks = setInterval(() => log.info("tick"), 20);
+process.once("SIGTERM", () => { clearInterval(ticks); log.close(); });
+`;
+
+test("info() loses no line when the reader of a pipe is slow", async () => {
+  const args = ["--input-type=module", "-e", WRITER];
+  const writer = spawn(process.execPath, args, {
+    stdio: ["ignore", "pipe", "inherit"],
+  });
+  await sleep(500);
+  let text = "";
+  for await (const chunk of writer.stdout) {
+    text += String(chunk);
+    const ticks = text.split("event=tick").length - 1;
+    if (ticks > 2) writer.kill("SIGTERM");
+  }
+  const numbers = [...text.matchAll(/event=line number=(\d+) filler=x{200}\n/g)]
+    .map(([, number]) => Number(number));
+  assert.equal(numbers, Array.from({ length: LINES }, (_, number) => number));
+});
+
+test("formatFields() quotes what would break a line", () => {
+  const line = formatFields({ a: 1, b: "x y", c: "p\nq", d: undefined, e: "" });
+  assert.is(line, ' a=1 b="x y" c="p\\nq" e=""');
+});
+
+test.run();
