Take the end of a claimed request while commits are stalled

An order that ended during a store outage was refused, its destination gave up after five tries, and a resend got "unknown" for good, where the end used to wait for the store.

The end is taken again; only new claims are refused while commits are stalled. The wait for a partition to load uses the timer at hand instead of a signal.

--- a/src/daemon/claim_holder.ts
+++ b/src/daemon/claim_holder.ts
@@ -100,7 +100,7 @@
    * @returns The answer; a grant only once it is durable.
    */
   async claim(request: ClaimRequest): Promise<ClaimResponse> {
-    if (!await this.#isUsable()) {
+    if (!await this.#isOpen() || this.#isStalled()) {
       return refusedClaim(Reason.ClaimUnavailable);
     }
     let decision = this.#partition.claim(request, Date.now());
@@ -128,7 +128,8 @@
    * @returns Whether it is durable.
    */
   async complete(request: CompleteClaimRequest): Promise<boolean> {
-    if (!await this.#isUsable()) return false;
+    // An end is taken while commits are stalled too: it must not be lost.
+    if (!await this.#isOpen()) return false;
     if (!this.#partition.complete(request)) {
       // Another holder may have granted the claim.
       await this.#lookAtOthers();
@@ -143,12 +144,15 @@
     for (const waiter of this.#waiters.splice(0)) waiter(false);
   }
 
-  async #isUsable(): Promise<boolean> {
+  /** Waits a while for the partition to load. */
+  async #isOpen(): Promise<boolean> {
     if (!this.#isReady) {
-      const given = AbortSignal.timeout(LOAD_WAIT_MS);
-      await Promise.race([this.#loading, aborted(given)]);
+      await Promise.race([
+        this.#loading,
+        sleep(LOAD_WAIT_MS, undefined, { ref: false }),
+      ]);
     }
-    return this.#isReady && !this.#isStopped && !this.#isStalled();
+    return this.#isReady && !this.#isStopped;
   }
 
   async #load(): Promise<void> {
@@ -254,12 +258,6 @@
   }
 }
 
-function aborted(signal: AbortSignal): Promise<void> {
-  return new Promise((resolve) => {
-    signal.addEventListener("abort", () => resolve(), { once: true });
-  });
-}
-
 /**
  * Builds the answer to a claim that was not written.
  *
