Ask claim holders by one piece of code, and drop what was written or done twice

Found by reading the whole change once more; behaviour stays as it is: - Claims and their ends each called a holder, chose the timeout and remembered who failed; one method does it. A reader that stands in called itself over the network and was then asked once more; it is asked directly, which made isSubstitute of the claim task dead. - Addresses were put together anew in three files beside controlAddress(). - An attempt at the own backend server read the load and reported it, which each choice does first: once less on the way of a call. - Five benches wrote the same production settings; hasPending was not used; two callers unpacked a member that lastVersionOf() can take. - bench/faults.ts held the faults and their measurement, which are two files.

--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -1,8 +1,6 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { BackendBehaviour } from "../fakes/backend_server.ts";
 import { Rank, RANKS } from "../src/protocol/rank.ts";
-import type { BackendProcess } from "../testkit/backend_process.ts";
 import { type Answer, call, newKey, order } from "../testkit/caller.ts";
 import {
   type CallRecord,
@@ -11,7 +9,8 @@
   checkNotRun,
   checkOwnAnswers,
 } from "../testkit/checkers.ts";
-import { Fleet, type Instance, startBackendProcess } from "../testkit/fleet.ts";
+import { PRODUCTION_SETTINGS } from "../testkit/daemon_process.ts";
+import { Fleet } from "../testkit/fleet.ts";
 import { openLoop } from "../testkit/open_loop.ts";
 import { round } from "../testkit/statistics.ts";
 import {
@@ -20,13 +19,12 @@
   domainsOf,
   sourceOf,
 } from "./deployments.ts";
+import { type Fault, FAULTS, isPaused, SERVICE_MS } from "./fault_scenarios.ts";
 
 /** When the fault comes and goes, and the run ends, in ms. */
 const FAULT_AT_MS = 2_000;
 const HEAL_AT_MS = 5_000;
 const RUN_MS = 8_000;
-/** Time that a backend server takes for a request, in ms. */
-const SERVICE_MS = 20;
 /** Calls a second of each rank, half of what the services can take. */
 const LOAD_SHARE = 0.4;
 /** Cut requests that are named in the result. */
@@ -36,161 +34,11 @@
 /** Share of answers in time from which service counts as recovered. */
 const RECOVERED_SHARE = 0.99;
 
-interface Fault {
-  readonly isPlanned: boolean;
-  /** Failure domain that the fault cuts off from the others. */
-  readonly cutDomain?: string;
-  readonly strike: (fleet: Fleet, deployment: Deployment) => Promise<void>;
-  readonly heal: (fleet: Fleet, deployment: Deployment) => Promise<void>;
-}
-
 /** A call with the failure domain that it entered by. */
 interface Work extends CallRecord {
   readonly domain: string;
 }
 
-/** The daemon that stands still now. */
-let paused: Instance | undefined;
-
-function victim(fleet: Fleet, deployment: Deployment, index = 0): Instance {
-  return fleet.ofService(deployment.services.urgent)[index]!;
-}
-
-function behave(change: Partial<BackendBehaviour>, index = 0) {
-  return async (fleet: Fleet, deployment: Deployment): Promise<void> => {
-    const { backend } = victim(fleet, deployment, index);
-    await (backend as BackendProcess).behave(change);
-  };
-}
-
-async function killBackend(fleet: Fleet, deployment: Deployment) {
-  await victim(fleet, deployment).backend!.close();
-}
-
-async function restartBackend(fleet: Fleet, deployment: Deployment) {
-  const instance = victim(fleet, deployment);
-  instance.backend = await startBackendProcess(
-    instance.daemon,
-    deployment.services.urgent,
-    { slots: deployment.slots, serviceMs: SERVICE_MS, coldStartMs: 1_000 },
-  );
-}
-
-function healAll(fleet: Fleet): Promise<void> {
-  fleet.heal();
-  return Promise.resolve();
-}
-
-function signalDaemon(
-  instance: Instance,
-  signal: "SIGSTOP" | "SIGCONT" | "SIGTERM",
-): Promise<void> {
-  instance.daemon.child.signal(signal);
-  return Promise.resolve();
-}
-
-function nothing(): Promise<void> {
-  return Promise.resolve();
-}
-
-const FAULTS: Readonly<Record<string, Fault>> = {
-  killBackend: {
-    isPlanned: false,
-    strike: killBackend,
-    heal: restartBackend,
-  },
-  killDaemon: {
-    isPlanned: false,
-    strike: (fleet, deployment) =>
-      victim(fleet, deployment, 1).daemon.child.kill(),
-    heal: (fleet, deployment) => {
-      victim(fleet, deployment, 1).daemon.restart();
-      return Promise.resolve();
-    },
-  },
-  pauseDaemon: {
-    isPlanned: false,
-    strike: (fleet, deployment) => {
-      paused = victim(fleet, deployment, 1);
-      return signalDaemon(paused, "SIGSTOP");
-    },
-    heal: (fleet, deployment) => {
-      paused = undefined;
-      return signalDaemon(victim(fleet, deployment, 1), "SIGCONT");
-    },
-  },
-  silentConnections: {
-    isPlanned: false,
-    strike: (fleet) => {
-      for (const { daemon } of fleet.instances) {
-        daemon.peerProxy.set({ kind: "silence-open" });
-      }
-      return Promise.resolve();
-    },
-    heal: healAll,
-  },
-  lyingHealth: {
-    isPlanned: false,
-    strike: behave({ isFailing: true, isHealthLying: true }),
-    heal: behave({ isFailing: false, isHealthLying: false }),
-  },
-  slowBackend: {
-    isPlanned: false,
-    strike: behave({ serviceMs: 40 * SERVICE_MS }),
-    heal: behave({ serviceMs: SERVICE_MS }),
-  },
-  cutDomain: {
-    isPlanned: false,
-    cutDomain: "one",
-    strike: (fleet) => {
-      fleet.cutDomain("one");
-      fleet.cutFromStore("one");
-      return Promise.resolve();
-    },
-    heal: healAll,
-  },
-  killAndCut: {
-    isPlanned: false,
-    strike: async (fleet, deployment) => {
-      await killBackend(fleet, deployment);
-      fleet.cutDomain("three");
-    },
-    heal: async (fleet, deployment) => {
-      fleet.heal();
-      await restartBackend(fleet, deployment);
-    },
-  },
-  cutFromPeers: {
-    isPlanned: false,
-    cutDomain: "one",
-    strike: (fleet) => {
-      fleet.cutDomain("one");
-      return Promise.resolve();
-    },
-    heal: healAll,
-  },
-  stopDaemon: {
-    isPlanned: true,
-    strike: (fleet, deployment) =>
-      signalDaemon(victim(fleet, deployment, 2), "SIGTERM"),
-    heal: async (fleet, deployment) => {
-      const { daemon } = victim(fleet, deployment, 2);
-      await daemon.child.exited();
-      daemon.restart();
-    },
-  },
-  drainBackend: {
-    isPlanned: true,
-    strike: (fleet, deployment) => {
-      const { backend } = victim(fleet, deployment);
-      (backend as BackendProcess).child.signal("SIGTERM");
-      return Promise.resolve();
-    },
-    heal: restartBackend,
-  },
-  none: { isPlanned: true, strike: nothing, heal: nothing },
-};
-
 /** Measures service by rank while faults come and go. */
 export async function benchFaults(): Promise<unknown> {
   const only = process.env.BENCH_FAULTS?.split(",");
@@ -199,7 +47,7 @@
     const fleet = await Fleet.start({
       network: 52,
       source: sourceOf(deployment),
-      settings: { gossip: {}, claims: {}, leaseTtlS: 4, drainMs: 4_000 },
+      settings: { ...PRODUCTION_SETTINGS, drainMs: 4_000 },
       isBackendInProcess: false,
       behaviour: { serviceMs: SERVICE_MS, slots: deployment.slots },
       domains: domainsOf(deployment),
@@ -293,7 +141,7 @@
   let domain = "";
   for (let hop = 0; hop < 3; hop++) {
     // A caller that is stuck on an ingress that stands still is not the point.
-    const up = fleet.instances.filter((one) => one !== paused);
+    const up = fleet.instances.filter((one) => !isPaused(one));
     const { daemon } = up[(number + hop * 5) % up.length]!;
     domain = daemon.plan.domain;
     const timeoutMs = rank === Rank.Urgent ? 1_000 : 5_000;
--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -1,5 +1,6 @@
 import process from "node:process";
 import { bigSource } from "../testkit/big_config.ts";
+import { PRODUCTION_SETTINGS } from "../testkit/daemon_process.ts";
 import { Fleet } from "../testkit/fleet.ts";
 import { fitLine, round } from "../testkit/statistics.ts";
 import {
@@ -76,7 +77,7 @@
   return await Fleet.start({
     network: 41,
     source: bigSource(0),
-    settings: { gossip: {}, claims: {}, leaseTtlS: 4 },
+    settings: PRODUCTION_SETTINGS,
     domains: DOMAINS.map((name, index) => ({
       name,
       services: services[index]!,
--- a/bench/flood.ts
+++ b/bench/flood.ts
@@ -4,6 +4,7 @@
 import { BackendProcess } from "../testkit/backend_process.ts";
 import { type Answer, call } from "../testkit/caller.ts";
 import { Child } from "../testkit/child.ts";
+import { PRODUCTION_SETTINGS } from "../testkit/daemon_process.ts";
 import { distFile } from "../testkit/dist_file.ts";
 import { Fleet } from "../testkit/fleet.ts";
 import { openLoop } from "../testkit/open_loop.ts";
@@ -49,7 +50,7 @@
   const fleet = await Fleet.start({
     network: 51,
     source: sourceOf(deployment),
-    settings: { gossip: {}, claims: {}, leaseTtlS: 4 },
+    settings: PRODUCTION_SETTINGS,
     isBackendInProcess: false,
     // The way of a call has no proxies but the daemons.
     isProxied: false,
--- a/bench/hop.ts
+++ b/bench/hop.ts
@@ -2,7 +2,10 @@
 import { Pool } from "undici";
 import { Child } from "../testkit/child.ts";
 import { distFile } from "../testkit/dist_file.ts";
-import type { DaemonProcess } from "../testkit/daemon_process.ts";
+import {
+  type DaemonProcess,
+  PRODUCTION_SETTINGS,
+} from "../testkit/daemon_process.ts";
 import { Fleet } from "../testkit/fleet.ts";
 import { openLoop, type OpenLoopPlan } from "../testkit/open_loop.ts";
 import { productionSource, VENDOR_TOKEN } from "../testkit/sample_config.ts";
@@ -47,7 +50,7 @@
   const fleet = await Fleet.start({
     network: 31,
     source: productionSource(),
-    settings: { gossip: {}, claims: {}, leaseTtlS: 4 },
+    settings: PRODUCTION_SETTINGS,
     behaviour: { serviceMs: 2, slots: 40, maxConnections: 200 },
     isBackendInProcess: false,
     // The way of a call has no proxies but the daemons.
--- a/bench/poison.ts
+++ b/bench/poison.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { BackendProcess } from "../testkit/backend_process.ts";
 import { call } from "../testkit/caller.ts";
+import { PRODUCTION_SETTINGS } from "../testkit/daemon_process.ts";
 import { Fleet, startBackendProcess } from "../testkit/fleet.ts";
 import { round } from "../testkit/statistics.ts";
 import {
@@ -36,7 +37,7 @@
   const fleet = await Fleet.start({
     network: 53,
     source: sourceOf(deployment),
-    settings: { gossip: {}, claims: {}, leaseTtlS: 4 },
+    settings: PRODUCTION_SETTINGS,
     isBackendInProcess: false,
     behaviour,
     domains: domainsOf(deployment),
--- a/src/coordination/claims/claim_partition.ts
+++ b/src/coordination/claims/claim_partition.ts
@@ -58,11 +58,6 @@
     return this.#entries.size;
   }
 
-  /** Whether entries wait for a commit. */
-  get hasPending(): boolean {
-    return this.#pending.length > 0;
-  }
-
   /** All claims that have not expired, oldest first. */
   get entries(): ClaimEntry[] {
     return [...this.#entries.values()];
--- a/src/daemon/admin_server.ts
+++ b/src/daemon/admin_server.ts
@@ -10,6 +10,7 @@
 import { parseAnnouncement } from "./announcement.ts";
 import type { BackendTask } from "./backend_task.ts";
 import { monotonicMs } from "./clocks.ts";
+import { controlAddress } from "./control_address.ts";
 import type { Destination } from "./destination.ts";
 
 /** Largest announcement, in bytes. */
@@ -121,7 +122,7 @@
       slots: member.slots,
       leasedSlots: member.leasedSlots,
       address: `${member.host}:${member.peerPort}`,
-      controlAddress: `${member.host}:${member.controlPort}`,
+      controlAddress: controlAddress(member),
       incarnation: member.incarnation,
     }));
     response.json({ self: this.#options.membership.self.id, members });
--- a/src/daemon/claim_client.ts
+++ b/src/daemon/claim_client.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import { setTimeout as sleep } from "node:timers/promises";
 import { create } from "@bufbuild/protobuf";
+import type { Result } from "neverthrow";
 import {
   checkKey,
   claimKey,
@@ -22,13 +23,17 @@
   type StoredAnswer,
 } from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
 import { Reason } from "../protocol/outcome.ts";
-import { FailureKind } from "../protocol/step_error.ts";
+import { FailureKind, type StepError } from "../protocol/step_error.ts";
 import type { MemberTable } from "../state/member_table.ts";
-import type { FleetClients } from "../transport/control/fleet_client.ts";
+import type {
+  FleetClients,
+  PeerClient,
+} from "../transport/control/fleet_client.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import { refusedClaim } from "./claim_holder.ts";
 import type { ClaimTask } from "./claim_task.ts";
 import { monotonicMs } from "./clocks.ts";
+import { controlAddress } from "./control_address.ts";
 
 /** Longest time of one call to a holder of the own or another domain, in ms. */
 const CALL_TIMEOUT_MS = 2_000;
@@ -45,7 +50,8 @@
   readonly members: MemberTable;
   readonly clients: FleetClients;
   readonly task: ClaimTask;
-  /** Failure domain of this daemon. */
+  /** Id and failure domain of this daemon. */
+  readonly selfId: string;
   readonly domain: string;
   readonly log: EventLog;
   readonly partitions: number;
@@ -137,32 +143,29 @@
 
   /** Asks the holder, and what stands in for it where it can not be asked. */
   async #claimOnce(request: ClaimRequest): Promise<ClaimResponse> {
-    const { task } = this.#options;
+    const { task, selfId } = this.#options;
     if (task.holds(request.partition)) return await task.claim(request);
     let last: ClaimResponse = NO_HOLDER;
     for (const holder of this.#holders.of(request.partition, monotonicMs())) {
-      const response = await this.#claimAt(holder, request);
+      const response = holder.id === selfId
+        ? await task.claim(request)
+        : await this.#claimAt(holder, request);
       if (!isUndecided(response)) return response;
       if (response !== NO_HOLDER) last = response;
     }
-    return task.isSubstitute ? await task.claim(request) : last;
+    return last;
   }
 
   async #claimAt(
     holder: Member,
     request: ClaimRequest,
   ): Promise<ClaimResponse> {
-    const result = await this.#options.clients.call(
-      `${holder.host}:${holder.controlPort}`,
+    const result = await this.#ask(
+      holder,
       "claim",
       (peer, options) => peer.claim(request, options),
-      { timeoutMs: this.#timeoutMs(holder) },
     );
-    if (result.isOk()) {
-      this.#holders.answered(holder.id);
-      return result.value;
-    }
-    this.#holders.failed(holder.id, monotonicMs());
+    if (result.isOk()) return result.value;
     this.#options.log.warn("claim-failed", {
       partition: request.partition,
       peer: result.error.peer,
@@ -185,32 +188,44 @@
   }
 
   async #completeOnce(request: CompleteClaimRequest): Promise<boolean> {
-    const { task } = this.#options;
+    const { task, selfId } = this.#options;
     if (task.holds(request.partition)) return await task.complete(request);
     for (const holder of this.#holders.of(request.partition, monotonicMs())) {
-      if (await this.#completeAt(holder, request)) return true;
+      const isRecorded = holder.id === selfId
+        ? await task.complete(request)
+        : await this.#completeAt(holder, request);
+      if (isRecorded) return true;
     }
-    return task.isSubstitute && await task.complete(request);
+    return false;
   }
 
   async #completeAt(
     holder: Member,
     request: CompleteClaimRequest,
   ): Promise<boolean> {
-    const result = await this.#options.clients.call(
-      `${holder.host}:${holder.controlPort}`,
+    const result = await this.#ask(
+      holder,
       "complete-claim",
       (peer, options) => peer.completeClaim(request, options),
-      { timeoutMs: this.#timeoutMs(holder) },
     );
-    if (result.isErr()) this.#holders.failed(holder.id, monotonicMs());
     return result.isOk() && result.value.recorded;
   }
 
-  #timeoutMs(holder: Member): number {
-    return holder.domain === this.#options.domain
+  /** Calls a holder and remembers whether it could be reached. */
+  async #ask<T>(
+    holder: Member,
+    step: string,
+    run: (peer: PeerClient, options: { timeoutMs: number }) => Promise<T>,
+  ): Promise<Result<T, StepError>> {
+    const { clients, domain } = this.#options;
+    const timeoutMs = holder.domain === domain
       ? CALL_TIMEOUT_MS
       : FAR_CALL_TIMEOUT_MS;
+    const result = await clients
+      .call(controlAddress(holder), step, run, { timeoutMs });
+    if (result.isOk()) this.#holders.answered(holder.id);
+    else this.#holders.failed(holder.id, monotonicMs());
+    return result;
   }
 
   #request(call: Call): ClaimRequest {
--- a/src/daemon/claim_task.ts
+++ b/src/daemon/claim_task.ts
@@ -87,11 +87,6 @@
     return this.#held.has(partition);
   }
 
-  /** Whether this daemon stands in for holders that are out of reach. */
-  get isSubstitute(): boolean {
-    return this.#isReader;
-  }
-
   /**
    * Claims a key, as the holder of its partition or in the holder's place.
    *
--- a/src/daemon/gossip_intake.ts
+++ b/src/daemon/gossip_intake.ts
@@ -50,11 +50,11 @@
   /**
    * Returns the highest version that an instance was seen to hold.
    *
-   * @param instance Name of the instance.
+   * @param member A member on the instance.
    * @returns The version; 0 where none is remembered.
    */
-  lastVersionOf(instance: string): number {
-    return this.#lastVersions.get(instance) ?? 0;
+  lastVersionOf(member: Member | undefined): number {
+    return this.#lastVersions.get(member?.instance ?? "") ?? 0;
   }
 
   /**
@@ -76,7 +76,7 @@
   }
 
   #receiveVersion(peer: Member, gossip: Gossip): void {
-    const known = this.lastVersionOf(peer.instance);
+    const known = this.lastVersionOf(peer);
     const version = Math.max(known, gossip.configVersion);
     this.#lastVersions.set(peer.instance, version);
     const { config, log, bus } = this.#options;
--- a/src/daemon/gossip_task.ts
+++ b/src/daemon/gossip_task.ts
@@ -170,7 +170,7 @@
       );
     }
     const sender = request.sender;
-    const lastSeenVersion = this.#intake.lastVersionOf(sender?.instance ?? "");
+    const lastSeenVersion = this.#intake.lastVersionOf(sender);
     if (sender !== undefined) this.#receive(sender, request.gossip);
     return create(ExchangeResponseSchema, {
       receiver: self,
@@ -206,9 +206,7 @@
     return create(SyncResponseSchema, {
       members: this.#membership.table.inBuckets(differing),
       configVersion: this.#options.config.version,
-      lastSeenVersion: this.#intake.lastVersionOf(
-        request.sender?.instance ?? "",
-      ),
+      lastSeenVersion: this.#intake.lastVersionOf(request.sender),
       quarantines: this.#options.quarantine.refused(readClocks().monotonicMs),
     });
   }
--- a/src/daemon/ingress_attempt.ts
+++ b/src/daemon/ingress_attempt.ts
@@ -91,9 +91,7 @@
       this.#execution = this.#options.peers.execute(member, this.call, this);
       return;
     }
-    const { destination } = this.#options;
-    this.#execution = destination.execute(this.call, this);
-    this.onLoad(destination.admission.load);
+    this.#execution = this.#options.destination.execute(this.call, this);
   }
 
   /** Gives up the attempt. */
--- a/src/daemon/peer_caller.ts
+++ b/src/daemon/peer_caller.ts
@@ -30,6 +30,7 @@
 import { Exchange } from "../transport/http/exchange.ts";
 import { singleHeader } from "../transport/http/header_filter.ts";
 import { monotonicMs } from "./clocks.ts";
+import { controlAddress } from "./control_address.ts";
 
 /** Destinations whose connections are kept. */
 const MAX_POOLS = 512;
@@ -117,7 +118,7 @@
     const ageMs = Math.ceil(monotonicMs() - call.sentAtMs);
     const { id: requestId, givesUp } = call;
     const result = await this.#options.clients.call(
-      `${member.host}:${member.controlPort}`,
+      controlAddress(member),
       "settle",
       (peer, options) => peer.settle({ requestId, ageMs, givesUp }, options),
       { timeoutMs: SETTLE_TIMEOUT_MS, isFresh: true },
--- a/testkit/daemon_process.ts
+++ b/testkit/daemon_process.ts
@@ -16,6 +16,9 @@
 /** Key that all daemons of a test share. */
 export const FLEET_KEYS = [{ id: "k1", secret: "test-secret-0123456789" }];
 
+/** Settings that undo the short periods of tests, for measurements. */
+export const PRODUCTION_SETTINGS = { gossip: {}, claims: {}, leaseTtlS: 4 };
+
 /** Where and how a daemon of a test runs. */
 export interface DaemonPlan {
   readonly instance: string;
