--- /dev/null
+++ b/src/coordination/dispatch/destination_view.ts
@@ -0,0 +1,148 @@
+import type { CallOutcome, DestinationLoad } from "../../protocol/mesh_call.ts";
+import { Ejection } from "../routing/ejection.ts";
+import { ServiceTimes } from "./service_times.ts";
+
+/** Time after which a load report has lost most of its weight, in ms. */
+const REPORT_MEMORY_MS = 300;
+/** Weight of the newest outcome in the share of failures. */
+const FAILURE_WEIGHT = 0.1;
+/** Time in which a share of failures halves without new ones, in ms. */
+const FAILURE_HALF_LIFE_MS = 2_000;
+/** Longest time for which a destination out of reach is not tried, in ms. */
+const MAX_UNREACHABLE_MS = 2_000;
+
+/**
+ * What this daemon knows of one destination, from its own requests to it.
+ *
+ * @example
+ * ```ts ignore
+ * view.sent();
+ * view.ended("stock", outcome, nowMs);
+ * ```
+ */
+export class DestinationView {
+  readonly times = new ServiceTimes();
+  readonly #unreachable = new Ejection(MAX_UNREACHABLE_MS);
+  #inFlight = 0;
+  #sentSinceReport = 0;
+  #load: DestinationLoad | undefined;
+  #reportedAtMs = -Infinity;
+  #failureShare = 0;
+  #failedAtMs = 0;
+
+  /** Requests of this daemon that the destination has. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Notes that a request goes out. */
+  sent(): void {
+    this.#inFlight++;
+    this.#sentSinceReport++;
+  }
+
+  /**
+   * Takes in the outcome of a request.
+   *
+   * @param route Name of its route.
+   * @param outcome The outcome.
+   * @param nowMs Monotonic time.
+   */
+  ended(route: string, outcome: CallOutcome, nowMs: number): void {
+    this.#inFlight--;
+    switch (outcome.kind) {
+      case "answered":
+        this.times.learn(route, outcome.serviceMs);
+        this.#observe(outcome.answer.status >= 500, nowMs);
+        return;
+      case "not-run":
+        if (outcome.arrived) this.#observe(true, nowMs);
+        return;
+      case "unknown":
+        this.#observe(true, nowMs);
+    }
+  }
+
+  /**
+   * Takes in a load report.
+   *
+   * @param load The report.
+   * @param nowMs Monotonic time.
+   */
+  reported(load: DestinationLoad, nowMs: number): void {
+    this.#load = load;
+    this.#reportedAtMs = nowMs;
+    this.#sentSinceReport = 0;
+    this.#unreachable.forgive();
+  }
+
+  /**
+   * Notes that the destination could not be reached.
+   *
+   * @param nowMs Monotonic time.
+   */
+  unreached(nowMs: number): void {
+    if (!this.#unreachable.isActive(nowMs)) this.#unreachable.start(nowMs);
+  }
+
+  /** Says whether the destination is out of reach at a monotonic time. */
+  isUnreachable(nowMs: number): boolean {
+    return this.#unreachable.isActive(nowMs);
+  }
+
+  /**
+   * Returns the share of recent requests that the backend server failed.
+   *
+   * @param nowMs Monotonic time.
+   * @returns 0 to 1, the larger of the own and the reported share.
+   */
+  failureShare(nowMs: number): number {
+    const ageMs = nowMs - this.#failedAtMs;
+    const own = this.#failureShare * 0.5 ** (ageMs / FAILURE_HALF_LIFE_MS);
+    return Math.max(own, (this.#load?.failureShare ?? 0) * this.#weight(nowMs));
+  }
+
+  /**
+   * Estimates the time until a new request ends.
+   *
+   * @param route Name of its route.
+   * @param nowMs Monotonic time.
+   * @param slots Slots that the backend server announced.
+   * @returns The wait and the service time, in ms.
+   */
+  expected(
+    route: string,
+    nowMs: number,
+    slots: number,
+  ): { readonly waitMs: number; readonly serviceMs: number } {
+    const serviceMs = this.times.expectedMs(route);
+    const limit = Math.max(1, this.#load?.limit ?? slots);
+    const weight = this.#weight(nowMs);
+    const reported = (this.#load?.running ?? 0) + (this.#load?.queued ?? 0);
+    const busy = Math.max(
+      this.#inFlight,
+      reported * weight + this.#sentSinceReport,
+    );
+    const reportedWaitMs = (this.#load?.waitMs ?? 0) * weight;
+    const excess = Math.max(0, busy + 1 - limit);
+    const ownWaitMs = excess * this.times.overallMs / limit;
+    // A destination close to its limit slows down before requests wait.
+    const crowding = Math.min(1, busy / limit) ** 3 * serviceMs * 0.25;
+    return {
+      waitMs: Math.max(reportedWaitMs, ownWaitMs) + crowding,
+      serviceMs,
+    };
+  }
+
+  #weight(nowMs: number): number {
+    return Math.exp(-(nowMs - this.#reportedAtMs) / REPORT_MEMORY_MS);
+  }
+
+  #observe(isFailure: boolean, nowMs: number): void {
+    const current = this.#failureShare *
+      0.5 ** ((nowMs - this.#failedAtMs) / FAILURE_HALF_LIFE_MS);
+    this.#failureShare = current +
+      ((isFailure ? 1 : 0) - current) * FAILURE_WEIGHT;
+    this.#failedAtMs = nowMs;
+  }
+}
--- /dev/null
+++ b/src/coordination/dispatch/work_queue.ts
@@ -0,0 +1,228 @@
+import { ServiceTimes } from "./service_times.ts";
+
+/** Lead of a priority over the next one, in ms of slack. */
+const PRIORITY_LEAD_MS = 400;
+/** Setback of work that misses its objective anyway, in ms of slack. */
+const LATE_SETBACK_MS = 2_000;
+/** Share of the slots kept for each less urgent priority while it waits. */
+const GUARANTEED_SHARE = 0.1;
+/** Share of the time between objective and deadline that may be used up. */
+const LATE_ADMISSION_SHARE = 0.5;
+/** Shortest and longest wait that is suggested to a refused caller, in ms. */
+const MIN_RETRY_AFTER_MS = 50;
+const MAX_RETRY_AFTER_MS = 2_000;
+
+/** A request that asks for a slot. */
+export interface WorkItem {
+  readonly route: string;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  readonly objectiveAtMs: number;
+  readonly deadlineMs: number;
+}
+
+/** Answer to a request for a slot. */
+export type Offer =
+  | { readonly kind: "start" }
+  | { readonly kind: "wait" }
+  | { readonly kind: "refuse"; readonly retryAfterMs: number };
+
+/** What may start and what can no longer be served. */
+export interface Dispatch<T> {
+  readonly started: readonly T[];
+  readonly expired: readonly T[];
+}
+
+/**
+ * Gives the slots of one backend server to requests.
+ *
+ * Requests that still make their objective go first, by the time left to it
+ * and with a lead for each more urgent priority; each priority that waits
+ * keeps a small share of the slots. What cannot be served in time is refused
+ * on arrival.
+ *
+ * @example
+ * ```ts ignore
+ * const queue = new WorkQueue<WorkItem>(18);
+ * queue.offer(item, performance.now()); // { kind: "start" }
+ * ```
+ */
+export class WorkQueue<T extends WorkItem> {
+  readonly times = new ServiceTimes();
+  #slots: number;
+  #waiting: T[] = [];
+  #running = 0;
+  readonly #runningByPriority = new Map<number, number>();
+
+  /**
+   * Creates an empty queue.
+   *
+   * @param slots Requests that the backend server runs at a time.
+   */
+  constructor(slots: number) {
+    this.#slots = slots;
+  }
+
+  /** Requests that the backend server runs at a time. */
+  get slots(): number {
+    return this.#slots;
+  }
+
+  set slots(slots: number) {
+    this.#slots = slots;
+  }
+
+  /** Requests that run. */
+  get running(): number {
+    return this.#running;
+  }
+
+  /** Requests that wait. */
+  get queued(): number {
+    return this.#waiting.length;
+  }
+
+  /**
+   * Asks for a slot.
+   *
+   * @param item The request.
+   * @param nowMs Monotonic time.
+   * @returns Whether it starts, waits or is refused.
+   */
+  offer(item: T, nowMs: number): Offer {
+    const serviceMs = this.times.expectedMs(item.route);
+    if (this.#waiting.length === 0 && this.#running < this.#slots) {
+      if (nowMs >= item.deadlineMs) return this.#refusal(0);
+      this.#start(item);
+      return { kind: "start" };
+    }
+    const waitMs = this.#waitMs(item, nowMs);
+    const acceptableMs = item.objectiveAtMs +
+      Math.max(0, item.deadlineMs - item.objectiveAtMs) * LATE_ADMISSION_SHARE;
+    if (nowMs + waitMs + serviceMs > Math.min(acceptableMs, item.deadlineMs)) {
+      return this.#refusal(waitMs);
+    }
+    this.#waiting.push(item);
+    return { kind: "wait" };
+  }
+
+  /**
+   * Ends a running request.
+   *
+   * @param item The request.
+   * @param serviceMs Time that it ran; `undefined` where it says nothing about
+   * the backend server.
+   */
+  finish(item: T, serviceMs: number | undefined): void {
+    this.#running--;
+    this.#count(item.priority, -1);
+    if (serviceMs !== undefined) this.times.learn(item.route, serviceMs);
+  }
+
+  /**
+   * Takes a waiting request out.
+   *
+   * @param item The request.
+   * @returns Whether it was waiting.
+   */
+  remove(item: T): boolean {
+    const index = this.#waiting.indexOf(item);
+    if (index >= 0) this.#waiting.splice(index, 1);
+    return index >= 0;
+  }
+
+  /** Takes all waiting requests out. */
+  removeAll(): T[] {
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    return waiting;
+  }
+
+  /**
+   * Starts what may start, and gives up what cannot make its deadline.
+   *
+   * @param nowMs Monotonic time.
+   * @returns The requests that left the queue.
+   */
+  dispatch(nowMs: number): Dispatch<T> {
+    const expired = this.#waiting.filter((item) => this.#isLost(item, nowMs));
+    if (expired.length > 0) {
+      this.#waiting = this.#waiting.filter((item) => !expired.includes(item));
+    }
+    const started: T[] = [];
+    while (this.#running < this.#slots && this.#waiting.length > 0) {
+      const item = this.#next(nowMs);
+      this.remove(item);
+      this.#start(item);
+      started.push(item);
+    }
+    return { started, expired };
+  }
+
+  /**
+   * Estimates how long one more request would wait.
+   *
+   * @param item The request.
+   * @param nowMs Monotonic time.
+   * @returns The wait, in ms.
+   */
+  expectedWaitMs(item: WorkItem, nowMs: number): number {
+    const isFree = this.#waiting.length === 0 && this.#running < this.#slots;
+    return isFree ? 0 : this.#waitMs(item, nowMs);
+  }
+
+  #refusal(waitMs: number): Offer {
+    const retryAfterMs = Math.min(
+      MAX_RETRY_AFTER_MS,
+      Math.max(MIN_RETRY_AFTER_MS, waitMs),
+    );
+    return { kind: "refuse", retryAfterMs };
+  }
+
+  #waitMs(item: WorkItem, nowMs: number): number {
+    const key = this.#key(item, nowMs);
+    let workMs = this.times.overallMs;
+    for (const other of this.#waiting) {
+      if (this.#key(other, nowMs) > key) continue;
+      workMs += this.times.expectedMs(other.route);
+    }
+    return workMs / Math.max(1, this.#slots);
+  }
+
+  /** Smaller keys go first. */
+  #key(item: WorkItem, nowMs: number): number {
+    const serviceMs = this.times.expectedMs(item.route);
+    const slackMs = item.objectiveAtMs - nowMs - serviceMs;
+    const leadMs = item.priority * PRIORITY_LEAD_MS;
+    if (slackMs >= 0) return slackMs + leadMs;
+    return item.deadlineMs - nowMs + leadMs + LATE_SETBACK_MS;
+  }
+
+  #next(nowMs: number): T {
+    const owed = this.#waiting.filter((item) => this.#isOwed(item));
+    const candidates = owed.length > 0 ? owed : this.#waiting;
+    return candidates.reduce((best, item) =>
+      this.#key(item, nowMs) < this.#key(best, nowMs) ? item : best
+    );
+  }
+
+  /** Whether the request's priority runs below its guaranteed share. */
+  #isOwed(item: T): boolean {
+    const guaranteed = Math.floor(this.#slots * GUARANTEED_SHARE);
+    return (this.#runningByPriority.get(item.priority) ?? 0) < guaranteed;
+  }
+
+  #isLost(item: T, nowMs: number): boolean {
+    return nowMs + this.times.expectedMs(item.route) > item.deadlineMs;
+  }
+
+  #start(item: T): void {
+    this.#running++;
+    this.#count(item.priority, 1);
+  }
+
+  #count(priority: number, change: number): void {
+    const running = this.#runningByPriority.get(priority) ?? 0;
+    this.#runningByPriority.set(priority, running + change);
+  }
+}
--- /dev/null
+++ b/src/protocol/peer_call.ts
@@ -0,0 +1,207 @@
+import type { CallOutcome, DestinationLoad, MeshCall } from "./mesh_call.ts";
+import { MeshReason } from "./mesh_call.ts";
+import { RequestKind } from "./mesh.ts";
+
+/** Header with which a daemon describes a request to another daemon. */
+export const HEADER_CALL = "sp-call";
+/** Header with which a daemon describes the outcome to another daemon. */
+export const HEADER_RESULT = "sp-result";
+
+/** Fields are short and in a fixed order, as they cross domains on each call. */
+const SEPARATOR = ";";
+
+const KIND_CODES: Readonly<Record<RequestKind, string>> = {
+  [RequestKind.Idempotent]: "i",
+  [RequestKind.AtMostOnce]: "o",
+  [RequestKind.Upload]: "u",
+};
+const KINDS_BY_CODE = new Map(
+  Object.values(RequestKind).map((kind) => [KIND_CODES[kind], kind]),
+);
+const REASONS = new Set<string>(Object.values(MeshReason));
+
+/** The described part of a request, times relative to the sending. */
+export type CallDescription =
+  & Omit<
+    MeshCall,
+    "method" | "path" | "headers" | "body" | "deadlineMs" | "objectiveAtMs"
+  >
+  & {
+    readonly remainingMs: number;
+    readonly objectiveInMs: number;
+    /** Newest configuration version that the sender knows. */
+    readonly configVersion: number;
+  };
+
+/** What a daemon says of an outcome besides the answer itself. */
+export interface ResultDescription {
+  readonly outcome:
+    | { readonly kind: "answered"; readonly serviceMs: number }
+    | Exclude<CallOutcome, { kind: "answered" }>;
+  readonly load: DestinationLoad;
+  readonly configVersion: number;
+}
+
+/**
+ * Formats the description of a request.
+ *
+ * @param call The description.
+ * @returns The value of {@linkcode HEADER_CALL}.
+ *
+ * @example
+ * ```ts ignore
+ * headers.push(HEADER_CALL, formatCall(description));
+ * ```
+ */
+export function formatCall(call: CallDescription): string {
+  return [
+    call.id,
+    call.route,
+    KIND_CODES[call.kind],
+    call.priority,
+    call.callerService,
+    call.service,
+    call.backendId,
+    Math.round(call.remainingMs),
+    Math.round(call.objectiveInMs),
+    call.isRepeat ? 1 : 0,
+    call.configVersion,
+  ].map((field) => encodeURIComponent(field)).join(SEPARATOR);
+}
+
+/**
+ * Parses the description of a request.
+ *
+ * @param value Value of {@linkcode HEADER_CALL}.
+ * @returns The description; `undefined` where it cannot be read.
+ *
+ * @example
+ * ```ts
+ * parseCall("nonsense"); // undefined
+ * ```
+ */
+export function parseCall(value: string): CallDescription | undefined {
+  const fields = decodeFields(value);
+  if (fields?.length !== 11) return undefined;
+  const [id, route, kindCode, , callerService, service, backendId] =
+    fields as string[];
+  const kind = KINDS_BY_CODE.get(kindCode!);
+  const numbers = [3, 7, 8, 10].map((index) => Number(fields[index]));
+  if (kind === undefined || !numbers.every(Number.isFinite)) return undefined;
+  const [priority, remainingMs, objectiveInMs, configVersion] =
+    numbers as [number, number, number, number];
+  return {
+    id: id!,
+    route: route!,
+    kind,
+    priority,
+    callerService: callerService!,
+    service: service!,
+    backendId: backendId!,
+    remainingMs,
+    objectiveInMs,
+    isRepeat: fields[9] === "1",
+    configVersion,
+  };
+}
+
+/**
+ * Formats the description of an outcome.
+ *
+ * @param result The description.
+ * @returns The value of {@linkcode HEADER_RESULT}.
+ *
+ * @example
+ * ```ts ignore
+ * headers.push(HEADER_RESULT, formatResult(result));
+ * ```
+ */
+export function formatResult(result: ResultDescription): string {
+  const { outcome, load, configVersion } = result;
+  return [
+    ...outcomeFields(outcome),
+    load.running,
+    load.queued,
+    load.limit,
+    Math.round(load.waitMs),
+    load.failureShare.toFixed(2),
+    configVersion,
+  ].join(SEPARATOR);
+}
+
+function outcomeFields(
+  outcome: ResultDescription["outcome"],
+): readonly (string | number)[] {
+  switch (outcome.kind) {
+    case "answered":
+      return ["a", Math.round(outcome.serviceMs), ""];
+    case "not-run":
+      return [
+        outcome.arrived ? "r" : "n",
+        outcome.reason,
+        Math.round(outcome.retryAfterMs),
+      ];
+    case "unknown":
+      return ["u", outcome.reason, ""];
+  }
+}
+
+/**
+ * Parses the description of an outcome.
+ *
+ * @param value Value of {@linkcode HEADER_RESULT}.
+ * @returns The description; `undefined` where it cannot be read.
+ *
+ * @example
+ * ```ts
+ * parseResult("nonsense"); // undefined
+ * ```
+ */
+export function parseResult(value: string): ResultDescription | undefined {
+  const fields = value.split(SEPARATOR);
+  if (fields.length !== 9) return undefined;
+  const outcome = parseOutcome(fields[0]!, fields[1]!, Number(fields[2]));
+  const numbers = fields.slice(3).map(Number);
+  if (outcome === undefined || !numbers.every(Number.isFinite)) {
+    return undefined;
+  }
+  const [running, queued, limit, waitMs, failureShare, configVersion] =
+    numbers as [number, number, number, number, number, number];
+  return {
+    outcome,
+    load: { running, queued, limit, waitMs, failureShare },
+    configVersion,
+  };
+}
+
+function parseOutcome(
+  code: string,
+  detail: string,
+  retryAfterMs: number,
+): ResultDescription["outcome"] | undefined {
+  if (code === "a") {
+    const serviceMs = Number(detail);
+    return Number.isFinite(serviceMs)
+      ? { kind: "answered", serviceMs }
+      : undefined;
+  }
+  if (!REASONS.has(detail)) return undefined;
+  const reason = detail as MeshReason;
+  if (code === "u") return { kind: "unknown", reason };
+  if (code !== "r" && code !== "n") return undefined;
+  return {
+    kind: "not-run",
+    reason,
+    arrived: code === "r",
+    retryAfterMs: Number.isFinite(retryAfterMs) ? retryAfterMs : 0,
+  };
+}
+
+function decodeFields(value: string): string[] | undefined {
+  try {
+    return value.split(SEPARATOR).map(decodeURIComponent);
+  } catch {
+    // A malformed escape: the header is not one of ours.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/sidecar/announce_task.ts
@@ -0,0 +1,163 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { Buffer } from "node:buffer";
+import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
+import type { StoreEntry } from "../protocol/store.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import {
+  decodeRecord,
+  encodeRecord,
+  RECORD_PREFIX,
+} from "./backend_record_codec.ts";
+import type { MeshStore } from "./ports.ts";
+
+/** Life of the record of a daemon that renews nothing more, in s. */
+const LEASE_TTL_S = 10;
+/** Pause between two renewals, in ms. */
+const RENEW_PERIOD_MS = 3_000;
+/** Pause before a write that failed is tried again, in ms. */
+const RETRY_MS = 300;
+
+/** What the announcements work with. */
+export interface AnnounceOptions {
+  readonly store: MeshStore;
+  readonly instance: string;
+  readonly log: EventLog;
+}
+
+/**
+ * Keeps the record of the own backend server in the store as it should be.
+ *
+ * What was written is compared with what the store reports, so that a late
+ * write, a lost answer or a lapsed lease is made good.
+ *
+ * @example
+ * ```ts ignore
+ * announcer.publish(record);
+ * ```
+ */
+export class AnnounceTask {
+  readonly #options: AnnounceOptions;
+  readonly #key: string;
+  #wanted: Uint8Array | undefined;
+  #stored: Uint8Array | undefined;
+  #leaseId: string | undefined;
+  #renewAtMs = 0;
+  #wake: (() => void) | undefined;
+
+  /**
+   * Creates a task that publishes nothing yet.
+   *
+   * @param options Store, own instance and log.
+   */
+  constructor(options: AnnounceOptions) {
+    this.#options = options;
+    this.#key = RECORD_PREFIX + options.instance;
+  }
+
+  /** Key of the own record. */
+  get key(): string {
+    return this.#key;
+  }
+
+  /**
+   * Publishes a record in place of the present one.
+   *
+   * @param record The record.
+   */
+  publish(record: BackendRecord): void {
+    this.#wanted = encodeRecord(record);
+    this.#wake?.();
+  }
+
+  /**
+   * Takes in what the store holds under the own key.
+   *
+   * @param entry The entry, if any.
+   * @returns A life that was draining or had left before this process started.
+   */
+  observed(entry: StoreEntry | undefined): BackendRecord | undefined {
+    this.#stored = entry?.value;
+    if (!isSame(this.#stored, this.#wanted)) this.#wake?.();
+    const record = entry && decodeRecord(entry.value);
+    return record?.state === BackendState.Draining ? record : undefined;
+  }
+
+  /**
+   * Writes and renews until the signal aborts.
+   *
+   * @param signal Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const isDone = await this.#reconcile();
+      await this.#pause(isDone ? this.#untilRenewalMs() : RETRY_MS);
+    }
+  }
+
+  async #reconcile(): Promise<boolean> {
+    if (this.#leaseId !== undefined && performance.now() >= this.#renewAtMs) {
+      await this.#renew();
+    }
+    // Until the backend server has spoken, a former record stands.
+    if (this.#wanted === undefined) return true;
+    if (isSame(this.#stored, this.#wanted)) return true;
+    return await this.#put(this.#wanted);
+  }
+
+  async #renew(): Promise<void> {
+    const renewed = await this.#options.store.renewLease(this.#leaseId!);
+    this.#renewAtMs = performance.now() + RENEW_PERIOD_MS;
+    if (renewed.isErr() || renewed.value > 0) return;
+    this.#options.log.warn("record-lease-lapsed", { lease: this.#leaseId });
+    this.#leaseId = undefined;
+    this.#stored = undefined;
+  }
+
+  async #put(wanted: Uint8Array): Promise<boolean> {
+    const { store, log } = this.#options;
+    if (this.#leaseId === undefined) {
+      const granted = await store.grantLease(LEASE_TTL_S);
+      if (granted.isErr()) return false;
+      this.#leaseId = granted.value;
+      this.#renewAtMs = performance.now() + RENEW_PERIOD_MS;
+    }
+    const committed = await store.commit({
+      conditions: [],
+      writes: [{
+        kind: "put",
+        key: this.#key,
+        value: wanted,
+        leaseId: this.#leaseId,
+      }],
+    });
+    if (committed.isErr()) {
+      log.warn("record-write-failed", { reason: committed.error.message });
+      // The lease may be the reason; a new one costs one call.
+      this.#leaseId = undefined;
+      return false;
+    }
+    this.#stored = wanted;
+    log.info("record-written", { revision: committed.value.revision });
+    return true;
+  }
+
+  #untilRenewalMs(): number {
+    if (this.#leaseId === undefined) return RENEW_PERIOD_MS;
+    return Math.max(0, this.#renewAtMs - performance.now());
+  }
+
+  async #pause(pauseMs: number): Promise<void> {
+    const woken = new AbortController();
+    this.#wake = () => woken.abort();
+    try {
+      await sleep(pauseMs, undefined, { signal: woken.signal });
+    } catch {
+      // Woken early: there is something to write.
+    }
+  }
+}
+
+function isSame(a: Uint8Array | undefined, b: Uint8Array | undefined): boolean {
+  if (a === undefined || b === undefined) return a === b;
+  return Buffer.compare(a, b) === 0;
+}
--- /dev/null
+++ b/src/sidecar/call_ledger.ts
@@ -0,0 +1,81 @@
+import { CallStatus } from "./peer_client.ts";
+
+/** Time for which an ended or refused request is remembered, in ms. */
+const MEMORY_MS = 10_000;
+
+interface Entry {
+  readonly status: CallStatus;
+  readonly untilMs: number;
+}
+
+/**
+ * Requests of other daemons that reached this one lately.
+ *
+ * Who asks about a request that never arrived is told so, and the request is
+ * refused if it arrives after all.
+ *
+ * @example
+ * ```ts
+ * const ledger = new CallLedger();
+ * ledger.ask("a", 0); // "unknown"
+ * ledger.open("a", 1); // false
+ * ```
+ */
+export class CallLedger {
+  readonly #entries = new Map<string, Entry>();
+
+  /**
+   * Takes in a request.
+   *
+   * @param id Id of the request.
+   * @param nowMs Monotonic time.
+   * @returns Whether it may be executed.
+   */
+  open(id: string, nowMs: number): boolean {
+    const known = this.#entries.get(id);
+    if (known?.status === CallStatus.Unknown && known.untilMs > nowMs) {
+      return false;
+    }
+    this.#entries.set(id, { status: CallStatus.Open, untilMs: Infinity });
+    return true;
+  }
+
+  /**
+   * Notes that a request ended.
+   *
+   * @param id Id of the request.
+   * @param nowMs Monotonic time.
+   */
+  end(id: string, nowMs: number): void {
+    this.#remember(id, CallStatus.Ended, nowMs);
+    this.#forget(nowMs);
+  }
+
+  /**
+   * Answers a question about a request.
+   *
+   * @param id Id of the request.
+   * @param nowMs Monotonic time.
+   * @returns Its status; one that is unknown is refused from now on.
+   */
+  ask(id: string, nowMs: number): CallStatus {
+    const known = this.#entries.get(id);
+    if (known !== undefined) return known.status;
+    this.#remember(id, CallStatus.Unknown, nowMs);
+    return CallStatus.Unknown;
+  }
+
+  #remember(id: string, status: CallStatus, nowMs: number): void {
+    // Set anew, so that the map stays in the order of the times.
+    this.#entries.delete(id);
+    this.#entries.set(id, { status, untilMs: nowMs + MEMORY_MS });
+  }
+
+  #forget(nowMs: number): void {
+    for (const [id, entry] of this.#entries) {
+      if (entry.untilMs === Infinity) continue;
+      if (entry.untilMs > nowMs) return;
+      this.#entries.delete(id);
+    }
+  }
+}
--- /dev/null
+++ b/src/sidecar/destination_task.ts
@@ -0,0 +1,325 @@
+import { type Announcement, RequestKind } from "../protocol/mesh.ts";
+import type {
+  CallOutcome,
+  DestinationLoad,
+  MeshCall,
+} from "../protocol/mesh_call.ts";
+import { MeshReason } from "../protocol/mesh_call.ts";
+import { endToEndHeaders } from "../transport/http/header_filter.ts";
+import {
+  ConnectionStack,
+  type StackResult,
+} from "../transport/http/connection_stack.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import type { OwnBackend } from "../state/own_backend.ts";
+import { type Dispatch, WorkQueue } from "../coordination/dispatch/mod.ts";
+import type { EdgeHeaders } from "./ports.ts";
+
+/** Weight of the newest outcome in the share of failures. */
+const FAILURE_WEIGHT = 0.1;
+/** Longest idle time of a connection for what may run once, in ms. */
+const AT_MOST_ONCE_MAX_IDLE_MS = 3_000;
+/** Headers of an answer that speak of one connection or its framing. */
+const ANSWER_FRAMING = new Set(["content-length"]);
+/** Status of an answer that names another backend server. */
+const MISDIRECTED = 421;
+
+/** A call that waits for a slot or runs. */
+interface Job {
+  readonly call: MeshCall;
+  readonly route: string;
+  readonly priority: number;
+  readonly objectiveAtMs: number;
+  readonly deadlineMs: number;
+  readonly resolve: (outcome: CallOutcome) => void;
+}
+
+/** What a destination needs besides its backend server. */
+export interface DestinationOptions {
+  readonly backend: OwnBackend;
+  readonly headers: EdgeHeaders;
+  readonly log: EventLog;
+}
+
+/**
+ * The only way to the backend server beside this daemon, and the authority on
+ * what it runs.
+ *
+ * @example
+ * ```ts ignore
+ * const outcome = await destination.execute(call, signal);
+ * ```
+ */
+export class DestinationTask {
+  readonly #backend: OwnBackend;
+  readonly #headers: EdgeHeaders;
+  readonly #log: EventLog;
+  readonly #queue = new WorkQueue<Job>(1);
+  readonly #signals = new WeakMap<Job, AbortSignal>();
+  #connections: ConnectionStack | undefined;
+  #address = "";
+  #failureShare = 0;
+  #refusesPeers = false;
+
+  /**
+   * Creates a destination without a backend server.
+   *
+   * @param options Backend server, header names and log.
+   */
+  constructor(options: DestinationOptions) {
+    this.#backend = options.backend;
+    this.#headers = options.headers;
+    this.#log = options.log;
+  }
+
+  /**
+   * Takes in a new life of the backend server.
+   *
+   * @param announcement Its announcement.
+   */
+  started(announcement: Announcement): void {
+    this.#queue.slots = announcement.slots;
+    this.#failureShare = 0;
+    this.#connections?.close();
+    this.#address = announcement.address;
+    this.#connections = new ConnectionStack(this.#address);
+  }
+
+  /** Sends back what waits, as the backend server leaves. */
+  drain(): void {
+    for (const job of this.#queue.removeAll()) {
+      job.resolve(notRun(MeshReason.Leaving));
+    }
+  }
+
+  /** Refuses further requests of other daemons, as this daemon leaves. */
+  refusePeers(): void {
+    this.#refusesPeers = true;
+  }
+
+  /** Whether requests of other daemons are refused. */
+  get refusesPeers(): boolean {
+    return this.#refusesPeers;
+  }
+
+  /** Requests that wait or run. */
+  get size(): number {
+    return this.#queue.running + this.#queue.queued;
+  }
+
+  /**
+   * Returns the load as a request of some priority meets it.
+   *
+   * @param call The request.
+   * @returns The load.
+   */
+  loadFor(call: MeshCall): DestinationLoad {
+    const nowMs = performance.now();
+    return {
+      running: this.#queue.running,
+      queued: this.#queue.queued,
+      limit: this.#queue.slots,
+      waitMs: this.#queue.expectedWaitMs(call, nowMs),
+      failureShare: this.#failureShare,
+    };
+  }
+
+  /**
+   * Runs a request on the backend server, once it has a slot.
+   *
+   * @param call The request.
+   * @param signal Ends it, as the caller has gone.
+   * @returns The outcome; never rejects.
+   */
+  execute(call: MeshCall, signal: AbortSignal): Promise<CallOutcome> {
+    const refusal = this.#refusalOf(call, signal);
+    if (refusal !== undefined) return Promise.resolve(refusal);
+    return new Promise((resolve) => {
+      const job = toJob(call, resolve);
+      const offer = this.#queue.offer(job, performance.now());
+      switch (offer.kind) {
+        case "start":
+          this.#run(job, signal);
+          return;
+        case "wait":
+          this.#await(job, signal);
+          return;
+        case "refuse":
+          resolve(notRun(MeshReason.Overloaded, offer.retryAfterMs));
+      }
+    });
+  }
+
+  #refusalOf(call: MeshCall, signal: AbortSignal): CallOutcome | undefined {
+    if (signal.aborted) return notRun(MeshReason.Cancelled);
+    const current = this.#backend.current;
+    if (current === undefined) return notRun(MeshReason.NoBackend);
+    if (current.id !== call.backendId || current.service !== call.service) {
+      return notRun(MeshReason.Replaced);
+    }
+    if (this.#backend.ready === undefined) return notRun(MeshReason.Leaving);
+    return undefined;
+  }
+
+  #await(job: Job, signal: AbortSignal): void {
+    this.#signals.set(job, signal);
+    signal.addEventListener("abort", () => {
+      if (this.#queue.remove(job)) job.resolve(notRun(MeshReason.Cancelled));
+    }, { once: true });
+    const waitMs = Math.max(0, job.deadlineMs - performance.now());
+    setTimeout(() => {
+      if (this.#queue.remove(job)) job.resolve(notRun(MeshReason.Expired));
+    }, waitMs);
+  }
+
+  #apply(dispatch: Dispatch<Job>): void {
+    for (const job of dispatch.expired) {
+      job.resolve(notRun(MeshReason.Expired));
+    }
+    for (const job of dispatch.started) {
+      this.#run(job, this.#signals.get(job)!);
+    }
+  }
+
+  async #run(job: Job, signal: AbortSignal): Promise<void> {
+    const startedAtMs = performance.now();
+    const outcome = await this.#send(job.call, signal, startedAtMs);
+    const served = outcome.kind === "answered" && outcome.answer.status < 500;
+    this.#queue.finish(job, served ? outcome.serviceMs : undefined);
+    this.#observe(outcome, signal);
+    job.resolve(outcome);
+    this.#apply(this.#queue.dispatch(performance.now()));
+  }
+
+  async #send(
+    call: MeshCall,
+    signal: AbortSignal,
+    startedAtMs: number,
+  ): Promise<CallOutcome> {
+    const remainingMs = Math.floor(call.deadlineMs - startedAtMs);
+    if (remainingMs < 1) return notRun(MeshReason.Expired);
+    const isIdempotent = call.kind === RequestKind.Idempotent;
+    const result = await this.#connections!.send({
+      method: call.method,
+      path: call.path,
+      headers: this.#requestHeaders(call, remainingMs),
+      body: call.body,
+      accepts: (status, headers) =>
+        this.#isOwnAnswer(call, status, headerMap(headers)),
+      ...(isIdempotent ? {} : { maxIdleMs: AT_MOST_ONCE_MAX_IDLE_MS }),
+    }, signal);
+    return this.#classify(call, result, startedAtMs);
+  }
+
+  #requestHeaders(call: MeshCall, remainingMs: number): string[] {
+    return [
+      ...call.headers,
+      this.#headers.timeoutMs,
+      String(remainingMs),
+      this.#headers.callerService,
+      call.callerService,
+      this.#headers.expectedBackend,
+      call.backendId,
+    ];
+  }
+
+  #classify(
+    call: MeshCall,
+    result: StackResult,
+    startedAtMs: number,
+  ): CallOutcome {
+    if (result.kind === "failed") {
+      this.#log.warn("backend-send-failed", {
+        id: call.id,
+        peer: this.#address,
+        sent: result.sent,
+        reason: result.message,
+      });
+      return result.sent
+        ? { kind: "unknown", reason: MeshReason.Broken }
+        : notRun(MeshReason.Unreachable);
+    }
+    const fields = headerMap(result.headers);
+    const isNotRun = fields.has(this.#headers.notRun) ||
+      result.status === MISDIRECTED;
+    if (isNotRun) {
+      return {
+        kind: "not-run",
+        reason: MeshReason.Shed,
+        arrived: true,
+        retryAfterMs: 0,
+      };
+    }
+    if (!this.#isOwnAnswer(call, result.status, fields)) {
+      this.#log.warn("backend-answer-malformed", {
+        id: call.id,
+        peer: this.#address,
+        status: result.status,
+        answeredId: fields.get(this.#headers.requestId),
+      });
+      return { kind: "unknown", reason: MeshReason.Malformed };
+    }
+    return {
+      kind: "answered",
+      answer: {
+        status: result.status,
+        headers: endToEndHeaders(result.headers, ANSWER_FRAMING),
+        body: result.body,
+      },
+      serviceMs: performance.now() - startedAtMs,
+    };
+  }
+
+  #isOwnAnswer(
+    call: MeshCall,
+    status: number,
+    fields: ReadonlyMap<string, string>,
+  ): boolean {
+    if (fields.get(this.#headers.requestId) !== call.id) return false;
+    if (fields.has("content-encoding")) return false;
+    return status >= 300 || fields.has(this.#headers.answerProof);
+  }
+
+  #observe(outcome: CallOutcome, signal: AbortSignal): void {
+    if (signal.aborted) return;
+    const isFailure = outcome.kind !== "answered" ||
+      outcome.answer.status >= 500;
+    this.#failureShare += ((isFailure ? 1 : 0) - this.#failureShare) *
+      FAILURE_WEIGHT;
+  }
+}
+
+function toJob(call: MeshCall, resolve: (outcome: CallOutcome) => void): Job {
+  return {
+    call,
+    route: call.route,
+    priority: call.priority,
+    objectiveAtMs: call.objectiveAtMs,
+    deadlineMs: call.deadlineMs,
+    resolve,
+  };
+}
+
+/**
+ * Builds the outcome of a request that never reached the backend server.
+ *
+ * @param reason Why it was not sent.
+ * @param retryAfterMs Time after which a new try has a chance.
+ * @returns The outcome.
+ *
+ * @example
+ * ```ts
+ * notRun(MeshReason.Leaving).kind; // "not-run"
+ * ```
+ */
+export function notRun(reason: MeshReason, retryAfterMs = 0): CallOutcome {
+  return { kind: "not-run", reason, arrived: false, retryAfterMs };
+}
+
+function headerMap(headers: readonly string[]): ReadonlyMap<string, string> {
+  const fields = new Map<string, string>();
+  for (let index = 0; index < headers.length; index += 2) {
+    fields.set(headers[index]!.toLowerCase(), headers[index + 1]!);
+  }
+  return fields;
+}
--- /dev/null
+++ b/src/sidecar/fleet.ts
@@ -0,0 +1,132 @@
+import { DestinationView } from "../coordination/dispatch/mod.ts";
+import type { BackendRecord } from "../protocol/mesh.ts";
+import type { MeshCall } from "../protocol/mesh_call.ts";
+import type { BackendDirectory } from "../state/backend_directory.ts";
+import type { RouteTableHolder } from "../state/route_table_holder.ts";
+import type { DestinationTask } from "./destination_task.ts";
+import { PeerClient, type PeerResult } from "./peer_client.ts";
+
+/** What the way to the other daemons needs. */
+export interface FleetOptions {
+  readonly instance: string;
+  readonly directory: BackendDirectory;
+  readonly routes: RouteTableHolder;
+  readonly destination: DestinationTask;
+  /** Takes in the configuration version of another daemon. */
+  readonly onVersion: (version: number, client: PeerClient) => void;
+}
+
+/** A way to one backend server, with what is known of it. */
+interface Link {
+  readonly id: string;
+  readonly address: string;
+  readonly view: DestinationView;
+  readonly client: PeerClient;
+}
+
+/**
+ * Sends requests to the backend servers of the fleet, and keeps what their
+ * answers tell.
+ *
+ * @example
+ * ```ts ignore
+ * const outcome = await fleet.execute(record, call, signal);
+ * ```
+ */
+export class Fleet {
+  readonly #options: FleetOptions;
+  readonly #links = new Map<string, Link>();
+
+  /**
+   * Creates a fleet without connections.
+   *
+   * @param options Directory, own destination and configuration.
+   */
+  constructor(options: FleetOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Returns what is known of a backend server.
+   *
+   * @param record Its record.
+   * @returns The view; without evidence at first.
+   */
+  viewOf(record: BackendRecord): DestinationView {
+    return this.#linkOf(record).view;
+  }
+
+  /**
+   * Has a request executed by a backend server.
+   *
+   * @param record The backend server.
+   * @param call The request.
+   * @param signal Ends it, as the caller has gone.
+   * @returns The outcome; never rejects.
+   */
+  async execute(
+    record: BackendRecord,
+    call: MeshCall,
+    signal: AbortSignal,
+  ): Promise<PeerResult["outcome"]> {
+    const { view, client } = this.#linkOf(record);
+    view.sent();
+    const isOwn = record.instance === this.#options.instance;
+    const result = isOwn
+      ? await this.#executeHere(call, signal)
+      : await client.execute(call, {
+        signal,
+        configVersion: this.#options.routes.version,
+      });
+    const nowMs = performance.now();
+    view.ended(call.route, result.outcome, nowMs);
+    if (result.load !== undefined) view.reported(result.load, nowMs);
+    if (result.configVersion !== undefined) {
+      this.#options.onVersion(result.configVersion, client);
+    }
+    if (isLost(result)) view.unreached(nowMs);
+    return result.outcome;
+  }
+
+  /**
+   * Closes the link to an instance that has gone.
+   *
+   * @param instance Name of the instance.
+   */
+  forget(instance: string): void {
+    this.#links.get(instance)?.client.close();
+    this.#links.delete(instance);
+  }
+
+  async #executeHere(
+    call: MeshCall,
+    signal: AbortSignal,
+  ): Promise<PeerResult> {
+    const { destination } = this.#options;
+    const outcome = await destination.execute(call, signal);
+    return { outcome, load: destination.loadFor(call) };
+  }
+
+  #linkOf(record: BackendRecord): Link {
+    const known = this.#links.get(record.instance);
+    const isSame = known?.id === record.id &&
+      known.address === record.peerAddress;
+    if (isSame) return known;
+    known?.client.close();
+    const link = {
+      id: record.id,
+      address: record.peerAddress,
+      view: new DestinationView(),
+      client: new PeerClient(record),
+    };
+    this.#links.set(record.instance, link);
+    return link;
+  }
+}
+
+/** Without a load report nothing of the destination's daemon was heard. */
+function isLost(result: PeerResult): boolean {
+  return result.load === undefined && result.outcome.kind !== "answered" &&
+    (result.outcome.reason === "unreachable" ||
+      result.outcome.reason === "broken");
+}
--- /dev/null
+++ b/src/sidecar/ingress_task.ts
@@ -0,0 +1,291 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import { chooseTarget } from "../coordination/dispatch/mod.ts";
+import type { MeshRoute } from "../protocol/mesh.ts";
+import { HEADER_CALL, HEADER_RESULT } from "../protocol/peer_call.ts";
+import type { RouteTableHolder } from "../state/route_table_holder.ts";
+import { endToEndHeaders } from "../transport/http/header_filter.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import {
+  CallFlow,
+  type FlowContext,
+  type FlowRequest,
+  type FlowResult,
+} from "./call_flow.ts";
+import type { EdgeHeaders } from "./ports.ts";
+import { readBody } from "./read_body.ts";
+
+/** Wait suggested before a configuration is known, in ms. */
+const NO_CONFIG_RETRY_AFTER_MS = 300;
+/** Idle time before a configuration is known, in ms. */
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+/** One of this many answered requests is logged. */
+const LOGGED_SHARE = 50;
+/** Most lines about requests that fail in a second. */
+const MAX_FAILURE_LINES_PER_S = 100;
+
+/** What an ingress needs. */
+export interface IngressOptions {
+  readonly routes: RouteTableHolder;
+  readonly headers: EdgeHeaders;
+  readonly flow: FlowContext;
+  readonly log: EventLog;
+}
+
+/** An answer of this daemon's own. */
+interface OwnAnswer {
+  readonly status: number;
+  readonly retryAfterMs?: number;
+}
+
+/**
+ * Takes the requests of callers and of the own backend server.
+ *
+ * @example
+ * ```ts ignore
+ * const ingress = new IngressTask(options);
+ * await listen(ingress.server, host, port);
+ * ```
+ */
+export class IngressTask {
+  readonly server: Server;
+  readonly #options: IngressOptions;
+  readonly #droppedHeaders: ReadonlySet<string>;
+  readonly #flows = new WeakMap<Socket, Set<AbortController>>();
+  readonly #longestTimeoutMs = new Map<string, number>();
+  #isClosing = false;
+  #open = 0;
+  #lastRequestAtMs = 0;
+  #answered = 0;
+  #failureSecond = 0;
+  #failureLines = 0;
+
+  /**
+   * Creates an ingress that does not listen yet.
+   *
+   * @param options Configuration, header names and fleet.
+   */
+  constructor(options: IngressOptions) {
+    this.#options = options;
+    const { timeoutMs, callerService, expectedBackend } = options.headers;
+    this.#droppedHeaders = new Set([
+      timeoutMs,
+      callerService,
+      expectedBackend,
+      HEADER_CALL,
+      HEADER_RESULT,
+      "content-length",
+    ]);
+    this.server = createServer({
+      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+      requestTimeout: 0,
+    }, (request, response) => void this.#handle(request, response));
+    this.server.on("connection", (socket: Socket) => {
+      const flows = new Set<AbortController>();
+      this.#flows.set(socket, flows);
+      socket.on("close", () => {
+        for (const flow of flows) flow.abort();
+      });
+    });
+  }
+
+  /** Requests without an answer. */
+  get open(): number {
+    return this.#open;
+  }
+
+  /** Monotonic time of the newest request. */
+  get lastRequestAtMs(): number {
+    return this.#lastRequestAtMs;
+  }
+
+  /** Asks callers, with each answer, to come on other connections. */
+  close(): void {
+    this.#isClosing = true;
+  }
+
+  /** Takes in the limits of a new configuration. */
+  configured(): void {
+    const limits = this.#options.routes.current?.config.limits;
+    if (limits === undefined) return;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const arrivedAtMs = performance.now();
+    this.#lastRequestAtMs = arrivedAtMs;
+    this.#open++;
+    response.once("close", () => this.#open--);
+    const id = this.#field(request, this.#options.headers.requestId);
+    const table = this.#options.routes.current;
+    if (table === undefined) {
+      return this.#refuse(response, id, {
+        status: 503,
+        retryAfterMs: NO_CONFIG_RETRY_AFTER_MS,
+      });
+    }
+    const path = request.url ?? "/";
+    const route = table.find(request.headers.host ?? "", path);
+    if (route === undefined) return this.#refuse(response, id, { status: 404 });
+    const read = await readBody(request, table.config.limits.maxBodyBytes);
+    if (read.kind === "broken") return;
+    if (read.kind === "too-large") {
+      response.shouldKeepAlive = false;
+      return this.#refuse(response, id, { status: 413 });
+    }
+    await this.#serve(
+      { request, response, route, id, arrivedAtMs, body: read.body },
+    );
+  }
+
+  async #serve(
+    parts: {
+      readonly request: IncomingMessage;
+      readonly response: ServerResponse;
+      readonly route: MeshRoute;
+      readonly id: string;
+      readonly arrivedAtMs: number;
+      readonly body: FlowRequest["body"];
+    },
+  ): Promise<void> {
+    const { request, response, route, id, arrivedAtMs, body } = parts;
+    const { random } = this.#options.flow;
+    const target = chooseTarget(route.targets, random.fraction());
+    if (target === undefined) {
+      return this.#refuse(response, id, { status: 503 });
+    }
+    const host = request.headers.host ?? "";
+    const flow = new CallFlow({
+      id,
+      method: request.method ?? "GET",
+      path: request.url ?? "/",
+      headers: [
+        "host",
+        host,
+        ...endToEndHeaders(request.rawHeaders, this.#droppedHeaders),
+      ],
+      body,
+      route,
+      service: target.service,
+      ...this.#times(request, route, arrivedAtMs),
+    }, this.#options.flow);
+    const cancel = new AbortController();
+    const flows = this.#flows.get(request.socket);
+    if (request.socket.destroyed) cancel.abort();
+    flows?.add(cancel);
+    const result = await flow.run(cancel);
+    flows?.delete(cancel);
+    this.#deliver(response, id, result);
+    this.#logEnd(route, flow, { id, result, arrivedAtMs });
+  }
+
+  /** A caller that comes back has less time left than one that is new. */
+  #times(
+    request: IncomingMessage,
+    route: MeshRoute,
+    arrivedAtMs: number,
+  ): Pick<FlowRequest, "deadlineMs" | "objectiveAtMs"> {
+    const field = this.#field(request, this.#options.headers.timeoutMs);
+    const given = Number(field);
+    const hasTimeout = field !== "" && Number.isFinite(given) && given > 0;
+    const waitMs = hasTimeout ? given : route.timeoutMs;
+    const longestMs = Math.max(
+      waitMs,
+      this.#longestTimeoutMs.get(route.name) ?? 0,
+    );
+    this.#longestTimeoutMs.set(route.name, longestMs);
+    const spentMs = longestMs - waitMs;
+    return {
+      deadlineMs: arrivedAtMs + Math.min(waitMs, route.timeoutMs),
+      objectiveAtMs: arrivedAtMs + route.objectiveMs - spentMs,
+    };
+  }
+
+  #deliver(response: ServerResponse, id: string, result: FlowResult): void {
+    if (response.destroyed) return;
+    if (this.#isClosing) response.shouldKeepAlive = false;
+    switch (result.kind) {
+      case "answered": {
+        const { status, headers, body } = result.answer;
+        response.writeHead(status, [
+          ...headers,
+          "content-length",
+          String(body.length),
+        ]).end(body);
+        return;
+      }
+      case "refused":
+        return this.#refuse(response, id, {
+          status: 503,
+          retryAfterMs: result.retryAfterMs,
+        });
+      case "failed":
+        return this.#refuse(response, id, { status: 502 });
+      case "timed-out":
+        return this.#refuse(response, id, { status: 504 });
+    }
+  }
+
+  #refuse(response: ServerResponse, id: string, answer: OwnAnswer): void {
+    if (this.#isClosing) response.shouldKeepAlive = false;
+    const headers = ["content-length", "0"];
+    if (id !== "") headers.push(this.#options.headers.requestId, id);
+    if (answer.retryAfterMs !== undefined) {
+      headers.push("retry-after", (answer.retryAfterMs / 1_000).toFixed(3));
+    }
+    response.writeHead(answer.status, headers).end();
+  }
+
+  #logEnd(
+    route: MeshRoute,
+    flow: CallFlow,
+    end: {
+      readonly id: string;
+      readonly result: FlowResult;
+      readonly arrivedAtMs: number;
+    },
+  ): void {
+    const { id, result, arrivedAtMs } = end;
+    const isServed = result.kind === "answered" && result.answer.status < 500;
+    if (isServed && this.#answered++ % LOGGED_SHARE !== 0) return;
+    if (!isServed && !this.#mayLogFailure(arrivedAtMs)) return;
+    this.#options.log.info("request-ended", {
+      id,
+      route: route.name,
+      result: result.kind,
+      status: result.kind === "answered" ? result.answer.status : undefined,
+      reason: "reason" in result ? result.reason : undefined,
+      retryAfterMs: "retryAfterMs" in result
+        ? Math.round(result.retryAfterMs)
+        : undefined,
+      tookMs: Math.round(performance.now() - arrivedAtMs),
+      configVersion: this.#options.routes.version,
+      steps: flow.steps,
+    });
+  }
+
+  #mayLogFailure(nowMs: number): boolean {
+    const second = Math.floor(nowMs / 1_000);
+    if (second !== this.#failureSecond) {
+      const dropped = this.#failureLines - MAX_FAILURE_LINES_PER_S;
+      if (dropped > 0) this.#options.log.warn("log-lines-dropped", { dropped });
+      this.#failureSecond = second;
+      this.#failureLines = 0;
+    }
+    return this.#failureLines++ < MAX_FAILURE_LINES_PER_S;
+  }
+
+  #field(request: IncomingMessage, name: string): string {
+    const value = request.headers[name];
+    return typeof value === "string" ? value : "";
+  }
+}
--- /dev/null
+++ b/src/sidecar/peer_client.ts
@@ -0,0 +1,255 @@
+import type { BackendRecord } from "../protocol/mesh.ts";
+import type {
+  CallOutcome,
+  DestinationLoad,
+  MeshCall,
+} from "../protocol/mesh_call.ts";
+import { MeshReason } from "../protocol/mesh_call.ts";
+import {
+  formatCall,
+  HEADER_CALL,
+  HEADER_RESULT,
+  parseResult,
+  type ResultDescription,
+} from "../protocol/peer_call.ts";
+import {
+  ConnectionStack,
+  type StackResult,
+} from "../transport/http/connection_stack.ts";
+import { notRun } from "./destination_task.ts";
+
+/** Path under which a daemon asks another one what became of a request. */
+export const STATUS_PATH = "/.sesamepond/status/";
+/** Path at which a daemon hands out its newest configuration. */
+export const CONFIG_PATH = "/.sesamepond/config";
+/** Silence after which a daemon asks what became of a request, in ms. */
+const QUERY_AFTER_MS = 400;
+/** Pause between two questions about one request, in ms. */
+const QUERY_PERIOD_MS = 500;
+/** Time in which a question must be answered, in ms. */
+const QUERY_TIMEOUT_MS = 400;
+/** Questions without an answer after which the peer is out of reach. */
+const MAX_LOST_QUERIES = 2;
+
+/** What a destination knows of a request. */
+export enum CallStatus {
+  /** It never arrived, and will be refused if it still does. */
+  Unknown = "unknown",
+  /** It waits or runs. */
+  Open = "open",
+  /** It ended; its answer is on the way or lost. */
+  Ended = "ended",
+}
+
+/** Outcome of a request with what came beside it. */
+export interface PeerResult {
+  readonly outcome: CallOutcome;
+  readonly load?: DestinationLoad;
+  readonly configVersion?: number;
+}
+
+/**
+ * Sends requests to the daemon beside another backend server.
+ *
+ * A connection may have gone silent for good, so a request without an answer is
+ * asked about over a new one.
+ *
+ * @example
+ * ```ts ignore
+ * const { outcome } = await client.execute(call, { signal, configVersion: 7 });
+ * ```
+ */
+export class PeerClient {
+  readonly #address: string;
+  readonly #connections: ConnectionStack;
+
+  /**
+   * Creates a client without connections.
+   *
+   * @param record A backend server beside the daemon.
+   */
+  constructor(record: BackendRecord) {
+    this.#address = record.peerAddress;
+    this.#connections = new ConnectionStack(record.peerAddress);
+  }
+
+  /**
+   * Has a request executed.
+   *
+   * @param call The request.
+   * @param options Cancellation, and the newest configuration version known.
+   * @returns The outcome; never rejects.
+   */
+  async execute(
+    call: MeshCall,
+    options: { readonly signal: AbortSignal; readonly configVersion: number },
+  ): Promise<PeerResult> {
+    const lost = new AbortController();
+    const onAbort = () => lost.abort();
+    options.signal.addEventListener("abort", onAbort);
+    const watch = this.#watch(call, lost);
+    const result = await this.#connections.send({
+      method: call.method,
+      path: call.path,
+      headers: [
+        ...call.headers,
+        HEADER_CALL,
+        describe(call, options.configVersion),
+      ],
+      body: call.body,
+      accepts: (_status, headers) => resultOf(headers) !== undefined,
+    }, lost.signal);
+    options.signal.removeEventListener("abort", onAbort);
+    const verdict = watch.stop();
+    if (result.kind === "failed" && options.signal.aborted) {
+      return { outcome: { kind: "unknown", reason: MeshReason.Cancelled } };
+    }
+    return toPeerResult(result, verdict);
+  }
+
+  /**
+   * Fetches the newest configuration that the daemon holds.
+   *
+   * @returns Its bytes; `undefined` where there is no answer.
+   */
+  async fetchConfig(): Promise<Uint8Array | undefined> {
+    const result = await this.#ask(CONFIG_PATH);
+    return result.kind === "answer" && result.status === 200
+      ? result.body
+      : undefined;
+  }
+
+  /** Closes what is idle. */
+  close(): void {
+    this.#connections.close();
+  }
+
+  /** Asks about a request again and again until its answer comes. */
+  #watch(call: MeshCall, lost: AbortController): QueryWatch {
+    let verdict: CallOutcome | undefined;
+    let lostQueries = 0;
+    const ask = async () => {
+      const status = await this.#statusOf(call.id);
+      if (timer === undefined) return;
+      lostQueries = status === undefined ? lostQueries + 1 : 0;
+      verdict = verdictOf(status, lostQueries);
+      if (verdict !== undefined) lost.abort();
+      else timer = setTimeout(ask, QUERY_PERIOD_MS);
+    };
+    let timer: NodeJS.Timeout | undefined = setTimeout(ask, QUERY_AFTER_MS);
+    return {
+      stop: () => {
+        clearTimeout(timer);
+        timer = undefined;
+        return verdict;
+      },
+    };
+  }
+
+  async #statusOf(id: string): Promise<CallStatus | undefined> {
+    const result = await this.#ask(STATUS_PATH + encodeURIComponent(id));
+    if (result.kind === "failed" || result.status !== 200) return undefined;
+    return Object.values(CallStatus).find((status) =>
+      status === result.body.toString()
+    );
+  }
+
+  /** Asks over a new connection, as the known ones may be silent. */
+  async #ask(path: string): Promise<StackResult> {
+    const fresh = new ConnectionStack(this.#address);
+    const result = await fresh.send(
+      { method: "GET", path, headers: [], body: undefined },
+      AbortSignal.timeout(QUERY_TIMEOUT_MS),
+    );
+    fresh.close();
+    return result;
+  }
+}
+
+interface QueryWatch {
+  /** Ends the questions; returns what they found out. */
+  stop(): CallOutcome | undefined;
+}
+
+function verdictOf(
+  status: CallStatus | undefined,
+  lostQueries: number,
+): CallOutcome | undefined {
+  switch (status) {
+    case CallStatus.Unknown:
+      return notRun(MeshReason.Unreachable);
+    case CallStatus.Ended:
+      return { kind: "unknown", reason: MeshReason.Broken };
+    case CallStatus.Open:
+      return undefined;
+    case undefined:
+      return lostQueries >= MAX_LOST_QUERIES
+        ? { kind: "unknown", reason: MeshReason.Unreachable }
+        : undefined;
+  }
+}
+
+function describe(call: MeshCall, configVersion: number): string {
+  const nowMs = performance.now();
+  return formatCall({
+    ...call,
+    remainingMs: call.deadlineMs - nowMs,
+    objectiveInMs: call.objectiveAtMs - nowMs,
+    configVersion,
+  });
+}
+
+function resultOf(headers: readonly string[]): ResultDescription | undefined {
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index]!.toLowerCase() !== HEADER_RESULT) continue;
+    return parseResult(headers[index + 1]!);
+  }
+  return undefined;
+}
+
+function toPeerResult(
+  result: StackResult,
+  verdict: CallOutcome | undefined,
+): PeerResult {
+  if (result.kind === "failed") {
+    if (verdict !== undefined) return { outcome: verdict };
+    return {
+      outcome: result.sent
+        ? { kind: "unknown", reason: MeshReason.Broken }
+        : notRun(MeshReason.Unreachable),
+    };
+  }
+  const described = resultOf(result.headers);
+  if (described === undefined) {
+    return { outcome: { kind: "unknown", reason: MeshReason.Malformed } };
+  }
+  const { outcome, load, configVersion } = described;
+  if (outcome.kind !== "answered") return { outcome, load, configVersion };
+  const headers = withoutResult(result.headers);
+  return {
+    outcome: {
+      kind: "answered",
+      answer: { status: result.status, headers, body: result.body },
+      serviceMs: outcome.serviceMs,
+    },
+    load,
+    configVersion,
+  };
+}
+
+const CONNECTION_FIELDS = new Set([
+  HEADER_RESULT,
+  "connection",
+  "keep-alive",
+  "content-length",
+  "transfer-encoding",
+]);
+
+function withoutResult(headers: readonly string[]): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index < headers.length; index += 2) {
+    if (CONNECTION_FIELDS.has(headers[index]!.toLowerCase())) continue;
+    kept.push(headers[index]!, headers[index + 1]!);
+  }
+  return kept;
+}
--- /dev/null
+++ b/src/sidecar/peer_server.ts
@@ -0,0 +1,173 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { CallOutcome, MeshCall } from "../protocol/mesh_call.ts";
+import { MeshReason } from "../protocol/mesh_call.ts";
+import {
+  type CallDescription,
+  formatResult,
+  HEADER_CALL,
+  HEADER_RESULT,
+  parseCall,
+} from "../protocol/peer_call.ts";
+import type { RouteTableHolder } from "../state/route_table_holder.ts";
+import { endToEndHeaders } from "../transport/http/header_filter.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import { CallLedger } from "./call_ledger.ts";
+import { type DestinationTask, notRun } from "./destination_task.ts";
+import { CONFIG_PATH, STATUS_PATH } from "./peer_client.ts";
+import { readBody } from "./read_body.ts";
+
+/** Time for which an idle connection of another daemon stays open, in ms. */
+const KEEP_ALIVE_MS = 60_000;
+/** Largest body that another daemon may send, in bytes. */
+const MAX_BODY_BYTES = 256 * 1024 * 1024;
+/** Status of a message between daemons that carries no backend's answer. */
+const NO_ANSWER_STATUS = 503;
+const SENDER_FIELDS = new Set([HEADER_CALL, "content-length"]);
+
+/** What a peer server needs. */
+export interface PeerServerOptions {
+  readonly destination: DestinationTask;
+  readonly routes: RouteTableHolder;
+  readonly log: EventLog;
+  /** Takes in the configuration version of another daemon. */
+  readonly onVersion: (version: number, host: string) => void;
+}
+
+/**
+ * Executes the requests of other daemons.
+ *
+ * @example
+ * ```ts ignore
+ * const server = createPeerServer({ destination, routes, log, onVersion });
+ * ```
+ */
+export class PeerServer {
+  readonly server: Server;
+  readonly #options: PeerServerOptions;
+  readonly #ledger = new CallLedger();
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param options Destination, configuration and log.
+   */
+  constructor(options: PeerServerOptions) {
+    this.#options = options;
+    this.server = createServer({
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      requestTimeout: 0,
+    }, (request, response) => void this.#handle(request, response));
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const header = request.headers[HEADER_CALL];
+    if (typeof header !== "string") return this.#answerQuestion(request, response);
+    const description = parseCall(header);
+    if (description === undefined) {
+      this.#options.log.warn("peer-call-unreadable", {
+        peer: request.socket.remoteAddress,
+      });
+      response.writeHead(400).end();
+      return;
+    }
+    const read = await readBody(request, MAX_BODY_BYTES);
+    if (read.kind !== "whole") {
+      response.destroy();
+      return;
+    }
+    const call = toCall(request, description, read.body);
+    await this.#execute(call, response);
+    this.#options.onVersion(
+      description.configVersion,
+      request.socket.remoteAddress ?? "",
+    );
+  }
+
+  async #execute(call: MeshCall, response: ServerResponse): Promise<void> {
+    const { destination } = this.#options;
+    const cancel = new AbortController();
+    response.on("close", () => {
+      if (!response.writableFinished) cancel.abort();
+    });
+    const isNew = this.#ledger.open(call.id, performance.now());
+    const outcome = !isNew
+      ? notRun(MeshReason.Unreachable)
+      : destination.refusesPeers
+      ? notRun(MeshReason.Leaving)
+      : await destination.execute(call, cancel.signal);
+    this.#ledger.end(call.id, performance.now());
+    this.#answer(call, outcome, response);
+  }
+
+  #answer(
+    call: MeshCall,
+    outcome: CallOutcome,
+    response: ServerResponse,
+  ): void {
+    const result = formatResult({
+      outcome,
+      load: this.#options.destination.loadFor(call),
+      configVersion: this.#options.routes.version,
+    });
+    if (outcome.kind !== "answered") {
+      response.writeHead(NO_ANSWER_STATUS, [
+        HEADER_RESULT,
+        result,
+        "content-length",
+        "0",
+      ]).end();
+      return;
+    }
+    const { status, headers, body } = outcome.answer;
+    response.sendDate = false;
+    response.writeHead(status, [
+      ...headers,
+      HEADER_RESULT,
+      result,
+      "content-length",
+      String(body.length),
+    ]).end(body);
+  }
+
+  #answerQuestion(request: IncomingMessage, response: ServerResponse): void {
+    const target = request.url ?? "";
+    if (target === CONFIG_PATH) {
+      response.writeHead(200).end(this.#options.routes.source);
+    } else if (target.startsWith(STATUS_PATH)) {
+      const id = decodeURIComponent(target.slice(STATUS_PATH.length));
+      response.writeHead(200).end(this.#ledger.ask(id, performance.now()));
+    } else {
+      response.writeHead(404).end();
+    }
+  }
+}
+
+function toCall(
+  request: IncomingMessage,
+  description: CallDescription,
+  body: MeshCall["body"],
+): MeshCall {
+  const nowMs = performance.now();
+  const host = request.headers.host;
+  const { remainingMs, objectiveInMs, ...described } = description;
+  return {
+    ...described,
+    method: request.method ?? "GET",
+    path: request.url ?? "/",
+    headers: [
+      ...(host === undefined ? [] : ["host", host]),
+      ...endToEndHeaders(request.rawHeaders, SENDER_FIELDS),
+    ],
+    body,
+    deadlineMs: nowMs + remainingMs,
+    objectiveAtMs: nowMs + objectiveInMs,
+  };
+}
--- /dev/null
+++ b/src/sidecar/sidecar.ts
@@ -0,0 +1,303 @@
+import type { Server } from "node:http";
+import process from "node:process";
+import { WindowBudget } from "../coordination/retry/window_budget.ts";
+import {
+  type Announcement,
+  type BackendRecord,
+  BackendState,
+} from "../protocol/mesh.ts";
+import { Random } from "../protocol/random.ts";
+import { BackendDirectory } from "../state/backend_directory.ts";
+import { OwnBackend } from "../state/own_backend.ts";
+import { RouteTableHolder } from "../state/route_table_holder.ts";
+import { listen } from "../transport/http/listen.ts";
+import { EventLog } from "../transport/observe/event_log.ts";
+import { AnnounceTask } from "./announce_task.ts";
+import { createControlServer } from "./control_task.ts";
+import { DestinationTask } from "./destination_task.ts";
+import { Fleet } from "./fleet.ts";
+import { IngressTask } from "./ingress_task.ts";
+import { PeerServer } from "./peer_server.ts";
+import type { SidecarPorts } from "./ports.ts";
+import type { SidecarSettings } from "./sidecar_settings.ts";
+import { StoreSyncTask } from "./store_sync_task.ts";
+
+/** Share of the fleet-wide ratio of repeats that one daemon uses. */
+const BUDGET_RATIO_SHARE = 0.5;
+/** Share of the fleet-wide slack of repeats that all daemons together use. */
+const BUDGET_SLACK_SHARE = 0.7;
+/** Part of the grace after which other daemons' requests are refused. */
+const REFUSE_PEERS_SHARE = 0.5;
+/** Part of the grace after which the process ends at the latest. */
+const LATEST_END_SHARE = 0.95;
+/** Quiet time without callers after which a stopping process ends, in ms. */
+const QUIET_END_MS = 1_500;
+/** Pause between two checks for the end, in ms. */
+const END_CHECK_MS = 50;
+
+/**
+ * The daemon beside one backend server of a mesh.
+ *
+ * @example
+ * ```ts ignore
+ * const sidecar = new Sidecar(settings, ports);
+ * await sidecar.start();
+ * ```
+ */
+export class Sidecar {
+  readonly #settings: SidecarSettings;
+  readonly #ports: SidecarPorts;
+  readonly #log: EventLog;
+  readonly #routes = new RouteTableHolder();
+  readonly #directory = new BackendDirectory();
+  readonly #backend = new OwnBackend();
+  readonly #budgets = new Map<string, WindowBudget>();
+  readonly #stopped = new AbortController();
+  readonly #destination: DestinationTask;
+  readonly #fleet: Fleet;
+  readonly #ingress: IngressTask;
+  readonly #peers: PeerServer;
+  readonly #control: Server[];
+  readonly #announcer: AnnounceTask;
+  readonly #sync: StoreSyncTask;
+  #isStopping = false;
+
+  /**
+   * Builds a daemon that does nothing yet.
+   *
+   * @param settings Its settings.
+   * @param ports The deployment's adapter.
+   */
+  constructor(settings: SidecarSettings, ports: SidecarPorts) {
+    this.#settings = settings;
+    this.#ports = ports;
+    this.#log = new EventLog({ fields: { instance: settings.instance } });
+    this.#destination = new DestinationTask({
+      backend: this.#backend,
+      headers: ports.headers,
+      log: this.#log,
+    });
+    this.#announcer = new AnnounceTask({
+      store: ports.store,
+      instance: settings.instance,
+      log: this.#log,
+    });
+    this.#fleet = new Fleet({
+      instance: settings.instance,
+      directory: this.#directory,
+      routes: this.#routes,
+      destination: this.#destination,
+      onVersion: (version, client) => void this.#sync.hear(version, client),
+    });
+    this.#ingress = this.#createIngress();
+    this.#sync = this.#createSync();
+    this.#peers = new PeerServer({
+      destination: this.#destination,
+      routes: this.#routes,
+      log: this.#log,
+      onVersion: (version) => void this.#sync.hear(version, undefined),
+    });
+    const { readyAddress, controlAddress } = settings;
+    this.#control = [...new Set([readyAddress, controlAddress])].map(() =>
+      this.#createControl()
+    );
+  }
+
+  /** Opens the ports and starts to follow the store. */
+  async start(): Promise<void> {
+    const { settings } = { settings: this.#settings };
+    this.#log.info("daemon-started", {
+      domain: settings.domain,
+      service: settings.service,
+      pid: process.pid,
+    });
+    const controlAddresses = [
+      ...new Set([settings.readyAddress, settings.controlAddress]),
+    ];
+    await Promise.all([
+      listenAt(this.#ingress.server, settings.ingressAddress),
+      listenAt(this.#peers.server, settings.peerAddress),
+      ...controlAddresses.map((address, index) =>
+        listenAt(this.#control[index]!, address)
+      ),
+    ]);
+    void this.#sync.run(this.#stopped.signal);
+    void this.#announcer.run(this.#stopped.signal);
+  }
+
+  /** Notes that the settings were asked to be read again. */
+  reloaded(): void {
+    this.#log.info("settings-reloaded", {});
+  }
+
+  /**
+   * Leaves: serves callers to the end of the grace, others for a part of it.
+   *
+   * @returns Once the process may end.
+   */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const startedAtMs = performance.now();
+    const { graceMs } = this.#settings;
+    this.#log.info("daemon-stopping", { graceMs, open: this.#ingress.open });
+    this.#ingress.close();
+    this.#publish(BackendState.Away);
+    setTimeout(
+      () => this.#destination.refusePeers(),
+      graceMs * REFUSE_PEERS_SHARE,
+    );
+    const endAtMs = startedAtMs + graceMs * LATEST_END_SHARE;
+    await new Promise<void>((resolve) => {
+      const timer = setInterval(() => {
+        const nowMs = performance.now();
+        if (nowMs < endAtMs && !this.#isQuiet(startedAtMs, nowMs)) return;
+        clearInterval(timer);
+        resolve();
+      }, END_CHECK_MS);
+    });
+    this.#stopped.abort();
+    this.#log.info("daemon-stopped", { open: this.#ingress.open });
+    this.#log.close();
+  }
+
+  #isQuiet(startedAtMs: number, nowMs: number): boolean {
+    const { graceMs } = this.#settings;
+    if (nowMs - startedAtMs < graceMs * REFUSE_PEERS_SHARE) return false;
+    return this.#ingress.open === 0 && this.#destination.size === 0 &&
+      nowMs - this.#ingress.lastRequestAtMs > QUIET_END_MS;
+  }
+
+  #createIngress(): IngressTask {
+    const { domain, service } = this.#settings;
+    return new IngressTask({
+      routes: this.#routes,
+      headers: this.#ports.headers,
+      log: this.#log,
+      flow: {
+        fleet: this.#fleet,
+        directory: this.#directory,
+        random: new Random(process.pid ^ Date.now()),
+        domain,
+        callerService: service,
+        budgetOf: (name) => this.#budgetOf(name),
+      },
+    });
+  }
+
+  #createSync(): StoreSyncTask {
+    return new StoreSyncTask({
+      store: this.#ports.store,
+      source: this.#ports.config,
+      routes: this.#routes,
+      directory: this.#directory,
+      log: this.#log,
+      ownKey: this.#announcer.key,
+      onConfig: () => this.#ingress.configured(),
+      onOwnRecord: (entry) => {
+        const left = this.#announcer.observed(entry);
+        if (left !== undefined) {
+          this.#backend.restoreLeft(left.id, left.bornAtUnixMs);
+        }
+      },
+      onGone: (instance) => this.#fleet.forget(instance),
+    });
+  }
+
+  #createControl(): Server {
+    return createControlServer({
+      dialect: this.#ports.control,
+      log: this.#log,
+      events: {
+        announced: (announcement) => this.#announced(announcement),
+        left: (id, bornAtUnixMs) => this.#left(id, bornAtUnixMs),
+        isReady: () => this.#isReady(),
+      },
+    });
+  }
+
+  #isReady(): boolean {
+    return !this.#isStopping && this.#routes.current !== undefined &&
+      this.#sync.hasListed;
+  }
+
+  #announced(announcement: Announcement): void {
+    const change = this.#backend.announced(announcement);
+    switch (change.kind) {
+      case "unchanged":
+      case "stale":
+      case "left":
+        return;
+      case "started":
+        this.#logBackend("backend-started", announcement);
+        this.#destination.started(announcement);
+        this.#publish(
+          this.#isStopping ? BackendState.Away : BackendState.Ready,
+        );
+        return;
+      case "draining":
+        this.#logBackend("backend-draining", announcement);
+        this.#destination.drain();
+        this.#publish(BackendState.Draining);
+    }
+  }
+
+  #left(id: string, bornAtUnixMs: number): void {
+    const last = this.#backend.current;
+    const change = this.#backend.left(id, bornAtUnixMs);
+    if (change.kind !== "left") return;
+    this.#log.info("backend-left", { backend: id });
+    this.#destination.drain();
+    if (last !== undefined) this.#publish(BackendState.Draining, last);
+  }
+
+  #logBackend(event: string, announcement: Announcement): void {
+    this.#log.info(event, {
+      backend: announcement.id,
+      sequence: announcement.sequence,
+      bornAtUnixMs: announcement.bornAtUnixMs,
+      slots: announcement.slots,
+    });
+  }
+
+  #publish(state: BackendState, of = this.#backend.current): void {
+    if (of === undefined) return;
+    const isDraining = of.state === BackendState.Draining;
+    const record: BackendRecord = {
+      id: of.id,
+      instance: this.#settings.instance,
+      service: of.service,
+      domain: this.#settings.domain,
+      peerAddress: this.#settings.peerAddress,
+      slots: of.slots,
+      state: isDraining ? BackendState.Draining : state,
+      bornAtUnixMs: of.bornAtUnixMs,
+    };
+    this.#directory.put(record);
+    this.#announcer.publish(record);
+  }
+
+  #budgetOf(service: string): WindowBudget {
+    let budget = this.#budgets.get(service);
+    if (budget === undefined) {
+      const { retryRatio, retrySlack, retryWindowMs } = this.#settings;
+      const daemons = Math.max(1, this.#directory.size);
+      budget = new WindowBudget({
+        windowMs: retryWindowMs,
+        ratio: retryRatio * BUDGET_RATIO_SHARE,
+        slack: retrySlack * BUDGET_SLACK_SHARE / daemons,
+      });
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+}
+
+async function listenAt(server: Server, address: string): Promise<void> {
+  const portAt = address.lastIndexOf(":");
+  await listen(
+    server,
+    address.slice(0, portAt),
+    Number(address.slice(portAt + 1)),
+  );
+}
--- /dev/null
+++ b/src/sidecar/store_sync_task.ts
@@ -0,0 +1,242 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import type { BackendRecord } from "../protocol/mesh.ts";
+import { messageOf } from "../protocol/step_error.ts";
+import type { StoreEntry } from "../protocol/store.ts";
+import type { BackendDirectory } from "../state/backend_directory.ts";
+import type { RouteTableHolder } from "../state/route_table_holder.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import { decodeRecord, RECORD_PREFIX } from "./backend_record_codec.ts";
+import type { PeerClient } from "./peer_client.ts";
+import type { ConfigSource, MeshStore } from "./ports.ts";
+
+/** Longest time that the store may hold a poll, in ms. */
+const POLL_WAIT_MS = 10_000;
+/** Pause after a poll with events, so that a series costs few calls, in ms. */
+const COALESCE_MS = 60;
+/** Shortest and longest pause after a failed call, in ms. */
+const MIN_BACKOFF_MS = 100;
+const MAX_BACKOFF_MS = 800;
+/** Time for which a vanished record's backend server is still used, in ms. */
+const MISSING_GRACE_MS = 3_000;
+/** Pause between two checks for vanished records, in ms. */
+const SWEEP_PERIOD_MS = 500;
+
+/** What the synchronization works on. */
+export interface StoreSyncOptions {
+  readonly store: MeshStore;
+  readonly source: ConfigSource;
+  readonly routes: RouteTableHolder;
+  readonly directory: BackendDirectory;
+  readonly log: EventLog;
+  /** Called after a configuration was adopted. */
+  readonly onConfig: () => void;
+  /** Called with the entry of this daemon's own record, or its absence. */
+  readonly onOwnRecord: (entry: StoreEntry | undefined) => void;
+  readonly ownKey: string;
+  /** Called as an instance is no longer used. */
+  readonly onGone: (instance: string) => void;
+}
+
+/**
+ * Follows the configuration and the records of backend servers in the store.
+ *
+ * @example
+ * ```ts ignore
+ * const sync = new StoreSyncTask(options);
+ * void sync.run(signal);
+ * ```
+ */
+export class StoreSyncTask {
+  readonly #options: StoreSyncOptions;
+  #backoffMs = MIN_BACKOFF_MS;
+  #isConnected = false;
+  #hasListed = false;
+  #refreshing = false;
+
+  /**
+   * Creates a task that has not started.
+   *
+   * @param options Store, configuration and directory.
+   */
+  constructor(options: StoreSyncOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the store was read whole at least once. */
+  get hasListed(): boolean {
+    return this.#hasListed;
+  }
+
+  /**
+   * Follows the store until the signal aborts.
+   *
+   * @param signal Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const sweep = setInterval(() => this.#sweep(), SWEEP_PERIOD_MS);
+    let revision: number | undefined;
+    while (!signal.aborted) {
+      revision = revision === undefined
+        ? await this.#list()
+        : await this.#poll(revision);
+    }
+    clearInterval(sweep);
+  }
+
+  /**
+   * Looks for a version that another daemon has.
+   *
+   * @param version The version.
+   * @param client Way to the other daemon.
+   */
+  async hear(version: number, client: PeerClient | undefined): Promise<void> {
+    const { routes, log } = this.#options;
+    if (version <= routes.version || this.#refreshing) return;
+    this.#refreshing = true;
+    log.info("config-behind-peer", { version, known: routes.version });
+    const listed = await this.#options.store.list(this.#options.source.key);
+    if (listed.isOk()) {
+      for (const entry of listed.value.entries) this.#put(entry);
+    }
+    if (version > routes.version) {
+      const bytes = await client?.fetchConfig();
+      if (bytes !== undefined) this.#adopt(bytes);
+    }
+    this.#refreshing = false;
+  }
+
+  async #list(): Promise<number | undefined> {
+    const { store, source, directory } = this.#options;
+    const listed = await store.list(source.watchPrefix);
+    if (listed.isErr()) {
+      await this.#backOff(listed.error.message);
+      return undefined;
+    }
+    this.#connected();
+    this.#hasListed = true;
+    const { entries, revision } = listed.value;
+    for (const entry of entries) this.#put(entry);
+    const present = new Set(entries.map((entry) => entry.key));
+    for (const { record } of directory.entries) {
+      const key = RECORD_PREFIX + record.instance;
+      if (!present.has(key)) this.#missing(key);
+    }
+    if (!present.has(this.#options.ownKey)) {
+      this.#options.onOwnRecord(undefined);
+    }
+    return revision;
+  }
+
+  async #poll(afterRevision: number): Promise<number | undefined> {
+    const { store, source } = this.#options;
+    const polled = await store.poll({
+      prefix: source.watchPrefix,
+      afterRevision,
+      waitMs: POLL_WAIT_MS,
+    });
+    if (polled.isErr()) {
+      await this.#backOff(polled.error.message);
+      return afterRevision;
+    }
+    this.#connected();
+    const result = polled.value;
+    if (result.kind === "compacted") {
+      this.#options.log.warn("store-history-lost", { afterRevision });
+      return undefined;
+    }
+    for (const { key, entry } of result.events) {
+      if (entry === undefined) this.#missing(key);
+      else this.#put(entry);
+    }
+    if (result.events.length > 0) await sleep(COALESCE_MS);
+    return result.revision;
+  }
+
+  #put(entry: StoreEntry): void {
+    const { source, ownKey, onOwnRecord } = this.#options;
+    if (entry.key === source.key) this.#adopt(entry.value);
+    if (!entry.key.startsWith(RECORD_PREFIX)) return;
+    if (entry.key === ownKey) onOwnRecord(entry);
+    else this.#putRecord(entry);
+  }
+
+  #putRecord(entry: StoreEntry): void {
+    const record: BackendRecord | undefined = decodeRecord(entry.value);
+    if (record === undefined) {
+      this.#options.log.warn("record-unreadable", { key: entry.key });
+      return;
+    }
+    if (this.#options.directory.put(record)) {
+      this.#options.log.info("backend-recorded", {
+        backend: record.id,
+        instance: record.instance,
+        service: record.service,
+        state: record.state,
+        revision: entry.modRevision,
+      });
+    }
+  }
+
+  #adopt(bytes: Uint8Array): void {
+    const { source, routes, log, onConfig } = this.#options;
+    try {
+      const config = source.decode(bytes);
+      if (!routes.adopt(config, bytes)) return;
+      log.info("config-adopted", {
+        version: config.version,
+        routes: config.routes.length,
+      });
+      onConfig();
+    } catch (error) {
+      log.error("config-unreadable", { reason: messageOf(error) });
+    }
+  }
+
+  #missing(key: string): void {
+    if (!key.startsWith(RECORD_PREFIX)) return;
+    if (key === this.#options.ownKey) {
+      this.#options.onOwnRecord(undefined);
+      return;
+    }
+    const instance = key.slice(RECORD_PREFIX.length);
+    this.#options.directory.missing(instance, performance.now());
+  }
+
+  /** Removes what vanished from the store and did not come back. */
+  #sweep(): void {
+    const nowMs = performance.now();
+    const { directory, log, onGone } = this.#options;
+    for (const { record, missingSinceMs } of [...directory.entries]) {
+      if (missingSinceMs === 0) continue;
+      if (!this.#isConnected) {
+        directory.put(record);
+        directory.missing(record.instance, nowMs);
+        continue;
+      }
+      if (nowMs - missingSinceMs < MISSING_GRACE_MS) continue;
+      log.info("backend-gone", {
+        backend: record.id,
+        instance: record.instance,
+        missingMs: Math.round(nowMs - missingSinceMs),
+      });
+      directory.remove(record.instance);
+      onGone(record.instance);
+    }
+  }
+
+  #connected(): void {
+    this.#backoffMs = MIN_BACKOFF_MS;
+    if (this.#isConnected) return;
+    this.#isConnected = true;
+    this.#options.log.info("store-regained");
+  }
+
+  async #backOff(reason: string): Promise<void> {
+    if (this.#isConnected || this.#backoffMs === MIN_BACKOFF_MS) {
+      this.#options.log.warn("store-lost", { reason });
+    }
+    this.#isConnected = false;
+    await sleep(this.#backoffMs * (0.5 + Math.random()));
+    this.#backoffMs = Math.min(MAX_BACKOFF_MS, this.#backoffMs * 2);
+  }
+}
--- /dev/null
+++ b/src/transport/http/connection_stack.ts
@@ -0,0 +1,241 @@
+import { Buffer } from "node:buffer";
+import type { Dispatcher } from "undici";
+import { messageOf } from "../../protocol/step_error.ts";
+import { Client } from "./undici_parts.ts";
+
+/** Time within which a connection must be open, in ms. */
+const CONNECT_TIMEOUT_MS = 600;
+/** Largest answer that is taken, in bytes. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+/** Idle time after which a connection is closed unless the peer says, in ms. */
+const KEEP_ALIVE_MS = 8_000;
+/** Safety margin on the idle time that the peer names, in ms. */
+const KEEP_ALIVE_MARGIN_MS = 1_000;
+
+/** A request to send over some connection of a stack. */
+export interface StackRequest {
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer | undefined;
+  /** Longest idle time of a connection that may be used, in ms. */
+  readonly maxIdleMs?: number;
+  /** Says whether an answer is the one to this request. */
+  readonly accepts?: (status: number, headers: readonly string[]) => boolean;
+}
+
+/** What came back. */
+export type StackResult =
+  | {
+    readonly kind: "answer";
+    readonly status: number;
+    /** Names and values in turn, as received. */
+    readonly headers: readonly string[];
+    readonly body: Buffer;
+  }
+  | {
+    readonly kind: "failed";
+    /** Whether the request may have reached the peer. */
+    readonly sent: boolean;
+    readonly message: string;
+  };
+
+interface Connection {
+  readonly client: Client;
+  usedAtMs: number;
+}
+
+/**
+ * Connections to one address, of which the one used last is used first.
+ *
+ * Each carries one request at a time. One that failed is closed, so that bytes
+ * that belong to no request are never read as the answer to the next.
+ *
+ * @example
+ * ```ts ignore
+ * const result = await new ConnectionStack("10.0.0.1:80").send(request, signal);
+ * ```
+ */
+export class ConnectionStack {
+  readonly #origin: string;
+  #idle: Connection[] = [];
+
+  /**
+   * Creates a stack without connections.
+   *
+   * @param address IP address and port.
+   */
+  constructor(address: string) {
+    this.#origin = `http://${address}`;
+  }
+
+  /**
+   * Sends a request and collects the whole answer.
+   *
+   * @param request The request.
+   * @param signal Cuts the connection.
+   * @returns The answer or the failure; never rejects.
+   */
+  async send(
+    request: StackRequest,
+    signal?: AbortSignal,
+  ): Promise<StackResult> {
+    const connection = this.#take(request.maxIdleMs);
+    const result = await exchange(connection.client, request, signal);
+    if (isSpoilt(request, result)) this.#destroy(connection);
+    else this.#keep(connection);
+    return result;
+  }
+
+  /** Closes what is idle. */
+  close(): void {
+    for (const connection of this.#idle) this.#destroy(connection);
+    this.#idle = [];
+  }
+
+  #take(maxIdleMs = Infinity): Connection {
+    const connection = this.#idle.at(-1);
+    const isFresh = connection !== undefined &&
+      performance.now() - connection.usedAtMs <= maxIdleMs;
+    if (isFresh) return this.#idle.pop()!;
+    return { client: this.#open(), usedAtMs: 0 };
+  }
+
+  #keep(connection: Connection): void {
+    const nowMs = performance.now();
+    connection.usedAtMs = nowMs;
+    this.#idle.push(connection);
+    const oldest = this.#idle[0]!;
+    if (nowMs - oldest.usedAtMs > KEEP_ALIVE_MS) {
+      this.#idle.shift();
+      this.#destroy(oldest);
+    }
+  }
+
+  #open(): Client {
+    return new Client(this.#origin, {
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      maxResponseSize: MAX_ANSWER_BYTES,
+    });
+  }
+
+  #destroy(connection: Connection): void {
+    connection.client.destroy().catch(() => {
+      // Already closed: there is nothing left to release.
+    });
+  }
+}
+
+/** Says whether bytes may be on the connection that belong to no request. */
+function isSpoilt(request: StackRequest, result: StackResult): boolean {
+  if (result.kind === "failed") return true;
+  // A rejection may come before a long body was read; the rest is still due.
+  if (result.status >= 300 && request.body !== undefined) return true;
+  return request.accepts?.(result.status, result.headers) === false;
+}
+
+function exchange(
+  client: Client,
+  request: StackRequest,
+  signal: AbortSignal | undefined,
+): Promise<StackResult> {
+  return new Promise((resolve) => {
+    const collector = new AnswerCollector(resolve, signal);
+    try {
+      client.dispatch({
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: request.headers as string[],
+        body: request.body ?? null,
+      }, collector);
+    } catch (error) {
+      // A header that HTTP does not allow; nothing was sent.
+      collector.fail(error);
+    }
+  });
+}
+
+/** Collects the answer of one exchange. */
+class AnswerCollector implements Dispatcher.DispatchHandler {
+  readonly #resolve: (result: StackResult) => void;
+  readonly #signal: AbortSignal | undefined;
+  readonly #onAbort = () => this.#abort();
+  #controller: Dispatcher.DispatchController | undefined;
+  #status = 0;
+  #headers: readonly string[] = [];
+  #chunks: Buffer[] = [];
+  #isDone = false;
+
+  constructor(
+    resolve: (result: StackResult) => void,
+    signal: AbortSignal | undefined,
+  ) {
+    this.#resolve = resolve;
+    this.#signal = signal;
+    signal?.addEventListener("abort", this.#onAbort);
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#signal?.aborted) controller.abort(new Error("cancelled"));
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+  ): void {
+    if (status < 200) return;
+    this.#status = status;
+    const raw = controller as unknown as { rawHeaders: readonly Buffer[] };
+    this.#headers = raw.rawHeaders.map((field) => field.toString("latin1"));
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Uint8Array,
+  ): void {
+    this.#chunks.push(Buffer.from(chunk));
+  }
+
+  onResponseEnd(): void {
+    const body = this.#chunks.length === 1
+      ? this.#chunks[0]!
+      : Buffer.concat(this.#chunks);
+    this.#finish({
+      kind: "answer",
+      status: this.#status,
+      headers: this.#headers,
+      body,
+    });
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController | null,
+    error: Error,
+  ): void {
+    this.fail(error);
+  }
+
+  fail(error: unknown): void {
+    const sent = this.#controller !== undefined;
+    this.#finish({ kind: "failed", sent, message: messageOf(error) });
+  }
+
+  #abort(): void {
+    if (this.#controller === undefined) this.fail(new Error("cancelled"));
+    else this.#controller.abort(new Error("cancelled"));
+  }
+
+  #finish(result: StackResult): void {
+    if (this.#isDone) return;
+    this.#isDone = true;
+    this.#signal?.removeEventListener("abort", this.#onAbort);
+    this.#resolve(result);
+  }
+}
--- a/src/transport/http/undici_core.d.ts
+++ b/src/transport/http/undici_core.d.ts
@@ -1,3 +1,8 @@
+declare module "undici/lib/dispatcher/client.js" {
+  import { Client } from "undici";
+  export default Client;
+}
+
 declare module "undici/lib/dispatcher/pool.js" {
   import { Pool } from "undici";
   export default Pool;
