--- a/src/transport/http/connection_stack.ts
+++ b/src/transport/http/connection_stack.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import type { Dispatcher } from "undici";
 import { messageOf } from "../../protocol/step_error.ts";
-import { Client } from "./undici_parts.ts";
+import { buildConnector, Client } from "./undici_parts.ts";
 
 /** Time within which a connection must be open, in ms. */
 const CONNECT_TIMEOUT_MS = 600;
@@ -12,6 +12,8 @@
 /** Safety margin on the idle time that the peer names, in ms. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 
+const FRAMING_FIELDS = new Set(["content-length", "transfer-encoding"]);
+
 /** A request to send over some connection of a stack. */
 export interface StackRequest {
   readonly method: string;
@@ -44,6 +46,8 @@
 interface Connection {
   readonly client: Client;
   usedAtMs: number;
+  /** Whether the connection ended by an error and not by the peer's end. */
+  hasFailed: boolean;
 }
 
 /**
@@ -82,7 +86,10 @@
     signal?: AbortSignal,
   ): Promise<StackResult> {
     const connection = this.#take(request.maxIdleMs);
-    const result = await exchange(connection.client, request, signal);
+    const result = checkEnd(
+      connection,
+      await exchange(connection.client, request, signal),
+    );
     if (isSpoilt(request, result)) this.#destroy(connection);
     else this.#keep(connection);
     return result;
@@ -99,7 +106,7 @@
     const isFresh = connection !== undefined &&
       performance.now() - connection.usedAtMs <= maxIdleMs;
     if (isFresh) return this.#idle.pop()!;
-    return { client: this.#open(), usedAtMs: 0 };
+    return this.#open();
   }
 
   #keep(connection: Connection): void {
@@ -113,16 +120,27 @@
     }
   }
 
-  #open(): Client {
-    return new Client(this.#origin, {
+  #open(): Connection {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    const client = new Client(this.#origin, {
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          const [error, socket] = result;
+          // Heard before the client hears it, which takes a reset for the end
+          // of an answer without a length.
+          socket?.once("error", () => connection.hasFailed = true);
+          if (error === null) callback(null, socket);
+          else callback(error, null);
+        }),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       maxResponseSize: MAX_ANSWER_BYTES,
     });
+    const connection = { client, usedAtMs: 0, hasFailed: false };
+    return connection;
   }
 
   #destroy(connection: Connection): void {
@@ -132,6 +150,20 @@
   }
 }
 
+/** An answer without a length is whole only if its connection ended orderly. */
+function checkEnd(connection: Connection, result: StackResult): StackResult {
+  if (result.kind === "failed" || !connection.hasFailed) return result;
+  const isFramed = result.headers.some((field, index) =>
+    index % 2 === 0 && FRAMING_FIELDS.has(field.toLowerCase())
+  );
+  if (isFramed) return result;
+  return {
+    kind: "failed",
+    sent: true,
+    message: "the connection was reset within an answer without a length",
+  };
+}
+
 /** Says whether bytes may be on the connection that belong to no request. */
 function isSpoilt(request: StackRequest, result: StackResult): boolean {
   if (result.kind === "failed") return true;
