Stop by deadlines, serve short work first, log without winston in the sidecar; tests

Change: Ending refuses what cannot be answered before the end; WorkQueue orders by service time and priority; EventLog writes through a sink.

--- a/src/coordination/dispatch/destination_choice.ts
+++ b/src/coordination/dispatch/destination_choice.ts
@@ -52,9 +52,7 @@
 ): DestinationChoice | undefined {
   const { nowMs, viewOf } = options;
   const candidates = records.filter((one) => !options.excluded.has(one.id));
-  const inReach = candidates.filter((one) =>
-    !viewOf(one).isUnreachable(nowMs)
-  );
+  const inReach = candidates.filter((one) => !viewOf(one).isUnreachable(nowMs));
   const usable = inReach.length > 0 ? inReach : candidates;
   let best: (DestinationChoice & { readonly cost: number }) | undefined;
   for (const record of compared(usable, options)) {
--- a/src/coordination/dispatch/work_queue.ts
+++ b/src/coordination/dispatch/work_queue.ts
@@ -1,9 +1,9 @@
 import { ServiceTimes } from "./service_times.ts";
 
-/** Lead of a priority over the next one, in ms of slack. */
-const PRIORITY_LEAD_MS = 400;
-/** Setback of work that misses its objective anyway, in ms of slack. */
-const LATE_SETBACK_MS = 2_000;
+/** Factor on the cost of work that misses its objective anyway. */
+const LATE_FACTOR = 3;
+/** Part of the time left to the objective that counts as cost. */
+const SLACK_SHARE = 0.1;
 /** Share of the slots kept for each less urgent priority while it waits. */
 const GUARANTEED_SHARE = 0.1;
 /** Share of the time between objective and deadline that may be used up. */
@@ -36,10 +36,11 @@
 /**
  * Gives the slots of one backend server to requests.
  *
- * Requests that still make their objective go first, by the time left to it
- * and with a lead for each more urgent priority; each priority that waits
- * keeps a small share of the slots. What cannot be served in time is refused
- * on arrival.
+ * Requests that take little of a slot go first (weighted shortest job first):
+ * the cost of a request is its expected service time, times its priority, and
+ * more where it misses its objective anyway. Each priority that waits keeps a
+ * small share of the slots. What cannot be served in time is refused on
+ * arrival.
  *
  * @example
  * ```ts ignore
@@ -193,9 +194,9 @@
   #key(item: WorkItem, nowMs: number): number {
     const serviceMs = this.times.expectedMs(item.route);
     const slackMs = item.objectiveAtMs - nowMs - serviceMs;
-    const leadMs = item.priority * PRIORITY_LEAD_MS;
-    if (slackMs >= 0) return slackMs + leadMs;
-    return item.deadlineMs - nowMs + leadMs + LATE_SETBACK_MS;
+    const cost = serviceMs * (1 + item.priority);
+    if (slackMs >= 0) return cost + slackMs * SLACK_SHARE;
+    return cost * LATE_FACTOR + (item.deadlineMs - nowMs) * SLACK_SHARE;
   }
 
   #next(nowMs: number): T {
--- /dev/null
+++ b/src/coordination/dispatch/work_queue_test.ts
@@ -0,0 +1,103 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type WorkItem, WorkQueue } from "./work_queue.ts";
+
+interface NamedItem extends WorkItem {
+  readonly name: string;
+}
+
+function item(fields: Partial<NamedItem>): NamedItem {
+  return {
+    name: "",
+    route: "lookup",
+    priority: 0,
+    objectiveAtMs: 500,
+    deadlineMs: 1_200,
+    ...fields,
+  };
+}
+
+/** A queue of one slot that has learnt its service times and is full. */
+function fullQueue(times: Record<string, number>): WorkQueue<NamedItem> {
+  const queue = new WorkQueue<NamedItem>(1);
+  for (const [route, serviceMs] of Object.entries(times)) {
+    queue.times.learn(route, serviceMs);
+  }
+  queue.offer(item({ name: "running" }), 0);
+  return queue;
+}
+
+/** Ends what runs, again and again, and names what starts. */
+function startOrder(queue: WorkQueue<NamedItem>, nowMs: number): string[] {
+  const order: string[] = [];
+  let running = item({ name: "running" });
+  for (;;) {
+    queue.finish(running, undefined);
+    const [started] = queue.dispatch(nowMs).started;
+    if (started === undefined) return order;
+    order.push(started.name);
+    running = started;
+  }
+}
+
+test("dispatch() starts short calls of running work before long orders", () => {
+  const queue = fullQueue({ call: 40, order: 210 });
+  queue.offer(item({ name: "order", route: "order", priority: 1 }), 0);
+  queue.offer(
+    item({ name: "call", route: "call", priority: 1, objectiveAtMs: 150 }),
+    0,
+  );
+  assert.equal(startOrder(queue, 10), ["call", "order"]);
+});
+
+test("dispatch() starts urgent work first under a flood of bulk work", () => {
+  const queue = fullQueue({ lookup: 100, upload: 100 });
+  const upload = { route: "upload", priority: 2, deadlineMs: 5_000 };
+  queue.offer(item({ name: "upload-1", ...upload, objectiveAtMs: 900 }), 0);
+  queue.offer(item({ name: "upload-2", ...upload, objectiveAtMs: 900 }), 0);
+  queue.offer(item({ name: "lookup-1" }), 0);
+  queue.offer(item({ name: "lookup-2" }), 0);
+  assert.equal(startOrder(queue, 10), [
+    "lookup-1",
+    "lookup-2",
+    "upload-1",
+    "upload-2",
+  ]);
+});
+
+test("offer() refuses at once what waits past its objective by half", () => {
+  const queue = fullQueue({ lookup: 200 });
+  const offers = Array.from(
+    { length: 6 },
+    (_, index) => queue.offer(item({ name: `lookup-${index}` }), 0).kind,
+  );
+  assert.equal(offers, ["wait", "wait", "wait", "refuse", "refuse", "refuse"]);
+});
+
+test("offer() suggests a wait that grows with what is queued", () => {
+  const queue = fullQueue({ lookup: 200 });
+  const waits: number[] = [];
+  for (let index = 0; index < 4; index++) {
+    const offer = queue.offer(item({ deadlineMs: 10_000 }), 0);
+    if (offer.kind === "refuse") waits.push(offer.retryAfterMs);
+    queue.offer(item({ objectiveAtMs: 9_000, deadlineMs: 10_000 }), 0);
+  }
+  const isRising = waits.every((wait, index) =>
+    index === 0 || wait >= waits[index - 1]!
+  );
+  assert.ok(isRising);
+});
+
+test("dispatch() gives up what can no longer make its deadline", () => {
+  const queue = fullQueue({ lookup: 200 });
+  queue.offer(item({ name: "late", deadlineMs: 450 }), 0);
+  queue.offer(item({ name: "timely", deadlineMs: 1_200 }), 0);
+  const { expired, started } = queue.dispatch(300);
+  assert.equal({
+    expired: expired.map(({ name }) => name),
+    started,
+    queued: queue.queued,
+  }, { expired: ["late"], started: [], queued: 1 });
+});
+
+test.run();
--- a/src/daemon/daemon_setup.ts
+++ b/src/daemon/daemon_setup.ts
@@ -7,6 +7,7 @@
 } from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
 import { EventLog } from "../transport/observe/event_log.ts";
+import { WinstonSink } from "../transport/observe/winston_sink.ts";
 
 /**
  * Opens the log that the settings name.
@@ -21,7 +22,7 @@
  */
 export function openLog(settings: Settings): EventLog {
   return new EventLog({
-    file: settings.log.file,
+    sink: new WinstonSink(settings.log.file),
     level: settings.log.level,
     fields: { instance: settings.instance, domain: settings.domain },
   });
--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -88,8 +88,12 @@
   const kind = KINDS_BY_CODE.get(kindCode!);
   const numbers = [3, 7, 8, 10].map((index) => Number(fields[index]));
   if (kind === undefined || !numbers.every(Number.isFinite)) return undefined;
-  const [priority, remainingMs, objectiveInMs, configVersion] =
-    numbers as [number, number, number, number];
+  const [priority, remainingMs, objectiveInMs, configVersion] = numbers as [
+    number,
+    number,
+    number,
+    number,
+  ];
   return {
     id: id!,
     route: route!,
--- a/src/sidecar/call_flow.ts
+++ b/src/sidecar/call_flow.ts
@@ -248,7 +248,9 @@
       return { kind: "answered", answer: this.#failedAnswer };
     }
     const reason = this.#steps.at(-1)?.split(":")[2] ?? MeshReason.NoBackend;
-    return this.#mayHaveRun ? { kind: "failed", reason } : this.#refused(reason);
+    return this.#mayHaveRun
+      ? { kind: "failed", reason }
+      : this.#refused(reason);
   }
 
   #timedOut(): FlowResult {
--- a/src/sidecar/destination_task.ts
+++ b/src/sidecar/destination_task.ts
@@ -59,7 +59,6 @@
   #connections: ConnectionStack | undefined;
   #address = "";
   #failureShare = 0;
-  #refusesPeers = false;
 
   /**
    * Creates a destination without a backend server.
@@ -92,16 +91,6 @@
     }
   }
 
-  /** Refuses further requests of other daemons, as this daemon leaves. */
-  refusePeers(): void {
-    this.#refusesPeers = true;
-  }
-
-  /** Whether requests of other daemons are refused. */
-  get refusesPeers(): boolean {
-    return this.#refusesPeers;
-  }
-
   /** Requests that wait or run. */
   get size(): number {
     return this.#queue.running + this.#queue.queued;
--- a/src/sidecar/ingress_task.ts
+++ b/src/sidecar/ingress_task.ts
@@ -17,11 +17,14 @@
   type FlowRequest,
   type FlowResult,
 } from "./call_flow.ts";
+import type { Ending } from "./ending.ts";
 import type { EdgeHeaders } from "./ports.ts";
 import { readBody } from "./read_body.ts";
 
 /** Wait suggested before a configuration is known, in ms. */
 const NO_CONFIG_RETRY_AFTER_MS = 300;
+/** Wait suggested as this daemon ends, in ms: others can take over at once. */
+const ENDING_RETRY_AFTER_MS = 50;
 /** Idle time before a configuration is known, in ms. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 /** One of this many answered requests is logged. */
@@ -34,6 +37,7 @@
   readonly routes: RouteTableHolder;
   readonly headers: EdgeHeaders;
   readonly flow: FlowContext;
+  readonly ending: Ending;
   readonly log: EventLog;
 }
 
@@ -158,6 +162,13 @@
     },
   ): Promise<void> {
     const { request, response, route, id, arrivedAtMs, body } = parts;
+    const times = this.#times(request, route, arrivedAtMs);
+    if (!this.#options.ending.allows(times.deadlineMs, arrivedAtMs)) {
+      return this.#refuse(response, id, {
+        status: 503,
+        retryAfterMs: ENDING_RETRY_AFTER_MS,
+      });
+    }
     const { random } = this.#options.flow;
     const target = chooseTarget(route.targets, random.fraction());
     if (target === undefined) {
@@ -176,7 +187,7 @@
       body,
       route,
       service: target.service,
-      ...this.#times(request, route, arrivedAtMs),
+      ...times,
     }, this.#options.flow);
     const cancel = new AbortController();
     const flows = this.#flows.get(request.socket);
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -17,6 +17,7 @@
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import { CallLedger } from "./call_ledger.ts";
+import type { Ending } from "./ending.ts";
 import { type DestinationTask, notRun } from "./destination_task.ts";
 import { CONFIG_PATH, STATUS_PATH } from "./peer_client.ts";
 import { readBody } from "./read_body.ts";
@@ -34,6 +35,7 @@
   readonly destination: DestinationTask;
   readonly routes: RouteTableHolder;
   readonly log: EventLog;
+  readonly ending: Ending;
   /** Takes in the configuration version of another daemon. */
   readonly onVersion: (version: number, host: string) => void;
 }
@@ -69,7 +71,9 @@
     response: ServerResponse,
   ): Promise<void> {
     const header = request.headers[HEADER_CALL];
-    if (typeof header !== "string") return this.#answerQuestion(request, response);
+    if (typeof header !== "string") {
+      return this.#answerQuestion(request, response);
+    }
     const description = parseCall(header);
     if (description === undefined) {
       this.#options.log.warn("peer-call-unreadable", {
@@ -92,7 +96,7 @@
   }
 
   async #execute(call: MeshCall, response: ServerResponse): Promise<void> {
-    const { destination } = this.#options;
+    const { destination, ending } = this.#options;
     const cancel = new AbortController();
     response.on("close", () => {
       if (!response.writableFinished) cancel.abort();
@@ -100,7 +104,7 @@
     const isNew = this.#ledger.open(call.id, performance.now());
     const outcome = !isNew
       ? notRun(MeshReason.Unreachable)
-      : destination.refusesPeers
+      : !ending.allows(call.deadlineMs, performance.now())
       ? notRun(MeshReason.Leaving)
       : await destination.execute(call, cancel.signal);
     this.#ledger.end(call.id, performance.now());
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,5 +1,6 @@
 import type { Server } from "node:http";
 import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
 import { WindowBudget } from "../coordination/retry/window_budget.ts";
 import {
   type Announcement,
@@ -15,6 +16,7 @@
 import { AnnounceTask } from "./announce_task.ts";
 import { createControlServer } from "./control_task.ts";
 import { DestinationTask } from "./destination_task.ts";
+import { Ending } from "./ending.ts";
 import { Fleet } from "./fleet.ts";
 import { IngressTask } from "./ingress_task.ts";
 import { PeerServer } from "./peer_server.ts";
@@ -26,12 +28,14 @@
 const BUDGET_RATIO_SHARE = 0.5;
 /** Share of the fleet-wide slack of repeats that all daemons together use. */
 const BUDGET_SLACK_SHARE = 0.7;
-/** Part of the grace after which other daemons' requests are refused. */
-const REFUSE_PEERS_SHARE = 0.5;
 /** Part of the grace after which the process ends at the latest. */
-const LATEST_END_SHARE = 0.95;
+const LATEST_END_SHARE = 0.97;
+/** Part of the grace before which the process does not end. */
+const EARLIEST_END_SHARE = 0.5;
 /** Quiet time without callers after which a stopping process ends, in ms. */
-const QUIET_END_MS = 1_500;
+const QUIET_END_MS = 400;
+/** Time in which callers hear that their connections close, in ms. */
+const CLOSE_MS = 60;
 /** Pause between two checks for the end, in ms. */
 const END_CHECK_MS = 50;
 
@@ -53,6 +57,7 @@
   readonly #backend = new OwnBackend();
   readonly #budgets = new Map<string, WindowBudget>();
   readonly #stopped = new AbortController();
+  readonly #ending = new Ending();
   readonly #destination: DestinationTask;
   readonly #fleet: Fleet;
   readonly #ingress: IngressTask;
@@ -94,6 +99,7 @@
     this.#peers = new PeerServer({
       destination: this.#destination,
       routes: this.#routes,
+      ending: this.#ending,
       log: this.#log,
       onVersion: (version) => void this.#sync.hear(version, undefined),
     });
@@ -143,11 +149,8 @@
     this.#log.info("daemon-stopping", { graceMs, open: this.#ingress.open });
     this.#ingress.close();
     this.#publish(BackendState.Away);
-    setTimeout(
-      () => this.#destination.refusePeers(),
-      graceMs * REFUSE_PEERS_SHARE,
-    );
     const endAtMs = startedAtMs + graceMs * LATEST_END_SHARE;
+    this.#ending.endAtMs = endAtMs;
     await new Promise<void>((resolve) => {
       const timer = setInterval(() => {
         const nowMs = performance.now();
@@ -156,14 +159,28 @@
         resolve();
       }, END_CHECK_MS);
     });
+    this.#ingress.server.close();
+    this.#ingress.server.closeIdleConnections();
+    await sleep(CLOSE_MS);
     this.#stopped.abort();
     this.#log.info("daemon-stopped", { open: this.#ingress.open });
     this.#log.close();
   }
 
+  /** Ends at once, as a crash would. */
+  kill(): void {
+    this.#stopped.abort();
+    const servers = [this.#ingress.server, this.#peers.server];
+    for (const server of [...servers, ...this.#control]) {
+      server.close();
+      server.closeAllConnections();
+    }
+    this.#log.close();
+  }
+
   #isQuiet(startedAtMs: number, nowMs: number): boolean {
     const { graceMs } = this.#settings;
-    if (nowMs - startedAtMs < graceMs * REFUSE_PEERS_SHARE) return false;
+    if (nowMs - startedAtMs < graceMs * EARLIEST_END_SHARE) return false;
     return this.#ingress.open === 0 && this.#destination.size === 0 &&
       nowMs - this.#ingress.lastRequestAtMs > QUIET_END_MS;
   }
@@ -173,6 +190,7 @@
     return new IngressTask({
       routes: this.#routes,
       headers: this.#ports.headers,
+      ending: this.#ending,
       log: this.#log,
       flow: {
         fleet: this.#fleet,
--- /dev/null
+++ b/src/state/own_backend_test.ts
@@ -0,0 +1,74 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type Announcement, BackendState } from "../protocol/mesh.ts";
+import { OwnBackend } from "./own_backend.ts";
+
+function announcement(fields: Partial<Announcement> = {}): Announcement {
+  return {
+    id: "i-1",
+    service: "stock",
+    address: "10.0.0.1:80",
+    slots: 4,
+    state: BackendState.Ready,
+    coldMs: 0,
+    sequence: 1,
+    bornAtUnixMs: 100,
+    ...fields,
+  };
+}
+
+const DRAINING = { state: BackendState.Draining };
+
+test("announced() ignores what a life said before it drained", () => {
+  const backend = new OwnBackend();
+  const changes = [
+    announcement(),
+    announcement({ sequence: 3, ...DRAINING }),
+    announcement({ sequence: 2 }),
+    announcement({ sequence: 4 }),
+  ].map((one) => backend.announced(one).kind);
+  assert.equal({ changes, ready: backend.ready }, {
+    changes: ["started", "draining", "stale", "unchanged"],
+    ready: undefined,
+  });
+});
+
+test("announced() ignores an earlier life that speaks late", () => {
+  const backend = new OwnBackend();
+  const changes = [
+    announcement({ id: "i-2", bornAtUnixMs: 200 }),
+    announcement({ id: "i-1", bornAtUnixMs: 100, sequence: 50 }),
+    announcement({ id: "i-2", bornAtUnixMs: 300 }),
+  ].map((one) => backend.announced(one).kind);
+  assert.equal({ changes, born: backend.ready?.bornAtUnixMs }, {
+    changes: ["started", "stale", "started"],
+    born: 300,
+  });
+});
+
+test("left() of an earlier life leaves the present one alone", () => {
+  const backend = new OwnBackend();
+  backend.announced(announcement({ bornAtUnixMs: 200 }));
+  const changes = [
+    backend.left("i-1", 100),
+    backend.left("i-9", 300),
+    backend.left("i-1", 200),
+    backend.announced(announcement({ bornAtUnixMs: 200, sequence: 9 })),
+  ].map((change) => change.kind);
+  assert.equal({ changes, current: backend.current }, {
+    changes: ["stale", "stale", "left", "stale"],
+    current: undefined,
+  });
+});
+
+test("restoreLeft() keeps a life out that drained before a restart", () => {
+  const backend = new OwnBackend();
+  backend.restoreLeft("i-1", 100);
+  const changes = [
+    announcement({ sequence: 7 }),
+    announcement({ id: "i-2", bornAtUnixMs: 200 }),
+  ].map((one) => backend.announced(one).kind);
+  assert.equal(changes, ["stale", "started"]);
+});
+
+test.run();
--- /dev/null
+++ b/src/state/route_table_test.ts
@@ -0,0 +1,58 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type MeshRoute, RequestKind } from "../protocol/mesh.ts";
+import { RouteTable } from "./route_table.ts";
+
+function route(name: string, host: string, prefix: string): MeshRoute {
+  return {
+    name,
+    host,
+    prefix,
+    targets: [{ service: "stock", weight: 1 }],
+    kind: RequestKind.Idempotent,
+    timeoutMs: 1_000,
+    objectiveMs: 500,
+    priority: 0,
+    maxAttempts: 2,
+  };
+}
+
+const table = new RouteTable({
+  version: 1,
+  routes: [
+    route("all", "a.example", "/"),
+    route("stock", "a.example", "/stock/"),
+    route("sizes", "a.example", "/stock/sizes/"),
+    route("other", "b.example", "/stock/"),
+  ],
+  services: [{ name: "stock", healthPath: "/health", maxConnections: 10 }],
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+});
+
+test("find() takes the longest prefix of the host's routes", () => {
+  const found = [
+    ["a.example", "/stock/1"],
+    ["A.example:8080", "/stock/sizes/2?x=/stock/"],
+    ["a.example", "/stocks"],
+    ["b.example", "/stock/sizes/2"],
+    ["b.example", "/"],
+    ["b.example", "/stock"],
+    ["c.example", "/stock/1"],
+  ].map(([host, path]) => table.find(host!, path!)?.name);
+  assert.equal(found, [
+    "stock",
+    "sizes",
+    "all",
+    "other",
+    undefined,
+    undefined,
+    undefined,
+  ]);
+});
+
+test.run();
--- a/src/transport/observe/event_log.ts
+++ b/src/transport/observe/event_log.ts
@@ -1,53 +1,19 @@
-import { Buffer } from "node:buffer";
-import { closeSync, openSync, writeSync } from "node:fs";
-import winston from "winston";
-import Transport from "winston-transport";
+import { DescriptorWriter } from "./descriptor_writer.ts";
 
 /** Longest time for which a line stays in memory, in ms. */
 const FLUSH_PERIOD_MS = 100;
 /** Lines are written early from this size on, in characters. */
 const FLUSH_SIZE = 32 * 1024;
-/** Lines beyond this size are dropped, oldest first, in bytes. */
-const MAX_UNWRITTEN_BYTES = 4 * 1024 * 1024;
 
 /** A value of a log field. */
 export type LogValue = string | number | boolean | undefined;
 /** Fields of a log line. */
 export type LogFields = Readonly<Record<string, LogValue>>;
 
-const MESSAGE = Symbol.for("message");
-
-/** Writes to a file descriptor; what does not fit now stays for later. */
-class DescriptorTransport extends Transport {
-  readonly #descriptor: number;
-  #unwritten = Buffer.alloc(0);
-
-  constructor(file: string | undefined) {
-    super();
-    this.#descriptor = file === undefined ? 1 : openSync(file, "a");
-  }
-
-  override log(info: { [MESSAGE]?: string }, next: () => void): void {
-    const lines = Buffer.from(info[MESSAGE] ?? "");
-    this.#unwritten = Buffer.concat([this.#unwritten, lines])
-      .subarray(-MAX_UNWRITTEN_BYTES);
-    try {
-      while (this.#unwritten.length > 0) this.#writeSome();
-    } catch {
-      // A full pipe: the lines stay for the next batch.
-    }
-    next();
-  }
-
-  /** A pipe may take a part only. */
-  #writeSome(): void {
-    const sizeBytes = writeSync(this.#descriptor, this.#unwritten);
-    this.#unwritten = this.#unwritten.subarray(sizeBytes);
-  }
-
-  override close(): void {
-    if (this.#descriptor > 2) closeSync(this.#descriptor);
-  }
+/** Takes batches of whole lines. */
+export interface LineSink {
+  write(lines: string): void;
+  close(): void;
 }
 
 /** Optional settings of an {@linkcode EventLog}. */
@@ -58,6 +24,8 @@
   level?: string;
   /** Fields of every line. */
   fields?: LogFields;
+  /** Where lines go, in place of a file or standard output. */
+  sink?: LineSink;
 }
 
 /**
@@ -70,7 +38,7 @@
  * ```
  */
 export class EventLog {
-  readonly #logger: winston.Logger;
+  readonly #sink: LineSink;
   readonly #fields: string;
   readonly #minSeverity: number;
   #batch = "";
@@ -84,10 +52,7 @@
   constructor(options: EventLogOptions = {}) {
     this.#fields = formatFields(options.fields ?? {});
     this.#minSeverity = SEVERITIES.indexOf(options.level ?? "info");
-    this.#logger = winston.createLogger({
-      format: winston.format.printf((info) => String(info.message)),
-      transports: [new DescriptorTransport(options.file)],
-    });
+    this.#sink = options.sink ?? new DescriptorWriter(options.file);
   }
 
   /**
@@ -125,17 +90,17 @@
     clearTimeout(this.#timer);
     this.#timer = undefined;
     if (this.#batch === "") return;
-    this.#logger.info(this.#batch);
+    this.#sink.write(this.#batch);
     this.#batch = "";
   }
 
   /** Writes what is buffered and closes the log. */
   close(): void {
     this.flush();
-    this.#logger.close();
+    this.#sink.close();
   }
 
-  /** Gathers lines, so that the logger's cost is shared by many. */
+  /** Gathers lines, so that the sink's cost is shared by many. */
   #write(level: string, event: string, fields: LogFields): void {
     if (SEVERITIES.indexOf(level) > this.#minSeverity) return;
     const time = new Date().toISOString();
--- a/src/transport/observe/mod.ts
+++ b/src/transport/observe/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export * from "./descriptor_writer.ts";
 export * from "./event_log.ts";
 export * from "./metrics.ts";
 export * from "./socket_meter.ts";
+export * from "./winston_sink.ts";
--- /dev/null
+++ b/tests/platform/control_dialect_test.ts
@@ -0,0 +1,63 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { CONTROL_DIALECT } from "../../platform/control_dialect.ts";
+
+const BEAT = "/api/rpc?call=instances.heartbeat&of=i-1";
+const FIELDS = {
+  Service: "stock",
+  Address: "10.0.0.1:80",
+  Zone: "a",
+  Version: "v1",
+  Capacity: 4,
+  State: "ready",
+  ColdLeftS: 1.5,
+  Sequence: 3,
+  born: 77,
+};
+
+test("decode() reads announcements, leaves and readiness checks", () => {
+  const calls = [
+    CONTROL_DIALECT.decode("GET", "/api/ready", ""),
+    CONTROL_DIALECT.decode("POST", BEAT, JSON.stringify(FIELDS)),
+    CONTROL_DIALECT.decode(
+      "POST",
+      "/api/rpc?call=instances.leave&of=i-1",
+      '{"born":77}',
+    ),
+  ];
+  assert.equal(calls, [
+    { kind: "ready" },
+    {
+      kind: "announce",
+      announcement: {
+        id: "i-1",
+        service: "stock",
+        address: "10.0.0.1:80",
+        slots: 4,
+        state: "ready",
+        coldMs: 1_500,
+        sequence: 3,
+        bornAtUnixMs: 77,
+      },
+    },
+    { kind: "leave", id: "i-1", bornAtUnixMs: 77 },
+  ]);
+});
+
+test("decode() names no backend server where a field cannot be read", () => {
+  const bodies = [
+    "",
+    "[",
+    "null",
+    JSON.stringify({ ...FIELDS, State: "asleep" }),
+    JSON.stringify({ ...FIELDS, Capacity: "4" }),
+    JSON.stringify({ ...FIELDS, Sequence: undefined }),
+    JSON.stringify({ ...FIELDS, born: 1.5 }),
+  ];
+  const kinds = bodies.map((body) =>
+    CONTROL_DIALECT.decode("POST", BEAT, body).kind
+  );
+  assert.equal(kinds, bodies.map(() => "unreadable"));
+});
+
+test.run();
--- /dev/null
+++ b/tests/platform/mesh_test.ts
@@ -0,0 +1,260 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { BackendFault } from "../../platform/fakes/backend.ts";
+import { StoreFault } from "../../platform/fakes/kv_server.ts";
+import {
+  CONFIG_KEY,
+  FakeMesh,
+  sampleConfig,
+} from "../../platform/fakes/mesh.ts";
+import { until } from "../../testkit/until.ts";
+
+/** Runs a test on a mesh of its own. */
+function meshTest(
+  name: string,
+  size: number,
+  run: (mesh: FakeMesh) => Promise<void>,
+): void {
+  test(name, async () => {
+    const mesh = await FakeMesh.start(size);
+    try {
+      await run(mesh);
+    } finally {
+      await mesh.stop();
+    }
+  });
+}
+
+const runsOf = (mesh: FakeMesh) =>
+  mesh.instances.map(({ backend }) => backend.runs.length);
+const totalRuns = (mesh: FakeMesh) =>
+  runsOf(mesh).reduce((sum, runs) => sum + runs, 0);
+
+meshTest("a request reaches a backend server unchanged", 2, async (mesh) => {
+  const reply = await mesh.call(0, {
+    path: "/orders/7?size=2",
+    method: "POST",
+    body: "two pallets",
+    id: "r1",
+    headers: { "x-caller-service": "forged", "x-expect-instance": "i-9" },
+  });
+  const runs = mesh.instances.flatMap(({ backend }) => backend.runs);
+  assert.equal({
+    status: reply.status,
+    stamp: reply.headers["x-response-stamp"],
+    runs: runs.map(({ id, path, caller, body }) => ({
+      id,
+      path,
+      caller,
+      body,
+    })),
+    isTimely: runs[0]!.remainingMs > 0 && runs[0]!.remainingMs <= 1_500,
+  }, {
+    status: 200,
+    stamp: "stamp-r1",
+    runs: [{
+      id: "r1",
+      path: "/orders/7?size=2",
+      caller: "stock",
+      body: "two pallets",
+    }],
+    isTimely: true,
+  });
+});
+
+meshTest(
+  "an acknowledged drain binds at once, for all daemons",
+  2,
+  async (mesh) => {
+    await mesh.announce(0, "draining");
+    const before = runsOf(mesh)[0];
+    const replies = await Promise.all(
+      Array.from(
+        { length: 20 },
+        (_, index) => mesh.call(index % 2, { path: "/stock/1" }),
+      ),
+    );
+    assert.equal({
+      statuses: [...new Set(replies.map(({ status }) => status))],
+      reached: runsOf(mesh)[0]! - before!,
+    }, { statuses: [200], reached: 0 });
+  },
+);
+
+meshTest("a drain binds although the store is down", 2, async (mesh) => {
+  mesh.store.fault = StoreFault.Busy;
+  const { status } = await mesh.announce(0, "draining");
+  const reply = await mesh.call(1, { path: "/stock/1" });
+  assert.equal({ status, reply: reply.status, reached: runsOf(mesh)[0] }, {
+    status: 200,
+    reply: 200,
+    reached: 0,
+  });
+});
+
+meshTest(
+  "a rejected order goes to another backend server once",
+  2,
+  async (mesh) => {
+    mesh.instances[0]!.backend.fault = BackendFault.Shed;
+    const replies = await Promise.all(
+      Array.from(
+        { length: 6 },
+        () => mesh.call(0, { path: "/orders/1", method: "POST", body: "x" }),
+      ),
+    );
+    assert.equal({
+      statuses: [...new Set(replies.map(({ status }) => status))],
+      runs: runsOf(mesh),
+    }, { statuses: [200], runs: [0, 6] });
+  },
+);
+
+meshTest("an order whose answer is lost never runs again", 2, async (mesh) => {
+  for (const { backend } of mesh.instances) backend.fault = BackendFault.Reset;
+  const reply = await mesh.call(0, {
+    path: "/orders/1",
+    method: "POST",
+    body: "x",
+  });
+  assert.equal({ status: reply.status, runs: totalRuns(mesh) }, {
+    status: 502,
+    runs: 1,
+  });
+});
+
+meshTest("a lookup whose answer is lost runs elsewhere", 2, async (mesh) => {
+  mesh.instances[0]!.backend.fault = BackendFault.Reset;
+  const replies = await Promise.all(
+    Array.from({ length: 4 }, () => mesh.call(0, { path: "/stock/1" })),
+  );
+  assert.equal(replies.map(({ status }) => status), [200, 200, 200, 200]);
+});
+
+meshTest("an answer cut short is not passed on as whole", 1, async (mesh) => {
+  mesh.instances[0]!.backend.fault = BackendFault.CutUnframed;
+  const reply = await mesh.call(0, { path: "/stock/1" });
+  assert.equal({ status: reply.status, body: reply.body }, {
+    status: 502,
+    body: "",
+  });
+});
+
+meshTest("an answer to another request is not passed on", 1, async (mesh) => {
+  mesh.instances[0]!.backend.fault = BackendFault.WrongId;
+  const reply = await mesh.call(0, { path: "/stock/1" });
+  assert.is(reply.status, 502);
+});
+
+meshTest("a request ends at its timeout and is cancelled", 1, async (mesh) => {
+  const { backend } = mesh.instances[0]!;
+  backend.fault = BackendFault.Silent;
+  const startedAtMs = performance.now();
+  const reply = await mesh.call(0, {
+    path: "/stock/1",
+    id: "slow",
+    timeoutMs: 300,
+  });
+  const tookMs = performance.now() - startedAtMs;
+  await until(() => backend.cancelled.length > 0, "the request is cancelled");
+  assert.equal({
+    status: reply.status,
+    isOnTime: tookMs >= 290,
+    cancelled: backend.cancelled,
+  }, { status: 504, isOnTime: true, cancelled: ["slow"] });
+});
+
+meshTest(
+  "a new version is in force without a watch that hears",
+  2,
+  async (mesh) => {
+    mesh.store.put(
+      CONFIG_KEY,
+      JSON.stringify(sampleConfig(5, [{
+        Name: "added",
+        Kind: "idempotent",
+        SloS: 0.5,
+        Priority: 0,
+        Match: { Prefix: "/added/" },
+        Action: { Service: "stock", TimeoutS: 1, Attempts: 1 },
+      }])),
+    );
+    mesh.store.compact();
+    await until(
+      async () => (await mesh.call(0, { path: "/added/1" })).status === 200,
+      "the added route is served",
+    );
+    const after = await mesh.call(0, { path: "/none/1" });
+    assert.is(after.status, 404);
+  },
+);
+
+meshTest("an older version never replaces a newer one", 1, async (mesh) => {
+  mesh.store.put(CONFIG_KEY, JSON.stringify(sampleConfig(9)));
+  mesh.store.put(
+    CONFIG_KEY,
+    JSON.stringify({
+      ...sampleConfig(3),
+      Listeners: [],
+    }),
+  );
+  await sleep(300);
+  const reply = await mesh.call(0, { path: "/stock/1" });
+  assert.is(reply.status, 200);
+});
+
+meshTest("a version that cannot be read harms nothing", 1, async (mesh) => {
+  mesh.store.put(CONFIG_KEY, "{");
+  mesh.store.put("sesamepond/backends/other", "[1]");
+  await sleep(200);
+  const reply = await mesh.call(0, { path: "/stock/1" });
+  assert.is(reply.status, 200);
+});
+
+meshTest("records that lapsed are back soon after", 2, async (mesh) => {
+  mesh.store.lapseLeases();
+  const reply = await mesh.call(1, { path: "/stock/1" });
+  await until(
+    () =>
+      [0, 1].every((index) =>
+        mesh.store.get(`sesamepond/backends/instance-${index}`) !== undefined
+      ),
+    "both records are back",
+    2_000,
+  );
+  assert.is(reply.status, 200);
+});
+
+meshTest(
+  "requests are served on while the store is silent",
+  2,
+  async (mesh) => {
+    mesh.store.fault = StoreFault.Silent;
+    await sleep(500);
+    const replies = await Promise.all(
+      Array.from(
+        { length: 10 },
+        (_, index) => mesh.call(index % 2, { path: "/stock/1" }),
+      ),
+    );
+    assert.ok(replies.every(({ status }) => status === 200));
+  },
+);
+
+meshTest("a stopping daemon answers what it took", 2, async (mesh) => {
+  for (const { backend } of mesh.instances) backend.workMs = 300;
+  const taken = mesh.call(0, { path: "/stock/1" });
+  await sleep(50);
+  const stopped = mesh.instances[0]!.sidecar.stop();
+  const during = await mesh.call(0, { path: "/stock/2", timeoutMs: 1_000 });
+  const first = await taken;
+  await stopped;
+  assert.equal({
+    first: first.status,
+    during: during.status,
+    connection: during.headers.connection,
+  }, { first: 200, during: 200, connection: "close" });
+});
+
+test.run();
