--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./destination_choice.ts";
 export * from "./destination_view.ts";
+export * from "./latest_useful.ts";
 export * from "./service_times.ts";
 export * from "./target_choice.ts";
 export * from "./work_queue.ts";
--- a/src/coordination/dispatch/work_queue.ts
+++ b/src/coordination/dispatch/work_queue.ts
@@ -1,13 +1,12 @@
+import { latestUsefulMs } from "./latest_useful.ts";
 import { ServiceTimes } from "./service_times.ts";
 
 /** Factor on the cost of work that misses its objective anyway. */
 const LATE_FACTOR = 3;
-/** Part of the time left to the objective that counts as cost. */
-const SLACK_SHARE = 0.1;
+/** Part of the time that a caller still waits that counts as cost. */
+const TIME_LEFT_SHARE = 0.1;
 /** Share of the slots kept for each less urgent priority while it waits. */
 const GUARANTEED_SHARE = 0.1;
-/** Share of the time between objective and deadline that may be used up. */
-const LATE_ADMISSION_SHARE = 0.5;
 /** Shortest and longest wait that is suggested to a refused caller, in ms. */
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_RETRY_AFTER_MS = 2_000;
@@ -98,9 +97,7 @@
       return { kind: "start" };
     }
     const waitMs = this.#waitMs(item, nowMs);
-    const acceptableMs = item.objectiveAtMs +
-      Math.max(0, item.deadlineMs - item.objectiveAtMs) * LATE_ADMISSION_SHARE;
-    if (nowMs + waitMs + serviceMs > Math.min(acceptableMs, item.deadlineMs)) {
+    if (nowMs + waitMs + serviceMs > latestUsefulMs(item)) {
       return this.#refusal(waitMs);
     }
     this.#waiting.push(item);
@@ -140,7 +137,7 @@
   }
 
   /**
-   * Starts what may start, and gives up what cannot make its deadline.
+   * Starts what may start, and gives up what cannot be served in time.
    *
    * @param nowMs Monotonic time.
    * @returns The requests that left the queue.
@@ -193,10 +190,10 @@
   /** Smaller keys go first. */
   #key(item: WorkItem, nowMs: number): number {
     const serviceMs = this.times.expectedMs(item.route);
-    const slackMs = item.objectiveAtMs - nowMs - serviceMs;
     const cost = serviceMs * (1 + item.priority);
-    if (slackMs >= 0) return cost + slackMs * SLACK_SHARE;
-    return cost * LATE_FACTOR + (item.deadlineMs - nowMs) * SLACK_SHARE;
+    const leftMs = item.deadlineMs - nowMs;
+    const isLate = nowMs + serviceMs > item.objectiveAtMs;
+    return cost * (isLate ? LATE_FACTOR : 1) + leftMs * TIME_LEFT_SHARE;
   }
 
   #next(nowMs: number): T {
@@ -214,7 +211,7 @@
   }
 
   #isLost(item: T, nowMs: number): boolean {
-    return nowMs + this.times.expectedMs(item.route) > item.deadlineMs;
+    return nowMs + this.times.expectedMs(item.route) > latestUsefulMs(item);
   }
 
   #start(item: T): void {
--- a/src/coordination/dispatch/work_queue_test.ts
+++ b/src/coordination/dispatch/work_queue_test.ts
@@ -65,13 +65,13 @@
   ]);
 });
 
-test("offer() refuses at once what waits past its objective by half", () => {
+test("offer() refuses at once what would end long past its objective", () => {
   const queue = fullQueue({ lookup: 200 });
   const offers = Array.from(
     { length: 6 },
     (_, index) => queue.offer(item({ name: `lookup-${index}` }), 0).kind,
   );
-  assert.equal(offers, ["wait", "wait", "wait", "refuse", "refuse", "refuse"]);
+  assert.equal(offers, ["wait", "wait", "refuse", "refuse", "refuse", "refuse"]);
 });
 
 test("offer() suggests a wait that grows with what is queued", () => {
--- a/src/sidecar/call_flow.ts
+++ b/src/sidecar/call_flow.ts
@@ -2,6 +2,7 @@
 import {
   chooseDestination,
   type DestinationChoice,
+  latestUsefulMs,
 } from "../coordination/dispatch/mod.ts";
 import type { WindowBudget } from "../coordination/retry/window_budget.ts";
 import { type MeshRoute, RequestKind } from "../protocol/mesh.ts";
@@ -16,7 +17,7 @@
 import type { Fleet } from "./fleet.ts";
 
 /** Most destinations that are asked for room in turn. */
-const MAX_HOPS = 5;
+const MAX_HOPS = 3;
 /** Time left to the backend server's own answer at the deadline, in ms. */
 const DEADLINE_MARGIN_MS = 40;
 /** Wait suggested where nothing better is known, in ms. */
@@ -124,7 +125,7 @@
     this.#context.budgetOf(this.#request.service).request(performance.now());
     for (let hop = 0; hop < MAX_HOPS && !signal.aborted; hop++) {
       const choice = this.#choose();
-      if (choice === undefined) break;
+      if (choice === undefined || this.#isHopeless(choice)) break;
       const outcome = await this.#send(choice, signal);
       const result = this.#conclude(choice, outcome);
       if (result !== undefined) return result;
@@ -132,6 +133,19 @@
     return this.#giveUp();
   }
 
+  /** Whether even the best destination reports too long a queue. */
+  #isHopeless(choice: DestinationChoice): boolean {
+    const endMs = performance.now() + choice.waitMs + choice.serviceMs;
+    if (endMs <= latestUsefulMs(this.#request)) return false;
+    this.#steps.push(
+      `${choice.record.id}:hopeless:${MeshReason.Overloaded}:${
+        Math.round(choice.waitMs)
+      }:0`,
+    );
+    this.#retryAfterMs = Math.min(this.#retryAfterMs, choice.waitMs);
+    return true;
+  }
+
   #choose(): DestinationChoice | undefined {
     const { directory, fleet, random, domain } = this.#context;
     const { service, route, body } = this.#request;
--- a/src/sidecar/ingress_task.ts
+++ b/src/sidecar/ingress_task.ts
@@ -61,7 +61,6 @@
   readonly #options: IngressOptions;
   readonly #droppedHeaders: ReadonlySet<string>;
   readonly #flows = new WeakMap<Socket, Set<AbortController>>();
-  readonly #longestTimeoutMs = new Map<string, number>();
   #isClosing = false;
   #open = 0;
   #lastRequestAtMs = 0;
@@ -199,7 +198,6 @@
     this.#logEnd(route, flow, { id, result, arrivedAtMs });
   }
 
-  /** A caller that comes back has less time left than one that is new. */
   #times(
     request: IncomingMessage,
     route: MeshRoute,
@@ -208,16 +206,13 @@
     const field = this.#field(request, this.#options.headers.timeoutMs);
     const given = Number(field);
     const hasTimeout = field !== "" && Number.isFinite(given) && given > 0;
-    const waitMs = hasTimeout ? given : route.timeoutMs;
-    const longestMs = Math.max(
-      waitMs,
-      this.#longestTimeoutMs.get(route.name) ?? 0,
+    const waitMs = Math.min(
+      hasTimeout ? given : route.timeoutMs,
+      route.timeoutMs,
     );
-    this.#longestTimeoutMs.set(route.name, longestMs);
-    const spentMs = longestMs - waitMs;
     return {
-      deadlineMs: arrivedAtMs + Math.min(waitMs, route.timeoutMs),
-      objectiveAtMs: arrivedAtMs + route.objectiveMs - spentMs,
+      deadlineMs: arrivedAtMs + waitMs,
+      objectiveAtMs: arrivedAtMs + Math.min(route.objectiveMs, waitMs),
     };
   }
 
--- a/src/transport/http/connection_stack.ts
+++ b/src/transport/http/connection_stack.ts
@@ -12,6 +12,8 @@
 /** Safety margin on the idle time that the peer names, in ms. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 
+/** Body that a peer has read with the head of its request, in bytes. */
+const MAX_SURELY_READ_BYTES = 8 * 1024;
 const FRAMING_FIELDS = new Set(["content-length", "transfer-encoding"]);
 
 /** A request to send over some connection of a stack. */
@@ -168,7 +170,8 @@
 function isSpoilt(request: StackRequest, result: StackResult): boolean {
   if (result.kind === "failed") return true;
   // A rejection may come before a long body was read; the rest is still due.
-  if (result.status >= 300 && request.body !== undefined) return true;
+  const isLong = (request.body?.length ?? 0) > MAX_SURELY_READ_BYTES;
+  if (result.status >= 300 && isLong) return true;
   return request.accepts?.(result.status, result.headers) === false;
 }
 
