Metrics as text, checked reload, budgets that follow the fleet; strict objectives (trial)

Change: TextMetrics on its own address; WorkItem carries the time until which waiting is useful; Retry-After is spread over a third of the time left where the objective is missed anyway.

--- a/src/coordination/dispatch/work_queue.ts
+++ b/src/coordination/dispatch/work_queue.ts
@@ -1,10 +1,11 @@
-import { latestUsefulMs } from "./latest_useful.ts";
 import { ServiceTimes } from "./service_times.ts";
 
 /** Factor on the cost of work that misses its objective anyway. */
 const LATE_FACTOR = 3;
 /** Part of the time that a caller still waits that counts as cost. */
 const TIME_LEFT_SHARE = 0.1;
+/** Lead of a priority that runs below its share; above any other key. */
+const OWED_LEAD = 1e9;
 /** Share of the slots kept for each less urgent priority while it waits. */
 const GUARANTEED_SHARE = 0.1;
 /** Shortest and longest wait that is suggested to a refused caller, in ms. */
@@ -18,6 +19,8 @@
   readonly priority: number;
   readonly objectiveAtMs: number;
   readonly deadlineMs: number;
+  /** Latest time at which its end is still worth waiting for. */
+  readonly usefulUntilMs: number;
 }
 
 /** Answer to a request for a slot. */
@@ -97,7 +100,7 @@
       return { kind: "start" };
     }
     const waitMs = this.#waitMs(item, nowMs);
-    if (nowMs + waitMs + serviceMs > latestUsefulMs(item)) {
+    if (nowMs + waitMs + serviceMs > item.usefulUntilMs) {
       return this.#refusal(waitMs);
     }
     this.#waiting.push(item);
@@ -144,9 +147,7 @@
    */
   dispatch(nowMs: number): Dispatch<T> {
     const expired = this.#waiting.filter((item) => this.#isLost(item, nowMs));
-    if (expired.length > 0) {
-      this.#waiting = this.#waiting.filter((item) => !expired.includes(item));
-    }
+    for (const item of expired) this.remove(item);
     const started: T[] = [];
     while (this.#running < this.#slots && this.#waiting.length > 0) {
       const item = this.#next(nowMs);
@@ -197,11 +198,16 @@
   }
 
   #next(nowMs: number): T {
-    const owed = this.#waiting.filter((item) => this.#isOwed(item));
-    const candidates = owed.length > 0 ? owed : this.#waiting;
-    return candidates.reduce((best, item) =>
-      this.#key(item, nowMs) < this.#key(best, nowMs) ? item : best
-    );
+    let best = this.#waiting[0]!;
+    let bestKey = Infinity;
+    for (const item of this.#waiting) {
+      // A priority below its share goes before all keys.
+      const key = this.#key(item, nowMs) - (this.#isOwed(item) ? OWED_LEAD : 0);
+      if (key >= bestKey) continue;
+      best = item;
+      bestKey = key;
+    }
+    return best;
   }
 
   /** Whether the request's priority runs below its guaranteed share. */
@@ -211,7 +217,7 @@
   }
 
   #isLost(item: T, nowMs: number): boolean {
-    return nowMs + this.times.expectedMs(item.route) > latestUsefulMs(item);
+    return nowMs + this.times.expectedMs(item.route) > item.usefulUntilMs;
   }
 
   #start(item: T): void {
--- a/src/coordination/dispatch/work_queue_test.ts
+++ b/src/coordination/dispatch/work_queue_test.ts
@@ -1,5 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { latestUsefulMs } from "./latest_useful.ts";
 import { type WorkItem, WorkQueue } from "./work_queue.ts";
 
 interface NamedItem extends WorkItem {
@@ -7,13 +8,13 @@
 }
 
 function item(fields: Partial<NamedItem>): NamedItem {
+  const times = { objectiveAtMs: 500, deadlineMs: 1_200, ...fields };
   return {
     name: "",
     route: "lookup",
     priority: 0,
-    objectiveAtMs: 500,
-    deadlineMs: 1_200,
-    ...fields,
+    usefulUntilMs: latestUsefulMs(times, 0),
+    ...times,
   };
 }
 
@@ -65,13 +66,13 @@
   ]);
 });
 
-test("offer() refuses at once what would end long past its objective", () => {
+test("offer() refuses at once what would end past its objective", () => {
   const queue = fullQueue({ lookup: 200 });
   const offers = Array.from(
     { length: 6 },
     (_, index) => queue.offer(item({ name: `lookup-${index}` }), 0).kind,
   );
-  assert.equal(offers, ["wait", "wait", "refuse", "refuse", "refuse", "refuse"]);
+  assert.equal(offers, ["wait", "refuse", "refuse", "refuse", "refuse", "refuse"]);
 });
 
 test("offer() suggests a wait that grows with what is queued", () => {
@@ -88,10 +89,10 @@
   assert.ok(isRising);
 });
 
-test("dispatch() gives up what can no longer make its deadline", () => {
+test("dispatch() gives up what can no longer be served in time", () => {
   const queue = fullQueue({ lookup: 200 });
-  queue.offer(item({ name: "late", deadlineMs: 450 }), 0);
-  queue.offer(item({ name: "timely", deadlineMs: 1_200 }), 0);
+  queue.offer(item({ name: "late", objectiveAtMs: 450 }), 0);
+  queue.offer(item({ name: "timely", objectiveAtMs: 900 }), 0);
   const { expired, started } = queue.dispatch(300);
   assert.equal({
     expired: expired.map(({ name }) => name),
--- a/src/coordination/retry/window_budget.ts
+++ b/src/coordination/retry/window_budget.ts
@@ -6,8 +6,8 @@
   readonly windowMs: number;
   /** Repeats that each first request allows. */
   readonly ratio: number;
-  /** Repeats allowed in a window besides. */
-  readonly slack: number;
+  /** Repeats allowed in a window besides, as the fleet stands now. */
+  readonly slack: () => number;
 }
 
 interface Bucket {
@@ -22,7 +22,7 @@
  *
  * @example
  * ```ts
- * const budget = new WindowBudget({ windowMs: 10_000, ratio: 0.1, slack: 2 });
+ * const budget = new WindowBudget({ windowMs: 10_000, ratio: 0.1, slack: () => 2 });
  * budget.request(0);
  * budget.trySpend(0); // true
  * ```
@@ -75,7 +75,8 @@
       requests += one.requests;
       repeats += one.repeats;
     }
-    const allowed = requests * this.#options.ratio + this.#options.slack;
+    const allowed = requests * this.#options.ratio +
+      this.#options.slack();
     if (repeats + 1 > allowed) return false;
     bucket.repeats++;
     return true;
--- a/src/sidecar/call_flow.ts
+++ b/src/sidecar/call_flow.ts
@@ -23,7 +23,9 @@
 /** Wait suggested where nothing better is known, in ms. */
 const DEFAULT_RETRY_AFTER_MS = 150;
 /** Share by which suggested waits are spread, so that callers come apart. */
-const RETRY_AFTER_SPREAD = 0.5;
+const RETRY_SPREAD = 0.5;
+/** Part of the time left after which a caller still has time to be served. */
+const LONGEST_RETURN_SHARE = 0.33;
 
 /** A caller's request, read whole. */
 export interface FlowRequest {
@@ -80,6 +82,7 @@
   readonly #context: FlowContext;
   readonly #excluded = new Set<string>();
   readonly #steps: string[] = [];
+  readonly #usefulUntilMs: number;
   #arrivals = 0;
   #mayHaveRun = false;
   #retryAfterMs = Infinity;
@@ -94,6 +97,7 @@
   constructor(request: FlowRequest, context: FlowContext) {
     this.#request = request;
     this.#context = context;
+    this.#usefulUntilMs = latestUsefulMs(request, performance.now());
   }
 
   /** The decisions so far, for the log. */
@@ -136,7 +140,7 @@
   /** Whether even the best destination reports too long a queue. */
   #isHopeless(choice: DestinationChoice): boolean {
     const endMs = performance.now() + choice.waitMs + choice.serviceMs;
-    if (endMs <= latestUsefulMs(this.#request)) return false;
+    if (endMs <= this.#usefulUntilMs) return false;
     this.#steps.push(
       `${choice.record.id}:hopeless:${MeshReason.Overloaded}:${
         Math.round(choice.waitMs)
@@ -274,10 +278,20 @@
   }
 
   #refused(reason: string): FlowResult {
-    const knownMs = Number.isFinite(this.#retryAfterMs)
+    const { random } = this.#context;
+    const { objectiveAtMs, deadlineMs } = this.#request;
+    const nowMs = performance.now();
+    const drainMs = Number.isFinite(this.#retryAfterMs)
       ? this.#retryAfterMs
       : DEFAULT_RETRY_AFTER_MS;
-    const spread = 1 + this.#context.random.fraction() * RETRY_AFTER_SPREAD;
-    return { kind: "refused", reason, retryAfterMs: knownMs * spread };
+    // Who misses the objective anyway comes back best when the flood is over.
+    const canBeTimely = nowMs + drainMs < objectiveAtMs;
+    const longestMs = Math.max(
+      drainMs,
+      (deadlineMs - nowMs) * LONGEST_RETURN_SHARE,
+    );
+    const untilMs = canBeTimely ? drainMs * (1 + RETRY_SPREAD) : longestMs;
+    const retryAfterMs = drainMs + (untilMs - drainMs) * random.fraction();
+    return { kind: "refused", reason, retryAfterMs };
   }
 }
--- a/src/sidecar/destination_task.ts
+++ b/src/sidecar/destination_task.ts
@@ -11,8 +11,13 @@
   type StackResult,
 } from "../transport/http/connection_stack.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
+import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import type { OwnBackend } from "../state/own_backend.ts";
-import { type Dispatch, WorkQueue } from "../coordination/dispatch/mod.ts";
+import {
+  type Dispatch,
+  latestUsefulMs,
+  WorkQueue,
+} from "../coordination/dispatch/mod.ts";
 import type { EdgeHeaders } from "./ports.ts";
 
 /** Weight of the newest outcome in the share of failures. */
@@ -31,6 +36,8 @@
   readonly priority: number;
   readonly objectiveAtMs: number;
   readonly deadlineMs: number;
+  readonly usefulUntilMs: number;
+  readonly queuedAtMs: number;
   readonly resolve: (outcome: CallOutcome) => void;
 }
 
@@ -39,6 +46,7 @@
   readonly backend: OwnBackend;
   readonly headers: EdgeHeaders;
   readonly log: EventLog;
+  readonly metrics: TextMetrics;
 }
 
 /**
@@ -54,6 +62,7 @@
   readonly #backend: OwnBackend;
   readonly #headers: EdgeHeaders;
   readonly #log: EventLog;
+  readonly #metrics: TextMetrics;
   readonly #queue = new WorkQueue<Job>(1);
   readonly #signals = new WeakMap<Job, AbortSignal>();
   #connections: ConnectionStack | undefined;
@@ -69,6 +78,7 @@
     this.#backend = options.backend;
     this.#headers = options.headers;
     this.#log = options.log;
+    this.#metrics = options.metrics;
   }
 
   /**
@@ -108,7 +118,10 @@
       running: this.#queue.running,
       queued: this.#queue.queued,
       limit: this.#queue.slots,
-      waitMs: this.#queue.expectedWaitMs(call, nowMs),
+      waitMs: this.#queue.expectedWaitMs(
+        { ...call, usefulUntilMs: Infinity },
+        nowMs,
+      ),
       failureShare: this.#failureShare,
     };
   }
@@ -155,7 +168,7 @@
     signal.addEventListener("abort", () => {
       if (this.#queue.remove(job)) job.resolve(notRun(MeshReason.Cancelled));
     }, { once: true });
-    const waitMs = Math.max(0, job.deadlineMs - performance.now());
+    const waitMs = Math.max(0, job.usefulUntilMs - performance.now());
     setTimeout(() => {
       if (this.#queue.remove(job)) job.resolve(notRun(MeshReason.Expired));
     }, waitMs);
@@ -172,10 +185,16 @@
 
   async #run(job: Job, signal: AbortSignal): Promise<void> {
     const startedAtMs = performance.now();
+    this.#metrics.observe("queue_wait_ms", startedAtMs - job.queuedAtMs);
     const outcome = await this.#send(job.call, signal, startedAtMs);
     const served = outcome.kind === "answered" && outcome.answer.status < 500;
     this.#queue.finish(job, served ? outcome.serviceMs : undefined);
     this.#observe(outcome, signal);
+    const reason = outcome.kind === "answered" ? "" : outcome.reason;
+    this.#metrics.count("backend_sends_total", {
+      outcome: outcome.kind,
+      reason,
+    });
     job.resolve(outcome);
     this.#apply(this.#queue.dispatch(performance.now()));
   }
@@ -279,12 +298,15 @@
 }
 
 function toJob(call: MeshCall, resolve: (outcome: CallOutcome) => void): Job {
+  const nowMs = performance.now();
   return {
     call,
     route: call.route,
     priority: call.priority,
     objectiveAtMs: call.objectiveAtMs,
     deadlineMs: call.deadlineMs,
+    usefulUntilMs: latestUsefulMs(call, nowMs),
+    queuedAtMs: nowMs,
     resolve,
   };
 }
--- a/src/sidecar/ingress_task.ts
+++ b/src/sidecar/ingress_task.ts
@@ -11,6 +11,7 @@
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
+import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import {
   CallFlow,
   type FlowContext,
@@ -39,6 +40,7 @@
   readonly flow: FlowContext;
   readonly ending: Ending;
   readonly log: EventLog;
+  readonly metrics: TextMetrics;
 }
 
 /** An answer of this daemon's own. */
@@ -60,6 +62,8 @@
   readonly server: Server;
   readonly #options: IngressOptions;
   readonly #droppedHeaders: ReadonlySet<string>;
+  /** Longest time that callers of a route give, by its name. */
+  readonly #longestWaitMs = new Map<string, number>();
   readonly #flows = new WeakMap<Socket, Set<AbortController>>();
   #isClosing = false;
   #open = 0;
@@ -198,6 +202,7 @@
     this.#logEnd(route, flow, { id, result, arrivedAtMs });
   }
 
+  /** A caller that comes back has less time left than one that is new. */
   #times(
     request: IncomingMessage,
     route: MeshRoute,
@@ -210,9 +215,15 @@
       hasTimeout ? given : route.timeoutMs,
       route.timeoutMs,
     );
+    const longestMs = Math.max(
+      waitMs,
+      this.#longestWaitMs.get(route.name) ?? 0,
+    );
+    this.#longestWaitMs.set(route.name, longestMs);
+    const spentMs = longestMs - waitMs;
     return {
       deadlineMs: arrivedAtMs + waitMs,
-      objectiveAtMs: arrivedAtMs + Math.min(route.objectiveMs, waitMs),
+      objectiveAtMs: arrivedAtMs + route.objectiveMs - spentMs,
     };
   }
 
@@ -261,6 +272,10 @@
     },
   ): void {
     const { id, result, arrivedAtMs } = end;
+    const { metrics } = this.#options;
+    const cause = "reason" in result ? result.reason : "";
+    metrics.count("requests_total", { result: result.kind, reason: cause });
+    metrics.observe("request_ms", performance.now() - arrivedAtMs);
     const isServed = result.kind === "answered" && result.answer.status < 500;
     if (isServed && this.#answered++ % LOGGED_SHARE !== 0) return;
     if (!isServed && !this.#mayLogFailure(arrivedAtMs)) return;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,4 +1,5 @@
-import type { Server } from "node:http";
+import { createServer, type Server } from "node:http";
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { WindowBudget } from "../coordination/retry/window_budget.ts";
@@ -8,11 +9,13 @@
   BackendState,
 } from "../protocol/mesh.ts";
 import { Random } from "../protocol/random.ts";
+import { messageOf } from "../protocol/step_error.ts";
 import { BackendDirectory } from "../state/backend_directory.ts";
 import { OwnBackend } from "../state/own_backend.ts";
 import { RouteTableHolder } from "../state/route_table_holder.ts";
 import { listen } from "../transport/http/listen.ts";
 import { EventLog } from "../transport/observe/event_log.ts";
+import { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { AnnounceTask } from "./announce_task.ts";
 import { createControlServer } from "./control_task.ts";
 import { DestinationTask } from "./destination_task.ts";
@@ -29,13 +32,14 @@
 /** Share of the fleet-wide slack of repeats that all daemons together use. */
 const BUDGET_SLACK_SHARE = 0.7;
 /** Part of the grace after which the process ends at the latest. */
-const LATEST_END_SHARE = 0.97;
+const LATEST_END_SHARE = 0.95;
 /** Part of the grace before which the process does not end. */
 const EARLIEST_END_SHARE = 0.5;
 /** Quiet time without callers after which a stopping process ends, in ms. */
 const QUIET_END_MS = 400;
 /** Time in which callers hear that their connections close, in ms. */
 const CLOSE_MS = 60;
+const NS_PER_MS = 1e6;
 /** Pause between two checks for the end, in ms. */
 const END_CHECK_MS = 50;
 
@@ -63,6 +67,8 @@
   readonly #ingress: IngressTask;
   readonly #peers: PeerServer;
   readonly #control: Server[];
+  readonly #metrics = new TextMetrics();
+  readonly #metricsServer: Server;
   readonly #announcer: AnnounceTask;
   readonly #sync: StoreSyncTask;
   #isStopping = false;
@@ -81,6 +87,7 @@
       backend: this.#backend,
       headers: ports.headers,
       log: this.#log,
+      metrics: this.#metrics,
     });
     this.#announcer = new AnnounceTask({
       store: ports.store,
@@ -107,11 +114,16 @@
     this.#control = [...new Set([readyAddress, controlAddress])].map(() =>
       this.#createControl()
     );
+    this.#metricsServer = createServer((_request, response) => {
+      response.writeHead(200, { "content-type": "text/plain" })
+        .end(this.#metrics.text());
+    });
+    this.#openGauges();
   }
 
   /** Opens the ports and starts to follow the store. */
   async start(): Promise<void> {
-    const { settings } = { settings: this.#settings };
+    const settings = this.#settings;
     this.#log.info("daemon-started", {
       domain: settings.domain,
       service: settings.service,
@@ -123,6 +135,7 @@
     await Promise.all([
       listenAt(this.#ingress.server, settings.ingressAddress),
       listenAt(this.#peers.server, settings.peerAddress),
+      listenAt(this.#metricsServer, settings.metricsAddress),
       ...controlAddresses.map((address, index) =>
         listenAt(this.#control[index]!, address)
       ),
@@ -131,9 +144,22 @@
     void this.#announcer.run(this.#stopped.signal);
   }
 
-  /** Notes that the settings were asked to be read again. */
-  reloaded(): void {
-    this.#log.info("settings-reloaded", {});
+  /**
+   * Takes in settings that were read again. Addresses and identity hold for the
+   * life of a process; what differs is named, and needs a restart.
+   *
+   * @param read Reads and checks the settings; throws where they are wrong.
+   */
+  reload(read: () => SidecarSettings): void {
+    try {
+      const next = read();
+      const current = this.#settings;
+      const names = Object.keys(next) as (keyof SidecarSettings)[];
+      const changed = names.filter((name) => next[name] !== current[name]);
+      this.#log.info("settings-reloaded", { needsRestart: changed.join(",") });
+    } catch (error) {
+      this.#log.error("settings-refused", { reason: messageOf(error) });
+    }
   }
 
   /**
@@ -170,7 +196,11 @@
   /** Ends at once, as a crash would. */
   kill(): void {
     this.#stopped.abort();
-    const servers = [this.#ingress.server, this.#peers.server];
+    const servers = [
+      this.#ingress.server,
+      this.#peers.server,
+      this.#metricsServer,
+    ];
     for (const server of [...servers, ...this.#control]) {
       server.close();
       server.closeAllConnections();
@@ -185,6 +215,19 @@
       nowMs - this.#ingress.lastRequestAtMs > QUIET_END_MS;
   }
 
+  #openGauges(): void {
+    const delays = monitorEventLoopDelay({ resolution: 200 });
+    delays.enable();
+    this.#metrics.gauge("config_version", () => this.#routes.version);
+    this.#metrics.gauge("backends_known", () => this.#directory.size);
+    this.#metrics.gauge("requests_open", () => this.#ingress.open);
+    this.#metrics.gauge("destination_requests", () => this.#destination.size);
+    this.#metrics.gauge(
+      "event_loop_delay_p99_ms",
+      () => delays.percentile(99) / NS_PER_MS,
+    );
+  }
+
   #createIngress(): IngressTask {
     const { domain, service } = this.#settings;
     return new IngressTask({
@@ -192,6 +235,7 @@
       headers: this.#ports.headers,
       ending: this.#ending,
       log: this.#log,
+      metrics: this.#metrics,
       flow: {
         fleet: this.#fleet,
         directory: this.#directory,
@@ -210,6 +254,7 @@
       routes: this.#routes,
       directory: this.#directory,
       log: this.#log,
+      metrics: this.#metrics,
       ownKey: this.#announcer.key,
       onConfig: () => this.#ingress.configured(),
       onOwnRecord: (entry) => {
@@ -299,11 +344,11 @@
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
       const { retryRatio, retrySlack, retryWindowMs } = this.#settings;
-      const daemons = Math.max(1, this.#directory.size);
       budget = new WindowBudget({
         windowMs: retryWindowMs,
         ratio: retryRatio * BUDGET_RATIO_SHARE,
-        slack: retrySlack * BUDGET_SLACK_SHARE / daemons,
+        slack: () =>
+          retrySlack * BUDGET_SLACK_SHARE / Math.max(1, this.#directory.size),
       });
       this.#budgets.set(service, budget);
     }
--- a/src/sidecar/sidecar_settings.ts
+++ b/src/sidecar/sidecar_settings.ts
@@ -15,6 +15,8 @@
   readonly readyAddress: string;
   /** Address at which the backend server announces itself. */
   readonly controlAddress: string;
+  /** Address of the metrics, as text. */
+  readonly metricsAddress: string;
   readonly storeAddress: string;
   /** Time from SIGTERM to the end of the process. */
   readonly graceMs: number;
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -5,6 +5,7 @@
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
+import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { decodeRecord, RECORD_PREFIX } from "./backend_record_codec.ts";
 import type { PeerClient } from "./peer_client.ts";
 import type { ConfigSource, MeshStore } from "./ports.ts";
@@ -28,6 +29,7 @@
   readonly routes: RouteTableHolder;
   readonly directory: BackendDirectory;
   readonly log: EventLog;
+  readonly metrics: TextMetrics;
   /** Called after a configuration was adopted. */
   readonly onConfig: () => void;
   /** Called with the entry of this daemon's own record, or its absence. */
@@ -108,6 +110,7 @@
   async #list(): Promise<number | undefined> {
     const { store, source, directory } = this.#options;
     const listed = await store.list(source.watchPrefix);
+    this.#count("list", listed.isOk());
     if (listed.isErr()) {
       await this.#backOff(listed.error.message);
       return undefined;
@@ -134,6 +137,7 @@
       afterRevision,
       waitMs: POLL_WAIT_MS,
     });
+    this.#count("poll", polled.isOk());
     if (polled.isErr()) {
       await this.#backOff(polled.error.message);
       return afterRevision;
@@ -224,6 +228,11 @@
     }
   }
 
+  #count(call: string, isOk: boolean): void {
+    const result = isOk ? "ok" : "failed";
+    this.#options.metrics.count("store_calls_total", { call, result });
+  }
+
   #connected(): void {
     this.#backoffMs = MIN_BACKOFF_MS;
     if (this.#isConnected) return;
--- a/src/transport/observe/mod.ts
+++ b/src/transport/observe/mod.ts
@@ -7,4 +7,5 @@
 export * from "./event_log.ts";
 export * from "./metrics.ts";
 export * from "./socket_meter.ts";
+export * from "./text_metrics.ts";
 export * from "./winston_sink.ts";
--- /dev/null
+++ b/src/transport/observe/text_metrics.ts
@@ -0,0 +1,104 @@
+/** Upper bounds of the latency buckets, in ms. */
+const BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000];
+const PREFIX = "sesamepond_";
+
+/** Labels of one series. */
+export type Labels = Readonly<Record<string, string>>;
+
+interface Histogram {
+  readonly counts: number[];
+  sumMs: number;
+  total: number;
+}
+
+/**
+ * Counters, gauges and latency histograms, read as text.
+ *
+ * @example
+ * ```ts
+ * const metrics = new TextMetrics();
+ * metrics.count("requests_total", { result: "answered" });
+ * metrics.text(); // 'sesamepond_requests_total{result="answered"} 1\n'
+ * ```
+ */
+export class TextMetrics {
+  readonly #counters = new Map<string, number>();
+  readonly #histograms = new Map<string, Histogram>();
+  readonly #gauges = new Map<string, () => number>();
+
+  /**
+   * Adds to a counter.
+   *
+   * @param name Name without prefix.
+   * @param labels Labels of the series.
+   * @param by What to add.
+   */
+  count(name: string, labels: Labels = {}, by = 1): void {
+    const series = seriesOf(name, labels);
+    this.#counters.set(series, (this.#counters.get(series) ?? 0) + by);
+  }
+
+  /**
+   * Takes a time into a histogram.
+   *
+   * @param name Name without prefix; ends in `_ms`.
+   * @param valueMs The time.
+   */
+  observe(name: string, valueMs: number): void {
+    let histogram = this.#histograms.get(name);
+    if (histogram === undefined) {
+      histogram = { counts: BUCKETS_MS.map(() => 0), sumMs: 0, total: 0 };
+      this.#histograms.set(name, histogram);
+    }
+    const bucket = BUCKETS_MS.findIndex((boundMs) => valueMs <= boundMs);
+    if (bucket >= 0) histogram.counts[bucket]!++;
+    histogram.sumMs += valueMs;
+    histogram.total++;
+  }
+
+  /**
+   * Names a value that is read with each text.
+   *
+   * @param name Name without prefix.
+   * @param read Returns the value.
+   */
+  gauge(name: string, read: () => number): void {
+    this.#gauges.set(PREFIX + name, read);
+  }
+
+  /** All series, one a line. */
+  text(): string {
+    const lines: string[] = [];
+    for (const [series, value] of this.#counters) {
+      lines.push(`${series} ${value}`);
+    }
+    for (const [name, read] of this.#gauges) lines.push(`${name} ${read()}`);
+    for (const [name, histogram] of this.#histograms) {
+      lines.push(...histogramLines(name, histogram));
+    }
+    return lines.map((line) => `${line}\n`).join("");
+  }
+}
+
+function histogramLines(name: string, histogram: Histogram): string[] {
+  let below = 0;
+  const buckets = BUCKETS_MS.map((boundMs, index) => {
+    below += histogram.counts[index]!;
+    return `${PREFIX}${name}_bucket{le="${boundMs}"} ${below}`;
+  });
+  return [
+    ...buckets,
+    `${PREFIX}${name}_bucket{le="+Inf"} ${histogram.total}`,
+    `${PREFIX}${name}_sum ${histogram.sumMs.toFixed(1)}`,
+    `${PREFIX}${name}_count ${histogram.total}`,
+  ];
+}
+
+function seriesOf(name: string, labels: Labels): string {
+  const pairs = Object.entries(labels).map(([label, value]) =>
+    `${label}=${JSON.stringify(value)}`
+  );
+  return pairs.length === 0
+    ? PREFIX + name
+    : `${PREFIX}${name}{${pairs.join(",")}}`;
+}
