--- a/src/coordination/dispatch/destination_view.ts
+++ b/src/coordination/dispatch/destination_view.ts
@@ -8,15 +8,24 @@
 const FAILURE_WEIGHT = 0.1;
 /** Time in which a share of failures halves without new ones, in ms. */
 const FAILURE_HALF_LIFE_MS = 2_000;
+/** Slowdown of a backend server whose slots are all taken. */
+const CROWDING_SHARE = 0.25;
 /** Longest time for which a destination out of reach is not tried, in ms. */
 const MAX_UNREACHABLE_MS = 2_000;
 
+interface RouteWait {
+  readonly waitMs: number;
+  readonly atMs: number;
+  /** Requests of this daemon that joined the queue since. */
+  sentSince: number;
+}
+
 /**
  * What this daemon knows of one destination, from its own requests to it.
  *
  * @example
  * ```ts ignore
- * view.sent();
+ * view.sent("stock");
  * view.ended("stock", outcome, nowMs);
  * ```
  */
@@ -24,8 +33,9 @@
   readonly times = new ServiceTimes();
   readonly #unreachable = new Ejection(MAX_UNREACHABLE_MS);
   #inFlight = 0;
-  #sentSinceReport = 0;
   #load: DestinationLoad | undefined;
+  /** Waits by route, as its own answers reported them last. */
+  readonly #waits = new Map<string, RouteWait>();
   #reportedAtMs = -Infinity;
   #failureShare = 0;
   #failedAtMs = 0;
@@ -35,10 +45,15 @@
     return this.#inFlight;
   }
 
-  /** Notes that a request goes out. */
-  sent(): void {
+  /**
+   * Notes that a request goes out.
+   *
+   * @param route Name of its route.
+   */
+  sent(route: string): void {
     this.#inFlight++;
-    this.#sentSinceReport++;
+    const wait = this.#waits.get(route);
+    if (wait !== undefined) wait.sentSince++;
   }
 
   /**
@@ -66,13 +81,14 @@
   /**
    * Takes in a load report.
    *
+   * @param route Name of the route whose request it came with.
    * @param load The report.
    * @param nowMs Monotonic time.
    */
-  reported(load: DestinationLoad, nowMs: number): void {
+  reported(route: string, load: DestinationLoad, nowMs: number): void {
     this.#load = load;
     this.#reportedAtMs = nowMs;
-    this.#sentSinceReport = 0;
+    this.#waits.set(route, { waitMs: load.waitMs, atMs: nowMs, sentSince: 0 });
     this.#unreachable.forgive();
   }
 
@@ -119,21 +135,26 @@
     const limit = Math.max(1, this.#load?.limit ?? slots);
     const weight = this.#weight(nowMs);
     const reported = (this.#load?.running ?? 0) + (this.#load?.queued ?? 0);
-    const busy = Math.max(
-      this.#inFlight,
-      reported * weight + this.#sentSinceReport,
-    );
-    const reportedWaitMs = (this.#load?.waitMs ?? 0) * weight;
-    const excess = Math.max(0, busy + 1 - limit);
-    const ownWaitMs = excess * this.times.overallMs / limit;
+    const busy = Math.max(this.#inFlight, reported * weight);
     // A destination close to its limit slows down before requests wait.
-    const crowding = Math.min(1, busy / limit) ** 3 * serviceMs * 0.25;
+    const crowding = Math.min(1, busy / limit) ** 3 * serviceMs *
+      CROWDING_SHARE;
+    const isFull = busy >= limit;
     return {
-      waitMs: Math.max(reportedWaitMs, ownWaitMs) + crowding,
+      waitMs: this.#waitMs(route, nowMs, isFull ? serviceMs / limit : 0) +
+        crowding,
       serviceMs,
     };
   }
 
+  /** The queue is ordered, so the wait of one route says little of another. */
+  #waitMs(route: string, nowMs: number, eachMs: number): number {
+    const wait = this.#waits.get(route);
+    if (wait === undefined) return eachMs;
+    const weight = Math.exp((wait.atMs - nowMs) / REPORT_MEMORY_MS);
+    return wait.waitMs * weight + wait.sentSince * eachMs;
+  }
+
   #weight(nowMs: number): number {
     return Math.exp(-(nowMs - this.#reportedAtMs) / REPORT_MEMORY_MS);
   }
--- /dev/null
+++ b/src/coordination/dispatch/destination_view_test.ts
@@ -0,0 +1,38 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { DestinationView } from "./destination_view.ts";
+
+const LOAD = { running: 12, queued: 30, limit: 12, failureShare: 0 };
+
+test("expected() keeps the wait of long orders apart from that of calls", () => {
+  const view = new DestinationView();
+  view.times.learn("order", 300);
+  view.times.learn("call", 60);
+  view.reported("call", { ...LOAD, waitMs: 20 }, 0);
+  view.reported("order", { ...LOAD, waitMs: 900 }, 0);
+  const waits = ["call", "order"].map((route) =>
+    Math.round(view.expected(route, 0, 12).waitMs)
+  );
+  assert.equal(waits, [20 + 15, 900 + 75]);
+});
+
+test("expected() forgets a report, so that a full destination is tried", () => {
+  const view = new DestinationView();
+  view.reported("order", { ...LOAD, waitMs: 900 }, 0);
+  const waits = [0, 300, 1_500].map((nowMs) =>
+    view.expected("order", nowMs, 12).waitMs
+  );
+  assert.ok(waits[0]! > waits[1]! && waits[1]! > waits[2]! && waits[2]! < 50);
+});
+
+test("isUnreachable() ends sooner than a service would be missed", () => {
+  const view = new DestinationView();
+  view.unreached(0);
+  assert.equal([0, 900, 1_100].map((nowMs) => view.isUnreachable(nowMs)), [
+    true,
+    true,
+    false,
+  ]);
+});
+
+test.run();
--- a/src/sidecar/fleet.ts
+++ b/src/sidecar/fleet.ts
@@ -70,7 +70,7 @@
     signal: AbortSignal,
   ): Promise<PeerResult["outcome"]> {
     const { view, client } = this.#linkOf(record);
-    view.sent();
+    view.sent(call.route);
     const isOwn = record.instance === this.#options.instance;
     const result = isOwn
       ? await this.#executeHere(call, signal)
@@ -80,7 +80,7 @@
       });
     const nowMs = performance.now();
     view.ended(call.route, result.outcome, nowMs);
-    if (result.load !== undefined) view.reported(result.load, nowMs);
+    if (result.load !== undefined) view.reported(call.route, result.load, nowMs);
     if (result.configVersion !== undefined) {
       this.#options.onVersion(result.configVersion, client);
     }
