Let short calls wait past their objective

A refused call wastes the run that made it. Change: a request that takes up to 0.6 of a destination's average waits for half of the time behind its objective; the factor for late work is 2.

--- a/src/coordination/dispatch/destination_choice.ts
+++ b/src/coordination/dispatch/destination_choice.ts
@@ -31,6 +31,8 @@
   readonly record: BackendRecord;
   readonly waitMs: number;
   readonly serviceMs: number;
+  /** Whether the request takes little next to the destination's others. */
+  readonly isShort: boolean;
 }
 
 /**
@@ -90,5 +92,6 @@
   const failureMs = view.failureShare(nowMs) * FAILURE_PENALTY_MS;
   const jitterMs = options.random.fraction() * JITTER_MS;
   const cost = waitMs + serviceMs + penaltyMs + failureMs + jitterMs;
-  return { record, waitMs, serviceMs, cost };
+  const isShort = view.times.isShort(route);
+  return { record, waitMs, serviceMs, isShort, cost };
 }
--- a/src/coordination/dispatch/latest_useful.ts
+++ b/src/coordination/dispatch/latest_useful.ts
@@ -1,25 +1,36 @@
 /** Part of its time that a request waits whose objective has passed. */
 const LATE_WAIT_SHARE = 0.3;
+/** Part of the time behind its objective that a short request still waits. */
+const SHORT_WAIT_SHARE = 0.5;
+
+/** Times of a request, monotonic. */
+export interface UsefulTimes {
+  readonly objectiveAtMs: number;
+  readonly deadlineMs: number;
+  /** Time at which the request arrived. */
+  readonly arrivedAtMs: number;
+}
 
 /**
  * Returns the latest time at which the end of a request is still worth waiting
- * for: its objective, or a part of the time left where that has passed before.
- * A caller who hears of it early can come back.
+ * for: its objective, or a part of the time left where that had passed before.
+ * A caller who hears of it early can come back. A short request waits longer,
+ * as refusing it frees little, and it is often a call of work that runs.
  *
- * @param times Objective and deadline, monotonic.
- * @param nowMs Monotonic time at which the request arrives.
+ * @param times Times of the request.
+ * @param isShort Whether it takes little next to the others.
  * @returns The time, monotonic.
  *
  * @example
  * ```ts
- * latestUsefulMs({ objectiveAtMs: 500, deadlineMs: 1_300 }, 0); // 500
+ * const times = { objectiveAtMs: 500, deadlineMs: 1_300, arrivedAtMs: 0 };
+ * latestUsefulMs(times, false); // 500
  * ```
  */
-export function latestUsefulMs(
-  times: { readonly objectiveAtMs: number; readonly deadlineMs: number },
-  nowMs: number,
-): number {
-  const { objectiveAtMs, deadlineMs } = times;
-  if (objectiveAtMs > nowMs) return Math.min(objectiveAtMs, deadlineMs);
-  return nowMs + (deadlineMs - nowMs) * LATE_WAIT_SHARE;
+export function latestUsefulMs(times: UsefulTimes, isShort: boolean): number {
+  const { objectiveAtMs, deadlineMs, arrivedAtMs } = times;
+  const base = Math.max(objectiveAtMs, arrivedAtMs);
+  if (isShort) return base + (deadlineMs - base) * SHORT_WAIT_SHARE;
+  if (objectiveAtMs > arrivedAtMs) return Math.min(objectiveAtMs, deadlineMs);
+  return arrivedAtMs + (deadlineMs - arrivedAtMs) * LATE_WAIT_SHARE;
 }
--- a/src/coordination/dispatch/service_times.ts
+++ b/src/coordination/dispatch/service_times.ts
@@ -1,5 +1,7 @@
 /** Weight of the newest sample in an average. */
 const SAMPLE_WEIGHT = 0.1;
+/** Part of the average service time up to which a request is short. */
+const SHORT_SHARE = 0.6;
 /** Service time assumed before the first sample, in ms. */
 const INITIAL_MS = 50;
 
@@ -28,6 +30,17 @@
     this.#overallMs = average(this.#overallMs || undefined, serviceMs);
   }
 
+  /**
+   * Says whether requests of a route take little next to the others, so that
+   * refusing one frees next to nothing.
+   *
+   * @param route Name of the route.
+   * @returns Whether they do.
+   */
+  isShort(route: string): boolean {
+    return this.expectedMs(route) <= this.overallMs * SHORT_SHARE;
+  }
+
   /** Average over all routes, in ms. */
   get overallMs(): number {
     return this.#overallMs || INITIAL_MS;
--- a/src/coordination/dispatch/work_queue.ts
+++ b/src/coordination/dispatch/work_queue.ts
@@ -1,7 +1,8 @@
+import { latestUsefulMs } from "./latest_useful.ts";
 import { ServiceTimes } from "./service_times.ts";
 
 /** Factor on the cost of work that misses its objective anyway. */
-const LATE_FACTOR = 3;
+const LATE_FACTOR = 2;
 /** Part of the time that a caller still waits that counts as cost. */
 const TIME_LEFT_SHARE = 0.1;
 /** Lead of a priority that runs below its share; above any other key. */
@@ -19,8 +20,7 @@
   readonly priority: number;
   readonly objectiveAtMs: number;
   readonly deadlineMs: number;
-  /** Latest time at which its end is still worth waiting for. */
-  readonly usefulUntilMs: number;
+  readonly arrivedAtMs: number;
 }
 
 /** Answer to a request for a slot. */
@@ -100,7 +100,7 @@
       return { kind: "start" };
     }
     const waitMs = this.#waitMs(item, nowMs);
-    if (nowMs + waitMs + serviceMs > item.usefulUntilMs) {
+    if (nowMs + waitMs + serviceMs > this.usefulUntilMs(item)) {
       return this.#refusal(waitMs);
     }
     this.#waiting.push(item);
@@ -158,6 +158,16 @@
     return { started, expired };
   }
 
+  /**
+   * Returns the latest time at which the end of a request is worth waiting for.
+   *
+   * @param item The request.
+   * @returns The time, monotonic.
+   */
+  usefulUntilMs(item: WorkItem): number {
+    return latestUsefulMs(item, this.times.isShort(item.route));
+  }
+
   /**
    * Estimates how long one more request would wait.
    *
@@ -217,7 +227,8 @@
   }
 
   #isLost(item: T, nowMs: number): boolean {
-    return nowMs + this.times.expectedMs(item.route) > item.usefulUntilMs;
+    const endMs = nowMs + this.times.expectedMs(item.route);
+    return endMs > this.usefulUntilMs(item);
   }
 
   #start(item: T): void {
--- a/src/coordination/dispatch/work_queue_test.ts
+++ b/src/coordination/dispatch/work_queue_test.ts
@@ -1,6 +1,5 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { latestUsefulMs } from "./latest_useful.ts";
 import { type WorkItem, WorkQueue } from "./work_queue.ts";
 
 interface NamedItem extends WorkItem {
@@ -8,13 +7,14 @@
 }
 
 function item(fields: Partial<NamedItem>): NamedItem {
-  const times = { objectiveAtMs: 500, deadlineMs: 1_200, ...fields };
   return {
     name: "",
     route: "lookup",
     priority: 0,
-    usefulUntilMs: latestUsefulMs(times, 0),
-    ...times,
+    objectiveAtMs: 500,
+    deadlineMs: 1_200,
+    arrivedAtMs: 0,
+    ...fields,
   };
 }
 
@@ -75,6 +75,17 @@
   assert.equal(offers, ["wait", "refuse", "refuse", "refuse", "refuse", "refuse"]);
 });
 
+test("offer() keeps calls of running work that orders would refuse", () => {
+  const queue = fullQueue({ order: 300, call: 40 });
+  queue.times.learn("order", 300);
+  const call = { route: "call", objectiveAtMs: 150, deadlineMs: 500 };
+  const order = { route: "order", objectiveAtMs: 500 };
+  const offers = [order, call, call, call].map((fields) =>
+    queue.offer(item(fields), 0).kind
+  );
+  assert.equal(offers, ["refuse", "wait", "wait", "wait"]);
+});
+
 test("offer() suggests a wait that grows with what is queued", () => {
   const queue = fullQueue({ lookup: 200 });
   const waits: number[] = [];
--- a/src/sidecar/call_flow.ts
+++ b/src/sidecar/call_flow.ts
@@ -82,7 +82,7 @@
   readonly #context: FlowContext;
   readonly #excluded = new Set<string>();
   readonly #steps: string[] = [];
-  readonly #usefulUntilMs: number;
+  readonly #arrivedAtMs = performance.now();
   #arrivals = 0;
   #mayHaveRun = false;
   #retryAfterMs = Infinity;
@@ -97,7 +97,6 @@
   constructor(request: FlowRequest, context: FlowContext) {
     this.#request = request;
     this.#context = context;
-    this.#usefulUntilMs = latestUsefulMs(request, performance.now());
   }
 
   /** The decisions so far, for the log. */
@@ -140,7 +139,8 @@
   /** Whether even the best destination reports too long a queue. */
   #isHopeless(choice: DestinationChoice): boolean {
     const endMs = performance.now() + choice.waitMs + choice.serviceMs;
-    if (endMs <= this.#usefulUntilMs) return false;
+    const times = { ...this.#request, arrivedAtMs: this.#arrivedAtMs };
+    if (endMs <= latestUsefulMs(times, choice.isShort)) return false;
     this.#steps.push(
       `${choice.record.id}:hopeless:${MeshReason.Overloaded}:${
         Math.round(choice.waitMs)
--- a/src/sidecar/destination_task.ts
+++ b/src/sidecar/destination_task.ts
@@ -13,11 +13,7 @@
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import type { OwnBackend } from "../state/own_backend.ts";
-import {
-  type Dispatch,
-  latestUsefulMs,
-  WorkQueue,
-} from "../coordination/dispatch/mod.ts";
+import { type Dispatch, WorkQueue } from "../coordination/dispatch/mod.ts";
 import type { EdgeHeaders } from "./ports.ts";
 
 /** Weight of the newest outcome in the share of failures. */
@@ -36,8 +32,7 @@
   readonly priority: number;
   readonly objectiveAtMs: number;
   readonly deadlineMs: number;
-  readonly usefulUntilMs: number;
-  readonly queuedAtMs: number;
+  readonly arrivedAtMs: number;
   readonly resolve: (outcome: CallOutcome) => void;
 }
 
@@ -119,7 +114,7 @@
       queued: this.#queue.queued,
       limit: this.#queue.slots,
       waitMs: this.#queue.expectedWaitMs(
-        { ...call, usefulUntilMs: Infinity },
+        { ...call, arrivedAtMs: nowMs },
         nowMs,
       ),
       failureShare: this.#failureShare,
@@ -168,7 +163,8 @@
     signal.addEventListener("abort", () => {
       if (this.#queue.remove(job)) job.resolve(notRun(MeshReason.Cancelled));
     }, { once: true });
-    const waitMs = Math.max(0, job.usefulUntilMs - performance.now());
+    const untilMs = this.#queue.usefulUntilMs(job);
+    const waitMs = Math.max(0, untilMs - performance.now());
     setTimeout(() => {
       if (this.#queue.remove(job)) job.resolve(notRun(MeshReason.Expired));
     }, waitMs);
@@ -185,7 +181,7 @@
 
   async #run(job: Job, signal: AbortSignal): Promise<void> {
     const startedAtMs = performance.now();
-    this.#metrics.observe("queue_wait_ms", startedAtMs - job.queuedAtMs);
+    this.#metrics.observe("queue_wait_ms", startedAtMs - job.arrivedAtMs);
     const outcome = await this.#send(job.call, signal, startedAtMs);
     const served = outcome.kind === "answered" && outcome.answer.status < 500;
     this.#queue.finish(job, served ? outcome.serviceMs : undefined);
@@ -298,15 +294,13 @@
 }
 
 function toJob(call: MeshCall, resolve: (outcome: CallOutcome) => void): Job {
-  const nowMs = performance.now();
   return {
     call,
     route: call.route,
     priority: call.priority,
     objectiveAtMs: call.objectiveAtMs,
     deadlineMs: call.deadlineMs,
-    usefulUntilMs: latestUsefulMs(call, nowMs),
-    queuedAtMs: nowMs,
+    arrivedAtMs: performance.now(),
     resolve,
   };
 }
