--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -1,7 +1,18 @@
 // Bundles the daemon for the platform into one file, which starts faster and
-// takes less memory than its modules.
+// takes less memory than its modules. HTTP/2 is left out: the client loads it
+// with its connections, and with it TLS and cryptography, and nothing here
+// speaks it.
 import { build } from "esbuild";
 
+const withoutHttp2 = {
+  name: "without-http2",
+  setup(builder) {
+    builder.onLoad({ filter: /undici\/lib\/dispatcher\/client-h2\.js$/ }, () => ({
+      contents: "module.exports = () => { throw new Error('no HTTP/2') }",
+    }));
+  },
+};
+
 await build({
   entryPoints: ["platform/main.ts"],
   outfile: "target/sesamepond.mjs",
@@ -14,6 +25,7 @@
   minifySyntax: true,
   legalComments: "linked",
   logLevel: "error",
+  plugins: [withoutHttp2],
   banner: {
     js:
       "import{createRequire}from'node:module';const require=createRequire(import.meta.url);",
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -13,7 +13,9 @@
 /** Longest time that the store may hold a poll, in ms. */
 const POLL_WAIT_MS = 10_000;
 /** Pause after a poll with events, so that a series costs few calls, in ms. */
-const COALESCE_MS = 60;
+const COALESCE_MS = 300;
+/** Time in which the own poll should bring a version others have, in ms. */
+const HEARSAY_GRACE_MS = 500;
 /** Shortest and longest pause after a failed call, in ms. */
 const MIN_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 800;
@@ -86,7 +88,8 @@
   }
 
   /**
-   * Looks for a version that another daemon has.
+   * Looks for a version that another daemon has, if the own poll does not bring
+   * it soon.
    *
    * @param version The version.
    * @param client Way to the other daemon.
@@ -95,6 +98,11 @@
     const { routes, log } = this.#options;
     if (version <= routes.version || this.#refreshing) return;
     this.#refreshing = true;
+    await sleep(HEARSAY_GRACE_MS);
+    if (version <= routes.version) {
+      this.#refreshing = false;
+      return;
+    }
     log.info("config-behind-peer", { version, known: routes.version });
     const listed = await this.#options.store.list(this.#options.source.key);
     if (listed.isOk()) {
--- a/src/transport/http/connection_stack.ts
+++ b/src/transport/http/connection_stack.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import type { Dispatcher } from "undici";
 import { messageOf } from "../../protocol/step_error.ts";
-import { buildConnector, Client } from "./undici_parts.ts";
+import { buildConnector, Client } from "./undici_client.ts";
 
 /** Time within which a connection must be open, in ms. */
 const CONNECT_TIMEOUT_MS = 600;
--- a/src/transport/http/undici_parts.ts
+++ b/src/transport/http/undici_parts.ts
@@ -2,12 +2,11 @@
 import requestOf from "undici/lib/api/api-request.js";
 import buildConnector from "undici/lib/core/connect.js";
 import Agent from "undici/lib/dispatcher/agent.js";
-import Client from "undici/lib/dispatcher/client.js";
 import Pool from "undici/lib/dispatcher/pool.js";
 
 // The package's entry also loads fetch, WebSocket and caches, which cost a
 // daemon 9 MB of its budget of 64 MB and are not used.
-export { Agent, buildConnector, Client, Pool };
+export { Agent, buildConnector, Pool };
 
 /**
  * Sends a request over a dispatcher and collects the answer's head.
