Operators' way from a request's id to its cause; sidecar in the library

Change: OPERATIONS.md works three kinds through on real lines, with tables of events and metrics that the page's test holds; the library exports the sidecar; the adapter's port is ConfigFeed, as ConfigSource was taken.

--- a/src/coordination/dispatch/work_queue_test.ts
+++ b/src/coordination/dispatch/work_queue_test.ts
@@ -77,7 +77,14 @@
     { length: 6 },
     (_, index) => queue.offer(item({ name: `lookup-${index}` }), 0).kind,
   );
-  assert.equal(offers, ["wait", "refuse", "refuse", "refuse", "refuse", "refuse"]);
+  assert.equal(offers, [
+    "wait",
+    "refuse",
+    "refuse",
+    "refuse",
+    "refuse",
+    "refuse",
+  ]);
 });
 
 test("offer() keeps calls of running work that orders would refuse", () => {
--- a/src/coordination/retry/window_budget_test.ts
+++ b/src/coordination/retry/window_budget_test.ts
@@ -3,7 +3,11 @@
 import { WindowBudget } from "./window_budget.ts";
 
 test("trySpend() keeps repeats within the window's share and slack", () => {
-  const budget = new WindowBudget({ windowMs: 1_000, ratio: 0.1, slack: () => 2 });
+  const budget = new WindowBudget({
+    windowMs: 1_000,
+    ratio: 0.1,
+    slack: () => 2,
+  });
   for (let index = 0; index < 20; index++) budget.request(0);
   const spent = Array.from({ length: 6 }, () => budget.trySpend(500));
   const nextWindow = budget.trySpend(1_600);
@@ -14,7 +18,11 @@
 });
 
 test("trySpend() counts repeats that went out without asking", () => {
-  const budget = new WindowBudget({ windowMs: 1_000, ratio: 0, slack: () => 2 });
+  const budget = new WindowBudget({
+    windowMs: 1_000,
+    ratio: 0,
+    slack: () => 2,
+  });
   budget.repeat(0);
   budget.repeat(0);
   assert.is(budget.trySpend(1), false);
--- a/src/protocol/mod.ts
+++ b/src/protocol/mod.ts
@@ -7,6 +7,8 @@
 export * from "./config_schema.ts";
 export * from "./headers.ts";
 export * from "./limits.ts";
+export * from "./mesh.ts";
+export * from "./mesh_call.ts";
 export * from "./outcome.ts";
 export * from "./peer_headers.ts";
 export * from "./rank.ts";
--- a/src/sidecar/fleet.ts
+++ b/src/sidecar/fleet.ts
@@ -80,7 +80,9 @@
       });
     const nowMs = performance.now();
     view.ended(call.route, result.outcome, nowMs);
-    if (result.load !== undefined) view.reported(call.route, result.load, nowMs);
+    if (result.load !== undefined) {
+      view.reported(call.route, result.load, nowMs);
+    }
     if (result.configVersion !== undefined) {
       this.#options.onVersion(result.configVersion, client);
     }
--- a/src/sidecar/ports.ts
+++ b/src/sidecar/ports.ts
@@ -46,7 +46,7 @@
 }
 
 /** Where the accepted configuration comes from. */
-export interface ConfigSource {
+export interface ConfigFeed {
   /** Key of the newest accepted configuration. */
   readonly key: string;
   /** Prefix that covers the configuration and the fleet's own keys. */
@@ -87,7 +87,7 @@
 /** Everything that a deployment's adapter provides. */
 export interface SidecarPorts {
   readonly store: MeshStore;
-  readonly config: ConfigSource;
+  readonly config: ConfigFeed;
   readonly headers: EdgeHeaders;
   readonly control: ControlDialect;
 }
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -8,7 +8,7 @@
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { decodeRecord, RECORD_PREFIX } from "./backend_record_codec.ts";
 import type { PeerClient } from "./peer_client.ts";
-import type { ConfigSource, MeshStore } from "./ports.ts";
+import type { ConfigFeed, MeshStore } from "./ports.ts";
 
 /** Longest time that the store may hold a poll, in ms. */
 const POLL_WAIT_MS = 10_000;
@@ -27,7 +27,7 @@
 /** What the synchronization works on. */
 export interface StoreSyncOptions {
   readonly store: MeshStore;
-  readonly source: ConfigSource;
+  readonly source: ConfigFeed;
   readonly routes: RouteTableHolder;
   readonly directory: BackendDirectory;
   readonly log: EventLog;
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -3,9 +3,13 @@
  *
  * @module
  */
+export * from "./backend_directory.ts";
 export * from "./config_snapshot.ts";
 export * from "./config_store.ts";
 export * from "./decision_log.ts";
 export * from "./member_table.ts";
 export * from "./request_ledger.ts";
+export * from "./own_backend.ts";
 export * from "./resource_set.ts";
+export * from "./route_table.ts";
+export * from "./route_table_holder.ts";
--- a/tests/operations_page_test.ts
+++ b/tests/operations_page_test.ts
@@ -6,7 +6,7 @@
 /** Names that the sources give to events and metrics. */
 const EVENT =
   /(?:[lL]og\.(?:info|warn|error)|#(?:note|report))\(\s*"([\w-]+)"/g;
-const METRIC = /metrics\.(?:count|gauge|timing)\(\s*"([\w.]+)"/g;
+const METRIC = /metrics\.(?:count|gauge|timing|observe)\(\s*"([\w.]+)"/g;
 
 function namesIn(sources: readonly string[], pattern: RegExp): Set<string> {
   return new Set(
