Use a backend server until its daemon is about to end, and soon after its restart

A daemon without its backend server refused at once and drew requests for it. Change: the record turns away after a fifth of the grace and the process ends when quiet, after two fifths; a restarted daemon takes up the recorded backend server once its health check says that it takes work; refusals for want of a backend server count as failures in the choice. Tests: three restarts (one failed before: nothing was served for 1.5 s).

--- a/src/coordination/dispatch/destination_view.ts
+++ b/src/coordination/dispatch/destination_view.ts
@@ -1,4 +1,8 @@
-import type { CallOutcome, DestinationLoad } from "../../protocol/mesh_call.ts";
+import {
+  type CallOutcome,
+  type DestinationLoad,
+  MeshReason,
+} from "../../protocol/mesh_call.ts";
 import { Ejection } from "../routing/ejection.ts";
 import { ServiceTimes } from "./service_times.ts";
 
@@ -13,6 +17,13 @@
 /** Longest time for which a destination out of reach is not tried, in ms. */
 const MAX_UNREACHABLE_MS = 2_000;
 
+/** Refusals of a daemon whose backend server is not there. */
+const ABSENT_REASONS: ReadonlySet<MeshReason> = new Set([
+  MeshReason.Unreachable,
+  MeshReason.NoBackend,
+  MeshReason.Replaced,
+]);
+
 interface RouteWait {
   readonly waitMs: number;
   readonly atMs: number;
@@ -71,7 +82,9 @@
         this.#observe(outcome.answer.status >= 500, nowMs);
         return;
       case "not-run":
-        if (outcome.arrived) this.#observe(true, nowMs);
+        if (outcome.arrived || ABSENT_REASONS.has(outcome.reason)) {
+          this.#observe(true, nowMs);
+        }
         return;
       case "unknown":
         this.#observe(true, nowMs);
--- a/src/coordination/dispatch/destination_view_test.ts
+++ b/src/coordination/dispatch/destination_view_test.ts
@@ -1,5 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { MeshReason } from "../../protocol/mesh_call.ts";
 import { DestinationView } from "./destination_view.ts";
 
 const LOAD = { running: 12, queued: 30, limit: 12, failureShare: 0 };
@@ -35,4 +36,18 @@
   ]);
 });
 
+test("failureShare() rises where a daemon has lost its backend server", () => {
+  const view = new DestinationView();
+  for (let index = 0; index < 3; index++) {
+    view.sent("order");
+    view.ended("order", {
+      kind: "not-run",
+      reason: MeshReason.NoBackend,
+      arrived: false,
+      retryAfterMs: 0,
+    }, 0);
+  }
+  assert.ok(view.failureShare(0) > 0.25 && view.failureShare(4_000) < 0.1);
+});
+
 test.run();
--- a/src/sidecar/announce_task.ts
+++ b/src/sidecar/announce_task.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { Buffer } from "node:buffer";
-import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
+import type { BackendRecord } from "../protocol/mesh.ts";
 import type { StoreEntry } from "../protocol/store.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import {
@@ -73,13 +73,12 @@
    * Takes in what the store holds under the own key.
    *
    * @param entry The entry, if any.
-   * @returns A life that was draining or had left before this process started.
+   * @returns The record that it holds, if any.
    */
   observed(entry: StoreEntry | undefined): BackendRecord | undefined {
     this.#stored = entry?.value;
     if (!isSame(this.#stored, this.#wanted)) this.#wake?.();
-    const record = entry && decodeRecord(entry.value);
-    return record?.state === BackendState.Draining ? record : undefined;
+    return entry && decodeRecord(entry.value);
   }
 
   /**
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -24,6 +24,7 @@
 import { IngressTask } from "./ingress_task.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { SidecarPorts } from "./ports.ts";
+import { probeBackend } from "./probe_backend.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
@@ -34,7 +35,9 @@
 /** Part of the grace after which the process ends at the latest. */
 const LATEST_END_SHARE = 0.95;
 /** Part of the grace before which the process does not end. */
-const EARLIEST_END_SHARE = 0.5;
+const EARLIEST_END_SHARE = 0.4;
+/** Part of the grace after which others choose other backend servers. */
+const AWAY_SHARE = 0.2;
 /** Quiet time without callers after which a stopping process ends, in ms. */
 const QUIET_END_MS = 400;
 /** Time in which callers hear that their connections close, in ms. */
@@ -72,6 +75,7 @@
   readonly #announcer: AnnounceTask;
   readonly #sync: StoreSyncTask;
   #isStopping = false;
+  #hasRecovered = false;
 
   /**
    * Builds a daemon that does nothing yet.
@@ -174,7 +178,8 @@
     const { graceMs } = this.#settings;
     this.#log.info("daemon-stopping", { graceMs, open: this.#ingress.open });
     this.#ingress.close();
-    this.#publish(BackendState.Away);
+    // Until callers have gone elsewhere, the backend server serves as before.
+    setTimeout(() => this.#publish(BackendState.Away), graceMs * AWAY_SHARE);
     const endAtMs = startedAtMs + graceMs * LATEST_END_SHARE;
     this.#ending.endAtMs = endAtMs;
     await new Promise<void>((resolve) => {
@@ -258,15 +263,57 @@
       ownKey: this.#announcer.key,
       onConfig: () => this.#ingress.configured(),
       onOwnRecord: (entry) => {
-        const left = this.#announcer.observed(entry);
-        if (left !== undefined) {
-          this.#backend.restoreLeft(left.id, left.bornAtUnixMs);
-        }
+        const record = this.#announcer.observed(entry);
+        if (record !== undefined) this.#recover(record);
       },
       onGone: (instance) => this.#fleet.forget(instance),
     });
   }
 
+  /** Takes up the backend server that an earlier process had recorded. */
+  #recover(record: BackendRecord): void {
+    if (this.#hasRecovered || this.#backend.current !== undefined) return;
+    this.#hasRecovered = true;
+    switch (record.state) {
+      case BackendState.Draining:
+        this.#backend.restoreLeft(record.id, record.bornAtUnixMs);
+        return;
+      case BackendState.Ready:
+      case BackendState.Away:
+        void this.#recoverReady(record);
+    }
+  }
+
+  /**
+   * An earlier process may have acknowledged a drain that it could not record,
+   * so the backend server itself is asked.
+   */
+  async #recoverReady(record: BackendRecord): Promise<void> {
+    const table = this.#routes.current;
+    const service = table?.config.services.find(({ name }) =>
+      name === record.service
+    );
+    if (service === undefined) return;
+    const takesWork = await probeBackend({
+      address: this.#settings.backendAddress,
+      healthPath: service.healthPath,
+      backendId: record.id,
+      idHeader: this.#ports.headers.backendId,
+    });
+    this.#log.info("backend-recovered", { backend: record.id, takesWork });
+    if (!takesWork || this.#backend.isKnown) return;
+    this.#announced({
+      id: record.id,
+      service: record.service,
+      address: this.#settings.backendAddress,
+      slots: record.slots,
+      state: BackendState.Ready,
+      coldMs: 0,
+      sequence: 0,
+      bornAtUnixMs: record.bornAtUnixMs,
+    });
+  }
+
   #createControl(): Server {
     return createControlServer({
       dialect: this.#ports.control,
--- a/src/state/own_backend.ts
+++ b/src/state/own_backend.ts
@@ -29,6 +29,11 @@
     return this.#hasLeft ? undefined : this.#current;
   }
 
+  /** Whether anything is known of a backend server, gone or not. */
+  get isKnown(): boolean {
+    return this.#current !== undefined;
+  }
+
   /** The backend server, where it takes new work. */
   get ready(): Announcement | undefined {
     return this.current?.state === BackendState.Ready
--- a/tests/platform/mesh_test.ts
+++ b/tests/platform/mesh_test.ts
@@ -242,6 +242,58 @@
   },
 );
 
+meshTest(
+  "a restarted daemon serves before it hears an announcement",
+  1,
+  async (mesh) => {
+    await mesh.restart(0);
+    await until(
+      async () => (await mesh.call(0, { path: "/stock/1" })).status === 200,
+      "the backend server is used again",
+      2_000,
+    );
+  },
+);
+
+meshTest(
+  "a drain that was not recorded binds a restarted daemon",
+  1,
+  async (mesh) => {
+    const { backend } = mesh.instances[0]!;
+    mesh.store.fault = StoreFault.Busy;
+    await mesh.announce(0, "draining");
+    backend.isDraining = true;
+    mesh.instances[0]!.sidecar.kill();
+    mesh.store.fault = StoreFault.None;
+    await mesh.restart(0);
+    await mesh.settled();
+    await sleep(300);
+    const reply = await mesh.call(0, { path: "/stock/1" });
+    assert.equal({ status: reply.status, runs: backend.runs.length }, {
+      status: 503,
+      runs: 0,
+    });
+  },
+);
+
+meshTest("a recorded drain binds a restarted daemon", 1, async (mesh) => {
+  const { backend } = mesh.instances[0]!;
+  await mesh.announce(0, "draining");
+  await until(
+    () =>
+      mesh.store.get("sesamepond/backends/instance-0")!.includes("draining"),
+    "the drain is recorded",
+  );
+  await mesh.restart(0);
+  await sleep(300);
+  await mesh.announce(0, "ready", { Sequence: 1 });
+  const reply = await mesh.call(0, { path: "/stock/1" });
+  assert.equal({ status: reply.status, runs: backend.runs.length }, {
+    status: 503,
+    runs: 0,
+  });
+});
+
 meshTest("a stopping daemon answers what it took", 2, async (mesh) => {
   for (const { backend } of mesh.instances) backend.workMs = 300;
   const taken = mesh.call(0, { path: "/stock/1" });
