--- a/tests/platform/mesh_test.ts
+++ b/tests/platform/mesh_test.ts
@@ -266,7 +266,7 @@
     mesh.instances[0]!.sidecar.kill();
     mesh.store.fault = StoreFault.None;
     await mesh.restart(0);
-    await mesh.settled();
+    await mesh.ready();
     await sleep(300);
     const reply = await mesh.call(0, { path: "/stock/1" });
     assert.equal({ status: reply.status, runs: backend.runs.length }, {
