--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -2,6 +2,8 @@
 // takes less memory than its modules. HTTP/2 is left out: the client loads it
 // with its connections, and with it TLS and cryptography, and nothing here
 // speaks it.
+// The first argument names another output file, for tests.
+import process from "node:process";
 import { build } from "esbuild";
 
 const withoutHttp2 = {
@@ -15,7 +17,7 @@
 
 await build({
   entryPoints: ["platform/main.ts"],
-  outfile: "target/sesamepond.mjs",
+  outfile: process.argv[2] ?? "target/sesamepond.mjs",
   bundle: true,
   platform: "node",
   format: "esm",
