Drop what nothing reads; keep the messages between daemons in one place

Cause: reading the diff: a repeat flag, the cold time and a budget method had no reader; the peer server took its paths from the peer client.

--- a/src/coordination/retry/window_budget.ts
+++ b/src/coordination/retry/window_budget.ts
@@ -51,16 +51,6 @@
     this.#bucketAt(nowMs).requests++;
   }
 
-  /**
-   * Records a repeat that went out without asking, such as a call on behalf of
-   * a request that was itself a repeat.
-   *
-   * @param nowMs Monotonic time.
-   */
-  repeat(nowMs: number): void {
-    this.#bucketAt(nowMs).repeats++;
-  }
-
   /**
    * Spends a repeat if the window allows one.
    *
--- a/src/coordination/retry/window_budget_test.ts
+++ b/src/coordination/retry/window_budget_test.ts
@@ -17,15 +17,4 @@
   });
 });
 
-test("trySpend() counts repeats that went out without asking", () => {
-  const budget = new WindowBudget({
-    windowMs: 1_000,
-    ratio: 0,
-    slack: () => 2,
-  });
-  budget.repeat(0);
-  budget.repeat(0);
-  assert.is(budget.trySpend(1), false);
-});
-
 test.run();
--- a/src/protocol/mesh.ts
+++ b/src/protocol/mesh.ts
@@ -74,8 +74,6 @@
   readonly address: string;
   readonly slots: number;
   readonly state: BackendState;
-  /** Time for which it stays slow after its start. */
-  readonly coldMs: number;
   /** Rises with each announcement of one life. */
   readonly sequence: number;
   /** Wall clock of its start, in Unix ms; 0 where it was not said. */
--- a/src/protocol/mesh_call.ts
+++ b/src/protocol/mesh_call.ts
@@ -24,8 +24,6 @@
   readonly deadlineMs: number;
   /** Monotonic time of this process until which an answer has its full use. */
   readonly objectiveAtMs: number;
-  /** Whether an earlier attempt may have reached a backend server. */
-  readonly isRepeat: boolean;
 }
 
 /** The answer of a backend server, whole. */
@@ -90,3 +88,22 @@
   /** Share of the recent requests that the backend server failed, 0 to 1. */
   readonly failureShare: number;
 }
+
+/**
+ * Builds the outcome of a request that never reached the backend server.
+ *
+ * @param reason Why it was not sent.
+ * @param retryAfterMs Time after which a new try has a chance.
+ * @returns The outcome.
+ *
+ * @example
+ * ```ts
+ * notRunOutcome(MeshReason.Leaving).kind; // "not-run"
+ * ```
+ */
+export function notRunOutcome(
+  reason: MeshReason,
+  retryAfterMs = 0,
+): CallOutcome {
+  return { kind: "not-run", reason, arrived: false, retryAfterMs };
+}
--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -7,8 +7,24 @@
 /** Header with which a daemon describes the outcome to another daemon. */
 export const HEADER_RESULT = "sp-result";
 
+/** Path under which a daemon asks another one what became of a request. */
+export const STATUS_PATH = "/.sesamepond/status/";
+/** Path at which a daemon hands out its newest configuration. */
+export const CONFIG_PATH = "/.sesamepond/config";
+/** What a destination knows of a request. */
+export enum CallStatus {
+  /** It never arrived, and will be refused if it still does. */
+  Unknown = "unknown",
+  /** It waits or runs. */
+  Open = "open",
+  /** It ended; its answer is on the way or lost. */
+  Ended = "ended",
+}
+
 /** Fields are short and in a fixed order, as they cross domains on each call. */
 const SEPARATOR = ";";
+const CALL_FIELDS = 10;
+const RESULT_FIELDS = 9;
 
 const KIND_CODES: Readonly<Record<RequestKind, string>> = {
   [RequestKind.Idempotent]: "i",
@@ -64,7 +80,6 @@
     call.backendId,
     Math.round(call.remainingMs),
     Math.round(call.objectiveInMs),
-    call.isRepeat ? 1 : 0,
     call.configVersion,
   ].map((field) => encodeURIComponent(field)).join(SEPARATOR);
 }
@@ -82,11 +97,11 @@
  */
 export function parseCall(value: string): CallDescription | undefined {
   const fields = decodeFields(value);
-  if (fields?.length !== 11) return undefined;
+  if (fields?.length !== CALL_FIELDS) return undefined;
   const [id, route, kindCode, , callerService, service, backendId] =
     fields as string[];
   const kind = KINDS_BY_CODE.get(kindCode!);
-  const numbers = [3, 7, 8, 10].map((index) => Number(fields[index]));
+  const numbers = [3, 7, 8, 9].map((index) => Number(fields[index]));
   if (kind === undefined || !numbers.every(Number.isFinite)) return undefined;
   const [priority, remainingMs, objectiveInMs, configVersion] = numbers as [
     number,
@@ -104,7 +119,6 @@
     backendId: backendId!,
     remainingMs,
     objectiveInMs,
-    isRepeat: fields[9] === "1",
     configVersion,
   };
 }
@@ -163,7 +177,7 @@
  */
 export function parseResult(value: string): ResultDescription | undefined {
   const fields = value.split(SEPARATOR);
-  if (fields.length !== 9) return undefined;
+  if (fields.length !== RESULT_FIELDS) return undefined;
   const outcome = parseOutcome(fields[0]!, fields[1]!, Number(fields[2]));
   const numbers = fields.slice(3).map(Number);
   if (outcome === undefined || !numbers.every(Number.isFinite)) {
--- /dev/null
+++ b/src/protocol/peer_call_test.ts
@@ -0,0 +1,80 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { RequestKind } from "./mesh.ts";
+import { MeshReason } from "./mesh_call.ts";
+import {
+  type CallDescription,
+  formatCall,
+  formatResult,
+  parseCall,
+  parseResult,
+  type ResultDescription,
+} from "./peer_call.ts";
+
+const CALL: CallDescription = {
+  id: "a;b%",
+  route: "stock",
+  kind: RequestKind.AtMostOnce,
+  priority: 2,
+  callerService: "shop",
+  service: "orders",
+  backendId: "i-1",
+  remainingMs: 900,
+  objectiveInMs: -20,
+  configVersion: 7,
+};
+
+const LOAD = { running: 3, queued: 0, limit: 4, waitMs: 12, failureShare: 0.5 };
+
+test("parseCall() reads what formatCall() wrote", () => {
+  assert.equal(parseCall(formatCall(CALL)), CALL);
+});
+
+test("parseResult() reads what formatResult() wrote", () => {
+  const outcomes: ResultDescription["outcome"][] = [
+    { kind: "answered", serviceMs: 31 },
+    {
+      kind: "not-run",
+      reason: MeshReason.Shed,
+      arrived: true,
+      retryAfterMs: 40,
+    },
+    {
+      kind: "not-run",
+      reason: MeshReason.Leaving,
+      arrived: false,
+      retryAfterMs: 0,
+    },
+    { kind: "unknown", reason: MeshReason.Broken },
+  ];
+  const results = outcomes.map((outcome) => ({
+    outcome,
+    load: LOAD,
+    configVersion: 7,
+  }));
+  assert.equal(
+    results.map((result) => parseResult(formatResult(result))),
+    results,
+  );
+});
+
+test("parse functions return nothing for what is not theirs", () => {
+  const call = formatCall(CALL);
+  const calls = [
+    "",
+    "a;b",
+    call + ";x",
+    call.replace("900", "soon"),
+    "%;".repeat(10),
+  ];
+  const results = ["", "a;1;;1;1;1;1;1", "u;nonsense;;1;1;1;1;0;1"];
+  assert.equal({
+    calls: calls.map(parseCall),
+    results: results.map(parseResult),
+  }, {
+    calls: calls.map(() => undefined),
+    results: results.map(() => undefined),
+  });
+});
+
+test.run();
--- a/src/sidecar/call_flow.ts
+++ b/src/sidecar/call_flow.ts
@@ -199,7 +199,6 @@
       priority: route.priority,
       callerService: this.#context.callerService,
       backendId: choice.record.id,
-      isRepeat: this.#arrivals > 0,
     };
   }
 
--- a/src/sidecar/call_ledger.ts
+++ b/src/sidecar/call_ledger.ts
@@ -1,4 +1,4 @@
-import { CallStatus } from "./peer_client.ts";
+import { CallStatus } from "../protocol/peer_call.ts";
 
 /** Time for which an ended or refused request is remembered, in ms. */
 const MEMORY_MS = 10_000;
--- a/src/sidecar/destination_task.ts
+++ b/src/sidecar/destination_task.ts
@@ -4,7 +4,7 @@
   DestinationLoad,
   MeshCall,
 } from "../protocol/mesh_call.ts";
-import { MeshReason } from "../protocol/mesh_call.ts";
+import { MeshReason, notRunOutcome } from "../protocol/mesh_call.ts";
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import {
   ConnectionStack,
@@ -92,7 +92,7 @@
   /** Sends back what waits, as the backend server leaves. */
   drain(): void {
     for (const job of this.#queue.removeAll()) {
-      job.resolve(notRun(MeshReason.Leaving));
+      job.resolve(notRunOutcome(MeshReason.Leaving));
     }
   }
 
@@ -142,37 +142,43 @@
           this.#await(job, signal);
           return;
         case "refuse":
-          resolve(notRun(MeshReason.Overloaded, offer.retryAfterMs));
+          resolve(notRunOutcome(MeshReason.Overloaded, offer.retryAfterMs));
       }
     });
   }
 
   #refusalOf(call: MeshCall, signal: AbortSignal): CallOutcome | undefined {
-    if (signal.aborted) return notRun(MeshReason.Cancelled);
+    if (signal.aborted) return notRunOutcome(MeshReason.Cancelled);
     const current = this.#backend.current;
-    if (current === undefined) return notRun(MeshReason.NoBackend);
+    if (current === undefined) return notRunOutcome(MeshReason.NoBackend);
     if (current.id !== call.backendId || current.service !== call.service) {
-      return notRun(MeshReason.Replaced);
+      return notRunOutcome(MeshReason.Replaced);
+    }
+    if (this.#backend.ready === undefined) {
+      return notRunOutcome(MeshReason.Leaving);
     }
-    if (this.#backend.ready === undefined) return notRun(MeshReason.Leaving);
     return undefined;
   }
 
   #await(job: Job, signal: AbortSignal): void {
     this.#signals.set(job, signal);
     signal.addEventListener("abort", () => {
-      if (this.#queue.remove(job)) job.resolve(notRun(MeshReason.Cancelled));
+      if (this.#queue.remove(job)) {
+        job.resolve(notRunOutcome(MeshReason.Cancelled));
+      }
     }, { once: true });
     const untilMs = this.#queue.usefulUntilMs(job);
     const waitMs = Math.max(0, untilMs - performance.now());
     setTimeout(() => {
-      if (this.#queue.remove(job)) job.resolve(notRun(MeshReason.Expired));
+      if (this.#queue.remove(job)) {
+        job.resolve(notRunOutcome(MeshReason.Expired));
+      }
     }, waitMs);
   }
 
   #apply(dispatch: Dispatch<Job>): void {
     for (const job of dispatch.expired) {
-      job.resolve(notRun(MeshReason.Expired));
+      job.resolve(notRunOutcome(MeshReason.Expired));
     }
     for (const job of dispatch.started) {
       this.#run(job, this.#signals.get(job)!);
@@ -201,7 +207,7 @@
     startedAtMs: number,
   ): Promise<CallOutcome> {
     const remainingMs = Math.floor(call.deadlineMs - startedAtMs);
-    if (remainingMs < 1) return notRun(MeshReason.Expired);
+    if (remainingMs < 1) return notRunOutcome(MeshReason.Expired);
     const isIdempotent = call.kind === RequestKind.Idempotent;
     const result = await this.#connections!.send({
       method: call.method,
@@ -241,7 +247,7 @@
       });
       return result.sent
         ? { kind: "unknown", reason: MeshReason.Broken }
-        : notRun(MeshReason.Unreachable);
+        : notRunOutcome(MeshReason.Unreachable);
     }
     const fields = headerMap(result.headers);
     const isNotRun = fields.has(this.#headers.notRun) ||
@@ -305,22 +311,6 @@
   };
 }
 
-/**
- * Builds the outcome of a request that never reached the backend server.
- *
- * @param reason Why it was not sent.
- * @param retryAfterMs Time after which a new try has a chance.
- * @returns The outcome.
- *
- * @example
- * ```ts
- * notRun(MeshReason.Leaving).kind; // "not-run"
- * ```
- */
-export function notRun(reason: MeshReason, retryAfterMs = 0): CallOutcome {
-  return { kind: "not-run", reason, arrived: false, retryAfterMs };
-}
-
 function headerMap(headers: readonly string[]): ReadonlyMap<string, string> {
   const fields = new Map<string, string>();
   for (let index = 0; index < headers.length; index += 2) {
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -4,24 +4,22 @@
   DestinationLoad,
   MeshCall,
 } from "../protocol/mesh_call.ts";
-import { MeshReason } from "../protocol/mesh_call.ts";
+import { MeshReason, notRunOutcome } from "../protocol/mesh_call.ts";
 import {
+  CallStatus,
+  CONFIG_PATH,
   formatCall,
   HEADER_CALL,
   HEADER_RESULT,
   parseResult,
   type ResultDescription,
+  STATUS_PATH,
 } from "../protocol/peer_call.ts";
 import {
   ConnectionStack,
   type StackResult,
 } from "../transport/http/connection_stack.ts";
-import { notRun } from "./destination_task.ts";
 
-/** Path under which a daemon asks another one what became of a request. */
-export const STATUS_PATH = "/.sesamepond/status/";
-/** Path at which a daemon hands out its newest configuration. */
-export const CONFIG_PATH = "/.sesamepond/config";
 /** Silence after which a daemon asks what became of a request, in ms. */
 const QUERY_AFTER_MS = 400;
 /** Pause between two questions about one request, in ms. */
@@ -31,16 +29,6 @@
 /** Questions without an answer after which the peer is out of reach. */
 const MAX_LOST_QUERIES = 2;
 
-/** What a destination knows of a request. */
-export enum CallStatus {
-  /** It never arrived, and will be refused if it still does. */
-  Unknown = "unknown",
-  /** It waits or runs. */
-  Open = "open",
-  /** It ended; its answer is on the way or lost. */
-  Ended = "ended",
-}
-
 /** Outcome of a request with what came beside it. */
 export interface PeerResult {
   readonly outcome: CallOutcome;
@@ -177,7 +165,7 @@
 ): CallOutcome | undefined {
   switch (status) {
     case CallStatus.Unknown:
-      return notRun(MeshReason.Unreachable);
+      return notRunOutcome(MeshReason.Unreachable);
     case CallStatus.Ended:
       return { kind: "unknown", reason: MeshReason.Broken };
     case CallStatus.Open:
@@ -216,7 +204,7 @@
     return {
       outcome: result.sent
         ? { kind: "unknown", reason: MeshReason.Broken }
-        : notRun(MeshReason.Unreachable),
+        : notRunOutcome(MeshReason.Unreachable),
     };
   }
   const described = resultOf(result.headers);
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -5,21 +5,22 @@
   type ServerResponse,
 } from "node:http";
 import type { CallOutcome, MeshCall } from "../protocol/mesh_call.ts";
-import { MeshReason } from "../protocol/mesh_call.ts";
+import { MeshReason, notRunOutcome } from "../protocol/mesh_call.ts";
 import {
   type CallDescription,
+  CONFIG_PATH,
   formatResult,
   HEADER_CALL,
   HEADER_RESULT,
   parseCall,
+  STATUS_PATH,
 } from "../protocol/peer_call.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import { CallLedger } from "./call_ledger.ts";
 import type { Ending } from "./ending.ts";
-import { type DestinationTask, notRun } from "./destination_task.ts";
-import { CONFIG_PATH, STATUS_PATH } from "./peer_client.ts";
+import type { DestinationTask } from "./destination_task.ts";
 import { readBody } from "./read_body.ts";
 
 /** Time for which an idle connection of another daemon stays open, in ms. */
@@ -45,7 +46,7 @@
  *
  * @example
  * ```ts ignore
- * const server = createPeerServer({ destination, routes, log, onVersion });
+ * const { server } = new PeerServer(options);
  * ```
  */
 export class PeerServer {
@@ -103,9 +104,9 @@
     });
     const isNew = this.#ledger.open(call.id, performance.now());
     const outcome = !isNew
-      ? notRun(MeshReason.Unreachable)
+      ? notRunOutcome(MeshReason.Unreachable)
       : !ending.allows(call.deadlineMs, performance.now())
-      ? notRun(MeshReason.Leaving)
+      ? notRunOutcome(MeshReason.Leaving)
       : await destination.execute(call, cancel.signal);
     this.#ledger.end(call.id, performance.now());
     this.#answer(call, outcome, response);
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -308,7 +308,6 @@
       address: this.#settings.backendAddress,
       slots: record.slots,
       state: BackendState.Ready,
-      coldMs: 0,
       sequence: 0,
       bornAtUnixMs: record.bornAtUnixMs,
     });
--- a/src/state/own_backend.ts
+++ b/src/state/own_backend.ts
@@ -56,7 +56,6 @@
       address: "",
       slots: 0,
       state: BackendState.Draining,
-      coldMs: 0,
       sequence: Number.MAX_SAFE_INTEGER,
       bornAtUnixMs,
     };
--- a/src/state/own_backend_test.ts
+++ b/src/state/own_backend_test.ts
@@ -10,7 +10,6 @@
     address: "10.0.0.1:80",
     slots: 4,
     state: BackendState.Ready,
-    coldMs: 0,
     sequence: 1,
     bornAtUnixMs: 100,
     ...fields,
--- a/tests/platform/control_dialect_test.ts
+++ b/tests/platform/control_dialect_test.ts
@@ -35,7 +35,6 @@
         address: "10.0.0.1:80",
         slots: 4,
         state: "ready",
-        coldMs: 1_500,
         sequence: 3,
         bornAtUnixMs: 77,
       },
