Count a request as arrived with its head

Cause: reading the ledger: a question about a request whose long body was still on its way tombstoned it, and an answer on its way over a slow link counted as lost at the first question. Change: the ledger opens with the head; 'ended' decides at the second question in a row.

--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -26,8 +26,8 @@
 const QUERY_PERIOD_MS = 500;
 /** Time in which a question must be answered, in ms. */
 const QUERY_TIMEOUT_MS = 400;
-/** Questions without an answer after which the peer is out of reach. */
-const MAX_LOST_QUERIES = 2;
+/** Equal findings in a row that decide about a request without an answer. */
+const DECIDING_FINDINGS = 2;
 
 /** Outcome of a request with what came beside it. */
 export interface PeerResult {
@@ -115,12 +115,14 @@
   /** Asks about a request again and again until its answer comes. */
   #watch(call: MeshCall, lost: AbortController): QueryWatch {
     let verdict: CallOutcome | undefined;
-    let lostQueries = 0;
+    let last: CallStatus | undefined;
+    let repeated = 0;
     const ask = async () => {
       const status = await this.#statusOf(call.id);
       if (timer === undefined) return;
-      lostQueries = status === undefined ? lostQueries + 1 : 0;
-      verdict = verdictOf(status, lostQueries);
+      repeated = status === last ? repeated + 1 : 1;
+      last = status;
+      verdict = verdictOf(status, repeated);
       if (verdict !== undefined) lost.abort();
       else timer = setTimeout(ask, QUERY_PERIOD_MS);
     };
@@ -161,17 +163,21 @@
 
 function verdictOf(
   status: CallStatus | undefined,
-  lostQueries: number,
+  repeated: number,
 ): CallOutcome | undefined {
+  const isDecided = repeated >= DECIDING_FINDINGS;
   switch (status) {
     case CallStatus.Unknown:
       return notRunOutcome(MeshReason.Unreachable);
-    case CallStatus.Ended:
-      return { kind: "unknown", reason: MeshReason.Broken };
     case CallStatus.Open:
       return undefined;
+    // The answer may still be on its way over a slow link.
+    case CallStatus.Ended:
+      return isDecided
+        ? { kind: "unknown", reason: MeshReason.Broken }
+        : undefined;
     case undefined:
-      return lostQueries >= MAX_LOST_QUERIES
+      return isDecided
         ? { kind: "unknown", reason: MeshReason.Unreachable }
         : undefined;
   }
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -83,32 +83,39 @@
       response.writeHead(400).end();
       return;
     }
+    // Noted with its head, as a long body may be on its way for a while.
+    const { id } = description;
+    const mayRun = this.#ledger.open(id, performance.now());
     const read = await readBody(request, MAX_BODY_BYTES);
     if (read.kind !== "whole") {
+      this.#ledger.end(id, performance.now());
       response.destroy();
       return;
     }
     const call = toCall(request, description, read.body);
-    await this.#execute(call, response);
+    await this.#execute(call, response, mayRun);
+    this.#ledger.end(id, performance.now());
     this.#options.onVersion(
       description.configVersion,
       request.socket.remoteAddress ?? "",
     );
   }
 
-  async #execute(call: MeshCall, response: ServerResponse): Promise<void> {
+  async #execute(
+    call: MeshCall,
+    response: ServerResponse,
+    mayRun: boolean,
+  ): Promise<void> {
     const { destination, ending } = this.#options;
     const cancel = new AbortController();
     response.on("close", () => {
       if (!response.writableFinished) cancel.abort();
     });
-    const isNew = this.#ledger.open(call.id, performance.now());
-    const outcome = !isNew
+    const outcome = !mayRun
       ? notRunOutcome(MeshReason.Unreachable)
       : !ending.allows(call.deadlineMs, performance.now())
       ? notRunOutcome(MeshReason.Leaving)
       : await destination.execute(call, cancel.signal);
-    this.#ledger.end(call.id, performance.now());
     this.#answer(call, outcome, response);
   }
 
--- a/tests/platform/mesh_test.ts
+++ b/tests/platform/mesh_test.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -8,6 +9,12 @@
   FakeMesh,
   sampleConfig,
 } from "../../platform/fakes/mesh.ts";
+import { RequestKind } from "../../src/protocol/mesh.ts";
+import {
+  formatCall,
+  HEADER_CALL,
+  STATUS_PATH,
+} from "../../src/protocol/peer_call.ts";
 import { until } from "../../testkit/until.ts";
 
 /** Runs a test on a mesh of its own. */
@@ -294,6 +301,40 @@
   });
 });
 
+meshTest(
+  "a request whose body is on its way counts as arrived",
+  1,
+  async (mesh) => {
+    const { peerAddress } = mesh.instances[0]!.settings;
+    const [host, port] = peerAddress.split(":");
+    const socket = connect(Number(port), host);
+    const description = formatCall({
+      id: "slow",
+      route: "orders",
+      kind: RequestKind.AtMostOnce,
+      priority: 0,
+      callerService: "stock",
+      service: "stock",
+      backendId: "i-0",
+      remainingMs: 1_000,
+      objectiveInMs: 500,
+      configVersion: 1,
+    });
+    socket.write(
+      `POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\n` +
+        `${HEADER_CALL}: ${description}\r\ncontent-length: 9\r\n\r\nhalf`,
+    );
+    await sleep(100);
+    const answers = await Promise.all(
+      ["slow", "other"].map((id) =>
+        fetch(`http://${peerAddress}${STATUS_PATH}${id}`).then((r) => r.text())
+      ),
+    );
+    socket.destroy();
+    assert.equal(answers, ["open", "unknown"]);
+  },
+);
+
 meshTest("a stopping daemon answers what it took", 2, async (mesh) => {
   for (const { backend } of mesh.instances) backend.workMs = 300;
   const taken = mesh.call(0, { path: "/stock/1" });
