Part the sidecar: backend keeper, request log, answers; believe only own rejections

Change: BackendKeeper, RequestLog and backend_answer.ts; a rejection with another request's id is malformed. Tests of the answers (the foreign rejection failed before).

--- /dev/null
+++ b/src/sidecar/backend_answer_test.ts
@@ -0,0 +1,85 @@
+import { Buffer } from "node:buffer";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { RequestKind } from "../protocol/mesh.ts";
+import type { MeshCall } from "../protocol/mesh_call.ts";
+import type { StackResult } from "../transport/http/connection_stack.ts";
+import { classifyAnswer } from "./backend_answer.ts";
+
+const CALL: MeshCall = {
+  id: "r1",
+  method: "GET",
+  path: "/",
+  headers: [],
+  body: undefined,
+  route: "stock",
+  kind: RequestKind.AtMostOnce,
+  priority: 0,
+  callerService: "shop",
+  service: "stock",
+  backendId: "i-1",
+  deadlineMs: 1_000,
+  objectiveAtMs: 500,
+};
+
+const NAMES = {
+  requestId: "id",
+  timeoutMs: "timeout",
+  callerService: "caller",
+  expectedBackend: "expected",
+  answerProof: "proof",
+  notRun: "not-run",
+  backendId: "backend",
+};
+
+function classify(status: number, headers: readonly string[]): string {
+  const result: StackResult = {
+    kind: "answer",
+    status,
+    headers,
+    body: Buffer.from("x"),
+  };
+  const outcome = classifyAnswer({
+    call: CALL,
+    result,
+    names: NAMES,
+    serviceMs: 5,
+  });
+  return outcome.kind === "answered"
+    ? outcome.kind
+    : `${outcome.kind}:${outcome.reason}`;
+}
+
+test("classifyAnswer() takes only what belongs to the request", () => {
+  const outcomes = [
+    classify(200, ["ID", "r1", "Proof", "p"]),
+    classify(500, ["id", "r1"]),
+    classify(200, ["id", "r1"]),
+    classify(200, ["id", "r0", "proof", "p"]),
+    classify(200, ["id", "r1", "proof", "p", "Content-Encoding", "gzip"]),
+  ];
+  assert.equal(outcomes, [
+    "answered",
+    "answered",
+    "unknown:malformed",
+    "unknown:malformed",
+    "unknown:malformed",
+  ]);
+});
+
+test("classifyAnswer() believes a rejection of this request alone", () => {
+  const outcomes = [
+    classify(503, ["id", "r1", "not-run", "1"]),
+    classify(400, ["not-run", "1"]),
+    classify(421, ["backend", "i-2"]),
+    classify(503, ["id", "r0", "not-run", "1"]),
+  ];
+  assert.equal(outcomes, [
+    "not-run:shed",
+    "not-run:shed",
+    "not-run:shed",
+    "unknown:malformed",
+  ]);
+});
+
+test.run();
--- a/src/sidecar/destination_task.ts
+++ b/src/sidecar/destination_task.ts
@@ -5,7 +5,6 @@
   MeshCall,
 } from "../protocol/mesh_call.ts";
 import { MeshReason, notRunOutcome } from "../protocol/mesh_call.ts";
-import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import {
   ConnectionStack,
   type StackResult,
@@ -14,17 +13,13 @@
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import type { OwnBackend } from "../state/own_backend.ts";
 import { type Dispatch, WorkQueue } from "../coordination/dispatch/mod.ts";
+import { classifyAnswer, isOwnAnswer } from "./backend_answer.ts";
 import type { EdgeHeaders } from "./ports.ts";
 
 /** Weight of the newest outcome in the share of failures. */
 const FAILURE_WEIGHT = 0.1;
 /** Longest idle time of a connection for what may run once, in ms. */
 const AT_MOST_ONCE_MAX_IDLE_MS = 3_000;
-/** Headers of an answer that speak of one connection or its framing. */
-const ANSWER_FRAMING = new Set(["content-length"]);
-/** Status of an answer that names another backend server. */
-const MISDIRECTED = 421;
-
 /** A call that waits for a slot or runs. */
 interface Job {
   readonly call: MeshCall;
@@ -215,10 +210,17 @@
       headers: this.#requestHeaders(call, remainingMs),
       body: call.body,
       accepts: (status, headers) =>
-        this.#isOwnAnswer(call, status, headerMap(headers)),
+        isOwnAnswer({ call, status, headers, names: this.#headers }),
       ...(isIdempotent ? {} : { maxIdleMs: AT_MOST_ONCE_MAX_IDLE_MS }),
     }, signal);
-    return this.#classify(call, result, startedAtMs);
+    const outcome = classifyAnswer({
+      call,
+      result,
+      names: this.#headers,
+      serviceMs: performance.now() - startedAtMs,
+    });
+    this.#logAnswer(call, result, outcome);
+    return outcome;
   }
 
   #requestHeaders(call: MeshCall, remainingMs: number): string[] {
@@ -233,61 +235,26 @@
     ];
   }
 
-  #classify(
+  #logAnswer(
     call: MeshCall,
     result: StackResult,
-    startedAtMs: number,
-  ): CallOutcome {
+    outcome: CallOutcome,
+  ): void {
+    const { id } = call;
     if (result.kind === "failed") {
       this.#log.warn("backend-send-failed", {
-        id: call.id,
+        id,
         peer: this.#address,
         sent: result.sent,
         reason: result.message,
       });
-      return result.sent
-        ? { kind: "unknown", reason: MeshReason.Broken }
-        : notRunOutcome(MeshReason.Unreachable);
-    }
-    const fields = headerMap(result.headers);
-    const isNotRun = fields.has(this.#headers.notRun) ||
-      result.status === MISDIRECTED;
-    if (isNotRun) {
-      return {
-        kind: "not-run",
-        reason: MeshReason.Shed,
-        arrived: true,
-        retryAfterMs: 0,
-      };
-    }
-    if (!this.#isOwnAnswer(call, result.status, fields)) {
+    } else if (outcome.kind === "unknown") {
       this.#log.warn("backend-answer-malformed", {
-        id: call.id,
+        id,
         peer: this.#address,
         status: result.status,
-        answeredId: fields.get(this.#headers.requestId),
       });
-      return { kind: "unknown", reason: MeshReason.Malformed };
     }
-    return {
-      kind: "answered",
-      answer: {
-        status: result.status,
-        headers: endToEndHeaders(result.headers, ANSWER_FRAMING),
-        body: result.body,
-      },
-      serviceMs: performance.now() - startedAtMs,
-    };
-  }
-
-  #isOwnAnswer(
-    call: MeshCall,
-    status: number,
-    fields: ReadonlyMap<string, string>,
-  ): boolean {
-    if (fields.get(this.#headers.requestId) !== call.id) return false;
-    if (fields.has("content-encoding")) return false;
-    return status >= 300 || fields.has(this.#headers.answerProof);
   }
 
   #observe(outcome: CallOutcome, signal: AbortSignal): void {
@@ -310,11 +277,3 @@
     resolve,
   };
 }
-
-function headerMap(headers: readonly string[]): ReadonlyMap<string, string> {
-  const fields = new Map<string, string>();
-  for (let index = 0; index < headers.length; index += 2) {
-    fields.set(headers[index]!.toLowerCase(), headers[index + 1]!);
-  }
-  return fields;
-}
--- a/src/sidecar/ingress_task.ts
+++ b/src/sidecar/ingress_task.ts
@@ -21,6 +21,7 @@
 import type { Ending } from "./ending.ts";
 import type { EdgeHeaders } from "./ports.ts";
 import { readBody } from "./read_body.ts";
+import { RequestLog } from "./request_log.ts";
 
 /** Wait suggested before a configuration is known, in ms. */
 const NO_CONFIG_RETRY_AFTER_MS = 300;
@@ -28,11 +29,6 @@
 const ENDING_RETRY_AFTER_MS = 50;
 /** Idle time before a configuration is known, in ms. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
-/** One of this many answered requests is logged. */
-const LOGGED_SHARE = 50;
-/** Most lines about requests that fail in a second. */
-const MAX_FAILURE_LINES_PER_S = 100;
-
 /** What an ingress needs. */
 export interface IngressOptions {
   readonly routes: RouteTableHolder;
@@ -61,6 +57,7 @@
 export class IngressTask {
   readonly server: Server;
   readonly #options: IngressOptions;
+  readonly #requestLog: RequestLog;
   readonly #droppedHeaders: ReadonlySet<string>;
   /** Longest time that callers of a route give, by its name. */
   readonly #longestWaitMs = new Map<string, number>();
@@ -68,9 +65,6 @@
   #isClosing = false;
   #open = 0;
   #lastRequestAtMs = 0;
-  #answered = 0;
-  #failureSecond = 0;
-  #failureLines = 0;
 
   /**
    * Creates an ingress that does not listen yet.
@@ -79,6 +73,7 @@
    */
   constructor(options: IngressOptions) {
     this.#options = options;
+    this.#requestLog = new RequestLog(options);
     const { timeoutMs, callerService, expectedBackend } = options.headers;
     this.#droppedHeaders = new Set([
       timeoutMs,
@@ -199,7 +194,7 @@
     const result = await flow.run(cancel);
     flows?.delete(cancel);
     this.#deliver(response, id, result);
-    this.#logEnd(route, flow, { id, result, arrivedAtMs });
+    this.#requestLog.ended({ id, route, flow, result, arrivedAtMs });
   }
 
   /** A caller that comes back has less time left than one that is new. */
@@ -262,49 +257,6 @@
     response.writeHead(answer.status, headers).end();
   }
 
-  #logEnd(
-    route: MeshRoute,
-    flow: CallFlow,
-    end: {
-      readonly id: string;
-      readonly result: FlowResult;
-      readonly arrivedAtMs: number;
-    },
-  ): void {
-    const { id, result, arrivedAtMs } = end;
-    const { metrics } = this.#options;
-    const cause = "reason" in result ? result.reason : "";
-    metrics.count("requests_total", { result: result.kind, reason: cause });
-    metrics.observe("request_ms", performance.now() - arrivedAtMs);
-    const isServed = result.kind === "answered" && result.answer.status < 500;
-    if (isServed && this.#answered++ % LOGGED_SHARE !== 0) return;
-    if (!isServed && !this.#mayLogFailure(arrivedAtMs)) return;
-    this.#options.log.info("request-ended", {
-      id,
-      route: route.name,
-      result: result.kind,
-      status: result.kind === "answered" ? result.answer.status : undefined,
-      reason: "reason" in result ? result.reason : undefined,
-      retryAfterMs: "retryAfterMs" in result
-        ? Math.round(result.retryAfterMs)
-        : undefined,
-      tookMs: Math.round(performance.now() - arrivedAtMs),
-      configVersion: this.#options.routes.version,
-      steps: flow.steps,
-    });
-  }
-
-  #mayLogFailure(nowMs: number): boolean {
-    const second = Math.floor(nowMs / 1_000);
-    if (second !== this.#failureSecond) {
-      const dropped = this.#failureLines - MAX_FAILURE_LINES_PER_S;
-      if (dropped > 0) this.#options.log.warn("log-lines-dropped", { dropped });
-      this.#failureSecond = second;
-      this.#failureLines = 0;
-    }
-    return this.#failureLines++ < MAX_FAILURE_LINES_PER_S;
-  }
-
   #field(request: IncomingMessage, name: string): string {
     const value = request.headers[name];
     return typeof value === "string" ? value : "";
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -3,11 +3,6 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { WindowBudget } from "../coordination/retry/window_budget.ts";
-import {
-  type Announcement,
-  type BackendRecord,
-  BackendState,
-} from "../protocol/mesh.ts";
 import { Random } from "../protocol/random.ts";
 import { messageOf } from "../protocol/step_error.ts";
 import { BackendDirectory } from "../state/backend_directory.ts";
@@ -17,6 +12,7 @@
 import { EventLog } from "../transport/observe/event_log.ts";
 import { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { AnnounceTask } from "./announce_task.ts";
+import { BackendKeeper } from "./backend_keeper.ts";
 import { createControlServer } from "./control_task.ts";
 import { DestinationTask } from "./destination_task.ts";
 import { Ending } from "./ending.ts";
@@ -24,7 +20,6 @@
 import { IngressTask } from "./ingress_task.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { SidecarPorts } from "./ports.ts";
-import { probeBackend } from "./probe_backend.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
@@ -61,7 +56,6 @@
   readonly #log: EventLog;
   readonly #routes = new RouteTableHolder();
   readonly #directory = new BackendDirectory();
-  readonly #backend = new OwnBackend();
   readonly #budgets = new Map<string, WindowBudget>();
   readonly #stopped = new AbortController();
   readonly #ending = new Ending();
@@ -73,9 +67,9 @@
   readonly #metrics = new TextMetrics();
   readonly #metricsServer: Server;
   readonly #announcer: AnnounceTask;
+  readonly #keeper: BackendKeeper;
   readonly #sync: StoreSyncTask;
   #isStopping = false;
-  #hasRecovered = false;
 
   /**
    * Builds a daemon that does nothing yet.
@@ -87,8 +81,9 @@
     this.#settings = settings;
     this.#ports = ports;
     this.#log = new EventLog({ fields: { instance: settings.instance } });
+    const backend = new OwnBackend();
     this.#destination = new DestinationTask({
-      backend: this.#backend,
+      backend,
       headers: ports.headers,
       log: this.#log,
       metrics: this.#metrics,
@@ -98,6 +93,16 @@
       instance: settings.instance,
       log: this.#log,
     });
+    this.#keeper = new BackendKeeper({
+      settings,
+      backend,
+      destination: this.#destination,
+      directory: this.#directory,
+      announcer: this.#announcer,
+      routes: this.#routes,
+      idHeader: ports.headers.backendId,
+      log: this.#log,
+    });
     this.#fleet = new Fleet({
       instance: settings.instance,
       directory: this.#directory,
@@ -179,7 +184,7 @@
     this.#log.info("daemon-stopping", { graceMs, open: this.#ingress.open });
     this.#ingress.close();
     // Until callers have gone elsewhere, the backend server serves as before.
-    setTimeout(() => this.#publish(BackendState.Away), graceMs * AWAY_SHARE);
+    setTimeout(() => this.#keeper.leave(), graceMs * AWAY_SHARE);
     const endAtMs = startedAtMs + graceMs * LATEST_END_SHARE;
     this.#ending.endAtMs = endAtMs;
     await new Promise<void>((resolve) => {
@@ -264,62 +269,19 @@
       onConfig: () => this.#ingress.configured(),
       onOwnRecord: (entry) => {
         const record = this.#announcer.observed(entry);
-        if (record !== undefined) this.#recover(record);
+        if (record !== undefined) this.#keeper.recover(record);
       },
       onGone: (instance) => this.#fleet.forget(instance),
     });
   }
 
-  /** Takes up the backend server that an earlier process had recorded. */
-  #recover(record: BackendRecord): void {
-    if (this.#hasRecovered || this.#backend.current !== undefined) return;
-    this.#hasRecovered = true;
-    switch (record.state) {
-      case BackendState.Draining:
-        this.#backend.restoreLeft(record.id, record.bornAtUnixMs);
-        return;
-      case BackendState.Ready:
-      case BackendState.Away:
-        void this.#recoverReady(record);
-    }
-  }
-
-  /**
-   * An earlier process may have acknowledged a drain that it could not record,
-   * so the backend server itself is asked.
-   */
-  async #recoverReady(record: BackendRecord): Promise<void> {
-    const table = this.#routes.current;
-    const service = table?.config.services.find(({ name }) =>
-      name === record.service
-    );
-    if (service === undefined) return;
-    const takesWork = await probeBackend({
-      address: this.#settings.backendAddress,
-      healthPath: service.healthPath,
-      backendId: record.id,
-      idHeader: this.#ports.headers.backendId,
-    });
-    this.#log.info("backend-recovered", { backend: record.id, takesWork });
-    if (!takesWork || this.#backend.isKnown) return;
-    this.#announced({
-      id: record.id,
-      service: record.service,
-      address: this.#settings.backendAddress,
-      slots: record.slots,
-      state: BackendState.Ready,
-      sequence: 0,
-      bornAtUnixMs: record.bornAtUnixMs,
-    });
-  }
-
   #createControl(): Server {
     return createControlServer({
       dialect: this.#ports.control,
       log: this.#log,
       events: {
-        announced: (announcement) => this.#announced(announcement),
-        left: (id, bornAtUnixMs) => this.#left(id, bornAtUnixMs),
+        announced: (announcement) => this.#keeper.announced(announcement),
+        left: (id, bornAtUnixMs) => this.#keeper.left(id, bornAtUnixMs),
         isReady: () => this.#isReady(),
       },
     });
@@ -330,62 +292,6 @@
       this.#sync.hasListed;
   }
 
-  #announced(announcement: Announcement): void {
-    const change = this.#backend.announced(announcement);
-    switch (change.kind) {
-      case "unchanged":
-      case "stale":
-      case "left":
-        return;
-      case "started":
-        this.#logBackend("backend-started", announcement);
-        this.#destination.started(announcement);
-        this.#publish(
-          this.#isStopping ? BackendState.Away : BackendState.Ready,
-        );
-        return;
-      case "draining":
-        this.#logBackend("backend-draining", announcement);
-        this.#destination.drain();
-        this.#publish(BackendState.Draining);
-    }
-  }
-
-  #left(id: string, bornAtUnixMs: number): void {
-    const last = this.#backend.current;
-    const change = this.#backend.left(id, bornAtUnixMs);
-    if (change.kind !== "left") return;
-    this.#log.info("backend-left", { backend: id });
-    this.#destination.drain();
-    if (last !== undefined) this.#publish(BackendState.Draining, last);
-  }
-
-  #logBackend(event: string, announcement: Announcement): void {
-    this.#log.info(event, {
-      backend: announcement.id,
-      sequence: announcement.sequence,
-      bornAtUnixMs: announcement.bornAtUnixMs,
-      slots: announcement.slots,
-    });
-  }
-
-  #publish(state: BackendState, of = this.#backend.current): void {
-    if (of === undefined) return;
-    const isDraining = of.state === BackendState.Draining;
-    const record: BackendRecord = {
-      id: of.id,
-      instance: this.#settings.instance,
-      service: of.service,
-      domain: this.#settings.domain,
-      peerAddress: this.#settings.peerAddress,
-      slots: of.slots,
-      state: isDraining ? BackendState.Draining : state,
-      bornAtUnixMs: of.bornAtUnixMs,
-    };
-    this.#directory.put(record);
-    this.#announcer.publish(record);
-  }
-
   #budgetOf(service: string): WindowBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
