--- a/src/coordination/dispatch/latest_useful.ts
+++ b/src/coordination/dispatch/latest_useful.ts
@@ -1,5 +1,7 @@
 /** Part of its time that a request waits whose objective has passed. */
 const LATE_WAIT_SHARE = 0.3;
+/** Part of the time behind its objective that a request still waits. */
+const LATE_SHARE = 0.25;
 /** Part of the time behind its objective that a short request still waits. */
 const SHORT_WAIT_SHARE = 0.5;
 
@@ -13,7 +15,8 @@
 
 /**
  * Returns the latest time at which the end of a request is still worth waiting
- * for: its objective, or a part of the time left where that had passed before.
+ * for: a little past its objective, as a late answer has some use, or a part of
+ * the time left where the objective had passed before.
  * A caller who hears of it early can come back. A short request waits longer,
  * as refusing it frees little, and it is often a call of work that runs.
  *
@@ -24,13 +27,16 @@
  * @example
  * ```ts
  * const times = { objectiveAtMs: 500, deadlineMs: 1_300, arrivedAtMs: 0 };
- * latestUsefulMs(times, false); // 500
+ * latestUsefulMs(times, false); // 700
  * ```
  */
 export function latestUsefulMs(times: UsefulTimes, isShort: boolean): number {
   const { objectiveAtMs, deadlineMs, arrivedAtMs } = times;
   const base = Math.max(objectiveAtMs, arrivedAtMs);
   if (isShort) return base + (deadlineMs - base) * SHORT_WAIT_SHARE;
-  if (objectiveAtMs > arrivedAtMs) return Math.min(objectiveAtMs, deadlineMs);
+  if (objectiveAtMs > arrivedAtMs) {
+    const lateMs = Math.max(0, deadlineMs - objectiveAtMs) * LATE_SHARE;
+    return Math.min(deadlineMs, objectiveAtMs + lateMs);
+  }
   return arrivedAtMs + (deadlineMs - arrivedAtMs) * LATE_WAIT_SHARE;
 }
