Tell a request's story from logs: explain log, logs

Cause: an on-call engineer had to read the steps of request-ended by eye. Change: 'sesamepond explain log ID' puts the decisions of all daemons in order, 'sesamepond logs' counts ends by cause; a closed pipe is no failure. The daemon is unchanged.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,6 +6,8 @@
 import { apply, type ApplyOptions, diff, rollback } from "./apply.ts";
 import { ExitCode, exitCodeOf } from "./exit_code.ts";
 import { explainCall, explainRequest, explainVersion } from "./explain.ts";
+import { explainLog } from "./explain_log.ts";
+import { summarizeLogs } from "./logs.ts";
 import { OperatorSession } from "./operator_session.ts";
 import { openOutput, type Output } from "./output.ts";
 import { history, status } from "./status.ts";
@@ -84,6 +86,13 @@
   demandOption: true,
 } as const;
 
+const logFiles = {
+  type: "string",
+  array: true,
+  default: [] as string[],
+  describe: "log files; standard input where there are none",
+} as const;
+
 const waiting = {
   wait: {
     type: "boolean",
@@ -98,6 +107,12 @@
   note: { type: "string", default: "", describe: "what the change is for" },
 } as const;
 
+// A reader that has seen enough, such as `head`, is no failure.
+process.stdout.on("error", (error: NodeJS.ErrnoException) => {
+  if (error.code !== "EPIPE") throw error;
+  process.exit(ExitCode.Ok);
+});
+
 await yargs(hideBin(process.argv))
   .scriptName("sesamepond")
   .usage("$0 COMMAND: configuration distribution for a service mesh")
@@ -204,6 +219,18 @@
               (output) => explainRequest(args.daemon, args.id, output),
             ),
         )
+        .command(
+          "log <id> [files..]",
+          "what the logs of sidecar daemons tell of a request",
+          (inner) =>
+            inner.positional("id", { type: "string", demandOption: true })
+              .positional("files", logFiles),
+          (args) =>
+            runLocal(
+              args,
+              (output) => explainLog(args.id, args.files, output),
+            ),
+        )
         .command(
           "version <version>",
           "when a version was accepted and came into force",
@@ -221,6 +248,12 @@
         )
         .demandCommand(1),
   )
+  .command(
+    "logs [files..]",
+    "count how the requests in logs of sidecar daemons ended",
+    (builder) => builder.positional("files", logFiles),
+    (args) => runLocal(args, (output) => summarizeLogs(args.files, output)),
+  )
   .command(
     "daemon <settings>",
     "run the daemon of an instance",
