--- a/fakes/fault_proxy.ts
+++ b/fakes/fault_proxy.ts
@@ -10,6 +10,8 @@
   | { readonly kind: "cut" }
   /** Swallows all bytes of open and new connections without closing them. */
   | { readonly kind: "silence" }
+  /** Swallows what the target sends, on open and new connections. */
+  | { readonly kind: "one-way" }
   /** Swallows all bytes of the connections that are open now. */
   | { readonly kind: "silence-open" };
 
@@ -74,6 +76,9 @@
       case "silence-open":
         for (const pair of affected) pair.isSilent = true;
         return;
+      case "one-way":
+        for (const pair of affected) pair.isDeaf = true;
+        return;
       case "none":
       case "delay":
         return;
@@ -94,6 +99,7 @@
       },
     );
     pair.isSilent = this.#fault.kind === "silence" && isAffected;
+    pair.isDeaf = this.#fault.kind === "one-way" && isAffected;
     this.#pairs.add(pair);
     pair.onClose(() => this.#pairs.delete(pair));
   }
@@ -102,6 +108,8 @@
 /** Both ends of a proxied connection. */
 class Pair {
   isSilent = false;
+  /** Whether what the target sends is lost. */
+  isDeaf = false;
   readonly source: string;
   readonly #client: Socket;
   readonly #target: Socket;
@@ -128,7 +136,10 @@
   #pass(from: Socket, to: Socket): void {
     from.setNoDelay(true);
     from.on("error", () => {});
-    from.on("data", (chunk) => this.#after(() => to.write(chunk)));
+    from.on("data", (chunk) => {
+      if (this.isDeaf && from === this.#target) return;
+      this.#after(() => to.write(chunk));
+    });
     // A connection that went silent does not carry its end either.
     from.on("close", () => this.#after(() => to.destroy()));
   }
--- /dev/null
+++ b/soak/promises_test.ts
@@ -0,0 +1,65 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { BackendRun } from "../platform/fakes/backend.ts";
+import { brokenPromises, type SentRequest } from "./promises.ts";
+
+function request(fields: Partial<SentRequest> = {}): SentRequest {
+  return {
+    id: "r1",
+    path: "/orders/1",
+    body: "x",
+    isIdempotent: false,
+    status: 200,
+    answer: "answer of i-1 to r1",
+    ...fields,
+  };
+}
+
+function run(fields: Partial<BackendRun> = {}): BackendRun {
+  return {
+    id: "r1",
+    path: "/orders/1",
+    caller: "stock",
+    remainingMs: 100,
+    body: "x",
+    atMs: 0,
+    ...fields,
+  };
+}
+
+function check(
+  sent: SentRequest,
+  runs: readonly BackendRun[],
+  drainedAtMs = Infinity,
+): string[] {
+  const life = { id: "i-1", runs, drainedAtMs };
+  return brokenPromises(new Map([[sent.id, sent]]), [life]);
+}
+
+test("brokenPromises() finds each kind of breach, and none in a good run", () => {
+  assert.equal([
+    check(request(), [run()]),
+    check(request({ isIdempotent: true }), [run(), run()]),
+    check(request(), [run(), run()]),
+    check(request({ status: 503 }), [run()]),
+    check(request({ answer: "answer of i-1 to r2" }), [run()]),
+    check(request({ answer: "answer of" }), [run()]),
+    check(request(), [run(), run({ id: "r9" })]),
+    check(request(), [run({ path: "/orders/2" })]),
+    check(request(), [run({ caller: "forged" })]),
+    check(request(), [run({ atMs: 3_001 })], 1_000),
+  ], [
+    [],
+    [],
+    ["r1 ran 2 times"],
+    ["r1 got 503 and ran"],
+    ['r1 got "answer of i-1 to r2"'],
+    ['r1 got "answer of"'],
+    ["r9 ran and nobody sent it"],
+    ["r1 ran changed: /orders/2 x"],
+    ["r1 ran for forged"],
+    ["r1 reached i-1 after its drain"],
+  ]);
+});
+
+test.run();
--- /dev/null
+++ b/soak/soak.ts
@@ -0,0 +1,277 @@
+import { spawnSync } from "node:child_process";
+import { mkdtempSync, rmSync } from "node:fs";
+import { Agent, request as sendRequest } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { BackendFault } from "../platform/fakes/backend.ts";
+import { KvServer, StoreFault } from "../platform/fakes/kv_server.ts";
+import { CONFIG_KEY, sampleConfig } from "../platform/fakes/mesh.ts";
+import { Random } from "../src/protocol/random.ts";
+import { SoakInstance } from "./instance.ts";
+import {
+  type BackendLife,
+  brokenPromises,
+  type SentRequest,
+} from "./promises.ts";
+
+/** Requests in a second. */
+const REQUESTS_PER_S = 80;
+/** Longest pause between two faults, in ms; faults overlap. */
+const MAX_FAULT_GAP_MS = 600;
+/** Longest time that a fault lasts, in ms. */
+const MAX_FAULT_MS = 2_500;
+/** Time in which all is served again after the last fault, in ms. */
+const RECOVERY_MS = 15_000;
+const TIMEOUT_MS = 1_200;
+/** Time in which the daemons of a new fleet are ready, in ms. */
+const START_MS = 20_000;
+
+/** What to run. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly seconds: number;
+  readonly instances: number;
+}
+
+/** What a run found. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly sent: number;
+  readonly served: number;
+  readonly faults: readonly string[];
+  readonly problems: readonly string[];
+}
+
+/**
+ * Runs daemons as processes under random faults and checks what callers and
+ * backend servers see.
+ *
+ * @param options Seed, length and number of instances.
+ * @returns What was sent, what was done to the fleet, and what it broke.
+ */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const soak = new Soak(options);
+  await soak.start();
+  try {
+    return await soak.run();
+  } finally {
+    await soak.end();
+  }
+}
+
+class Soak {
+  readonly #options: SoakOptions;
+  readonly #random: Random;
+  readonly #folder = mkdtempSync(join(tmpdir(), "sesamepond-soak-"));
+  readonly #agent = new Agent({ keepAlive: true });
+  readonly #sent = new Map<string, SentRequest>();
+  readonly #formerLives: BackendLife[] = [];
+  readonly #faults: string[] = [];
+  #store!: KvServer;
+  #instances: SoakInstance[] = [];
+  #version = 1;
+  #nextId = 1;
+
+  constructor(options: SoakOptions) {
+    this.#options = options;
+    this.#random = new Random(options.seed);
+  }
+
+  async start(): Promise<void> {
+    const bundle = join(this.#folder, "sesamepond.mjs");
+    spawnSync(process.execPath, ["scripts/build_platform.mjs", bundle]);
+    this.#store = await KvServer.start();
+    this.#store.put(CONFIG_KEY, JSON.stringify(sampleConfig(1)));
+    const storePort = Number(this.#store.address.split(":")[1]);
+    for (let index = 0; index < this.#options.instances; index++) {
+      this.#instances.push(
+        await SoakInstance.start({
+          index,
+          folder: this.#folder,
+          bundle,
+          storePort,
+        }),
+      );
+    }
+    await this.#untilServed(START_MS);
+  }
+
+  async run(): Promise<SoakResult> {
+    const load = setInterval(() => this.#sendOne(), 1_000 / REQUESTS_PER_S);
+    const endAtMs = performance.now() + this.#options.seconds * 1_000;
+    while (performance.now() < endAtMs) {
+      await sleep(this.#random.below(MAX_FAULT_GAP_MS));
+      this.#injectFault();
+    }
+    await sleep(MAX_FAULT_MS * 2);
+    clearInterval(load);
+    await sleep(TIMEOUT_MS * 2);
+    const isServed = await this.#untilServed(RECOVERY_MS);
+    const problems = brokenPromises(this.#sent, this.#lives());
+    if (!isServed) problems.push("not all daemons serve after the last fault");
+    const served = [...this.#sent.values()].filter(({ status }) =>
+      status === 200
+    );
+    return {
+      seed: this.#options.seed,
+      sent: this.#sent.size,
+      served: served.length,
+      faults: this.#faults,
+      problems,
+    };
+  }
+
+  async end(): Promise<void> {
+    this.#agent.destroy();
+    for (const instance of this.#instances) await instance.end();
+    await this.#store.stop();
+    rmSync(this.#folder, { recursive: true });
+  }
+
+  #lives(): BackendLife[] {
+    const present = this.#instances.map(({ backend, drainedAtMs }) => ({
+      id: backend.id,
+      runs: backend.runs,
+      drainedAtMs,
+    }));
+    return [...this.#formerLives, ...present];
+  }
+
+  async #untilServed(timeoutMs: number): Promise<boolean> {
+    const endAtMs = performance.now() + timeoutMs;
+    for (const instance of this.#instances) {
+      while (await this.#probe(instance) !== 200) {
+        if (performance.now() > endAtMs) return false;
+        await sleep(100);
+      }
+    }
+    return true;
+  }
+
+  async #probe(instance: SoakInstance): Promise<number> {
+    const request = this.#newRequest(true);
+    await this.#send(instance, request);
+    return request.status;
+  }
+
+  #sendOne(): void {
+    const instance = this.#random.pick(this.#instances)!;
+    void this.#send(instance, this.#newRequest(this.#random.below(2) === 0));
+  }
+
+  #newRequest(isIdempotent: boolean): SentRequest {
+    const id = `s${this.#options.seed}-${this.#nextId++}`;
+    const request = {
+      id,
+      path: `/${isIdempotent ? "stock" : "orders"}/${id}`,
+      body: isIdempotent ? "" : `body of ${id}`,
+      isIdempotent,
+      status: 0,
+      answer: "",
+    };
+    this.#sent.set(id, request);
+    return request;
+  }
+
+  #send(instance: SoakInstance, request: SentRequest): Promise<void> {
+    return new Promise((resolve) => {
+      const outgoing = sendRequest({
+        agent: this.#agent,
+        host: "127.0.0.1",
+        port: instance.ingressPort,
+        method: request.isIdempotent ? "GET" : "POST",
+        path: request.path,
+        headers: {
+          host: "shop.example",
+          "x-attempt-id": request.id,
+          "x-deadline-ms": String(TIMEOUT_MS),
+        },
+      }, (response) => {
+        let answer = "";
+        response.on("data", (chunk) => answer += String(chunk));
+        response.on("end", () => {
+          request.status = response.statusCode ?? 0;
+          request.answer = answer;
+          resolve();
+        });
+        response.on("error", () => resolve());
+      });
+      // No answer is an answer too: the status stays 0.
+      outgoing.on("error", () => resolve());
+      outgoing.setTimeout(TIMEOUT_MS * 2, () => outgoing.destroy());
+      outgoing.end(request.body);
+    });
+  }
+
+  #injectFault(): void {
+    const faults = this.#faultsOf(this.#random.pick(this.#instances)!);
+    const name = this.#random.pick(Object.keys(faults))!;
+    this.#faults.push(name);
+    faults[name]!(100 + this.#random.below(MAX_FAULT_MS));
+  }
+
+  /** Each fault ends by itself after the given time. */
+  #faultsOf(
+    instance: SoakInstance,
+  ): Readonly<Record<string, (lastsMs: number) => void>> {
+    const { storeProxy } = instance;
+    const heal = (lastsMs: number) =>
+      setTimeout(() => storeProxy.set({ kind: "none" }), lastsMs);
+    const storeFault = (fault: StoreFault) => (lastsMs: number) => {
+      this.#store.fault = fault;
+      setTimeout(() => this.#store.fault = StoreFault.None, lastsMs);
+    };
+    const backendFault = (fault: BackendFault) => (lastsMs: number) => {
+      const { backend } = instance;
+      backend.fault = fault;
+      setTimeout(() => backend.fault = BackendFault.None, lastsMs);
+    };
+    return {
+      "store-path-cut": (lastsMs) => {
+        storeProxy.set({ kind: "cut" });
+        heal(lastsMs);
+      },
+      "store-path-silent": (lastsMs) => {
+        storeProxy.set({ kind: "silence" });
+        heal(lastsMs);
+      },
+      "store-path-one-way": (lastsMs) => {
+        storeProxy.set({ kind: "one-way" });
+        heal(lastsMs);
+      },
+      "store-path-slow": (lastsMs) => {
+        storeProxy.set({ kind: "delay", delayMs: 200 });
+        heal(lastsMs);
+      },
+      "store-busy": storeFault(StoreFault.Busy),
+      "store-silent": storeFault(StoreFault.Silent),
+      "store-loses-answers": storeFault(StoreFault.LosesAnswers),
+      "store-lapses": () => this.#store.lapseLeases(),
+      "store-compacts": () => this.#store.compact(),
+      "config-change": () => {
+        const config = sampleConfig(++this.#version);
+        this.#store.put(CONFIG_KEY, JSON.stringify(config));
+      },
+      "backend-sheds": backendFault(BackendFault.Shed),
+      "backend-resets": backendFault(BackendFault.Reset),
+      "backend-cuts-answers": backendFault(BackendFault.CutUnframed),
+      "backend-crosses-answers": backendFault(BackendFault.WrongId),
+      "backend-silent": backendFault(BackendFault.Silent),
+      "backend-replaced": (lastsMs) => void this.#replace(instance, lastsMs),
+      "daemon-crash": (lastsMs) => void instance.crash(lastsMs / 4),
+      "daemon-restart": () => void instance.restart(),
+      "daemon-reload": () => instance.reload(),
+      "daemon-pause": (lastsMs) => {
+        instance.pause();
+        setTimeout(() => instance.resume(), lastsMs);
+      },
+    };
+  }
+
+  async #replace(instance: SoakInstance, lastsMs: number): Promise<void> {
+    if (instance.backend.isDraining) return;
+    this.#formerLives.push(await instance.replaceBackend(lastsMs));
+  }
+}
--- a/testkit/child.ts
+++ b/testkit/child.ts
@@ -23,10 +23,15 @@
    * Starts Node.js on a program.
    *
    * @param args Arguments of Node.js.
+   * @param env Variables besides those of this process.
    */
-  constructor(args: readonly string[]) {
+  constructor(
+    args: readonly string[],
+    env: Readonly<Record<string, string>> = {},
+  ) {
     this.#process = spawn(process.execPath, [...args], {
       stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ...env },
     });
     const keep = (chunk: Uint8Array) => {
       this.output = (this.output + chunk.toString()).slice(-KEPT_OUTPUT);
--- a/tests/run_tests.ts
+++ b/tests/run_tests.ts
@@ -4,7 +4,7 @@
 import { fileURLToPath, pathToFileURL } from "node:url";
 
 /** Folders whose compiled tests run, next to this program's own. */
-const FOLDERS = ["src", "fakes", "testkit", "tests"];
+const FOLDERS = ["src", "fakes", "testkit", "tests", "soak"];
 
 /** What a suite of uvu returns: errors, passed, skipped and total. */
 type SuiteResult = [string | true, number, number, number];
