Keep the soak's daemons on ports of their own, and the logs of seeds that fail

Cause: seed 5 saw requests run with no caller named. A daemon always names one, so they reached the backend server directly: its port, handed out by the system, was that of a daemon that was down. Change: daemons' ports lie below the system's range; logs are kept.

--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -1,17 +1,33 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
+import process from "node:process";
 import { FakeBackend } from "../platform/fakes/backend.ts";
 import { FaultProxy } from "../fakes/fault_proxy.ts";
 import { Child } from "../testkit/child.ts";
-import { freePorts } from "../testkit/free_ports.ts";
 import type { BackendLife } from "./promises.ts";
 
 const HOST = "127.0.0.1";
 /** Time from SIGTERM to the end of a daemon, in s. */
 export const GRACE_S = 2;
+/**
+ * First port of the daemons, below those that the system hands out: a daemon
+ * that is down must find its port free, and nobody else may answer there.
+ */
+const FIRST_PORT = 10_000;
+const PORTS_PER_INSTANCE = 5;
+/** Runs of the soak that may overlap, and the ports that each has. */
+const OVERLAPPING_RUNS = 80;
+const PORTS_PER_RUN = 250;
 /** Pause between two announcements, in ms. */
 const ANNOUNCE_PERIOD_MS = 300;
 
+function portsOf(index: number): number[] {
+  const runPort = FIRST_PORT +
+    (process.pid % OVERLAPPING_RUNS) * PORTS_PER_RUN;
+  const first = runPort + index * PORTS_PER_INSTANCE;
+  return Array.from({ length: PORTS_PER_INSTANCE }, (_, port) => first + port);
+}
+
 /** Where an instance finds what it needs. */
 export interface InstanceOptions {
   readonly index: number;
@@ -72,7 +88,7 @@
   static async start(options: InstanceOptions): Promise<SoakInstance> {
     const storeProxy = new FaultProxy(options.storePort);
     return new SoakInstance(options, {
-      ports: await freePorts(5, HOST),
+      ports: portsOf(options.index),
       backend: await FakeBackend.start(`i-${options.index}-1`),
       storeProxy,
       proxyPort: await storeProxy.listen(),
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,8 +1,14 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { runSoak } from "./soak.ts";
 
+/** Problems of a seed that are printed. */
+const MAX_SHOWN_PROBLEMS = 10;
+
 const args = await yargs(hideBin(process.argv))
   .scriptName("soak")
   .usage("$0: daemons as processes under random faults, promises checked")
@@ -17,18 +23,32 @@
   .strict()
   .parseAsync();
 
+/** Writes the daemons' last output into a folder that is kept. */
+function keepLogs(seed: number, logs: Readonly<Record<string, string>>): void {
+  const folder = mkdtempSync(join(tmpdir(), `sesamepond-soak-seed-${seed}-`));
+  for (const [name, output] of Object.entries(logs)) {
+    writeFileSync(join(folder, `${name}.log`), output);
+  }
+  process.stderr.write(`logs of seed ${seed}: ${folder}\n`);
+}
+
 let failed = 0;
 for (let seed = args.seed; seed < args.seed + args.seeds; seed++) {
   const { seconds, instances } = args;
   const result = await runSoak({ seed, seconds, instances });
-  if (result.problems.length > 0) failed++;
-  process.stdout.write(`${
-    JSON.stringify({
-      ...result,
-      faults: result.faults.length,
-      problems: result.problems.slice(0, 10),
-    })
-  }\n`);
+  const { sent, served, faults, problems, logs } = result;
+  if (problems.length > 0) {
+    failed++;
+    keepLogs(seed, logs);
+  }
+  const summary = {
+    seed,
+    sent,
+    served,
+    faults: faults.length,
+    problems: problems.slice(0, MAX_SHOWN_PROBLEMS),
+  };
+  process.stdout.write(`${JSON.stringify(summary)}\n`);
 }
 process.stdout.write(`${args.seeds - failed} passed, ${failed} failed\n`);
 process.exit(failed === 0 ? 0 : 1);
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -42,6 +42,8 @@
   readonly served: number;
   readonly faults: readonly string[];
   readonly problems: readonly string[];
+  /** Last output of each daemon, by instance. */
+  readonly logs: Readonly<Record<string, string>>;
 }
 
 /**
@@ -120,6 +122,9 @@
       served: served.length,
       faults: this.#faults,
       problems,
+      logs: Object.fromEntries(
+        this.#instances.map(({ name, output }) => [name, output]),
+      ),
     };
   }
 
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -2,8 +2,16 @@
 import * as assert from "uvu/assert";
 import { runSoak } from "./soak.ts";
 
-/** Seeds that failed once; each with a line on its cause. */
-const REGRESSION_SEEDS: readonly number[] = [];
+/**
+ * Seeds that failed once.
+ *
+ * 5: requests ran with no caller named. The soak's own fault: a backend server
+ * had been given the port of a daemon that was down, and callers reached it
+ * directly; ports of daemons are now outside of those that the system hands
+ * out. A second run of the seed ended with a daemon that did not serve; its log
+ * was not kept and the run could not be repeated (see KNOWN-RED.txt).
+ */
+const REGRESSION_SEEDS: readonly number[] = [5];
 const CI_SEEDS: readonly number[] = [1];
 
 for (const seed of [...CI_SEEDS, ...REGRESSION_SEEDS]) {
