Drop two members that nothing calls; compute the failure share's decay once

Cause: last reading of the diff: RouteTable.hasService() and DestinationView.inFlight had no caller, and one decay stood twice. Change: removed, and one method for both; behaviour is unchanged.

--- a/src/coordination/dispatch/destination_view.ts
+++ b/src/coordination/dispatch/destination_view.ts
@@ -51,11 +51,6 @@
   #failureShare = 0;
   #failedAtMs = 0;
 
-  /** Requests of this daemon that the destination has. */
-  get inFlight(): number {
-    return this.#inFlight;
-  }
-
   /**
    * Notes that a request goes out.
    *
@@ -126,8 +121,7 @@
    * @returns 0 to 1, the larger of the own and the reported share.
    */
   failureShare(nowMs: number): number {
-    const ageMs = nowMs - this.#failedAtMs;
-    const own = this.#failureShare * 0.5 ** (ageMs / FAILURE_HALF_LIFE_MS);
+    const own = this.#ownFailureShare(nowMs);
     return Math.max(own, (this.#load?.failureShare ?? 0) * this.#weight(nowMs));
   }
 
@@ -172,9 +166,13 @@
     return Math.exp(-(nowMs - this.#reportedAtMs) / REPORT_MEMORY_MS);
   }
 
+  #ownFailureShare(nowMs: number): number {
+    const ageMs = nowMs - this.#failedAtMs;
+    return this.#failureShare * 0.5 ** (ageMs / FAILURE_HALF_LIFE_MS);
+  }
+
   #observe(isFailure: boolean, nowMs: number): void {
-    const current = this.#failureShare *
-      0.5 ** ((nowMs - this.#failedAtMs) / FAILURE_HALF_LIFE_MS);
+    const current = this.#ownFailureShare(nowMs);
     this.#failureShare = current +
       ((isFailure ? 1 : 0) - current) * FAILURE_WEIGHT;
     this.#failedAtMs = nowMs;
--- a/src/state/route_table.ts
+++ b/src/state/route_table.ts
@@ -11,7 +11,6 @@
 export class RouteTable {
   readonly config: MeshConfig;
   readonly #byHost = new Map<string, Map<string, MeshRoute>>();
-  readonly #services = new Set<string>();
 
   /**
    * Builds the table.
@@ -20,7 +19,6 @@
    */
   constructor(config: MeshConfig) {
     this.config = config;
-    for (const service of config.services) this.#services.add(service.name);
     for (const route of config.routes) {
       const host = route.host.toLowerCase();
       const prefixes = this.#byHost.get(host) ?? new Map<string, MeshRoute>();
@@ -51,16 +49,6 @@
     return undefined;
   }
 
-  /**
-   * Says whether a service is configured.
-   *
-   * @param name Name of the service.
-   * @returns Whether it is.
-   */
-  hasService(name: string): boolean {
-    return this.#services.has(name);
-  }
-
   #prefixesOf(host: string): ReadonlyMap<string, MeshRoute> | undefined {
     const exact = this.#byHost.get(host);
     if (exact !== undefined) return exact;
