Follow the store through two readers of a failure domain

Change: in a failure domain of 8 daemons or more the two with the fastest links poll the store; the others poll them, compressed. A reader that gives no news within 1.1 s is passed over for 3 s, and who has no reader reads the store itself. Smaller domains read as before.

--- a/src/coordination/dispatch/latest_useful.ts
+++ b/src/coordination/dispatch/latest_useful.ts
@@ -3,9 +3,7 @@
 /** Part of the time behind its objective that a request still waits. */
 const LATE_SHARE = 0.25;
 /** Part of the time behind its objective that a short request still waits. */
-const SHORT_WAIT_SHARE = 0.9;
-/** Part of the time to its objective within which a request should end. */
-const TIMELY_SHARE = 0.85;
+const SHORT_WAIT_SHARE = 0.5;
 
 /** Times of a request, monotonic. */
 export interface UsefulTimes {
@@ -42,27 +40,3 @@
   }
   return arrivedAtMs + (deadlineMs - arrivedAtMs) * LATE_WAIT_SHARE;
 }
-
-/**
- * Returns the latest expected end with which a request is let in where others
- * wait. It is stricter than {@linkcode latestUsefulMs}: a backend server ends
- * as many requests from behind a short queue as from behind a long one, but
- * from behind a long one it ends them late.
- *
- * @param times Times of the request.
- * @param isShort Whether it takes little next to the others.
- * @returns The time, monotonic.
- *
- * @example
- * ```ts
- * const times = { objectiveAtMs: 500, deadlineMs: 1_300, arrivedAtMs: 0 };
- * latestAdmittedMs(times, false); // 425
- * ```
- */
-export function latestAdmittedMs(times: UsefulTimes, isShort: boolean): number {
-  const { objectiveAtMs, arrivedAtMs } = times;
-  if (isShort || objectiveAtMs <= arrivedAtMs) {
-    return latestUsefulMs(times, isShort);
-  }
-  return arrivedAtMs + (objectiveAtMs - arrivedAtMs) * TIMELY_SHARE;
-}
--- a/src/coordination/dispatch/work_queue.ts
+++ b/src/coordination/dispatch/work_queue.ts
@@ -1,4 +1,4 @@
-import { latestAdmittedMs, latestUsefulMs } from "./latest_useful.ts";
+import { latestUsefulMs } from "./latest_useful.ts";
 import { ServiceTimes } from "./service_times.ts";
 
 /** Factor on the cost of work that misses its objective anyway. */
@@ -100,8 +100,7 @@
       return { kind: "start" };
     }
     const waitMs = this.#waitMs(item, nowMs);
-    const isShort = this.times.isShort(item.route);
-    if (nowMs + waitMs + serviceMs > latestAdmittedMs(item, isShort)) {
+    if (nowMs + waitMs + serviceMs > this.usefulUntilMs(item)) {
       return this.#refusal(waitMs);
     }
     this.#waiting.push(item);
--- /dev/null
+++ b/src/coordination/readers/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Which daemons read the store for the others of their failure domain.
+ *
+ * @module
+ */
+export * from "./reader_choice.ts";
--- /dev/null
+++ b/src/coordination/readers/reader_choice_test.ts
@@ -0,0 +1,56 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type BackendRecord, BackendState } from "../../protocol/mesh.ts";
+import { chooseReaders } from "./reader_choice.ts";
+
+function record(fields: Partial<BackendRecord>): BackendRecord {
+  return {
+    id: "i-1",
+    instance: "a-1",
+    service: "stock",
+    domain: "a",
+    peerAddress: "127.0.0.1:1",
+    slots: 12,
+    state: BackendState.Ready,
+    bornAtUnixMs: 1,
+    linkMbps: 7,
+    ...fields,
+  };
+}
+
+function domainOf(size: number): BackendRecord[] {
+  return Array.from(
+    { length: size },
+    (_, index) => record({ instance: `a-${index + 1}` }),
+  );
+}
+
+const namesOf = (records: readonly BackendRecord[]) =>
+  records.map(({ instance }) => instance);
+
+test("chooseReaders() prefers fast links, whatever the order of records", () => {
+  const members = [
+    ...domainOf(8),
+    record({ instance: "a-9", linkMbps: 140 }),
+    record({ instance: "b-1", domain: "b", linkMbps: 1_000 }),
+  ];
+  const chosen = [members, [...members].reverse()].map((records) =>
+    namesOf(chooseReaders(records, "a"))
+  );
+  assert.equal(chosen, [["a-9", "a-1"], ["a-9", "a-1"]]);
+});
+
+test("chooseReaders() leaves out a daemon whose backend server leaves", () => {
+  const [first, ...others] = domainOf(9);
+  const leaving = { ...first!, state: BackendState.Draining };
+  assert.equal(namesOf(chooseReaders([leaving, ...others], "a")), [
+    "a-2",
+    "a-3",
+  ]);
+});
+
+test("chooseReaders() names none in a small failure domain", () => {
+  assert.equal(chooseReaders(domainOf(7), "a"), []);
+});
+
+test.run();
--- /dev/null
+++ b/src/protocol/feed_test.ts
@@ -0,0 +1,63 @@
+import { Buffer } from "node:buffer";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  decodeFeed,
+  encodeFeed,
+  formatFeedTarget,
+  parseFeedTarget,
+} from "./feed.ts";
+
+test("decodeFeed() returns what encodeFeed() was given, byte for byte", () => {
+  const value = Buffer.from([0, 127, 128, 255, 123, 34]);
+  const news = {
+    revision: 9,
+    events: [
+      {
+        key: "config",
+        entry: { key: "config", value, modRevision: 8, leaseId: "0" },
+      },
+      { key: "gone" },
+    ],
+  };
+  assert.equal(decodeFeed(encodeFeed(news)), news);
+});
+
+test("decodeFeed() reads nothing from bytes that were cut short", () => {
+  const bytes = encodeFeed({ revision: 9, events: [{ key: "gone" }] });
+  const cuts = [0, 1, 10, bytes.length - 1].map((length) =>
+    decodeFeed(bytes.subarray(0, length))
+  );
+  assert.equal(cuts, [undefined, undefined, undefined, undefined]);
+});
+
+test("encodeFeed() shrinks a long configuration to a fifth", () => {
+  const routes = Array.from({ length: 1_000 }, (_, index) => ({
+    name: `r-${index}`,
+    prefix: `/p${index}/`,
+    service: "stock",
+    timeoutS: 1.5,
+    attempts: 2,
+  }));
+  const value = Buffer.from(JSON.stringify(routes));
+  const entry = { key: "config", value, modRevision: 1, leaseId: "0" };
+  const bytes = encodeFeed({ revision: 1, events: [{ key: "config", entry }] });
+  assert.ok(bytes.length < value.length / 5);
+});
+
+test("parseFeedTarget() reads only what formatFeedTarget() writes", () => {
+  const targets = [
+    formatFeedTarget(7, 700),
+    "/.sesamepond/feed",
+    "/.sesamepond/feed?after=x&waitMs=1",
+    "/.sesamepond/feed?after=7&waitMs=-1",
+  ];
+  assert.equal(targets.map(parseFeedTarget), [
+    { afterRevision: 7, waitMs: 700 },
+    undefined,
+    undefined,
+    undefined,
+  ]);
+});
+
+test.run();
--- a/src/protocol/mesh.ts
+++ b/src/protocol/mesh.ts
@@ -92,4 +92,6 @@
   readonly slots: number;
   readonly state: BackendState;
   readonly bornAtUnixMs: number;
+  /** Bandwidth of the instance's link, in Mbit/s; 0 where it is not known. */
+  readonly linkMbps: number;
 }
--- a/src/sidecar/backend_keeper.ts
+++ b/src/sidecar/backend_keeper.ts
@@ -168,6 +168,7 @@
       slots: of.slots,
       state: isDraining ? BackendState.Draining : state,
       bornAtUnixMs: of.bornAtUnixMs,
+      linkMbps: this.#options.settings.linkMbps,
     };
     this.#options.directory.put(record);
     this.#options.announcer.publish(record);
--- a/src/sidecar/backend_record_codec.ts
+++ b/src/sidecar/backend_record_codec.ts
@@ -35,7 +35,9 @@
 export function decodeRecord(bytes: Uint8Array): BackendRecord | undefined {
   try {
     const record = JSON.parse(Buffer.from(bytes).toString());
-    return isRecord(record) ? record : undefined;
+    if (!isRecord(record)) return undefined;
+    // Records of earlier versions do not name the link.
+    return { ...record, linkMbps: record.linkMbps ?? 0 };
   } catch {
     // Not JSON: the caller logs it with its key.
     return undefined;
--- a/src/sidecar/call_flow.ts
+++ b/src/sidecar/call_flow.ts
@@ -2,7 +2,7 @@
 import {
   chooseDestination,
   type DestinationChoice,
-  latestAdmittedMs,
+  latestUsefulMs,
 } from "../coordination/dispatch/mod.ts";
 import type { WindowBudget } from "../coordination/retry/window_budget.ts";
 import { type MeshRoute, RequestKind } from "../protocol/mesh.ts";
@@ -140,7 +140,7 @@
   #isHopeless(choice: DestinationChoice): boolean {
     const endMs = performance.now() + choice.waitMs + choice.serviceMs;
     const times = { ...this.#request, arrivedAtMs: this.#arrivedAtMs };
-    if (endMs <= latestAdmittedMs(times, choice.isShort)) return false;
+    if (endMs <= latestUsefulMs(times, choice.isShort)) return false;
     this.#steps.push(
       `${choice.record.id}:hopeless:${MeshReason.Overloaded}:${
         Math.round(choice.waitMs)
--- a/src/sidecar/fleet.ts
+++ b/src/sidecar/fleet.ts
@@ -1,4 +1,5 @@
 import { DestinationView } from "../coordination/dispatch/mod.ts";
+import type { FeedNews } from "../protocol/feed.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
 import type { MeshCall } from "../protocol/mesh_call.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
@@ -56,6 +57,20 @@
     return this.#linkOf(record).view;
   }
 
+  /**
+   * Asks the daemon beside a backend server for news from the store.
+   *
+   * @param record The backend server.
+   * @param afterRevision Newest revision that was seen.
+   * @returns The news; `undefined` where it has none to give.
+   */
+  pollFeed(
+    record: BackendRecord,
+    afterRevision: number,
+  ): Promise<FeedNews | undefined> {
+    return this.#linkOf(record).client.pollFeed(afterRevision);
+  }
+
   /**
    * Has a request executed by a backend server.
    *
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -1,4 +1,9 @@
 import type { BackendRecord } from "../protocol/mesh.ts";
+import {
+  decodeFeed,
+  type FeedNews,
+  formatFeedTarget,
+} from "../protocol/feed.ts";
 import type {
   CallOutcome,
   DestinationLoad,
@@ -29,6 +34,11 @@
 /** Equal findings in a row that decide about a request without an answer. */
 const DECIDING_FINDINGS = 2;
 
+/** Time for which another daemon may wait for news from the store, in ms. */
+const FEED_WAIT_MS = 600;
+/** Time beyond that after which the daemon is taken to be out of reach, in ms. */
+const FEED_MARGIN_MS = 500;
+
 /** Outcome of a request with what came beside it. */
 export interface PeerResult {
   readonly outcome: CallOutcome;
@@ -107,6 +117,25 @@
       : undefined;
   }
 
+  /**
+   * Asks for what the daemon has read from the store since a revision.
+   *
+   * @param afterRevision The revision.
+   * @returns The news; `undefined` where the daemon has none to give, as it
+   * does not reach the store, does not read it or does not answer.
+   */
+  async pollFeed(afterRevision: number): Promise<FeedNews | undefined> {
+    const result = await this.#connections.send({
+      method: "GET",
+      path: formatFeedTarget(afterRevision, FEED_WAIT_MS),
+      headers: [],
+      body: undefined,
+    }, AbortSignal.timeout(FEED_WAIT_MS + FEED_MARGIN_MS));
+    return result.kind === "answer" && result.status === 200
+      ? decodeFeed(result.body)
+      : undefined;
+  }
+
   /** Closes what is idle. */
   close(): void {
     this.#connections.close();
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -4,6 +4,13 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Buffer } from "node:buffer";
+import {
+  encodeFeed,
+  FEED_PATH,
+  type FeedNews,
+  parseFeedTarget,
+} from "../protocol/feed.ts";
 import type { CallOutcome, MeshCall } from "../protocol/mesh_call.ts";
 import { MeshReason, notRunOutcome } from "../protocol/mesh_call.ts";
 import {
@@ -39,6 +46,11 @@
   readonly ending: Ending;
   /** Takes in the configuration version of another daemon. */
   readonly onVersion: (version: number, host: string) => void;
+  /** Waits for news from the store after a revision; `undefined` for none. */
+  readonly newsFor: (
+    afterRevision: number,
+    waitMs: number,
+  ) => Promise<FeedNews | undefined>;
 }
 
 /**
@@ -53,6 +65,7 @@
   readonly server: Server;
   readonly #options: PeerServerOptions;
   readonly #ledger = new CallLedger();
+  #lastFeed: { readonly news: FeedNews; readonly body: Buffer } | undefined;
 
   /**
    * Creates a server that does not listen yet.
@@ -156,10 +169,38 @@
     } else if (target.startsWith(STATUS_PATH)) {
       const id = decodeURIComponent(target.slice(STATUS_PATH.length));
       response.writeHead(200).end(this.#ledger.ask(id, performance.now()));
+    } else if (target.startsWith(FEED_PATH)) {
+      void this.#answerFollower(target, response);
     } else {
       response.writeHead(404).end();
     }
   }
+
+  async #answerFollower(
+    target: string,
+    response: ServerResponse,
+  ): Promise<void> {
+    const asked = parseFeedTarget(target);
+    const news = asked &&
+      await this.#options.newsFor(asked.afterRevision, asked.waitMs);
+    if (news === undefined) {
+      response.writeHead(NO_ANSWER_STATUS, { "content-length": 0 }).end();
+      return;
+    }
+    const body = this.#encoded(news);
+    response.writeHead(200, { "content-length": body.length }).end(body);
+  }
+
+  /** Followers mostly ask for the same, and a configuration is long. */
+  #encoded(news: FeedNews): Buffer {
+    const known = this.#lastFeed;
+    const isSame = known?.news.revision === news.revision &&
+      known.news.events.length === news.events.length;
+    if (isSame) return known.body;
+    const body = encodeFeed(news);
+    this.#lastFeed = { news, body };
+    return body;
+  }
 }
 
 function toCall(
--- a/src/sidecar/ports.ts
+++ b/src/sidecar/ports.ts
@@ -1,31 +1,19 @@
 import type {
   RangeResult,
-  StoreEntry,
   StoreTransaction,
   TransactionResult,
 } from "../protocol/store.ts";
 import type { ResultAsync } from "neverthrow";
+import type { FeedNews } from "../protocol/feed.ts";
 import type { Announcement, MeshConfig } from "../protocol/mesh.ts";
 import type { StepError } from "../protocol/step_error.ts";
 
 /** What a long poll of the store returned. */
 export type PollResult =
-  | {
-    readonly kind: "events";
-    readonly events: readonly StoreChange[];
-    /** Revision to continue from. */
-    readonly revision: number;
-  }
+  | ({ readonly kind: "events" } & FeedNews)
   /** The history since the revision is no longer there. */
   | { readonly kind: "compacted" };
 
-/** One change that a long poll reports. */
-export interface StoreChange {
-  readonly key: string;
-  /** Absent where the key was deleted. */
-  readonly entry?: StoreEntry;
-}
-
 /** Where a long poll starts, and how long it waits. */
 export interface PollOptions {
   readonly prefix: string;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -16,6 +16,7 @@
 import { createControlServer } from "./control_task.ts";
 import { DestinationTask } from "./destination_task.ts";
 import { Ending } from "./ending.ts";
+import { FeedFollower } from "./feed_follower.ts";
 import { Fleet } from "./fleet.ts";
 import { IngressTask } from "./ingress_task.ts";
 import { PeerServer } from "./peer_server.ts";
@@ -118,6 +119,8 @@
       ending: this.#ending,
       log: this.#log,
       onVersion: (version) => void this.#sync.hear(version, undefined),
+      newsFor: (afterRevision, waitMs) =>
+        this.#sync.newsFor(afterRevision, waitMs),
     });
     const { readyAddress, controlAddress } = settings;
     this.#control = [...new Set([readyAddress, controlAddress])].map(() =>
@@ -266,6 +269,14 @@
       log: this.#log,
       metrics: this.#metrics,
       ownKey: this.#announcer.key,
+      follower: new FeedFollower({
+        instance: this.#settings.instance,
+        domain: this.#settings.domain,
+        directory: this.#directory,
+        pollFeed: (record, afterRevision) =>
+          this.#fleet.pollFeed(record, afterRevision),
+        log: this.#log,
+      }),
       onConfig: () => this.#ingress.configured(),
       onOwnRecord: (entry) => {
         const record = this.#announcer.observed(entry);
--- a/src/sidecar/sidecar_settings.ts
+++ b/src/sidecar/sidecar_settings.ts
@@ -18,6 +18,8 @@
   /** Address of the metrics, as text. */
   readonly metricsAddress: string;
   readonly storeAddress: string;
+  /** Bandwidth of the instance's link, in Mbit/s; 0 where it is not known. */
+  readonly linkMbps: number;
   /** Time from SIGTERM to the end of the process. */
   readonly graceMs: number;
   /** Repeats that each first request allows, fleet-wide. */
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -8,6 +8,9 @@
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { decodeRecord, RECORD_PREFIX } from "./backend_record_codec.ts";
 import type { PeerClient } from "./peer_client.ts";
+import type { FeedNews } from "../protocol/feed.ts";
+import { FeedHistory } from "../state/feed_history.ts";
+import type { FeedFollower } from "./feed_follower.ts";
 import type { ConfigFeed, MeshStore } from "./ports.ts";
 
 /** Longest time that the store may hold a poll, in ms. */
@@ -37,6 +40,8 @@
   /** Called with the entry of this daemon's own record, or its absence. */
   readonly onOwnRecord: (entry: StoreEntry | undefined) => void;
   readonly ownKey: string;
+  /** Gets news from the readers of the failure domain. */
+  readonly follower: FeedFollower;
   /** Called as an instance is no longer used. */
   readonly onGone: (instance: string) => void;
 }
@@ -52,6 +57,8 @@
  */
 export class StoreSyncTask {
   readonly #options: StoreSyncOptions;
+  readonly #history = new FeedHistory();
+  #readsStore = false;
   #backoffMs = MIN_BACKOFF_MS;
   #isConnected = false;
   #hasListed = false;
@@ -71,6 +78,25 @@
     return this.#hasListed;
   }
 
+  /**
+   * Waits for what this daemon reads from the store after a revision.
+   *
+   * @param afterRevision The revision.
+   * @param waitMs Longest time to wait.
+   * @returns The news; `undefined` where this daemon does not read the store
+   * itself, does not reach it, or knows too little of the past.
+   */
+  async newsFor(
+    afterRevision: number,
+    waitMs: number,
+  ): Promise<FeedNews | undefined> {
+    const present = this.#history.since(afterRevision);
+    if (!this.#readsStore || !this.#isConnected) return undefined;
+    if (present === undefined || present.events.length > 0) return present;
+    await this.#history.changed(waitMs);
+    return this.#isConnected ? this.#history.since(afterRevision) : undefined;
+  }
+
   /**
    * Follows the store until the signal aborts.
    *
@@ -126,6 +152,7 @@
     this.#connected();
     this.#hasListed = true;
     const { entries, revision } = listed.value;
+    this.#history.restart(revision);
     for (const entry of entries) this.#put(entry);
     const present = new Set(entries.map((entry) => entry.key));
     for (const { record } of directory.entries) {
@@ -139,6 +166,15 @@
   }
 
   async #poll(afterRevision: number): Promise<number | undefined> {
+    const news = await this.#options.follower.poll(afterRevision);
+    this.#readsStore = news === undefined;
+    if (news === undefined) return await this.#pollStore(afterRevision);
+    this.#connected();
+    this.#apply(news);
+    return news.revision;
+  }
+
+  async #pollStore(afterRevision: number): Promise<number | undefined> {
     const { store, source } = this.#options;
     const polled = await store.poll({
       prefix: source.watchPrefix,
@@ -156,12 +192,17 @@
       this.#options.log.warn("store-history-lost", { afterRevision });
       return undefined;
     }
-    for (const { key, entry } of result.events) {
+    this.#apply(result);
+    if (result.events.length > 0) await sleep(COALESCE_MS);
+    return result.revision;
+  }
+
+  #apply(news: FeedNews): void {
+    for (const { key, entry } of news.events) {
       if (entry === undefined) this.#missing(key);
       else this.#put(entry);
     }
-    if (result.events.length > 0) await sleep(COALESCE_MS);
-    return result.revision;
+    this.#history.record(news.events, news.revision);
   }
 
   #put(entry: StoreEntry): void {
--- /dev/null
+++ b/src/state/feed_history_test.ts
@@ -0,0 +1,43 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FeedHistory } from "./feed_history.ts";
+
+const entryOf = (key: string, text: string) => ({
+  key,
+  entry: {
+    key,
+    value: new TextEncoder().encode(text),
+    modRevision: 1,
+    leaseId: "0",
+  },
+});
+
+test("since() returns the newest change of each key only", () => {
+  const history = new FeedHistory();
+  history.restart(5);
+  history.record([entryOf("config", "v1"), { key: "gone" }], 7);
+  history.record([entryOf("config", "v2")], 8);
+  assert.equal([5, 7, 8, 9].map((revision) => history.since(revision)), [
+    { events: [{ key: "gone" }, entryOf("config", "v2")], revision: 8 },
+    { events: [entryOf("config", "v2")], revision: 8 },
+    { events: [], revision: 8 },
+    { events: [], revision: 9 },
+  ]);
+});
+
+test("since() knows nothing from before the store was read whole", () => {
+  const history = new FeedHistory();
+  const before = history.since(3);
+  history.restart(5);
+  assert.equal([before, history.since(4)], [undefined, undefined]);
+});
+
+test("changed() ends with the next change", async () => {
+  const history = new FeedHistory();
+  history.restart(1);
+  const waited = history.changed(60_000).then(() => history.since(1)?.revision);
+  history.record([{ key: "a" }], 2);
+  assert.is(await waited, 2);
+});
+
+test.run();
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -7,6 +7,7 @@
 export * from "./config_snapshot.ts";
 export * from "./config_store.ts";
 export * from "./decision_log.ts";
+export * from "./feed_history.ts";
 export * from "./member_table.ts";
 export * from "./request_ledger.ts";
 export * from "./own_backend.ts";
