Count the way through full links; wait for what may run once

Calls of orders went to destinations whose backend servers were free and whose links were full.

Change: a request that may run once is waited for until its deadline unless its destination says that it never arrived; answers say how long the daemon held the request, and the rest of the time counts as wait where destinations are chosen. Followers spread over both readers.

--- a/src/coordination/dispatch/destination_view.ts
+++ b/src/coordination/dispatch/destination_view.ts
@@ -14,6 +14,10 @@
 const FAILURE_HALF_LIFE_MS = 2_000;
 /** Slowdown of a backend server whose slots are all taken. */
 const CROWDING_SHARE = 0.25;
+/** Weight of the newest measured way. */
+const TRANSIT_WEIGHT = 0.3;
+/** Time in which a measured way loses half of its weight, in ms. */
+const TRANSIT_HALF_LIFE_MS = 1_000;
 /** Longest time for which a destination out of reach is not tried, in ms. */
 const MAX_UNREACHABLE_MS = 2_000;
 
@@ -50,6 +54,8 @@
   #reportedAtMs = -Infinity;
   #failureShare = 0;
   #failedAtMs = 0;
+  #transitMs = 0;
+  #travelledAtMs = 0;
 
   /**
    * Notes that a request goes out.
@@ -100,6 +106,19 @@
     this.#unreachable.forgive();
   }
 
+  /**
+   * Takes in how long a request and its answer were on their way. A way through
+   * a full link is longer than any queue behind it.
+   *
+   * @param transitMs The time.
+   * @param nowMs Monotonic time.
+   */
+  travelled(transitMs: number, nowMs: number): void {
+    const current = this.#expectedTransitMs(nowMs);
+    this.#transitMs = current + (transitMs - current) * TRANSIT_WEIGHT;
+    this.#travelledAtMs = nowMs;
+  }
+
   /**
    * Notes that the destination could not be reached.
    *
@@ -149,7 +168,7 @@
     const isFull = busy >= limit;
     return {
       waitMs: this.#waitMs(route, nowMs, isFull ? serviceMs / limit : 0) +
-        crowding,
+        crowding + this.#expectedTransitMs(nowMs),
       serviceMs,
     };
   }
@@ -162,6 +181,11 @@
     return wait.waitMs * weight + wait.sentSince * eachMs;
   }
 
+  #expectedTransitMs(nowMs: number): number {
+    const ageMs = nowMs - this.#travelledAtMs;
+    return this.#transitMs * 0.5 ** (ageMs / TRANSIT_HALF_LIFE_MS);
+  }
+
   #weight(nowMs: number): number {
     return Math.exp(-(nowMs - this.#reportedAtMs) / REPORT_MEMORY_MS);
   }
--- a/src/coordination/dispatch/destination_view_test.ts
+++ b/src/coordination/dispatch/destination_view_test.ts
@@ -50,4 +50,13 @@
   assert.ok(view.failureShare(0) > 0.25 && view.failureShare(4_000) < 0.1);
 });
 
+test("expected() counts the way through a full link, and tries it again", () => {
+  const view = new DestinationView();
+  for (let index = 0; index < 10; index++) view.travelled(800, 0);
+  const waits = [0, 1_000, 6_000].map((nowMs) =>
+    Math.round(view.expected("call", nowMs, 12).waitMs / 100) * 100
+  );
+  assert.equal(waits, [800, 400, 0]);
+});
+
 test.run();
--- a/src/coordination/dispatch/service_times.ts
+++ b/src/coordination/dispatch/service_times.ts
@@ -1,7 +1,7 @@
 /** Weight of the newest sample in an average. */
 const SAMPLE_WEIGHT = 0.1;
-/** Part of the longest service time up to which a request is short. */
-const SHORT_SHARE = 0.5;
+/** Part of the average service time up to which a request is short. */
+const SHORT_SHARE = 0.6;
 /** Service time assumed before the first sample, in ms. */
 const INITIAL_MS = 50;
 
@@ -31,16 +31,14 @@
   }
 
   /**
-   * Says whether requests of a route take little next to the longest ones, so
-   * that refusing one frees next to nothing. The average would not do: where
-   * most requests are short, none is short next to it.
+   * Says whether requests of a route take little next to the others, so that
+   * refusing one frees next to nothing.
    *
    * @param route Name of the route.
    * @returns Whether they do.
    */
   isShort(route: string): boolean {
-    const longestMs = Math.max(...this.#byRoute.values());
-    return this.expectedMs(route) <= longestMs * SHORT_SHARE;
+    return this.expectedMs(route) <= this.overallMs * SHORT_SHARE;
   }
 
   /** Average over all routes, in ms. */
--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -24,7 +24,7 @@
 /** Fields are short and in a fixed order, as they cross domains on each call. */
 const SEPARATOR = ";";
 const CALL_FIELDS = 10;
-const RESULT_FIELDS = 9;
+const RESULT_FIELDS = 10;
 
 const KIND_CODES: Readonly<Record<RequestKind, string>> = {
   [RequestKind.Idempotent]: "i",
@@ -56,6 +56,8 @@
     | Exclude<CallOutcome, { kind: "answered" }>;
   readonly load: DestinationLoad;
   readonly configVersion: number;
+  /** Time from the arrival of the request's head to the answer, in ms. */
+  readonly heldMs: number;
 }
 
 /**
@@ -144,6 +146,7 @@
     Math.round(load.waitMs),
     load.failureShare.toFixed(2),
     configVersion,
+    Math.round(result.heldMs),
   ].join(SEPARATOR);
 }
 
@@ -183,12 +186,13 @@
   if (outcome === undefined || !numbers.every(Number.isFinite)) {
     return undefined;
   }
-  const [running, queued, limit, waitMs, failureShare, configVersion] =
-    numbers as [number, number, number, number, number, number];
+  const [running, queued, limit, waitMs, failureShare, configVersion, heldMs] =
+    numbers as [number, number, number, number, number, number, number];
   return {
     outcome,
     load: { running, queued, limit, waitMs, failureShare },
     configVersion,
+    heldMs,
   };
 }
 
--- a/src/protocol/peer_call_test.ts
+++ b/src/protocol/peer_call_test.ts
@@ -51,6 +51,7 @@
     outcome,
     load: LOAD,
     configVersion: 7,
+    heldMs: 45,
   }));
   assert.equal(
     results.map((result) => parseResult(formatResult(result))),
--- a/src/sidecar/feed_follower.ts
+++ b/src/sidecar/feed_follower.ts
@@ -1,5 +1,6 @@
 import { chooseReaders } from "../coordination/readers/mod.ts";
 import type { FeedNews } from "../protocol/feed.ts";
+import { hash32 } from "../protocol/hash.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
@@ -64,16 +65,18 @@
     return news;
   }
 
-  /** The first reader that is not paused; none for a reader itself. */
+  /** A reader that is not paused; none for a reader itself. */
   #choose(): BackendRecord | undefined {
     const { instance, domain, directory } = this.#options;
     const records = [...directory.entries].map(({ record }) => record);
     const readers = chooseReaders(records, domain);
     if (readers.some((one) => one.instance === instance)) return undefined;
     const nowMs = performance.now();
-    return readers.find((one) =>
+    const willing = readers.filter((one) =>
       (this.#pausedUntilMs.get(one.instance) ?? 0) <= nowMs
     );
+    // Followers spread over the readers by their names.
+    return willing[hash32(instance) % willing.length];
   }
 
   #follow(reader: string): void {
--- a/src/sidecar/fleet.ts
+++ b/src/sidecar/fleet.ts
@@ -98,6 +98,9 @@
     if (result.load !== undefined) {
       view.reported(call.route, result.load, nowMs);
     }
+    if (result.transitMs !== undefined) {
+      view.travelled(result.transitMs, nowMs);
+    }
     if (result.configVersion !== undefined) {
       this.#options.onVersion(result.configVersion, client);
     }
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -1,3 +1,4 @@
+import { silenceVerdict } from "../coordination/retry/silence_verdict.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
 import {
   decodeFeed,
@@ -31,8 +32,6 @@
 const QUERY_PERIOD_MS = 500;
 /** Time in which a question must be answered, in ms. */
 const QUERY_TIMEOUT_MS = 400;
-/** Equal findings in a row that decide about a request without an answer. */
-const DECIDING_FINDINGS = 2;
 
 /** Time for which another daemon may wait for news from the store, in ms. */
 const FEED_WAIT_MS = 600;
@@ -44,6 +43,8 @@
   readonly outcome: CallOutcome;
   readonly load?: DestinationLoad;
   readonly configVersion?: number;
+  /** Time that the request and its answer were on their way, in ms. */
+  readonly transitMs?: number;
 }
 
 /**
@@ -86,6 +87,7 @@
     const onAbort = () => lost.abort();
     options.signal.addEventListener("abort", onAbort);
     const watch = this.#watch(call, lost);
+    const sentAtMs = performance.now();
     const result = await this.#connections.send({
       method: call.method,
       path: call.path,
@@ -102,7 +104,7 @@
     if (result.kind === "failed" && options.signal.aborted) {
       return { outcome: { kind: "unknown", reason: MeshReason.Cancelled } };
     }
-    return toPeerResult(result, verdict);
+    return toPeerResult(result, verdict, performance.now() - sentAtMs);
   }
 
   /**
@@ -151,7 +153,7 @@
       if (timer === undefined) return;
       repeated = status === last ? repeated + 1 : 1;
       last = status;
-      verdict = verdictOf(status, repeated);
+      verdict = silenceVerdict(status, repeated, call.kind);
       if (verdict !== undefined) lost.abort();
       else timer = setTimeout(ask, QUERY_PERIOD_MS);
     };
@@ -190,28 +192,6 @@
   stop(): CallOutcome | undefined;
 }
 
-function verdictOf(
-  status: CallStatus | undefined,
-  repeated: number,
-): CallOutcome | undefined {
-  const isDecided = repeated >= DECIDING_FINDINGS;
-  switch (status) {
-    case CallStatus.Unknown:
-      return notRunOutcome(MeshReason.Unreachable);
-    case CallStatus.Open:
-      return undefined;
-    // The answer may still be on its way over a slow link.
-    case CallStatus.Ended:
-      return isDecided
-        ? { kind: "unknown", reason: MeshReason.Broken }
-        : undefined;
-    case undefined:
-      return isDecided
-        ? { kind: "unknown", reason: MeshReason.Unreachable }
-        : undefined;
-  }
-}
-
 function describe(call: MeshCall, configVersion: number): string {
   const nowMs = performance.now();
   return formatCall({
@@ -233,6 +213,7 @@
 function toPeerResult(
   result: StackResult,
   verdict: CallOutcome | undefined,
+  tookMs: number,
 ): PeerResult {
   if (result.kind === "failed") {
     if (verdict !== undefined) return { outcome: verdict };
@@ -246,8 +227,11 @@
   if (described === undefined) {
     return { outcome: { kind: "unknown", reason: MeshReason.Malformed } };
   }
-  const { outcome, load, configVersion } = described;
-  if (outcome.kind !== "answered") return { outcome, load, configVersion };
+  const { outcome, load, configVersion, heldMs } = described;
+  const transitMs = Math.max(0, tookMs - heldMs);
+  if (outcome.kind !== "answered") {
+    return { outcome, load, configVersion, transitMs };
+  }
   const headers = withoutResult(result.headers);
   return {
     outcome: {
@@ -257,6 +241,7 @@
     },
     load,
     configVersion,
+    transitMs,
   };
 }
 
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -98,7 +98,8 @@
     }
     // Noted with its head, as a long body may be on its way for a while.
     const { id } = description;
-    const mayRun = this.#ledger.open(id, performance.now());
+    const arrivedAtMs = performance.now();
+    const mayRun = this.#ledger.open(id, arrivedAtMs);
     const read = await readBody(request, MAX_BODY_BYTES);
     if (read.kind !== "whole") {
       this.#ledger.end(id, performance.now());
@@ -106,7 +107,8 @@
       return;
     }
     const call = toCall(request, description, read.body);
-    await this.#execute(call, response, mayRun);
+    const outcome = await this.#execute(call, response, mayRun);
+    this.#answer({ call, outcome, arrivedAtMs }, response);
     this.#ledger.end(id, performance.now());
     this.#options.onVersion(
       description.configVersion,
@@ -118,29 +120,33 @@
     call: MeshCall,
     response: ServerResponse,
     mayRun: boolean,
-  ): Promise<void> {
+  ): Promise<CallOutcome> {
     const { destination, ending } = this.#options;
     const cancel = new AbortController();
     response.on("close", () => {
       if (!response.writableFinished) cancel.abort();
     });
-    const outcome = !mayRun
-      ? notRunOutcome(MeshReason.Unreachable)
-      : !ending.allows(call.deadlineMs, performance.now())
-      ? notRunOutcome(MeshReason.Leaving)
-      : await destination.execute(call, cancel.signal);
-    this.#answer(call, outcome, response);
+    if (!mayRun) return notRunOutcome(MeshReason.Unreachable);
+    if (!ending.allows(call.deadlineMs, performance.now())) {
+      return notRunOutcome(MeshReason.Leaving);
+    }
+    return await destination.execute(call, cancel.signal);
   }
 
   #answer(
-    call: MeshCall,
-    outcome: CallOutcome,
+    ended: {
+      readonly call: MeshCall;
+      readonly outcome: CallOutcome;
+      readonly arrivedAtMs: number;
+    },
     response: ServerResponse,
   ): void {
+    const { call, outcome, arrivedAtMs } = ended;
     const result = formatResult({
       outcome,
       load: this.#options.destination.loadFor(call),
       configVersion: this.#options.routes.version,
+      heldMs: performance.now() - arrivedAtMs,
     });
     if (outcome.kind !== "answered") {
       response.writeHead(NO_ANSWER_STATUS, [
