Let two long bodies at a time onto the way to a slow link

Calls that never came back taught nothing about the way.

Change: a body that keeps the destination's link busy for 20 ms or more asks its daemon for a place first; two are given at a time, first come first served, and lapse after 1 s. A call that was given up while a question about it got no answer counts as a long way. Nothing changes where links are fast.

--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./body_gate.ts";
 export * from "./destination_choice.ts";
 export * from "./destination_view.ts";
 export * from "./latest_useful.ts";
--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -9,6 +9,8 @@
 
 /** Path under which a daemon asks another one what became of a request. */
 export const STATUS_PATH = "/.sesamepond/status/";
+/** Path under which a daemon asks for a place for a long body, by its id. */
+export const PLACE_PATH = "/.sesamepond/place/";
 /** Path at which a daemon hands out its newest configuration. */
 export const CONFIG_PATH = "/.sesamepond/config";
 /** What a destination knows of a request. */
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -1,3 +1,4 @@
+import { needsPlace } from "../coordination/dispatch/mod.ts";
 import { silenceVerdict } from "../coordination/retry/silence_verdict.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
 import {
@@ -18,6 +19,7 @@
   HEADER_CALL,
   HEADER_RESULT,
   parseResult,
+  PLACE_PATH,
   type ResultDescription,
   STATUS_PATH,
 } from "../protocol/peer_call.ts";
@@ -60,6 +62,7 @@
  */
 export class PeerClient {
   readonly #address: string;
+  readonly #linkMbps: number;
   readonly #connections: ConnectionStack;
 
   /**
@@ -69,6 +72,7 @@
    */
   constructor(record: BackendRecord) {
     this.#address = record.peerAddress;
+    this.#linkMbps = record.linkMbps;
     this.#connections = new ConnectionStack(record.peerAddress);
   }
 
@@ -83,6 +87,12 @@
     call: MeshCall,
     options: { readonly signal: AbortSignal; readonly configVersion: number },
   ): Promise<PeerResult> {
+    if (needsPlace(call.body?.length ?? 0, this.#linkMbps)) {
+      await this.#untilPlace(call, options.signal);
+      if (options.signal.aborted) {
+        return { outcome: notRunOutcome(MeshReason.Cancelled) };
+      }
+    }
     const lost = new AbortController();
     const onAbort = () => lost.abort();
     options.signal.addEventListener("abort", onAbort);
@@ -100,11 +110,16 @@
       accepts: (_status, headers) => resultOf(headers) !== undefined,
     }, lost.signal);
     options.signal.removeEventListener("abort", onAbort);
-    const verdict = watch.stop();
+    const { verdict, isSilent } = watch.stop();
+    const tookMs = performance.now() - sentAtMs;
     if (result.kind === "failed" && options.signal.aborted) {
-      return { outcome: { kind: "unknown", reason: MeshReason.Cancelled } };
+      return {
+        outcome: { kind: "unknown", reason: MeshReason.Cancelled },
+        // Neither the request nor a question about it came through so far.
+        ...(isSilent ? { transitMs: tookMs } : {}),
+      };
     }
-    return toPeerResult(result, verdict, performance.now() - sentAtMs);
+    return toPeerResult(result, verdict, tookMs);
   }
 
   /**
@@ -143,6 +158,17 @@
     this.#connections.close();
   }
 
+  /** Waits for a place on the way; a destination that names none is no bar. */
+  async #untilPlace(call: MeshCall, signal: AbortSignal): Promise<void> {
+    const leftMs = Math.max(0, call.deadlineMs - performance.now());
+    await this.#connections.send({
+      method: "GET",
+      path: PLACE_PATH + encodeURIComponent(call.id),
+      headers: [],
+      body: undefined,
+    }, AbortSignal.any([signal, AbortSignal.timeout(leftMs)]));
+  }
+
   /** Asks about a request again and again until its answer comes. */
   #watch(call: MeshCall, lost: AbortController): QueryWatch {
     let verdict: CallOutcome | undefined;
@@ -162,7 +188,7 @@
       stop: () => {
         clearTimeout(timer);
         timer = undefined;
-        return verdict;
+        return { verdict, isSilent: repeated > 0 && last === undefined };
       },
     };
   }
@@ -189,7 +215,11 @@
 
 interface QueryWatch {
   /** Ends the questions; returns what they found out. */
-  stop(): CallOutcome | undefined;
+  stop(): {
+    readonly verdict: CallOutcome | undefined;
+    /** Whether the last question got no answer. */
+    readonly isSilent: boolean;
+  };
 }
 
 function describe(call: MeshCall, configVersion: number): string {
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -20,6 +20,7 @@
   HEADER_CALL,
   HEADER_RESULT,
   parseCall,
+  PLACE_PATH,
   STATUS_PATH,
 } from "../protocol/peer_call.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
@@ -28,6 +29,7 @@
 import { CallLedger } from "./call_ledger.ts";
 import type { Ending } from "./ending.ts";
 import type { DestinationTask } from "./destination_task.ts";
+import { PlaceDesk } from "./place_desk.ts";
 import { readBody } from "./read_body.ts";
 
 /** Time for which an idle connection of another daemon stays open, in ms. */
@@ -65,6 +67,7 @@
   readonly server: Server;
   readonly #options: PeerServerOptions;
   readonly #ledger = new CallLedger();
+  readonly #places = new PlaceDesk();
   #lastFeed: { readonly news: FeedNews; readonly body: Buffer } | undefined;
 
   /**
@@ -101,6 +104,7 @@
     const arrivedAtMs = performance.now();
     const mayRun = this.#ledger.open(id, arrivedAtMs);
     const read = await readBody(request, MAX_BODY_BYTES);
+    this.#places.arrived(id);
     if (read.kind !== "whole") {
       this.#ledger.end(id, performance.now());
       response.destroy();
@@ -175,6 +179,14 @@
     } else if (target.startsWith(STATUS_PATH)) {
       const id = decodeURIComponent(target.slice(STATUS_PATH.length));
       response.writeHead(200).end(this.#ledger.ask(id, performance.now()));
+    } else if (target.startsWith(PLACE_PATH)) {
+      const id = decodeURIComponent(target.slice(PLACE_PATH.length));
+      response.once("close", () => {
+        if (!response.writableFinished) this.#places.arrived(id);
+      });
+      this.#places.ask(id, () => {
+        response.writeHead(200, { "content-length": 0 }).end();
+      });
     } else if (target.startsWith(FEED_PATH)) {
       void this.#answerFollower(target, response);
     } else {
--- a/tests/platform/readers_test.ts
+++ b/tests/platform/readers_test.ts
@@ -18,7 +18,7 @@
 async function readersTest(
   run: (mesh: FakeMesh) => Promise<void>,
 ): Promise<void> {
-  const mesh = await FakeMesh.start(SIZE, 1);
+  const mesh = await FakeMesh.start(SIZE, { domains: 1 });
   try {
     // Polls that began before all records were known end with the next change.
     mesh.store.put("sesamepond/nothing", "");
