Give the wait for a place a whole number of ms; soak readers, slow links and the last version

The test of slow links had not sent over a slow link; it does now, and fails without the mend.

Change: the time is rounded up.

--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -31,11 +31,17 @@
 /** Where an instance finds what it needs. */
 export interface InstanceOptions {
   readonly index: number;
+  /** Name of its failure domain. */
+  readonly domain: string;
   readonly folder: string;
   readonly bundle: string;
   readonly storePort: number;
 }
 
+/** Bandwidths that daemons take their links to have, in Mbit/s. */
+const FAST_MBPS = 1_000;
+const SLOW_MBPS = 7;
+
 /**
  * A daemon as a process, behind a fault proxy to the store, with the stand-in
  * of a backend server that announces itself.
@@ -203,7 +209,8 @@
       this.#settingsFile,
       JSON.stringify({
         instance: this.name,
-        domain: `domain-${this.#options.index % 3}`,
+        domain: this.#options.domain,
+        linkMbps: this.#options.index % 2 === 0 ? FAST_MBPS : SLOW_MBPS,
         service: "stock",
         backendAddress: this.backend.address,
         ingressAddress: at(0),
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -20,6 +20,11 @@
     describe: "time of faults for each seed, in s",
   })
   .option("instances", { type: "number", default: 6, describe: "daemons" })
+  .option("domains", {
+    type: "number",
+    default: 3,
+    describe: "failure domains; 8 daemons in one have readers",
+  })
   .strict()
   .parseAsync();
 
@@ -34,8 +39,8 @@
 
 let failed = 0;
 for (let seed = args.seed; seed < args.seed + args.seeds; seed++) {
-  const { seconds, instances } = args;
-  const result = await runSoak({ seed, seconds, instances });
+  const { seconds, instances, domains } = args;
+  const result = await runSoak({ seed, seconds, instances, domains });
   const { sent, served, faults, problems, logs } = result;
   if (problems.length > 0) {
     failed++;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -25,6 +25,11 @@
 /** Time in which all is served again after the last fault, in ms. */
 const RECOVERY_MS = 15_000;
 const TIMEOUT_MS = 1_200;
+/** Time in which a version is in force once all faults are over, in ms. */
+const APPLY_MS = 5_000;
+/** One of this many orders has a body that asks for a place on a slow link. */
+const LONG_BODY_EVERY = 8;
+const LONG_BODY_BYTES = 60_000;
 /** Time in which the daemons of a new fleet are ready, in ms. */
 const START_MS = 20_000;
 
@@ -33,6 +38,8 @@
   readonly seed: number;
   readonly seconds: number;
   readonly instances: number;
+  /** Failure domains over which they are spread; 3 unless said. */
+  readonly domains?: number;
 }
 
 /** What a run found. */
@@ -91,6 +98,7 @@
       this.#instances.push(
         await SoakInstance.start({
           index,
+          domain: `domain-${index % (this.#options.domains ?? 3)}`,
           folder: this.#folder,
           bundle,
           storePort,
@@ -113,6 +121,7 @@
     const isServed = await this.#untilServed(RECOVERY_MS);
     const problems = brokenPromises(this.#sent, this.#lives());
     if (!isServed) problems.push("not all daemons serve after the last fault");
+    problems.push(...await this.#withoutLastVersion());
     const served = [...this.#sent.values()].filter(({ status }) =>
       status === 200
     );
@@ -155,6 +164,36 @@
     return true;
   }
 
+  /** Names the daemons that do not take a last version in time. */
+  async #withoutLastVersion(): Promise<string[]> {
+    const path = "/last/1";
+    this.#store.put(
+      CONFIG_KEY,
+      JSON.stringify(sampleConfig(++this.#version, [{
+        Name: "last",
+        Kind: "idempotent",
+        SloS: 0.5,
+        Priority: 0,
+        Match: { Prefix: "/last/" },
+        Action: { Service: "stock", TimeoutS: 1, Attempts: 1 },
+      }])),
+    );
+    const endAtMs = performance.now() + APPLY_MS;
+    const problems: string[] = [];
+    for (const instance of this.#instances) {
+      const request = { ...this.#newRequest(true), path };
+      while (request.status === 0 || request.status === 404) {
+        if (performance.now() > endAtMs) {
+          problems.push(`${instance.name} has not taken the last version`);
+          break;
+        }
+        await this.#send(instance, request);
+        await sleep(100);
+      }
+    }
+    return problems;
+  }
+
   async #probe(instance: SoakInstance): Promise<number> {
     const request = this.#newRequest(true);
     await this.#send(instance, request);
@@ -167,11 +206,14 @@
   }
 
   #newRequest(isIdempotent: boolean): SentRequest {
-    const id = `s${this.#options.seed}-${this.#nextId++}`;
+    const number = this.#nextId++;
+    const id = `s${this.#options.seed}-${number}`;
+    const isLong = number % LONG_BODY_EVERY === 0;
+    const body = `body of ${id}`.padEnd(isLong ? LONG_BODY_BYTES : 0, ".");
     const request = {
       id,
       path: `/${isIdempotent ? "stock" : "orders"}/${id}`,
-      body: isIdempotent ? "" : `body of ${id}`,
+      body: isIdempotent ? "" : body,
       isIdempotent,
       status: 0,
       answer: "",
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -14,9 +14,19 @@
 const REGRESSION_SEEDS: readonly number[] = [5];
 const CI_SEEDS: readonly number[] = [1];
 
-for (const seed of [...CI_SEEDS, ...REGRESSION_SEEDS]) {
+const CASES = [
+  ...[...CI_SEEDS, ...REGRESSION_SEEDS].map((seed) => ({
+    seed,
+    instances: 4,
+    domains: 3,
+  })),
+  // Two daemons read the store for the others.
+  { seed: 2, instances: 9, domains: 1 },
+];
+
+for (const { seed, instances, domains } of CASES) {
   test(`runSoak() breaks no promise under the faults of seed ${seed}`, async () => {
-    const result = await runSoak({ seed, seconds: 5, instances: 4 });
+    const result = await runSoak({ seed, seconds: 5, instances, domains });
     assert.equal({
       problems: result.problems,
       hasServed: result.served > 0,
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -161,12 +161,14 @@
   /** Waits for a place on the way; a destination that names none is no bar. */
   async #untilPlace(call: MeshCall, signal: AbortSignal): Promise<void> {
     const leftMs = Math.max(0, call.deadlineMs - performance.now());
+    // Only whole numbers are taken for a time.
+    const timeout = AbortSignal.timeout(Math.ceil(leftMs));
     await this.#connections.send({
       method: "GET",
       path: PLACE_PATH + encodeURIComponent(call.id),
       headers: [],
       body: undefined,
-    }, AbortSignal.any([signal, AbortSignal.timeout(leftMs)]));
+    }, AbortSignal.any([signal, timeout]));
   }
 
   /** Asks about a request again and again until its answer comes. */
--- a/tests/platform/slow_links_test.ts
+++ b/tests/platform/slow_links_test.ts
@@ -9,9 +9,11 @@
 test("a burst of uploads over slow links is served whole", async () => {
   const mesh = await FakeMesh.start(2, { linkMbps: 7 });
   try {
+    // All go from the first instance over the link of the second.
+    await mesh.announce(0, "draining");
     const replies = await Promise.all(
       Array.from({ length: UPLOADS }, (_, index) =>
-        mesh.call(index % 2, {
+        mesh.call(0, {
           path: "/orders/1",
           method: "POST",
           body: BODY,
