--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -149,6 +149,7 @@
   /** Announces the backend server; a failure is tried again by the next. */
   async announce(state = "ready"): Promise<boolean> {
     const isDraining = state === "draining" || this.backend.isDraining;
+    const life = this.#life;
     const isDone = await this.#control("instances.heartbeat", {
       Service: "stock",
       Address: this.backend.address,
@@ -157,7 +158,8 @@
       Sequence: ++this.#sequence,
       born: this.#life,
     });
-    if (isDone && isDraining) {
+    // The answer may come once a new life is there, which did not drain.
+    if (isDone && isDraining && life === this.#life) {
       this.drainedAtMs = Math.min(this.drainedAtMs, performance.now());
     }
     return isDone;
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -12,6 +12,15 @@
  * was not kept and the run could not be repeated (see KNOWN-RED.txt).
  */
 const REGRESSION_SEEDS: readonly number[] = [5];
+/**
+ * Seeds that failed with 9 daemons in one failure domain.
+ *
+ * 316: requests reached a backend server after its drain. The soak's own fault:
+ * the answer to the former life's last announcement came once the new life was
+ * there, and was taken for the new life's drain; the daemon's log has no drain
+ * of it.
+ */
+const READER_REGRESSION_SEEDS: readonly number[] = [316];
 const CI_SEEDS: readonly number[] = [1];
 
 const CASES = [
@@ -21,7 +30,11 @@
     domains: 3,
   })),
   // Two daemons read the store for the others.
-  { seed: 2, instances: 9, domains: 1 },
+  ...[2, ...READER_REGRESSION_SEEDS].map((seed) => ({
+    seed,
+    instances: 9,
+    domains: 1,
+  })),
 ];
 
 for (const { seed, instances, domains } of CASES) {
