Count the wait for a place where uploads are sent

Change: a sender remembers how long its long bodies waited at each destination, and counts that as wait where the next long body goes; both averages fade alike (FadingAverage). Short requests and fast links are not touched.

--- a/src/coordination/dispatch/destination_choice.ts
+++ b/src/coordination/dispatch/destination_choice.ts
@@ -1,5 +1,6 @@
 import type { BackendRecord } from "../../protocol/mesh.ts";
 import type { Random } from "../../protocol/random.ts";
+import { needsPlace } from "./body_gate.ts";
 import type { DestinationView } from "./destination_view.ts";
 
 /** Most destinations that one choice compares, of each of both kinds. */
@@ -84,7 +85,15 @@
 ): DestinationChoice & { readonly cost: number } {
   const { nowMs, route } = options;
   const view = options.viewOf(record);
-  const { waitMs, serviceMs } = view.expected(route, nowMs, record.slots);
+  const { waitMs: queueMs, serviceMs } = view.expected(
+    route,
+    nowMs,
+    record.slots,
+  );
+  const placeMs = needsPlace(options.bodyBytes, record.linkMbps)
+    ? view.placeWaitMs(nowMs)
+    : 0;
+  const waitMs = queueMs + placeMs;
   const isRemote = record.domain !== options.ownDomain;
   const penaltyMs = isRemote
     ? REMOTE_PENALTY_MS + options.bodyBytes * REMOTE_PENALTY_PER_BYTE_MS
--- a/src/coordination/dispatch/destination_view.ts
+++ b/src/coordination/dispatch/destination_view.ts
@@ -4,6 +4,7 @@
   MeshReason,
 } from "../../protocol/mesh_call.ts";
 import { Ejection } from "../routing/ejection.ts";
+import { FadingAverage } from "./fading_average.ts";
 import { ServiceTimes } from "./service_times.ts";
 
 /** Time after which a load report has lost most of its weight, in ms. */
@@ -14,10 +15,6 @@
 const FAILURE_HALF_LIFE_MS = 2_000;
 /** Slowdown of a backend server whose slots are all taken. */
 const CROWDING_SHARE = 0.25;
-/** Weight of the newest measured way. */
-const TRANSIT_WEIGHT = 0.3;
-/** Time in which a measured way loses half of its weight, in ms. */
-const TRANSIT_HALF_LIFE_MS = 1_000;
 /** Longest time for which a destination out of reach is not tried, in ms. */
 const MAX_UNREACHABLE_MS = 2_000;
 
@@ -46,6 +43,8 @@
  */
 export class DestinationView {
   readonly times = new ServiceTimes();
+  readonly #transitMs = new FadingAverage();
+  readonly #placeWaitMs = new FadingAverage();
   readonly #unreachable = new Ejection(MAX_UNREACHABLE_MS);
   #inFlight = 0;
   #load: DestinationLoad | undefined;
@@ -54,8 +53,6 @@
   #reportedAtMs = -Infinity;
   #failureShare = 0;
   #failedAtMs = 0;
-  #transitMs = 0;
-  #travelledAtMs = 0;
 
   /**
    * Notes that a request goes out.
@@ -114,9 +111,27 @@
    * @param nowMs Monotonic time.
    */
   travelled(transitMs: number, nowMs: number): void {
-    const current = this.#expectedTransitMs(nowMs);
-    this.#transitMs = current + (transitMs - current) * TRANSIT_WEIGHT;
-    this.#travelledAtMs = nowMs;
+    this.#transitMs.add(transitMs, nowMs);
+  }
+
+  /**
+   * Takes in how long a long body waited for a place on the way.
+   *
+   * @param waitMs The time.
+   * @param nowMs Monotonic time.
+   */
+  waitedForPlace(waitMs: number, nowMs: number): void {
+    this.#placeWaitMs.add(waitMs, nowMs);
+  }
+
+  /**
+   * Estimates how long a long body waits for a place on the way.
+   *
+   * @param nowMs Monotonic time.
+   * @returns The wait, in ms.
+   */
+  placeWaitMs(nowMs: number): number {
+    return this.#placeWaitMs.at(nowMs);
   }
 
   /**
@@ -168,7 +183,7 @@
     const isFull = busy >= limit;
     return {
       waitMs: this.#waitMs(route, nowMs, isFull ? serviceMs / limit : 0) +
-        crowding + this.#expectedTransitMs(nowMs),
+        crowding + this.#transitMs.at(nowMs),
       serviceMs,
     };
   }
@@ -181,11 +196,6 @@
     return wait.waitMs * weight + wait.sentSince * eachMs;
   }
 
-  #expectedTransitMs(nowMs: number): number {
-    const ageMs = nowMs - this.#travelledAtMs;
-    return this.#transitMs * 0.5 ** (ageMs / TRANSIT_HALF_LIFE_MS);
-  }
-
   #weight(nowMs: number): number {
     return Math.exp(-(nowMs - this.#reportedAtMs) / REPORT_MEMORY_MS);
   }
--- a/src/sidecar/fleet.ts
+++ b/src/sidecar/fleet.ts
@@ -98,6 +98,9 @@
     if (result.load !== undefined) {
       view.reported(call.route, result.load, nowMs);
     }
+    if (result.placeWaitMs !== undefined) {
+      view.waitedForPlace(result.placeWaitMs, nowMs);
+    }
     if (result.transitMs !== undefined) {
       view.travelled(result.transitMs, nowMs);
     }
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -47,6 +47,8 @@
   readonly configVersion?: number;
   /** Time that the request and its answer were on their way, in ms. */
   readonly transitMs?: number;
+  /** Time that a long body waited for a place on the way, in ms. */
+  readonly placeWaitMs?: number;
 }
 
 /**
@@ -87,12 +89,22 @@
     call: MeshCall,
     options: { readonly signal: AbortSignal; readonly configVersion: number },
   ): Promise<PeerResult> {
-    if (needsPlace(call.body?.length ?? 0, this.#linkMbps)) {
-      await this.#untilPlace(call, options.signal);
-      if (options.signal.aborted) {
-        return { outcome: notRunOutcome(MeshReason.Cancelled) };
-      }
+    if (!needsPlace(call.body?.length ?? 0, this.#linkMbps)) {
+      return await this.#exchange(call, options);
     }
+    const askedAtMs = performance.now();
+    await this.#untilPlace(call, options.signal);
+    const placeWaitMs = performance.now() - askedAtMs;
+    if (options.signal.aborted) {
+      return { outcome: notRunOutcome(MeshReason.Cancelled), placeWaitMs };
+    }
+    return { ...await this.#exchange(call, options), placeWaitMs };
+  }
+
+  async #exchange(
+    call: MeshCall,
+    options: { readonly signal: AbortSignal; readonly configVersion: number },
+  ): Promise<PeerResult> {
     const lost = new AbortController();
     const onAbort = () => lost.abort();
     options.signal.addEventListener("abort", onAbort);
