Vouch for nothing from before a daemon's start

Change: the question says how old the request is; a daemon that is younger says that it ended, so nobody takes it for not run. A test asks about such a request and fails without the change.

--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -188,8 +188,9 @@
     let verdict: CallOutcome | undefined;
     let last: CallStatus | undefined;
     let repeated = 0;
+    const sentAtMs = performance.now();
     const ask = async () => {
-      const status = await this.#statusOf(call.id);
+      const status = await this.#statusOf(call.id, sentAtMs);
       if (timer === undefined) return;
       repeated = status === last ? repeated + 1 : 1;
       last = status;
@@ -207,8 +208,14 @@
     };
   }
 
-  async #statusOf(id: string): Promise<CallStatus | undefined> {
-    const result = await this.#ask(STATUS_PATH + encodeURIComponent(id));
+  async #statusOf(
+    id: string,
+    sentAtMs: number,
+  ): Promise<CallStatus | undefined> {
+    const ageMs = Math.ceil(performance.now() - sentAtMs);
+    const result = await this.#ask(
+      `${STATUS_PATH}${encodeURIComponent(id)}?ageMs=${ageMs}`,
+    );
     if (result.kind === "failed" || result.status !== 200) return undefined;
     return Object.values(CallStatus).find((status) =>
       status === result.body.toString()
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -15,6 +15,7 @@
 import { MeshReason, notRunOutcome } from "../protocol/mesh_call.ts";
 import {
   type CallDescription,
+  CallStatus,
   CONFIG_PATH,
   formatResult,
   HEADER_CALL,
@@ -38,6 +39,8 @@
 const MAX_BODY_BYTES = 256 * 1024 * 1024;
 /** Status of a message between daemons that carries no backend's answer. */
 const NO_ANSWER_STATUS = 503;
+/** Time from a process's start to its first request, with room, in ms. */
+const START_MARGIN_MS = 200;
 const SENDER_FIELDS = new Set([HEADER_CALL, "content-length"]);
 
 /** What a peer server needs. */
@@ -177,8 +180,8 @@
     if (target === CONFIG_PATH) {
       response.writeHead(200).end(this.#options.routes.source);
     } else if (target.startsWith(STATUS_PATH)) {
-      const id = decodeURIComponent(target.slice(STATUS_PATH.length));
-      response.writeHead(200).end(this.#ledger.ask(id, performance.now()));
+      const [id, ageMs] = target.slice(STATUS_PATH.length).split("?ageMs=");
+      response.writeHead(200).end(this.#statusOf(id!, Number(ageMs ?? 0)));
     } else if (target.startsWith(PLACE_PATH)) {
       const id = decodeURIComponent(target.slice(PLACE_PATH.length));
       response.once("close", () => {
@@ -194,6 +197,17 @@
     }
   }
 
+  /**
+   * A request that is older than this process may have run beside an earlier
+   * one, whose ledger went with it.
+   */
+  #statusOf(encodedId: string, ageMs: number): CallStatus {
+    const nowMs = performance.now();
+    const status = this.#ledger.ask(decodeURIComponent(encodedId), nowMs);
+    const isOlder = ageMs + START_MARGIN_MS >= nowMs;
+    return status === CallStatus.Unknown && isOlder ? CallStatus.Ended : status;
+  }
+
   async #answerFollower(
     target: string,
     response: ServerResponse,
--- a/tests/platform/mesh_test.ts
+++ b/tests/platform/mesh_test.ts
@@ -350,4 +350,20 @@
   }, { first: 200, during: 200, connection: "close" });
 });
 
+meshTest(
+  "a daemon vouches for nothing from before its start",
+  1,
+  async (mesh) => {
+    const [host, port] = mesh.instances[0]!.settings.peerAddress.split(":");
+    const ask = async (id: string, ageMs: number) => {
+      const url = `http://${host}:${port}${STATUS_PATH}${id}?ageMs=${ageMs}`;
+      return await (await fetch(url)).text();
+    };
+    assert.equal([await ask("new", 1), await ask("old", 86_400_000)], [
+      "unknown",
+      "ended",
+    ]);
+  },
+);
+
 test.run();
