Log when a daemon is held up and when callers leave their work

Change: daemon-held-up with the length of the gap, call-cancelled with phase, age, run time and time left, and metrics for both. LineLimit bounds both kinds of lines, and replaces the bound inside RequestLog. No decision is touched.

--- a/src/sidecar/destination_task.ts
+++ b/src/sidecar/destination_task.ts
@@ -10,6 +10,7 @@
   type StackResult,
 } from "../transport/http/connection_stack.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
+import { LineLimit } from "../transport/observe/line_limit.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import type { OwnBackend } from "../state/own_backend.ts";
 import { type Dispatch, WorkQueue } from "../coordination/dispatch/mod.ts";
@@ -20,6 +21,9 @@
 const FAILURE_WEIGHT = 0.1;
 /** Longest idle time of a connection for what may run once, in ms. */
 const AT_MOST_ONCE_MAX_IDLE_MS = 3_000;
+/** Most lines about calls whose callers left in a second. */
+const MAX_CANCELLED_LINES_PER_S = 50;
+
 /** A call that waits for a slot or runs. */
 interface Job {
   readonly call: MeshCall;
@@ -55,6 +59,7 @@
   readonly #metrics: TextMetrics;
   readonly #queue = new WorkQueue<Job>(1);
   readonly #signals = new WeakMap<Job, AbortSignal>();
+  readonly #cancelledLines: LineLimit;
   #connections: ConnectionStack | undefined;
   #address = "";
   #failureShare = 0;
@@ -69,6 +74,10 @@
     this.#headers = options.headers;
     this.#log = options.log;
     this.#metrics = options.metrics;
+    this.#cancelledLines = new LineLimit(
+      options.log,
+      MAX_CANCELLED_LINES_PER_S,
+    );
   }
 
   /**
@@ -158,9 +167,9 @@
   #await(job: Job, signal: AbortSignal): void {
     this.#signals.set(job, signal);
     signal.addEventListener("abort", () => {
-      if (this.#queue.remove(job)) {
-        job.resolve(notRunOutcome(MeshReason.Cancelled));
-      }
+      if (!this.#queue.remove(job)) return;
+      this.#noteCancelled(job, undefined);
+      job.resolve(notRunOutcome(MeshReason.Cancelled));
     }, { once: true });
     const untilMs = this.#queue.usefulUntilMs(job);
     const waitMs = Math.max(0, untilMs - performance.now());
@@ -187,6 +196,7 @@
     const served = outcome.kind === "answered" && outcome.answer.status < 500;
     this.#queue.finish(job, served ? outcome.serviceMs : undefined);
     this.#observe(outcome, signal);
+    if (signal.aborted) this.#noteCancelled(job, startedAtMs);
     const reason = outcome.kind === "answered" ? "" : outcome.reason;
     this.#metrics.count("backend_sends_total", {
       outcome: outcome.kind,
@@ -257,6 +267,21 @@
     }
   }
 
+  /** `startedAtMs` is the time of its start; `undefined` where it waited. */
+  #noteCancelled(job: Job, startedAtMs: number | undefined): void {
+    const nowMs = performance.now();
+    const phase = startedAtMs === undefined ? "waiting" : "running";
+    this.#metrics.count("calls_cancelled_total", { phase });
+    if (!this.#cancelledLines.allows(nowMs)) return;
+    this.#log.info("call-cancelled", {
+      id: job.call.id,
+      phase,
+      ageMs: Math.round(nowMs - job.arrivedAtMs),
+      ranMs: startedAtMs && Math.round(nowMs - startedAtMs),
+      leftMs: Math.round(job.deadlineMs - nowMs),
+    });
+  }
+
   #observe(outcome: CallOutcome, signal: AbortSignal): void {
     if (signal.aborted) return;
     const isFailure = outcome.kind !== "answered" ||
--- a/src/sidecar/request_log.ts
+++ b/src/sidecar/request_log.ts
@@ -1,6 +1,7 @@
 import type { MeshRoute } from "../protocol/mesh.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
+import { LineLimit } from "../transport/observe/line_limit.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import type { CallFlow, FlowResult } from "./call_flow.ts";
 
@@ -36,9 +37,8 @@
  */
 export class RequestLog {
   readonly #options: RequestLogOptions;
+  readonly #failureLines: LineLimit;
   #answered = 0;
-  #failureSecond = 0;
-  #failureLines = 0;
 
   /**
    * Creates a log without lines.
@@ -47,6 +47,7 @@
    */
   constructor(options: RequestLogOptions) {
     this.#options = options;
+    this.#failureLines = new LineLimit(options.log, MAX_FAILURE_LINES_PER_S);
   }
 
   /**
@@ -62,7 +63,7 @@
     metrics.observe("request_ms", performance.now() - arrivedAtMs);
     const isServed = result.kind === "answered" && result.answer.status < 500;
     if (isServed && this.#answered++ % LOGGED_SHARE !== 0) return;
-    if (!isServed && !this.#mayLogFailure(arrivedAtMs)) return;
+    if (!isServed && !this.#failureLines.allows(arrivedAtMs)) return;
     this.#write(end);
   }
 
@@ -82,15 +83,4 @@
       steps: flow.steps,
     });
   }
-
-  #mayLogFailure(nowMs: number): boolean {
-    const second = Math.floor(nowMs / 1_000);
-    if (second !== this.#failureSecond) {
-      const dropped = this.#failureLines - MAX_FAILURE_LINES_PER_S;
-      if (dropped > 0) this.#options.log.warn("log-lines-dropped", { dropped });
-      this.#failureSecond = second;
-      this.#failureLines = 0;
-    }
-    return this.#failureLines++ < MAX_FAILURE_LINES_PER_S;
-  }
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -10,6 +10,7 @@
 import { RouteTableHolder } from "../state/route_table_holder.ts";
 import { listen } from "../transport/http/listen.ts";
 import { EventLog } from "../transport/observe/event_log.ts";
+import { LoopWatch } from "../transport/observe/loop_watch.ts";
 import { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { AnnounceTask } from "./announce_task.ts";
 import { BackendKeeper } from "./backend_keeper.ts";
@@ -67,6 +68,7 @@
   readonly #control: Server[];
   readonly #metrics = new TextMetrics();
   readonly #metricsServer: Server;
+  readonly #loop: LoopWatch;
   readonly #announcer: AnnounceTask;
   readonly #keeper: BackendKeeper;
   readonly #sync: StoreSyncTask;
@@ -82,6 +84,7 @@
     this.#settings = settings;
     this.#ports = ports;
     this.#log = new EventLog({ fields: { instance: settings.instance } });
+    this.#loop = new LoopWatch({ log: this.#log, metrics: this.#metrics });
     const backend = new OwnBackend();
     this.#destination = new DestinationTask({
       backend,
@@ -152,6 +155,7 @@
         listenAt(this.#control[index]!, address)
       ),
     ]);
+    this.#loop.start();
     void this.#sync.run(this.#stopped.signal);
     void this.#announcer.run(this.#stopped.signal);
   }
@@ -202,6 +206,7 @@
     this.#ingress.server.closeIdleConnections();
     await sleep(CLOSE_MS);
     this.#stopped.abort();
+    this.#loop.stop();
     this.#log.info("daemon-stopped", { open: this.#ingress.open });
     this.#log.close();
   }
@@ -209,6 +214,7 @@
   /** Ends at once, as a crash would. */
   kill(): void {
     this.#stopped.abort();
+    this.#loop.stop();
     const servers = [
       this.#ingress.server,
       this.#peers.server,
