--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -106,6 +106,11 @@
     return this.#ports[0]!;
   }
 
+  /** Port for other daemons. */
+  get peerPort(): number {
+    return this.#ports[1]!;
+  }
+
   /** Whether a daemon process is there and not paused. */
   get isRunning(): boolean {
     return !this.#daemon.hasExited && !this.#isPaused;
--- a/tests/platform/mesh_test.ts
+++ b/tests/platform/mesh_test.ts
@@ -17,6 +17,25 @@
 } from "../../src/protocol/peer_call.ts";
 import { until } from "../../testkit/until.ts";
 
+/** Head of an order of 9 bytes, as another daemon sends it. */
+function orderHead(id: string, remainingMs: number): string {
+  const description = formatCall({
+    id,
+    route: "orders",
+    kind: RequestKind.AtMostOnce,
+    priority: 0,
+    callerService: "stock",
+    service: "stock",
+    backendId: "i-0",
+    remainingMs,
+    objectiveInMs: remainingMs / 2,
+    configVersion: 1,
+  });
+  return `POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\n` +
+    `x-attempt-id: ${id}\r\n${HEADER_CALL}: ${description}\r\n` +
+    `content-length: 9\r\n\r\n`;
+}
+
 /** Runs a test on a mesh of its own. */
 function meshTest(
   name: string,
@@ -308,22 +327,7 @@
     const { peerAddress } = mesh.instances[0]!.settings;
     const [host, port] = peerAddress.split(":");
     const socket = connect(Number(port), host);
-    const description = formatCall({
-      id: "slow",
-      route: "orders",
-      kind: RequestKind.AtMostOnce,
-      priority: 0,
-      callerService: "stock",
-      service: "stock",
-      backendId: "i-0",
-      remainingMs: 1_000,
-      objectiveInMs: 500,
-      configVersion: 1,
-    });
-    socket.write(
-      `POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\n` +
-        `${HEADER_CALL}: ${description}\r\ncontent-length: 9\r\n\r\nhalf`,
-    );
+    socket.write(orderHead("slow", 1_000) + "half");
     await sleep(100);
     const answers = await Promise.all(
       ["slow", "other"].map((id) =>
@@ -335,6 +339,24 @@
   },
 );
 
+// Guards against work for callers that left while the body was on its way.
+meshTest(
+  "a request whose body came after its deadline is not run",
+  1,
+  async (mesh) => {
+    const [host, port] = mesh.instances[0]!.settings.peerAddress.split(":");
+    const socket = connect(Number(port), host);
+    socket.write(orderHead("slow", 300) + "half");
+    await sleep(600);
+    socket.write("-late");
+    const answer = await new Promise((resolve) =>
+      socket.once("data", (chunk) => resolve(String(chunk).slice(9, 12)))
+    );
+    socket.destroy();
+    assert.equal({ answer, runs: runsOf(mesh) }, { answer: "503", runs: [0] });
+  },
+);
+
 meshTest("a stopping daemon answers what it took", 2, async (mesh) => {
   for (const { backend } of mesh.instances) backend.workMs = 300;
   const taken = mesh.call(0, { path: "/stock/1" });
