Log when connections wait to be accepted; note what the first lines ruled out

Change: connections-wait, when a server accepted a connection in most turns of the event loop (each accepts one), and a metric. No decision is touched.

--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -155,6 +155,8 @@
         listenAt(this.#control[index]!, address)
       ),
     ]);
+    this.#loop.observe("ingress", this.#ingress.server);
+    this.#loop.observe("peers", this.#peers.server);
     this.#loop.start();
     void this.#sync.run(this.#stopped.signal);
     void this.#announcer.run(this.#stopped.signal);
--- a/src/transport/observe/loop_watch.ts
+++ b/src/transport/observe/loop_watch.ts
@@ -1,3 +1,5 @@
+import type { Server } from "node:net";
+import { performance } from "node:perf_hooks";
 import type { EventLog } from "./event_log.ts";
 import type { TextMetrics } from "./text_metrics.ts";
 
@@ -5,6 +7,10 @@
 const PERIOD_MS = 100;
 /** Delay of a look from which on the process counts as held up, in ms. */
 const HELD_UP_MS = 100;
+/** Connections in a period from which on they may wait to be accepted. */
+const MIN_ACCEPTED = 3;
+/** Part of the turns with a new connection from which on others waited. */
+const BUSY_SHARE = 0.8;
 
 /** Where a {@linkcode LoopWatch} tells what it finds. */
 export interface LoopWatchOptions {
@@ -12,18 +18,30 @@
   readonly metrics: TextMetrics;
 }
 
+/** New connections of a server since the last look. */
+interface Accepted {
+  readonly name: string;
+  connections: number;
+}
+
 /**
  * Notices when the process is held up: it lacks processor time, or one piece of
- * work keeps all others from running.
+ * work keeps all others from running; and when connections wait to be accepted.
+ *
+ * The event loop accepts one connection of a server in each turn, however many
+ * wait, so a server that accepts in most turns has others waiting.
  *
  * @example
  * ```ts ignore
  * const watch = new LoopWatch({ log, metrics });
+ * watch.observe("ingress", server);
  * watch.start();
  * ```
  */
 export class LoopWatch {
   readonly #options: LoopWatchOptions;
+  readonly #servers: Accepted[] = [];
+  #turns = turnsSoFar();
   #timer: NodeJS.Timeout | undefined;
   #lookedAtMs = performance.now();
 
@@ -36,6 +54,18 @@
     this.#options = options;
   }
 
+  /**
+   * Counts the connections of a server.
+   *
+   * @param name Its name in the log.
+   * @param server The server.
+   */
+  observe(name: string, server: Server): void {
+    const accepted = { name, connections: 0 };
+    this.#servers.push(accepted);
+    server.on("connection", () => accepted.connections++);
+  }
+
   /** Starts to look at the clock; does not keep the process alive. */
   start(): void {
     this.#lookedAtMs = performance.now();
@@ -51,8 +81,36 @@
     const nowMs = performance.now();
     const delayMs = nowMs - this.#lookedAtMs - PERIOD_MS;
     this.#lookedAtMs = nowMs;
+    this.#checkAccepted();
     if (delayMs < HELD_UP_MS) return;
     this.#options.metrics.observe("held_up_ms", delayMs);
     this.#options.log.warn("daemon-held-up", { delayMs: Math.round(delayMs) });
   }
+
+  #checkAccepted(): void {
+    const turnsBefore = this.#turns;
+    this.#turns = turnsSoFar();
+    const turns = this.#turns - turnsBefore;
+    for (const server of this.#servers) {
+      const { name, connections } = server;
+      server.connections = 0;
+      if (connections < MIN_ACCEPTED || connections < turns * BUSY_SHARE) {
+        continue;
+      }
+      this.#options.metrics.count("accept_busy_total", { server: name });
+      this.#options.log.warn("connections-wait", {
+        server: name,
+        connections,
+        turns,
+      });
+    }
+  }
+}
+
+function turnsSoFar(): number {
+  // Missing in the type declarations of this version of Node.js.
+  const timing = performance.nodeTiming as unknown as {
+    readonly uvMetricsInfo: { readonly loopCount: number };
+  };
+  return timing.uvMetricsInfo.loopCount;
 }
