Count a request's deadline from the arrival of its head

Callers saw: nothing, they had left; a request whose long body was on its way until after its deadline was run all the same. Cause: daemons tell each other how much time is left, and the destination added it to the time at which the body had ended. Change: it is added to the time at which the head arrived.

--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -123,7 +123,7 @@
       response.destroy();
       return;
     }
-    const call = toCall(request, description, read.body);
+    const call = toCall({ request, description, body: read.body, arrivedAtMs });
     const outcome = await this.#execute(call, caller, mayRun);
     this.#answer({ call, outcome, arrivedAtMs }, response);
     this.#ledger.end(id, performance.now());
@@ -242,12 +242,16 @@
   }
 }
 
+/** Times count from the arrival of the head: a long body takes its own time. */
 function toCall(
-  request: IncomingMessage,
-  description: CallDescription,
-  body: MeshCall["body"],
+  parts: {
+    readonly request: IncomingMessage;
+    readonly description: CallDescription;
+    readonly body: MeshCall["body"];
+    readonly arrivedAtMs: number;
+  },
 ): MeshCall {
-  const nowMs = performance.now();
+  const { request, description, body, arrivedAtMs } = parts;
   const host = request.headers.host;
   const { remainingMs, objectiveInMs, ...described } = description;
   return {
@@ -259,7 +263,7 @@
       ...endToEndHeaders(request.rawHeaders, SENDER_FIELDS),
     ],
     body,
-    deadlineMs: nowMs + remainingMs,
-    objectiveAtMs: nowMs + objectiveInMs,
+    deadlineMs: arrivedAtMs + remainingMs,
+    objectiveAtMs: arrivedAtMs + objectiveInMs,
   };
 }
