Give up answers without end: heads, interim responses, chunk extensions, bodies

Callers saw: 504 at their deadline, and with bodies up to 64 MB of the daemon's memory each, which is more than an instance has where several come at once. Cause: an answer was judged once it was whole, so bytes that are no answer were read until the deadline, and the bound on one answer was the only bound. Change: an answer to another request is refused at its head; one whose framing goes on (no end of head, interim responses, chunk extensions) is cut after 256 KB beyond its body; one answer takes 16 MB at most, and all of the process 32 MB, of which the longest is cut. The connection is closed at once and the request gets a 502 or goes elsewhere.

--- a/src/transport/http/connection_stack.ts
+++ b/src/transport/http/connection_stack.ts
@@ -1,12 +1,20 @@
 import { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
 import { messageOf } from "../../protocol/step_error.ts";
+import { AnswerMemory } from "./answer_memory.ts";
 import { buildConnector, Client } from "./undici_client.ts";
 
 /** Time within which a connection must be open, in ms. */
 const CONNECT_TIMEOUT_MS = 600;
 /** Largest answer that is taken, in bytes. */
-const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Most bytes of all answers of the process that are not whole yet. */
+const MAX_COLLECTED_BYTES = 32 * 1024 * 1024;
+/** Bytes besides a body that an answer may have, in bytes. */
+const MAX_FRAMING_BYTES = 256 * 1024;
+/** Bytes of framing that each byte of a body may have: chunks may be short. */
+const MAX_FRAMING_PER_BODY_BYTE = 8;
 /** Idle time after which a connection is closed unless the peer says, in ms. */
 const KEEP_ALIVE_MS = 8_000;
 /** Safety margin on the idle time that the peer names, in ms. */
@@ -45,8 +53,14 @@
     readonly message: string;
   };
 
+/** The memory is the process's, so all stacks share one bound. */
+const COLLECTED = new AnswerMemory<AnswerCollector>(MAX_COLLECTED_BYTES);
+
 interface Connection {
   readonly client: Client;
+  socket: Socket | undefined;
+  /** Collects the answer that the connection carries now. */
+  collector: AnswerCollector | undefined;
   usedAtMs: number;
   /** Whether the connection ended by an error and not by the peer's end. */
   hasFailed: boolean;
@@ -90,7 +104,7 @@
     const connection = this.#take(request.maxIdleMs);
     const result = checkEnd(
       connection,
-      await exchange(connection.client, request, signal),
+      await exchange(connection, request, signal),
     );
     if (isSpoilt(request, result)) this.#destroy(connection);
     else this.#keep(connection);
@@ -132,6 +146,10 @@
           // Heard before the client hears it, which takes a reset for the end
           // of an answer without a length.
           socket?.once("error", () => connection.hasFailed = true);
+          socket?.on("readable", () => {
+            connection.collector?.received(socket.bytesRead);
+          });
+          connection.socket = socket ?? undefined;
           if (error === null) callback(null, socket);
           else callback(error, null);
         }),
@@ -141,7 +159,13 @@
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       maxResponseSize: MAX_ANSWER_BYTES,
     });
-    const connection = { client, usedAtMs: 0, hasFailed: false };
+    const connection: Connection = {
+      client,
+      socket: undefined,
+      collector: undefined,
+      usedAtMs: 0,
+      hasFailed: false,
+    };
     return connection;
   }
 
@@ -176,14 +200,20 @@
 }
 
 function exchange(
-  client: Client,
+  connection: Connection,
   request: StackRequest,
   signal: AbortSignal | undefined,
 ): Promise<StackResult> {
   return new Promise((resolve) => {
-    const collector = new AnswerCollector(resolve, signal);
+    const collector = new AnswerCollector({
+      resolve,
+      signal,
+      accepts: request.accepts,
+      readBeforeBytes: connection.socket?.bytesRead ?? 0,
+    });
+    connection.collector = collector;
     try {
-      client.dispatch({
+      connection.client.dispatch({
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
         headers: request.headers as string[],
@@ -196,29 +226,47 @@
   });
 }
 
+/** What a collector needs. */
+interface CollectorOptions {
+  readonly resolve: (result: StackResult) => void;
+  readonly signal: AbortSignal | undefined;
+  readonly accepts: StackRequest["accepts"];
+  /** Bytes that the connection had carried before. */
+  readonly readBeforeBytes: number;
+}
+
 /** Collects the answer of one exchange. */
 class AnswerCollector implements Dispatcher.DispatchHandler {
-  readonly #resolve: (result: StackResult) => void;
-  readonly #signal: AbortSignal | undefined;
-  readonly #onAbort = () => this.#abort();
+  readonly #options: CollectorOptions;
+  readonly #onAbort = () => this.#abort("cancelled");
   #controller: Dispatcher.DispatchController | undefined;
   #status = 0;
   #headers: readonly string[] = [];
   #chunks: Buffer[] = [];
   #isDone = false;
 
-  constructor(
-    resolve: (result: StackResult) => void,
-    signal: AbortSignal | undefined,
-  ) {
-    this.#resolve = resolve;
-    this.#signal = signal;
-    signal?.addEventListener("abort", this.#onAbort);
+  constructor(options: CollectorOptions) {
+    this.#options = options;
+    options.signal?.addEventListener("abort", this.#onAbort);
+  }
+
+  /**
+   * Gives the answer up if it is mostly framing: a head, interim responses or
+   * chunk extensions that do not end.
+   *
+   * @param readBytes Bytes that the connection has carried so far.
+   */
+  received(readBytes: number): void {
+    if (this.#isDone) return;
+    const answerBytes = readBytes - this.#options.readBeforeBytes;
+    const maxBytes = MAX_FRAMING_BYTES +
+      COLLECTED.bytesOf(this) * (1 + MAX_FRAMING_PER_BODY_BYTE);
+    if (answerBytes > maxBytes) this.#abort("the answer's framing has no end");
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
-    if (this.#signal?.aborted) controller.abort(new Error("cancelled"));
+    if (this.#options.signal?.aborted) this.#abort("cancelled");
   }
 
   onResponseStart(
@@ -229,25 +277,27 @@
     this.#status = status;
     const raw = controller as unknown as { rawHeaders: readonly Buffer[] };
     this.#headers = raw.rawHeaders.map((field) => field.toString("latin1"));
+    // The body of an answer to another request may have no end.
+    if (this.#options.accepts?.(status, this.#headers) === false) {
+      this.#answered(Buffer.alloc(0));
+    }
   }
 
   onResponseData(
     _controller: Dispatcher.DispatchController,
     chunk: Uint8Array,
   ): void {
+    if (this.#isDone) return;
     this.#chunks.push(Buffer.from(chunk));
+    const longest = COLLECTED.take(this, chunk.length);
+    if (longest !== undefined) longest.#abort("answers take too much memory");
   }
 
   onResponseEnd(): void {
     const body = this.#chunks.length === 1
       ? this.#chunks[0]!
       : Buffer.concat(this.#chunks);
-    this.#finish({
-      kind: "answer",
-      status: this.#status,
-      headers: this.#headers,
-      body,
-    });
+    this.#answered(body);
   }
 
   onResponseError(
@@ -262,15 +312,26 @@
     this.#finish({ kind: "failed", sent, message: messageOf(error) });
   }
 
-  #abort(): void {
-    if (this.#controller === undefined) this.fail(new Error("cancelled"));
-    else this.#controller.abort(new Error("cancelled"));
+  #answered(body: Buffer): void {
+    this.#finish({
+      kind: "answer",
+      status: this.#status,
+      headers: this.#headers,
+      body,
+    });
+  }
+
+  #abort(reason: string): void {
+    if (this.#controller === undefined) this.fail(new Error(reason));
+    else this.#controller.abort(new Error(reason));
   }
 
   #finish(result: StackResult): void {
     if (this.#isDone) return;
     this.#isDone = true;
-    this.#signal?.removeEventListener("abort", this.#onAbort);
-    this.#resolve(result);
+    COLLECTED.free(this);
+    this.#chunks = [];
+    this.#options.signal?.removeEventListener("abort", this.#onAbort);
+    this.#options.resolve(result);
   }
 }
--- a/tests/platform/mesh_test.ts
+++ b/tests/platform/mesh_test.ts
@@ -173,6 +173,36 @@
   assert.is(reply.status, 502);
 });
 
+// Guards against bytes that are no answer and have no end: they must neither
+// fill the daemon's memory nor hold the request to its deadline.
+for (
+  const fault of [
+    BackendFault.EndlessHead,
+    BackendFault.EndlessInterim,
+    BackendFault.EndlessBody,
+    BackendFault.EndlessExtension,
+    BackendFault.EndlessOther,
+  ]
+) {
+  meshTest(`an answer without end is given up: ${fault}`, 1, async (mesh) => {
+    const { backend } = mesh.instances[0]!;
+    backend.fault = fault;
+    const reply = await mesh.call(0, {
+      path: "/orders/1",
+      method: "POST",
+      body: "x",
+    });
+    await until(() => backend.endlessOpen === 0, "the connection is closed");
+    backend.fault = BackendFault.None;
+    const next = await mesh.call(0, { path: "/stock/1" });
+    assert.equal({
+      status: reply.status,
+      isBounded: backend.endlessBytes < 32 * 1024 * 1024,
+      next: next.status,
+    }, { status: 502, isBounded: true, next: 200 });
+  });
+}
+
 meshTest("a request ends at its timeout and is cancelled", 1, async (mesh) => {
   const { backend } = mesh.instances[0]!;
   backend.fault = BackendFault.Silent;
