Accept the connections that wait before a port is closed

Change: both daemons accept until a turn brings no new connection, for a second at most, and then close the port. LoopWatch tells what it finds by callbacks, so that either daemon's metrics can take it in.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -196,7 +196,7 @@
     this.#requests.claims.stop();
     await Promise.all([this.#tellSenders(), this.#control.leases.stop()]);
     await sleep(this.#settings.drainMs);
-    this.#requests.ingress.stopAccepting();
+    await this.#requests.ingress.stopAccepting();
     await sleep(LINGER_MS);
     await this.#callsEnded();
     await this.#leave();
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { Server as NetServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import {
   type IngressCall as LimitedCall,
   IngressLimiter,
@@ -19,7 +19,11 @@
   endToEndHeaders,
   singleHeader,
 } from "../transport/http/header_filter.ts";
-import { closeServer, listen } from "../transport/http/listen.ts";
+import {
+  closeServer,
+  listen,
+  stopAccepting,
+} from "../transport/http/listen.ts";
 import { RequestBody } from "../transport/http/request_body.ts";
 import { AnswerWriter } from "./answer_writer.ts";
 import { monotonicMs } from "./clocks.ts";
@@ -117,10 +121,8 @@
   }
 
   /** Closes the port; connections that are open go on. */
-  stopAccepting(): void {
-    // The method of http.Server would close unused connections too, and cut a
-    // request that is just on its way on one of them.
-    NetServer.prototype.close.call(this.#server);
+  stopAccepting(): Promise<void> {
+    return stopAccepting(this.#server);
   }
 
   /** Closes the port and all connections. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -8,7 +8,7 @@
 import { BackendDirectory } from "../state/backend_directory.ts";
 import { OwnBackend } from "../state/own_backend.ts";
 import { RouteTableHolder } from "../state/route_table_holder.ts";
-import { listen } from "../transport/http/listen.ts";
+import { listen, stopAccepting } from "../transport/http/listen.ts";
 import { EventLog } from "../transport/observe/event_log.ts";
 import { LoopWatch } from "../transport/observe/loop_watch.ts";
 import { TextMetrics } from "../transport/observe/text_metrics.ts";
@@ -84,7 +84,11 @@
     this.#settings = settings;
     this.#ports = ports;
     this.#log = new EventLog({ fields: { instance: settings.instance } });
-    this.#loop = new LoopWatch({ log: this.#log, metrics: this.#metrics });
+    this.#loop = new LoopWatch({
+      log: this.#log,
+      onHeldUp: (delayMs) => this.#metrics.observe("held_up_ms", delayMs),
+      onBusy: (server) => this.#metrics.count("accept_busy_total", { server }),
+    });
     const backend = new OwnBackend();
     this.#destination = new DestinationTask({
       backend,
@@ -206,7 +210,7 @@
         resolve();
       }, END_CHECK_MS);
     });
-    this.#ingress.server.close();
+    await stopAccepting(this.#ingress.server);
     this.#ingress.server.closeIdleConnections();
     await sleep(CLOSE_MS);
     this.#stopped.abort();
--- a/src/transport/http/listen.ts
+++ b/src/transport/http/listen.ts
@@ -1,11 +1,15 @@
 import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import {
   FailureKind,
   messageOf,
   StepError,
 } from "../../protocol/step_error.ts";
 
+/** Longest time for which connections that wait are accepted, in ms. */
+const MAX_ACCEPT_MS = 1_000;
+
 /**
  * Opens a server's port.
  *
@@ -58,3 +62,32 @@
     server.closeAllConnections();
   });
 }
+
+/**
+ * Closes a server's port once the connections that wait have been accepted; the
+ * system would reset them. Connections that are open go on.
+ *
+ * @param server The server.
+ * @returns Once the port is closed.
+ *
+ * @example
+ * ```ts ignore
+ * await stopAccepting(server);
+ * ```
+ */
+export async function stopAccepting(server: Server): Promise<void> {
+  const untilMs = performance.now() + MAX_ACCEPT_MS;
+  let hasAccepted = false;
+  const onConnection = () => hasAccepted = true;
+  server.on("connection", onConnection);
+  do {
+    hasAccepted = false;
+    // A turn of the event loop accepts one connection at most.
+    await nextTurn();
+    await nextTurn();
+  } while (hasAccepted && performance.now() < untilMs);
+  server.off("connection", onConnection);
+  // The method of http.Server would close unused connections too, and cut a
+  // request that is just on its way on one of them.
+  NetServer.prototype.close.call(server);
+}
--- a/src/transport/observe/loop_watch.ts
+++ b/src/transport/observe/loop_watch.ts
@@ -1,7 +1,6 @@
 import type { Server } from "node:net";
 import { performance } from "node:perf_hooks";
 import type { EventLog } from "./event_log.ts";
-import type { TextMetrics } from "./text_metrics.ts";
 
 /** Pause between two looks at the clock, in ms. */
 const PERIOD_MS = 100;
@@ -15,7 +14,10 @@
 /** Where a {@linkcode LoopWatch} tells what it finds. */
 export interface LoopWatchOptions {
   readonly log: EventLog;
-  readonly metrics: TextMetrics;
+  /** Takes in a time for which the process did nothing, in ms. */
+  readonly onHeldUp?: (delayMs: number) => void;
+  /** Takes in that connections of a server waited to be accepted. */
+  readonly onBusy?: (server: string) => void;
 }
 
 /** New connections of a server since the last look. */
@@ -33,7 +35,7 @@
  *
  * @example
  * ```ts ignore
- * const watch = new LoopWatch({ log, metrics });
+ * const watch = new LoopWatch({ log });
  * watch.observe("ingress", server);
  * watch.start();
  * ```
@@ -49,7 +51,7 @@
   /**
    * Creates a watch that does not look yet.
    *
-   * @param options Log and metrics.
+   * @param options Log, and what else takes in what is found.
    */
   constructor(options: LoopWatchOptions) {
     this.#options = options;
@@ -90,7 +92,7 @@
     this.#wasLate = delayMs >= HELD_UP_MS;
     this.#checkAccepted();
     if (!this.#wasLate) return;
-    this.#options.metrics.observe("held_up_ms", delayMs);
+    this.#options.onHeldUp?.(delayMs);
     this.#options.log.warn("daemon-held-up", { delayMs: Math.round(delayMs) });
   }
 
@@ -108,7 +110,7 @@
       if (connections < MIN_ACCEPTED || connections < turns * BUSY_SHARE) {
         continue;
       }
-      this.#options.metrics.count("accept_busy_total", { server: name });
+      this.#options.onBusy?.(name);
       this.#options.log.warn("connections-wait", {
         server: name,
         connections,
