Start no work for callers that left, in the other daemon too

Callers saw: nothing, they had left. Change: both servers watch their callers by CallerWatch; LoopWatch tells StatsD what it finds.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -82,11 +82,12 @@
     this.#links = links;
     this.#control = createControlTasks(parts);
     this.#requests = createRequestTasks(parts);
-    this.#peerServer = new PeerServer(
-      this.#requests.destination,
-      links.auth,
-      (sender) => this.#recentSenders.set(sender, true),
-    );
+    this.#peerServer = new PeerServer({
+      destination: this.#requests.destination,
+      auth: links.auth,
+      loop: links.loop,
+      onSender: (sender) => this.#recentSenders.set(sender, true),
+    });
     this.#controlServer = this.#createControlServer();
     this.#admin = this.#createAdminServer();
     this.#followBus();
--- a/src/daemon/daemon_links.ts
+++ b/src/daemon/daemon_links.ts
@@ -2,6 +2,7 @@
 import { FleetClients } from "../transport/control/fleet_client.ts";
 import { PeerAuth } from "../transport/control/peer_auth.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
+import { LoopWatch } from "../transport/observe/loop_watch.ts";
 import { type Metrics, openMetrics } from "../transport/observe/metrics.ts";
 import { SocketMeter } from "../transport/observe/socket_meter.ts";
 import { EtcdStore } from "../transport/store/etcd_store.ts";
@@ -22,6 +23,7 @@
 export class DaemonLinks {
   readonly log: EventLog;
   readonly metrics: Metrics;
+  readonly loop: LoopWatch;
   readonly meters = {
     control: new SocketMeter(),
     requests: new SocketMeter(),
@@ -46,6 +48,13 @@
     const { control, requests } = this.meters;
     this.log = openLog(settings);
     this.metrics = openMetrics(settings.statsd, settings.instance);
+    this.loop = new LoopWatch({
+      log: this.log,
+      onHeldUp: (delayMs) => this.metrics.timing("loop.held_up", delayMs),
+      onBusy: (server) =>
+        this.metrics.count("loop.accept_busy", 1, [`server:${server}`]),
+    });
+    this.loop.start();
     this.auth = new PeerAuth(settings.fleetKeys);
     this.token = () => this.auth.token(selfId, Date.now());
     const openStore = (meter: SocketMeter, callsPerSecond: number) =>
@@ -77,6 +86,7 @@
   async close(): Promise<void> {
     this.clients.close();
     this.requestClients.close();
+    this.loop.stop();
     this.metrics.close();
     await Promise.all([this.store.close(), this.claimStore.close()]);
   }
--- a/src/daemon/daemon_tasks.ts
+++ b/src/daemon/daemon_tasks.ts
@@ -132,6 +132,7 @@
     destination: tasks.destination,
     claimWindowMs: settings.claims.windowMs,
     idPrefix: selfId,
+    loop: links.loop,
     context: {
       balancer: core.balancer,
       quarantine: core.quarantine,
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -19,12 +19,17 @@
   endToEndHeaders,
   singleHeader,
 } from "../transport/http/header_filter.ts";
+import {
+  type CallerRequest,
+  CallerWatch,
+} from "../transport/http/caller_watch.ts";
 import {
   closeServer,
   listen,
   stopAccepting,
 } from "../transport/http/listen.ts";
 import { RequestBody } from "../transport/http/request_body.ts";
+import type { LoopWatch } from "../transport/observe/loop_watch.ts";
 import { AnswerWriter } from "./answer_writer.ts";
 import { monotonicMs } from "./clocks.ts";
 import type { Destination } from "./destination.ts";
@@ -50,6 +55,7 @@
   readonly config: ConfigStore;
   readonly destination: Destination;
   readonly context: IngressContext;
+  readonly loop: LoopWatch;
   readonly idPrefix: string;
   readonly maxRunning: number;
   readonly maxHeaderBytes: number;
@@ -69,6 +75,7 @@
   readonly #options: IngressServerOptions;
   readonly #server: Server;
   readonly #limiter: IngressLimiter;
+  readonly #callers: CallerWatch;
   readonly #checker: HeadChecker;
   readonly #evidence = new Map<string, ServiceEvidence>();
   #requests = 0;
@@ -93,6 +100,8 @@
       },
       (request, response) => void this.#serve(request, response),
     );
+    this.#callers = new CallerWatch(this.#server, options.loop);
+    options.loop.observe("ingress", this.#server);
     this.#server.on(
       "clientError",
       (error, socket) => this.#onClientError(error, socket as Socket),
@@ -137,6 +146,8 @@
     const requestId = `${this.#options.idPrefix}-${
       (++this.#requests).toString(36)
     }`;
+    const caller = this.#callers.enter(request);
+    response.once("close", caller.done);
     const writer = new AnswerWriter(response, requestId, {
       kind: "caller",
       isLeaving: this.#isDraining,
@@ -166,6 +177,7 @@
         head,
         requestId,
         writer,
+        caller,
         onOver,
       });
     } catch (error) {
@@ -181,6 +193,7 @@
       head: CheckedHead;
       requestId: string;
       writer: AnswerWriter;
+      caller: CallerRequest;
       onOver: () => void;
     },
   ): Promise<void> {
@@ -191,6 +204,11 @@
       onOver();
       return this.#refuse(request, parts, notRun(result.reason));
     }
+    if (!await parts.caller.isWaitedFor()) {
+      onOver();
+      this.#options.context.log.info("caller-gone", { request: requestId });
+      return;
+    }
     const digests = digestRequest(request, route, result.body.whole);
     const { quarantine } = this.#options.context;
     if (quarantine.isRefused(digests.fingerprint, monotonicMs())) {
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -21,7 +21,9 @@
   endToEndHeaders,
   singleHeader,
 } from "../transport/http/header_filter.ts";
+import { CallerWatch } from "../transport/http/caller_watch.ts";
 import { closeServer, listen } from "../transport/http/listen.ts";
+import type { LoopWatch } from "../transport/observe/loop_watch.ts";
 import { AnswerWriter } from "./answer_writer.ts";
 import { monotonicMs } from "./clocks.ts";
 import type { Destination } from "./destination.ts";
@@ -29,36 +31,38 @@
 /** Time for which an idle connection of a peer stays open, in ms. */
 const IDLE_CONNECTION_MS = 60_000;
 
+/** What a {@linkcode PeerServer} needs. */
+export interface PeerServerOptions {
+  /** Executes the calls. */
+  readonly destination: Destination;
+  /** Checks the peers. */
+  readonly auth: PeerAuth;
+  readonly loop: LoopWatch;
+  /** Called with the id of each call's sender. */
+  readonly onSender: (id: string) => void;
+}
+
 /**
  * Serves calls that other daemons send to this daemon's backend server.
  *
  * @example
  * ```ts ignore
- * const server = new PeerServer(destination, auth);
+ * const server = new PeerServer({ destination, auth, loop, onSender });
  * await server.listen("127.0.0.1", 7002);
  * ```
  */
 export class PeerServer {
-  readonly #destination: Destination;
-  readonly #auth: PeerAuth;
-  readonly #onSender: (id: string) => void;
+  readonly #options: PeerServerOptions;
   readonly #server: Server;
+  readonly #callers: CallerWatch;
 
   /**
    * Creates a server.
    *
-   * @param destination Executes the calls.
-   * @param auth Checks the peers.
-   * @param onSender Called with the id of each call's sender.
+   * @param options Who executes the calls, and who checks their senders.
    */
-  constructor(
-    destination: Destination,
-    auth: PeerAuth,
-    onSender: (id: string) => void = () => {},
-  ) {
-    this.#destination = destination;
-    this.#auth = auth;
-    this.#onSender = onSender;
+  constructor(options: PeerServerOptions) {
+    this.#options = options;
     this.#server = createServer(
       {
         keepAliveTimeout: IDLE_CONNECTION_MS,
@@ -66,8 +70,10 @@
         headersTimeout: IDLE_CONNECTION_MS,
         noDelay: true,
       },
-      (request, response) => this.#serve(request, response),
+      (request, response) => void this.#serve(request, response),
     );
+    this.#callers = new CallerWatch(this.#server, options.loop);
+    options.loop.observe("peers", this.#server);
   }
 
   /**
@@ -86,24 +92,31 @@
     return closeServer(this.#server);
   }
 
-  #serve(request: IncomingMessage, response: ServerResponse): void {
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { destination, auth, onSender } = this.#options;
     const { headers } = request;
+    const caller = this.#callers.enter(request);
+    response.once("close", caller.done);
     const header = parsePeerCall(singleHeader(headers, HEADER_PEER_CALL));
     const writer = new AnswerWriter(response, header?.id ?? "", {
       kind: "peer",
-      load: () => this.#destination.admission.load,
+      load: () => destination.admission.load,
     });
     const token = singleHeader(headers, HEADER_PEER_TOKEN);
-    const sender = this.#auth.verify(token, Date.now());
+    const sender = auth.verify(token, Date.now());
     if (sender === undefined) {
       return refuseUnread(request, writer, Reason.PeerUnauthorized);
     }
-    this.#onSender(sender);
+    onSender(sender);
     if (header === undefined) {
       return refuseUnread(request, writer, Reason.HeaderInvalid);
     }
     const call = toCall(header, request);
-    const execution = this.#destination
+    if (!await caller.isWaitedFor()) return;
+    const execution = destination
       .execute(call, sinkOf(request, writer, () => execution.resume()));
     response.once("close", () => {
       if (!response.writableFinished) execution.cancel();
--- a/tests/integration/request_faults_test.ts
+++ b/tests/integration/request_faults_test.ts
@@ -1,3 +1,5 @@
+import { once } from "node:events";
+import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Agent } from "undici";
 import { test } from "uvu";
@@ -18,7 +20,7 @@
   startBackendProcess,
 } from "../../testkit/fleet.ts";
 import { openLoop } from "../../testkit/open_loop.ts";
-import { sampleSource } from "../../testkit/sample_config.ts";
+import { sampleSource, VENDOR_TOKEN } from "../../testkit/sample_config.ts";
 import { until } from "../../testkit/until.ts";
 
 /** Time after which a leaving backend server gets no new work, in ms. */
@@ -82,6 +84,35 @@
   return JSON.stringify(counts);
 }
 
+// Guards against attempts for callers that closed their connections while the
+// daemon that took their requests had no processor time.
+test("a daemon that was held up makes no attempt for callers that left", async () => {
+  const [{ daemon }] = fleet.ofService("proof") as [Instance];
+  const [host, port] = daemon.ingress.split(":");
+  daemon.child.signal("SIGSTOP");
+  for (let index = 0; index < 5; index++) {
+    const socket = connect(Number(port), host);
+    await once(socket, "connect");
+    socket.write(
+      `GET /lookup/left-${index} HTTP/1.1\r\nhost: a\r\n` +
+        `authorization: Bearer ${VENDOR_TOKEN}\r\n\r\n`,
+    );
+    await sleep(20);
+    socket.destroy();
+  }
+  await sleep(500);
+  daemon.child.signal("SIGCONT");
+  const kept = await call(daemon.ingress, "/lookup/stayed");
+  const left = (await fleet.executions()).filter(({ path }) =>
+    path.includes("left-")
+  );
+  await fleet.settled();
+  assert.equal({ status: kept.status, left: left.map(({ path }) => path) }, {
+    status: 200,
+    left: [],
+  });
+});
+
 test("a daemon that stops cuts no request, and gets no new work", async () => {
   const [leaving, ...others] = fleet.ofService("lookup") as [
     Instance,
