Soak: callers that leave, and answers without end

Change: one caller in six leaves within 0.4 s; a run that starts over 0.5 s after its caller left is a broken promise, unless the daemon that took the request was paused with it in hand. Five kinds of endless answers are faults.

--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -52,6 +52,8 @@
   backend: FakeBackend;
   /** Monotonic time at which the present life's drain was acknowledged. */
   drainedAtMs = Infinity;
+  /** Monotonic times at which the daemon was paused. */
+  readonly pausesMs: number[] = [];
   readonly #options: InstanceOptions;
   readonly #ports: readonly number[];
   readonly #settingsFile: string;
@@ -142,6 +144,7 @@
   /** Stops the daemon's process until it is resumed. */
   pause(): void {
     this.#isPaused = true;
+    this.pausesMs.push(performance.now());
     this.#daemon.signal("SIGSTOP");
   }
 
--- a/soak/promises.ts
+++ b/soak/promises.ts
@@ -2,6 +2,8 @@
 
 /** Time after an acknowledged drain from which nothing may arrive, in ms. */
 const DRAIN_MS = 2_000;
+/** Time after a caller has left from which its request may not arrive, in ms. */
+const LEFT_MS = 500;
 
 /** A request as its caller saw it. */
 export interface SentRequest {
@@ -9,6 +11,12 @@
   readonly path: string;
   readonly body: string;
   readonly isIdempotent: boolean;
+  /** Monotonic time at which the caller sent it. */
+  sentAtMs: number;
+  /** Monotonic time at which the caller gave it up, if it did. */
+  leftAtMs: number;
+  /** Monotonic times at which the daemon that took it was paused. */
+  readonly ingressPausesMs: readonly number[];
   /** Status; 0 where the connection ended without an answer. */
   status: number;
   answer: string;
@@ -70,12 +78,22 @@
     problems.push(`${run.id} ran changed: ${run.path} ${run.body}`);
   }
   if (run.caller !== "stock") problems.push(`${run.id} ran for ${run.caller}`);
+  if (run.atMs > request.leftAtMs + LEFT_MS && !isExcused(request, run)) {
+    problems.push(`${run.id} reached ${life.id} after its caller had left`);
+  }
   if (run.atMs > life.drainedAtMs + DRAIN_MS) {
     problems.push(`${run.id} reached ${life.id} after its drain`);
   }
   return problems;
 }
 
+/** A daemon that is paused with a request in hand cannot pass the leaving on. */
+function isExcused(request: SentRequest, run: BackendRun): boolean {
+  return request.ingressPausesMs.some((pausedAtMs) =>
+    pausedAtMs >= request.sentAtMs && pausedAtMs <= run.atMs
+  );
+}
+
 function isOwnAnswer(
   request: SentRequest,
   lives: readonly BackendLife[],
--- a/soak/promises_test.ts
+++ b/soak/promises_test.ts
@@ -9,6 +9,9 @@
     path: "/orders/1",
     body: "x",
     isIdempotent: false,
+    sentAtMs: 0,
+    leftAtMs: Infinity,
+    ingressPausesMs: [],
     status: 200,
     answer: "answer of i-1 to r1",
     ...fields,
@@ -48,6 +51,16 @@
     check(request(), [run({ path: "/orders/2" })]),
     check(request(), [run({ caller: "forged" })]),
     check(request(), [run({ atMs: 3_001 })], 1_000),
+    check(request({ leftAtMs: 200 }), [run({ atMs: 701 })]),
+    check(request({ leftAtMs: 200 }), [run({ atMs: 700 })]),
+    check(
+      request({ sentAtMs: 100, leftAtMs: 200, ingressPausesMs: [50] }),
+      [run({ atMs: 701 })],
+    ),
+    check(
+      request({ sentAtMs: 100, leftAtMs: 200, ingressPausesMs: [150] }),
+      [run({ atMs: 701 })],
+    ),
   ], [
     [],
     [],
@@ -59,6 +72,10 @@
     ["r1 ran changed: /orders/2 x"],
     ["r1 ran for forged"],
     ["r1 reached i-1 after its drain"],
+    ["r1 reached i-1 after its caller had left"],
+    [],
+    ["r1 reached i-1 after its caller had left"],
+    [],
   ]);
 });
 
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -30,6 +30,9 @@
 /** One of this many orders has a body that asks for a place on a slow link. */
 const LONG_BODY_EVERY = 8;
 const LONG_BODY_BYTES = 60_000;
+/** One of this many callers leaves before its answer, after this time at most. */
+const LEAVING_EVERY = 6;
+const MAX_LEAVING_MS = 400;
 /** Time in which the daemons of a new fleet are ready, in ms. */
 const START_MS = 20_000;
 
@@ -195,7 +198,7 @@
     endAtMs: number,
   ): Promise<boolean> {
     while (performance.now() < endAtMs) {
-      const request = { ...this.#newRequest(true), path };
+      const request = { ...this.#newRequest(instance, true), path };
       await this.#send(instance, request);
       if (request.status !== 0 && request.status !== 404) return true;
       await sleep(100);
@@ -204,23 +207,31 @@
   }
 
   async #probe(instance: SoakInstance): Promise<number> {
-    const request = this.#newRequest(true);
+    const request = this.#newRequest(instance, true);
     await this.#send(instance, request);
     return request.status;
   }
 
   #sendOne(): void {
     const instance = this.#random.pick(this.#instances)!;
-    void this.#send(instance, this.#newRequest(this.#random.below(2) === 0));
+    const isIdempotent = this.#random.below(2) === 0;
+    const request = this.#newRequest(instance, isIdempotent);
+    const leavesAfterMs = this.#random.below(LEAVING_EVERY) === 0
+      ? this.#random.below(MAX_LEAVING_MS)
+      : undefined;
+    void this.#send(instance, request, leavesAfterMs);
   }
 
-  #newRequest(isIdempotent: boolean): SentRequest {
+  #newRequest(instance: SoakInstance, isIdempotent: boolean): SentRequest {
     const number = this.#nextId++;
     const id = `s${this.#options.seed}-${number}`;
     const isLong = number % LONG_BODY_EVERY === 0;
     const body = `body of ${id}`.padEnd(isLong ? LONG_BODY_BYTES : 0, ".");
     const request = {
       id,
+      sentAtMs: performance.now(),
+      leftAtMs: Infinity,
+      ingressPausesMs: instance.pausesMs,
       path: `/${isIdempotent ? "stock" : "orders"}/${id}`,
       body: isIdempotent ? "" : body,
       isIdempotent,
@@ -231,7 +242,11 @@
     return request;
   }
 
-  #send(instance: SoakInstance, request: SentRequest): Promise<void> {
+  #send(
+    instance: SoakInstance,
+    request: SentRequest,
+    leavesAfterMs?: number,
+  ): Promise<void> {
     return new Promise((resolve) => {
       const outgoing = sendRequest({
         agent: this.#agent,
@@ -248,6 +263,7 @@
         let answer = "";
         response.on("data", (chunk) => answer += String(chunk));
         response.on("end", () => {
+          clearTimeout(leaving);
           request.status = response.statusCode ?? 0;
           request.answer = answer;
           resolve();
@@ -257,6 +273,13 @@
       // No answer is an answer too: the status stays 0.
       outgoing.on("error", () => resolve());
       outgoing.setTimeout(TIMEOUT_MS * 2, () => outgoing.destroy());
+      const leave = () => {
+        request.leftAtMs = performance.now();
+        outgoing.destroy();
+      };
+      const leaving = leavesAfterMs === undefined
+        ? undefined
+        : setTimeout(leave, leavesAfterMs);
       outgoing.end(request.body);
     });
   }
@@ -315,6 +338,11 @@
       "backend-cuts-answers": backendFault(BackendFault.CutUnframed),
       "backend-crosses-answers": backendFault(BackendFault.WrongId),
       "backend-silent": backendFault(BackendFault.Silent),
+      "backend-endless-head": backendFault(BackendFault.EndlessHead),
+      "backend-endless-interim": backendFault(BackendFault.EndlessInterim),
+      "backend-endless-body": backendFault(BackendFault.EndlessBody),
+      "backend-endless-extension": backendFault(BackendFault.EndlessExtension),
+      "backend-endless-other": backendFault(BackendFault.EndlessOther),
       "backend-replaced": (lastsMs) => void this.#replace(instance, lastsMs),
       "daemon-crash": (lastsMs) => void instance.crash(lastsMs / 4),
       "daemon-restart": () => void instance.restart(),
