Keep the connections for questions about requests; judge an answer once

Change: questions share connections that answered one within the last 2 s; one that does not answer is not used again, so one that went silent costs one question. An answer's owner is judged once, at its head. Aborts give a reason, as the default one records a stack.

--- a/src/sidecar/backend_answer_test.ts
+++ b/src/sidecar/backend_answer_test.ts
@@ -38,6 +38,7 @@
     status,
     headers,
     body: Buffer.from("x"),
+    isForeign: false,
   };
   const outcome = classifyAnswer({
     call: CALL,
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -34,6 +34,10 @@
 const QUERY_PERIOD_MS = 500;
 /** Time in which a question must be answered, in ms. */
 const QUERY_TIMEOUT_MS = 400;
+/** Longest idle time of a connection for questions, in ms. */
+const QUERY_MAX_IDLE_MS = 2_000;
+/** Given as a reason, since the default one records a stack each time. */
+const GIVEN_UP = new Error("given up");
 
 /** Time for which another daemon may wait for news from the store, in ms. */
 const FEED_WAIT_MS = 600;
@@ -55,7 +59,7 @@
  * Sends requests to the daemon beside another backend server.
  *
  * A connection may have gone silent for good, so a request without an answer is
- * asked about over a new one.
+ * asked about over another one.
  *
  * @example
  * ```ts ignore
@@ -63,9 +67,10 @@
  * ```
  */
 export class PeerClient {
-  readonly #address: string;
   readonly #linkMbps: number;
   readonly #connections: ConnectionStack;
+  /** Apart from requests, so that one that went silent is soon found out. */
+  readonly #questions: ConnectionStack;
 
   /**
    * Creates a client without connections.
@@ -73,9 +78,9 @@
    * @param record A backend server beside the daemon.
    */
   constructor(record: BackendRecord) {
-    this.#address = record.peerAddress;
     this.#linkMbps = record.linkMbps;
     this.#connections = new ConnectionStack(record.peerAddress);
+    this.#questions = new ConnectionStack(record.peerAddress);
   }
 
   /**
@@ -106,7 +111,7 @@
     options: { readonly signal: AbortSignal; readonly configVersion: number },
   ): Promise<PeerResult> {
     const lost = new AbortController();
-    const onAbort = () => lost.abort();
+    const onAbort = () => lost.abort(GIVEN_UP);
     options.signal.addEventListener("abort", onAbort);
     const watch = this.#watch(call, lost);
     const sentAtMs = performance.now();
@@ -168,6 +173,7 @@
   /** Closes what is idle. */
   close(): void {
     this.#connections.close();
+    this.#questions.close();
   }
 
   /** Waits for a place on the way; a destination that names none is no bar. */
@@ -195,7 +201,7 @@
       repeated = status === last ? repeated + 1 : 1;
       last = status;
       verdict = silenceVerdict(status, repeated, call.kind);
-      if (verdict !== undefined) lost.abort();
+      if (verdict !== undefined) lost.abort(GIVEN_UP);
       else timer = setTimeout(ask, QUERY_PERIOD_MS);
     };
     let timer: NodeJS.Timeout | undefined = setTimeout(ask, QUERY_AFTER_MS);
@@ -222,14 +228,21 @@
     );
   }
 
-  /** Asks over a new connection, as the known ones may be silent. */
+  /**
+   * Asks over a connection that has answered a question lately, or a new one.
+   * One that does not answer is not used again.
+   */
   async #ask(path: string): Promise<StackResult> {
-    const fresh = new ConnectionStack(this.#address);
-    const result = await fresh.send(
-      { method: "GET", path, headers: [], body: undefined },
-      AbortSignal.timeout(QUERY_TIMEOUT_MS),
-    );
-    fresh.close();
+    const cut = new AbortController();
+    const timer = setTimeout(() => cut.abort(GIVEN_UP), QUERY_TIMEOUT_MS);
+    const result = await this.#questions.send({
+      method: "GET",
+      path,
+      headers: [],
+      body: undefined,
+      maxIdleMs: QUERY_MAX_IDLE_MS,
+    }, cut.signal);
+    clearTimeout(timer);
     return result;
   }
 }
--- a/src/transport/http/connection_stack.ts
+++ b/src/transport/http/connection_stack.ts
@@ -45,6 +45,8 @@
     /** Names and values in turn, as received. */
     readonly headers: readonly string[];
     readonly body: Buffer;
+    /** Whether it is the answer to another request; it has no body then. */
+    readonly isForeign: boolean;
   }
   | {
     readonly kind: "failed";
@@ -196,7 +198,7 @@
   // A rejection may come before a long body was read; the rest is still due.
   const isLong = (request.body?.length ?? 0) > MAX_SURELY_READ_BYTES;
   if (result.status >= 300 && isLong) return true;
-  return request.accepts?.(result.status, result.headers) === false;
+  return result.isForeign;
 }
 
 function exchange(
@@ -279,7 +281,7 @@
     this.#headers = raw.rawHeaders.map((field) => field.toString("latin1"));
     // The body of an answer to another request may have no end.
     if (this.#options.accepts?.(status, this.#headers) === false) {
-      this.#answered(Buffer.alloc(0));
+      this.#answered(Buffer.alloc(0), true);
     }
   }
 
@@ -312,12 +314,13 @@
     this.#finish({ kind: "failed", sent, message: messageOf(error) });
   }
 
-  #answered(body: Buffer): void {
+  #answered(body: Buffer, isForeign = false): void {
     this.#finish({
       kind: "answer",
       status: this.#status,
       headers: this.#headers,
       body,
+      isForeign,
     });
   }
 
