Look at the clock four times a second

Change: a look each 250 ms; a process that stood still for 350 ms is noticed by the first request after it, as before by the time since the last look.

--- a/src/transport/observe/loop_watch.ts
+++ b/src/transport/observe/loop_watch.ts
@@ -3,11 +3,11 @@
 import type { EventLog } from "./event_log.ts";
 
 /** Pause between two looks at the clock, in ms. */
-const PERIOD_MS = 100;
+const PERIOD_MS = 250;
 /** Delay of a look from which on the process counts as held up, in ms. */
 const HELD_UP_MS = 100;
 /** Connections in a period from which on they may wait to be accepted. */
-const MIN_ACCEPTED = 3;
+const MIN_ACCEPTED = 8;
 /** Part of the turns with a new connection from which on others waited. */
 const BUSY_SHARE = 0.8;
 
