--- /dev/null
+++ b/src/transport/observe/loop_watch_test.ts
@@ -0,0 +1,36 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { EventLog } from "./event_log.ts";
+import { LoopWatch } from "./loop_watch.ts";
+
+/** Keeps the event loop from turning. */
+function standStill(lastsMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, lastsMs);
+}
+
+// Guards against requests that are taken for new right after the process stood
+// still, before the watch itself has looked at the clock again.
+test("isHeldUp is true from the first moment after the process stood still", async () => {
+  const log = new EventLog({ sink: { write: () => {}, close: () => {} } });
+  const delaysMs: number[] = [];
+  const watch = new LoopWatch({
+    log,
+    onHeldUp: (delayMs) => delaysMs.push(delayMs),
+  });
+  watch.start();
+  const before = watch.isHeldUp;
+  standStill(600);
+  const after = watch.isHeldUp;
+  await sleep(0);
+  const isNoted = delaysMs.length === 1 && delaysMs[0]! >= 300;
+  watch.stop();
+  log.close();
+  assert.equal({ before, after, isNoted }, {
+    before: false,
+    after: true,
+    isNoted: true,
+  });
+});
+
+test.run();
