--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -1,6 +1,6 @@
 import { spawnSync } from "node:child_process";
 import { mkdtempSync, rmSync } from "node:fs";
-import { Agent, request as sendRequest } from "node:http";
+import { Agent } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -9,6 +9,7 @@
 import { KvServer, StoreFault } from "../platform/fakes/kv_server.ts";
 import { CONFIG_KEY, sampleConfig } from "../platform/fakes/mesh.ts";
 import { Random } from "../src/protocol/random.ts";
+import { sendAsCaller } from "./caller.ts";
 import { SoakInstance } from "./instance.ts";
 import {
   type BackendLife,
@@ -247,40 +248,11 @@
     request: SentRequest,
     leavesAfterMs?: number,
   ): Promise<void> {
-    return new Promise((resolve) => {
-      const outgoing = sendRequest({
-        agent: this.#agent,
-        host: "127.0.0.1",
-        port: instance.ingressPort,
-        method: request.isIdempotent ? "GET" : "POST",
-        path: request.path,
-        headers: {
-          host: "shop.example",
-          "x-attempt-id": request.id,
-          "x-deadline-ms": String(TIMEOUT_MS),
-        },
-      }, (response) => {
-        let answer = "";
-        response.on("data", (chunk) => answer += String(chunk));
-        response.on("end", () => {
-          clearTimeout(leaving);
-          request.status = response.statusCode ?? 0;
-          request.answer = answer;
-          resolve();
-        });
-        response.on("error", () => resolve());
-      });
-      // No answer is an answer too: the status stays 0.
-      outgoing.on("error", () => resolve());
-      outgoing.setTimeout(TIMEOUT_MS * 2, () => outgoing.destroy());
-      const leave = () => {
-        request.leftAtMs = performance.now();
-        outgoing.destroy();
-      };
-      const leaving = leavesAfterMs === undefined
-        ? undefined
-        : setTimeout(leave, leavesAfterMs);
-      outgoing.end(request.body);
+    return sendAsCaller(request, {
+      agent: this.#agent,
+      port: instance.ingressPort,
+      timeoutMs: TIMEOUT_MS,
+      leavesAfterMs,
     });
   }
 
