--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -7,7 +7,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { BackendFault } from "../platform/fakes/backend.ts";
 import { KvServer, StoreFault } from "../platform/fakes/kv_server.ts";
-import { CONFIG_KEY, sampleConfig } from "../platform/fakes/mesh.ts";
+import {
+  addedRoute,
+  CONFIG_KEY,
+  sampleConfig,
+} from "../platform/fakes/mesh.ts";
 import { Random } from "../src/protocol/random.ts";
 import { sendAsCaller } from "./caller.ts";
 import { SoakInstance } from "./instance.ts";
@@ -173,14 +177,7 @@
     const path = "/last/1";
     this.#store.put(
       CONFIG_KEY,
-      JSON.stringify(sampleConfig(++this.#version, [{
-        Name: "last",
-        Kind: "idempotent",
-        SloS: 0.5,
-        Priority: 0,
-        Match: { Prefix: "/last/" },
-        Action: { Service: "stock", TimeoutS: 1, Attempts: 1 },
-      }])),
+      JSON.stringify(sampleConfig(++this.#version, [addedRoute("last")])),
     );
     const endAtMs = performance.now() + APPLY_MS;
     // All are asked at once, so that a slow one takes no time from the others.
--- a/src/transport/http/listen.ts
+++ b/src/transport/http/listen.ts
@@ -1,11 +1,11 @@
 import type { Server } from "node:http";
 import { type AddressInfo, Server as NetServer } from "node:net";
-import { setImmediate as nextTurn } from "node:timers/promises";
 import {
   FailureKind,
   messageOf,
   StepError,
 } from "../../protocol/step_error.ts";
+import { untilReadAgain } from "./caller_watch.ts";
 
 /** Longest time for which connections that wait are accepted, in ms. */
 const MAX_ACCEPT_MS = 1_000;
@@ -83,8 +83,7 @@
   do {
     hasAccepted = false;
     // A turn of the event loop accepts one connection at most.
-    await nextTurn();
-    await nextTurn();
+    await untilReadAgain();
   } while (hasAccepted && performance.now() < untilMs);
   server.off("connection", onConnection);
   // The method of http.Server would close unused connections too, and cut a
--- a/tests/platform/mesh_test.ts
+++ b/tests/platform/mesh_test.ts
@@ -5,6 +5,7 @@
 import { BackendFault } from "../../platform/fakes/backend.ts";
 import { StoreFault } from "../../platform/fakes/kv_server.ts";
 import {
+  addedRoute,
   CONFIG_KEY,
   FakeMesh,
   sampleConfig,
@@ -227,14 +228,7 @@
   async (mesh) => {
     mesh.store.put(
       CONFIG_KEY,
-      JSON.stringify(sampleConfig(5, [{
-        Name: "added",
-        Kind: "idempotent",
-        SloS: 0.5,
-        Priority: 0,
-        Match: { Prefix: "/added/" },
-        Action: { Service: "stock", TimeoutS: 1, Attempts: 1 },
-      }])),
+      JSON.stringify(sampleConfig(5, [addedRoute("added")])),
     );
     mesh.store.compact();
     await until(
--- a/tests/platform/readers_test.ts
+++ b/tests/platform/readers_test.ts
@@ -3,6 +3,7 @@
 import * as assert from "uvu/assert";
 import { StoreFault } from "../../platform/fakes/kv_server.ts";
 import {
+  addedRoute,
   CONFIG_KEY,
   FakeMesh,
   sampleConfig,
@@ -30,14 +31,7 @@
 }
 
 function addRoute(mesh: FakeMesh, version: number): void {
-  const config = sampleConfig(version, [{
-    Name: "added",
-    Kind: "idempotent",
-    SloS: 0.5,
-    Priority: 0,
-    Match: { Prefix: "/added/" },
-    Action: { Service: "stock", TimeoutS: 1, Attempts: 1 },
-  }]);
+  const config = sampleConfig(version, [addedRoute("added")]);
   mesh.store.put(CONFIG_KEY, JSON.stringify(config));
 }
 
