Log what questions about requests find out, and the daemon's processor time

Each finding that is not 'open' has a line now (request-doubted: the destination, what was found, how often, how long it took, whether a connection took the question), the destination counts the questions it answers, and each daemon logs its processor time and the growth of its counters every 5 s (daemon-usage), so that time can be put down to work. No logic changes.

--- a/src/sidecar/fleet.ts
+++ b/src/sidecar/fleet.ts
@@ -1,11 +1,18 @@
+import type { EventLog } from "../transport/observe/event_log.ts";
+import { LineLimit } from "../transport/observe/line_limit.ts";
+import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { DestinationView } from "../coordination/dispatch/mod.ts";
 import type { FeedNews } from "../protocol/feed.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
 import type { MeshCall } from "../protocol/mesh_call.ts";
+import { CallStatus } from "../protocol/peer_call.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import type { DestinationTask } from "./destination_task.ts";
-import { PeerClient, type PeerResult } from "./peer_client.ts";
+import { type Finding, PeerClient, type PeerResult } from "./peer_client.ts";
+
+/** Most lines about questions without a good answer in a second. */
+const MAX_FINDING_LINES_PER_S = 20;
 
 /** What the way to the other daemons needs. */
 export interface FleetOptions {
@@ -13,6 +20,8 @@
   readonly directory: BackendDirectory;
   readonly routes: RouteTableHolder;
   readonly destination: DestinationTask;
+  readonly log: EventLog;
+  readonly metrics: TextMetrics;
   /** Takes in the configuration version of another daemon. */
   readonly onVersion: (version: number, client: PeerClient) => void;
 }
@@ -37,6 +46,7 @@
 export class Fleet {
   readonly #options: FleetOptions;
   readonly #links = new Map<string, Link>();
+  readonly #findingLines: LineLimit;
 
   /**
    * Creates a fleet without connections.
@@ -45,6 +55,7 @@
    */
   constructor(options: FleetOptions) {
     this.#options = options;
+    this.#findingLines = new LineLimit(options.log, MAX_FINDING_LINES_PER_S);
   }
 
   /**
@@ -121,6 +132,22 @@
     this.#links.delete(instance);
   }
 
+  #noteFinding(record: BackendRecord, finding: Finding): void {
+    const { log, metrics } = this.#options;
+    const { status, repeated, ...details } = finding;
+    const found = status ?? "silent";
+    metrics.count("questions_total", { found });
+    if (status === CallStatus.Open) return;
+    if (!this.#findingLines.allows(performance.now())) return;
+    log.info("request-doubted", {
+      ...details,
+      backend: record.id,
+      instance: record.instance,
+      found,
+      repeated,
+    });
+  }
+
   async #executeHere(
     call: MeshCall,
     signal: AbortSignal,
@@ -140,7 +167,9 @@
       id: record.id,
       address: record.peerAddress,
       view: new DestinationView(),
-      client: new PeerClient(record),
+      client: new PeerClient(record, {
+        onFinding: (finding) => this.#noteFinding(record, finding),
+      }),
     };
     this.#links.set(record.instance, link);
     return link;
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -44,6 +44,26 @@
 /** Time beyond that after which the daemon is taken to be out of reach, in ms. */
 const FEED_MARGIN_MS = 500;
 
+/** What a question about a request without an answer found out. */
+export interface Finding {
+  readonly id: string;
+  /** What the destination says; `undefined` where it says nothing in time. */
+  readonly status: CallStatus | undefined;
+  /** How often in a row it has said so. */
+  readonly repeated: number;
+  /** Time since the request was sent. */
+  readonly ageMs: number;
+  /** Time that the question took. */
+  readonly askedMs: number;
+  /** Whether the question was written to an open connection. */
+  readonly wasSent: boolean;
+}
+
+/** What a client tells besides the outcomes of requests. */
+export interface PeerClientOptions {
+  readonly onFinding: (finding: Finding) => void;
+}
+
 /** Outcome of a request with what came beside it. */
 export interface PeerResult {
   readonly outcome: CallOutcome;
@@ -63,11 +83,13 @@
  *
  * @example
  * ```ts ignore
+ * const client = new PeerClient(record, { onFinding });
  * const { outcome } = await client.execute(call, { signal, configVersion: 7 });
  * ```
  */
 export class PeerClient {
   readonly #linkMbps: number;
+  readonly #onFinding: PeerClientOptions["onFinding"];
   readonly #connections: ConnectionStack;
   /** Apart from requests, so that one that went silent is soon found out. */
   readonly #questions: ConnectionStack;
@@ -76,8 +98,10 @@
    * Creates a client without connections.
    *
    * @param record A backend server beside the daemon.
+   * @param options Where findings go.
    */
-  constructor(record: BackendRecord) {
+  constructor(record: BackendRecord, options: PeerClientOptions) {
+    this.#onFinding = options.onFinding;
     this.#linkMbps = record.linkMbps;
     this.#connections = new ConnectionStack(record.peerAddress);
     this.#questions = new ConnectionStack(record.peerAddress);
@@ -196,10 +220,20 @@
     let repeated = 0;
     const sentAtMs = performance.now();
     const ask = async () => {
-      const status = await this.#statusOf(call.id, sentAtMs);
+      const askedAtMs = performance.now();
+      const { status, wasSent } = await this.#statusOf(call.id, sentAtMs);
       if (timer === undefined) return;
       repeated = status === last ? repeated + 1 : 1;
       last = status;
+      const nowMs = performance.now();
+      this.#onFinding({
+        id: call.id,
+        status,
+        repeated,
+        ageMs: Math.round(nowMs - sentAtMs),
+        askedMs: Math.round(nowMs - askedAtMs),
+        wasSent,
+      });
       verdict = silenceVerdict(status, repeated, call.kind);
       if (verdict !== undefined) lost.abort(GIVEN_UP);
       else timer = setTimeout(ask, QUERY_PERIOD_MS);
@@ -217,15 +251,18 @@
   async #statusOf(
     id: string,
     sentAtMs: number,
-  ): Promise<CallStatus | undefined> {
+  ): Promise<Pick<Finding, "status" | "wasSent">> {
     const ageMs = Math.ceil(performance.now() - sentAtMs);
     const result = await this.#ask(
       `${STATUS_PATH}${encodeURIComponent(id)}?ageMs=${ageMs}`,
     );
-    if (result.kind === "failed" || result.status !== 200) return undefined;
-    return Object.values(CallStatus).find((status) =>
-      status === result.body.toString()
+    if (result.kind === "failed") {
+      return { status: undefined, wasSent: result.sent };
+    }
+    const status = Object.values(CallStatus).find((one) =>
+      result.status === 200 && one === result.body.toString()
     );
+    return { status, wasSent: true };
   }
 
   /**
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -32,6 +32,7 @@
 } from "../transport/http/caller_watch.ts";
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
+import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { CallLedger } from "./call_ledger.ts";
 import type { Ending } from "./ending.ts";
 import type { DestinationTask } from "./destination_task.ts";
@@ -53,6 +54,7 @@
   readonly destination: DestinationTask;
   readonly routes: RouteTableHolder;
   readonly log: EventLog;
+  readonly metrics: TextMetrics;
   readonly ending: Ending;
   readonly stalls: StallSource;
   /** Takes in the configuration version of another daemon. */
@@ -116,6 +118,7 @@
     response.once("close", caller.done);
     const arrivedAtMs = performance.now();
     const mayRun = this.#ledger.open(id, arrivedAtMs);
+    this.#options.metrics.count("peer_calls_total");
     const read = await readBody(request, MAX_BODY_BYTES);
     this.#places.arrived(id);
     if (read.kind !== "whole") {
@@ -212,7 +215,11 @@
     const nowMs = performance.now();
     const status = this.#ledger.ask(decodeURIComponent(encodedId), nowMs);
     const isOlder = ageMs + START_MARGIN_MS >= nowMs;
-    return status === CallStatus.Unknown && isOlder ? CallStatus.Ended : status;
+    const known = status === CallStatus.Unknown && isOlder
+      ? CallStatus.Ended
+      : status;
+    this.#options.metrics.count("questions_answered_total", { status: known });
+    return known;
   }
 
   async #answerFollower(
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -12,6 +12,7 @@
 import { EventLog } from "../transport/observe/event_log.ts";
 import { LoopWatch } from "../transport/observe/loop_watch.ts";
 import { TextMetrics } from "../transport/observe/text_metrics.ts";
+import { UsageReport } from "../transport/observe/usage_report.ts";
 import { AnnounceTask } from "./announce_task.ts";
 import { BackendKeeper } from "./backend_keeper.ts";
 import { createControlServer } from "./control_task.ts";
@@ -69,6 +70,7 @@
   readonly #metrics = new TextMetrics();
   readonly #metricsServer: Server;
   readonly #loop: LoopWatch;
+  readonly #usage: UsageReport;
   readonly #announcer: AnnounceTask;
   readonly #keeper: BackendKeeper;
   readonly #sync: StoreSyncTask;
@@ -89,6 +91,7 @@
       onHeldUp: (delayMs) => this.#metrics.observe("held_up_ms", delayMs),
       onBusy: (server) => this.#metrics.count("accept_busy_total", { server }),
     });
+    this.#usage = new UsageReport(this.#log, this.#metrics);
     const backend = new OwnBackend();
     this.#destination = new DestinationTask({
       backend,
@@ -117,6 +120,8 @@
       directory: this.#directory,
       routes: this.#routes,
       destination: this.#destination,
+      log: this.#log,
+      metrics: this.#metrics,
       onVersion: (version, client) => void this.#sync.hear(version, client),
     });
     this.#ingress = this.#createIngress();
@@ -127,6 +132,7 @@
       ending: this.#ending,
       stalls: this.#loop,
       log: this.#log,
+      metrics: this.#metrics,
       onVersion: (version) => void this.#sync.hear(version, undefined),
       newsFor: (afterRevision, waitMs) =>
         this.#sync.newsFor(afterRevision, waitMs),
@@ -164,6 +170,7 @@
     this.#loop.observe("ingress", this.#ingress.server);
     this.#loop.observe("peers", this.#peers.server);
     this.#loop.start();
+    this.#usage.start();
     void this.#sync.run(this.#stopped.signal);
     void this.#announcer.run(this.#stopped.signal);
   }
@@ -215,6 +222,7 @@
     await sleep(CLOSE_MS);
     this.#stopped.abort();
     this.#loop.stop();
+    this.#usage.stop();
     this.#log.info("daemon-stopped", { open: this.#ingress.open });
     this.#log.close();
   }
@@ -223,6 +231,7 @@
   kill(): void {
     this.#stopped.abort();
     this.#loop.stop();
+    this.#usage.stop();
     const servers = [
       this.#ingress.server,
       this.#peers.server,
--- a/src/transport/observe/mod.ts
+++ b/src/transport/observe/mod.ts
@@ -10,4 +10,5 @@
 export * from "./metrics.ts";
 export * from "./socket_meter.ts";
 export * from "./text_metrics.ts";
+export * from "./usage_report.ts";
 export * from "./winston_sink.ts";
--- a/src/transport/observe/text_metrics.ts
+++ b/src/transport/observe/text_metrics.ts
@@ -66,6 +66,16 @@
     this.#gauges.set(PREFIX + name, read);
   }
 
+  /** Sums of the counters over all labels, by names without prefix. */
+  totals(): ReadonlyMap<string, number> {
+    const totals = new Map<string, number>();
+    for (const [series, value] of this.#counters) {
+      const name = series.slice(PREFIX.length).split("{", 1)[0]!;
+      totals.set(name, (totals.get(name) ?? 0) + value);
+    }
+    return totals;
+  }
+
   /** All series, one a line. */
   text(): string {
     const lines: string[] = [];
