--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -36,6 +36,8 @@
   readonly folder: string;
   readonly bundle: string;
   readonly storePort: number;
+  /** Time from SIGTERM to the end, in s; {@linkcode GRACE_S} unless said. */
+  readonly graceS?: number;
 }
 
 /** Bandwidths that daemons take their links to have, in Mbit/s. */
@@ -230,7 +232,7 @@
         metricsAddress: at(4),
         storeAddress: `${HOST}:${storePort}`,
         bounds: [
-          `GraceS=${GRACE_S}`,
+          `GraceS=${this.#options.graceS ?? GRACE_S}`,
           "RetryRatio=0.2",
           "BudgetWindowS=10",
           "RetrySlack=58",
--- a/tests/platform/held_up_test.ts
+++ b/tests/platform/held_up_test.ts
@@ -1,81 +1,29 @@
-import { spawnSync } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, rmSync } from "node:fs";
-import { connect, type Socket } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { KvServer } from "../../platform/fakes/kv_server.ts";
-import { CONFIG_KEY, sampleConfig } from "../../platform/fakes/mesh.ts";
-import { SoakInstance } from "../../soak/instance.ts";
+import type { SoakInstance } from "../../soak/instance.ts";
 import { RequestKind } from "../../src/protocol/mesh.ts";
 import { formatCall, HEADER_CALL } from "../../src/protocol/peer_call.ts";
 import { until } from "../../testkit/until.ts";
+import {
+  daemonsTest,
+  edgeRequest,
+  isServed,
+  open,
+} from "./daemon_processes.ts";
 
 /** Callers that leave while the daemon is held up. */
 const CALLERS = 5;
 /** Slots that a backend server of {@linkcode SoakInstance} announces. */
 const SLOTS = 8;
 
-/** Runs a test on a daemon in a process of its own, which can be paused. */
+/** Runs a test on one daemon in a process of its own. */
 function daemonTest(
   name: string,
   run: (daemon: SoakInstance) => Promise<void>,
 ): void {
-  test(name, async () => {
-    const folder = mkdtempSync(join(tmpdir(), "sesamepond-"));
-    const bundle = join(folder, "sesamepond.mjs");
-    spawnSync(process.execPath, ["scripts/build_platform.mjs", bundle]);
-    const store = await KvServer.start();
-    store.put(CONFIG_KEY, JSON.stringify(sampleConfig(1)));
-    const daemon = await SoakInstance.start({
-      index: 0,
-      domain: "domain-0",
-      folder,
-      bundle,
-      storePort: Number(store.address.split(":")[1]),
-    });
-    try {
-      await until(() => isServed(daemon, "first"), "the daemon serves");
-      await run(daemon);
-    } finally {
-      await daemon.end();
-      await store.stop();
-      rmSync(folder, { recursive: true });
-    }
-  });
-}
-
-async function isServed(daemon: SoakInstance, id: string): Promise<boolean> {
-  const socket = await open(daemon.ingressPort);
-  if (socket.destroyed) return false;
-  socket.write(edgeRequest(id));
-  const answer = await new Promise<string>((resolve) => {
-    socket.once("data", (chunk) => resolve(String(chunk)));
-    socket.once("close", () => resolve(""));
-  });
-  socket.destroy();
-  return answer.startsWith("HTTP/1.1 200");
-}
-
-async function open(port: number): Promise<Socket> {
-  const socket = connect(port, "127.0.0.1");
-  socket.on("error", () => {
-    // The daemon may reset what its caller has closed.
-  });
-  await new Promise((resolve) => {
-    socket.once("connect", resolve);
-    socket.once("close", resolve);
-  });
-  return socket;
-}
-
-function edgeRequest(id: string): string {
-  return `GET /stock/1 HTTP/1.1\r\nhost: shop.example\r\n` +
-    `x-attempt-id: ${id}\r\nx-deadline-ms: 5000\r\n\r\n`;
+  daemonsTest(name, 1, ([daemon]) => run(daemon!));
 }
 
 function peerRequest(id: string): string {
