Wait for a request whose destination is silent; never give it up for that

Callers saw 502 after 1.7 s for requests at which a backend server was at work, on busy fleets, after SIGTERM and without it. Cause: two questions about a request without an answer (0.4 s each, 0.5 s apart) ended it if it may be repeated. A daemon that lacks processor time or sits behind a full link is as silent as one that is gone, so silence proves nothing, and the backend server's work was thrown away. The class of fault: a missing answer read as a negative answer.

Now a request that gives no sign is doubted: another destination may be tried within the route's attempts and the budget, the first answer counts, and the rest is cancelled. It ends by an answer, by its destination's word that it never arrived, by a broken connection, at its deadline or with its caller.

--- a/src/cli/explain_log.ts
+++ b/src/cli/explain_log.ts
@@ -114,6 +114,8 @@
       return `${step.backend} did not run it: ${step.detail} (${times})`;
     case "hopeless":
       return `${step.backend} was not asked: its reports left no chance (${times})`;
+    case "doubted":
+      return `${step.backend} gave no sign of it: ${step.detail} (${times}); its answer was still waited for`;
     default:
       return `${step.backend} may have run it: ${step.detail} (${times})`;
   }
--- a/src/coordination/retry/silence_verdict.ts
+++ b/src/coordination/retry/silence_verdict.ts
@@ -1,50 +1,56 @@
 import { RequestKind } from "../../protocol/mesh.ts";
-import {
-  type CallOutcome,
-  MeshReason,
-  notRunOutcome,
-} from "../../protocol/mesh_call.ts";
+import { MeshReason } from "../../protocol/mesh_call.ts";
 import { CallStatus } from "../../protocol/peer_call.ts";
 
-/** Equal findings in a row that decide about a request without an answer. */
+/** Equal findings in a row that put a request in doubt. */
 const DECIDING_FINDINGS = 2;
 
+/** What follows from a question about a request without an answer. */
+export type SilenceVerdict =
+  /** Its answer is waited for. */
+  | { readonly kind: "wait" }
+  /** It never arrived and never will. */
+  | { readonly kind: "not-run" }
+  /** It may be sent elsewhere besides; its answer may still come. */
+  | { readonly kind: "doubted"; readonly reason: MeshReason };
+
 /**
  * Decides about a request without an answer by what its destination says of it.
  *
- * A request that may run once is waited for as long as it may have run: it
- * cannot be sent again, and through a full link its answer, or the answer to
- * the question, may just be slow.
+ * Silence never ends a request: a destination without processor time, or behind
+ * a full link, is as silent as one that is gone, and its backend server may be
+ * at work. What may be repeated is put in doubt, and may be sent to another
+ * destination while its answer is waited for.
  *
  * @param status What the destination says; `undefined` where it says nothing.
  * @param repeated How often in a row it has said so.
  * @param kind Kind of the request.
- * @returns The outcome; `undefined` where the answer is waited for.
+ * @returns What follows.
  *
  * @example
  * ```ts
- * silenceVerdict(CallStatus.Open, 5, RequestKind.Idempotent); // undefined
+ * silenceVerdict(CallStatus.Open, 5, RequestKind.Idempotent); // { kind: "wait" }
  * ```
  */
 export function silenceVerdict(
   status: CallStatus | undefined,
   repeated: number,
   kind: RequestKind,
-): CallOutcome | undefined {
-  const isRepeatable = kind === RequestKind.Idempotent;
-  const isDecided = isRepeatable && repeated >= DECIDING_FINDINGS;
+): SilenceVerdict {
+  const isDoubted = kind === RequestKind.Idempotent &&
+    repeated >= DECIDING_FINDINGS;
   switch (status) {
     case CallStatus.Unknown:
-      return notRunOutcome(MeshReason.Unreachable);
+      return { kind: "not-run" };
     case CallStatus.Open:
-      return undefined;
+      return { kind: "wait" };
     case CallStatus.Ended:
-      return isDecided
-        ? { kind: "unknown", reason: MeshReason.Broken }
-        : undefined;
+      return isDoubted
+        ? { kind: "doubted", reason: MeshReason.Broken }
+        : { kind: "wait" };
     case undefined:
-      return isDecided
-        ? { kind: "unknown", reason: MeshReason.Unreachable }
-        : undefined;
+      return isDoubted
+        ? { kind: "doubted", reason: MeshReason.Unreachable }
+        : { kind: "wait" };
   }
 }
--- a/src/sidecar/call_flow.ts
+++ b/src/sidecar/call_flow.ts
@@ -54,6 +54,29 @@
   /** The time ran out, and it may have run. */
   | { readonly kind: "timed-out" };
 
+/** One send of the request to a destination. */
+interface Attempt {
+  readonly choice: DestinationChoice;
+  /** Whether it may be lost, by what questions about it found out. */
+  isDoubted: boolean;
+  /** What happens to it next. */
+  event: Promise<AttemptEvent>;
+}
+
+/** A send that ended, or that is in doubt where it has no outcome. */
+interface AttemptEvent {
+  readonly attempt: Attempt;
+  readonly outcome: CallOutcome | undefined;
+}
+
+/** What follows from the end of a send. */
+type NextStep =
+  | { readonly kind: "done"; readonly result: FlowResult }
+  /** Another destination is tried. */
+  | { readonly kind: "look" }
+  /** The other sends are waited for, if there are any. */
+  | { readonly kind: "wait" };
+
 /** What a flow works with. */
 export interface FlowContext {
   readonly fleet: Fleet;
@@ -83,8 +106,12 @@
   readonly #excluded = new Set<string>();
   readonly #steps: string[] = [];
   readonly #arrivedAtMs = performance.now();
+  /** Sends without an outcome yet. */
+  readonly #open = new Set<Attempt>();
+  /** Arrivals at backend servers, as far as they are known or feared. */
   #arrivals = 0;
-  #mayHaveRun = false;
+  /** Whether a send that has ended may have run. */
+  #hasUnknown = false;
   #retryAfterMs = Infinity;
   #failedAnswer: MeshAnswer | undefined;
 
@@ -120,18 +147,30 @@
       this.#loop(cancel.signal).then((result) => {
         clearTimeout(timer);
         resolve(result);
+        if (this.#open.size > 0) cancel.abort();
       });
     });
   }
 
   async #loop(signal: AbortSignal): Promise<FlowResult> {
     this.#context.budgetOf(this.#request.service).request(performance.now());
-    for (let hop = 0; hop < MAX_HOPS && !signal.aborted; hop++) {
-      const choice = this.#choose();
-      if (choice === undefined || this.#isHopeless(choice)) break;
-      const outcome = await this.#send(choice, signal);
-      const result = this.#conclude(choice, outcome);
-      if (result !== undefined) return result;
+    let sends = 0;
+    let isLooking = true;
+    while (!signal.aborted) {
+      const choice = isLooking && sends < MAX_HOPS ? this.#choose() : undefined;
+      if (choice !== undefined && !this.#isHopeless(choice)) {
+        sends++;
+        this.#send(choice, signal);
+      }
+      if (this.#open.size === 0) break;
+      const { attempt, outcome } = await this.#nextEvent();
+      if (outcome === undefined) {
+        isLooking = this.#isRepeatable() && this.#mayRepeat();
+        continue;
+      }
+      const next = this.#conclude(attempt, outcome);
+      if (next.kind === "done") return next.result;
+      isLooking = next.kind === "look";
     }
     return this.#giveUp();
   }
@@ -164,30 +203,48 @@
     });
   }
 
-  async #send(
-    choice: DestinationChoice,
-    signal: AbortSignal,
-  ): Promise<CallOutcome> {
+  /** Sends the request; its events come from {@linkcode #nextEvent}. */
+  #send(choice: DestinationChoice, signal: AbortSignal): void {
     const startedAtMs = performance.now();
-    const mayHaveRunBefore = this.#mayHaveRun;
-    this.#mayHaveRun = true;
-    const call = this.#callFor(choice);
-    const outcome = await this.#context.fleet.execute(
-      choice.record,
-      call,
-      signal,
-    );
-    if (outcome.kind === "not-run") this.#mayHaveRun = mayHaveRunBefore;
+    const attempt: Attempt = { choice, isDoubted: false, event: undefined! };
+    this.#open.add(attempt);
+    this.#excluded.add(choice.record.id);
+    attempt.event = new Promise((resolve) => {
+      const ended = this.#context.fleet.execute(
+        choice.record,
+        this.#callFor(choice),
+        {
+          signal,
+          onDoubt: (reason) => {
+            this.#note(choice, `doubted:${reason}`, startedAtMs);
+            this.#arrivals++;
+            attempt.isDoubted = true;
+            attempt.event = ended;
+            resolve({ attempt, outcome: undefined });
+          },
+        },
+      ).then((outcome) => {
+        const detail = outcome.kind === "answered"
+          ? outcome.answer.status
+          : outcome.reason;
+        this.#note(choice, `${outcome.kind}:${detail}`, startedAtMs);
+        return { attempt, outcome };
+      });
+      ended.then(resolve);
+    });
+  }
+
+  /** Waits until a send ends, or may be lost. */
+  #nextEvent(): Promise<AttemptEvent> {
+    const events = [...this.#open].map(({ event }) => event);
+    return events.length === 1 ? events[0]! : Promise.race(events);
+  }
+
+  #note(choice: DestinationChoice, outcome: string, startedAtMs: number): void {
     const tookMs = Math.round(performance.now() - startedAtMs);
-    const detail = outcome.kind === "answered"
-      ? outcome.answer.status
-      : outcome.reason;
     this.#steps.push(
-      `${choice.record.id}:${outcome.kind}:${detail}:${
-        Math.round(choice.waitMs)
-      }:${tookMs}`,
+      `${choice.record.id}:${outcome}:${Math.round(choice.waitMs)}:${tookMs}`,
     );
-    return outcome;
   }
 
   #callFor(choice: DestinationChoice): MeshCall {
@@ -202,49 +259,55 @@
     };
   }
 
-  /** Returns the result, or `undefined` where another destination is tried. */
-  #conclude(
-    choice: DestinationChoice,
-    outcome: CallOutcome,
-  ): FlowResult | undefined {
-    this.#excluded.add(choice.record.id);
+  #conclude(attempt: Attempt, outcome: CallOutcome): NextStep {
+    this.#open.delete(attempt);
     switch (outcome.kind) {
       case "answered":
-        this.#arrivals++;
+        this.#countArrival(attempt);
         if (outcome.answer.status < 500) {
-          return { kind: "answered", answer: outcome.answer };
+          return {
+            kind: "done",
+            result: { kind: "answered", answer: outcome.answer },
+          };
         }
         this.#failedAnswer = outcome.answer;
-        return this.#isRepeatable() && this.#mayRepeat()
-          ? undefined
-          : { kind: "answered", answer: outcome.answer };
+        return this.#lookOrWait(this.#isRepeatable());
       case "not-run":
-        return this.#concludeNotRun(choice, outcome);
+        return this.#concludeNotRun(attempt, outcome);
       case "unknown":
-        this.#arrivals++;
-        return this.#isRepeatable() && this.#mayRepeat()
-          ? undefined
-          : this.#giveUp();
+        this.#countArrival(attempt);
+        this.#hasUnknown = true;
+        return this.#lookOrWait(this.#isRepeatable());
     }
   }
 
   #concludeNotRun(
-    choice: DestinationChoice,
+    attempt: Attempt,
     outcome: Extract<CallOutcome, { kind: "not-run" }>,
-  ): FlowResult | undefined {
+  ): NextStep {
+    const { record } = attempt.choice;
     if (outcome.retryAfterMs > 0) {
       this.#retryAfterMs = Math.min(this.#retryAfterMs, outcome.retryAfterMs);
     }
     const isGone = outcome.reason === MeshReason.Replaced ||
       outcome.reason === MeshReason.NoBackend;
-    const entry = this.#context.directory.get(choice.record.instance);
+    const entry = this.#context.directory.get(record.instance);
     if (isGone && entry?.missingSinceMs !== 0) {
-      this.#context.directory.remove(choice.record.instance);
+      this.#context.directory.remove(record.instance);
     }
-    if (outcome.reason === MeshReason.Expired) return this.#giveUp();
-    if (!outcome.arrived) return undefined;
-    this.#arrivals++;
-    return this.#mayRepeat() ? undefined : this.#giveUp();
+    if (outcome.reason === MeshReason.Expired) return { kind: "wait" };
+    if (!outcome.arrived) return { kind: "look" };
+    this.#countArrival(attempt);
+    return this.#lookOrWait(true);
+  }
+
+  /** A doubted send has been counted. */
+  #countArrival(attempt: Attempt): void {
+    if (!attempt.isDoubted) this.#arrivals++;
+  }
+
+  #lookOrWait(isAllowed: boolean): NextStep {
+    return { kind: isAllowed && this.#mayRepeat() ? "look" : "wait" };
   }
 
   #isRepeatable(): boolean {
@@ -260,6 +323,11 @@
     return this.#context.budgetOf(service).trySpend(nowMs);
   }
 
+  /** Whether a backend server may have run it, or may be at work. */
+  get #mayHaveRun(): boolean {
+    return this.#hasUnknown || this.#open.size > 0;
+  }
+
   #giveUp(): FlowResult {
     if (this.#failedAnswer !== undefined) {
       return { kind: "answered", answer: this.#failedAnswer };
--- a/src/sidecar/fleet.ts
+++ b/src/sidecar/fleet.ts
@@ -9,7 +9,12 @@
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import type { DestinationTask } from "./destination_task.ts";
-import { type Finding, PeerClient, type PeerResult } from "./peer_client.ts";
+import {
+  type Finding,
+  PeerClient,
+  type PeerResult,
+  type SendOptions,
+} from "./peer_client.ts";
 
 /** Most lines about questions without a good answer in a second. */
 const MAX_FINDING_LINES_PER_S = 20;
@@ -40,7 +45,7 @@
  *
  * @example
  * ```ts ignore
- * const outcome = await fleet.execute(record, call, signal);
+ * const outcome = await fleet.execute(record, call, { signal, onDoubt });
  * ```
  */
 export class Fleet {
@@ -87,22 +92,26 @@
    *
    * @param record The backend server.
    * @param call The request.
-   * @param signal Ends it, as the caller has gone.
+   * @param options Cancellation, and who hears that it may be lost.
    * @returns The outcome; never rejects.
    */
   async execute(
     record: BackendRecord,
     call: MeshCall,
-    signal: AbortSignal,
+    options: Pick<SendOptions, "signal" | "onDoubt">,
   ): Promise<PeerResult["outcome"]> {
     const { view, client } = this.#linkOf(record);
     view.sent(call.route);
     const isOwn = record.instance === this.#options.instance;
     const result = isOwn
-      ? await this.#executeHere(call, signal)
+      ? await this.#executeHere(call, options.signal)
       : await client.execute(call, {
-        signal,
+        signal: options.signal,
         configVersion: this.#options.routes.version,
+        onDoubt: (reason) => {
+          view.unreached(performance.now());
+          options.onDoubt(reason);
+        },
       });
     const nowMs = performance.now();
     view.ended(call.route, result.outcome, nowMs);
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -64,6 +64,16 @@
   readonly onFinding: (finding: Finding) => void;
 }
 
+/** How a request is sent. */
+export interface SendOptions {
+  /** Ends it, as the caller has gone or has another answer. */
+  readonly signal: AbortSignal;
+  /** Newest configuration version known. */
+  readonly configVersion: number;
+  /** Takes in that the request may be lost; it goes on all the same. */
+  readonly onDoubt: (reason: MeshReason) => void;
+}
+
 /** Outcome of a request with what came beside it. */
 export interface PeerResult {
   readonly outcome: CallOutcome;
@@ -84,7 +94,7 @@
  * @example
  * ```ts ignore
  * const client = new PeerClient(record, { onFinding });
- * const { outcome } = await client.execute(call, { signal, configVersion: 7 });
+ * const { outcome } = await client.execute(call, options);
  * ```
  */
 export class PeerClient {
@@ -111,13 +121,10 @@
    * Has a request executed.
    *
    * @param call The request.
-   * @param options Cancellation, and the newest configuration version known.
+   * @param options How it is sent.
    * @returns The outcome; never rejects.
    */
-  async execute(
-    call: MeshCall,
-    options: { readonly signal: AbortSignal; readonly configVersion: number },
-  ): Promise<PeerResult> {
+  async execute(call: MeshCall, options: SendOptions): Promise<PeerResult> {
     if (!needsPlace(call.body?.length ?? 0, this.#linkMbps)) {
       return await this.#exchange(call, options);
     }
@@ -130,14 +137,11 @@
     return { ...await this.#exchange(call, options), placeWaitMs };
   }
 
-  async #exchange(
-    call: MeshCall,
-    options: { readonly signal: AbortSignal; readonly configVersion: number },
-  ): Promise<PeerResult> {
+  async #exchange(call: MeshCall, options: SendOptions): Promise<PeerResult> {
     const lost = new AbortController();
     const onAbort = () => lost.abort(GIVEN_UP);
     options.signal.addEventListener("abort", onAbort);
-    const watch = this.#watch(call, lost);
+    const watch = this.#watch(call, { lost, onDoubt: options.onDoubt });
     const sentAtMs = performance.now();
     const result = await this.#connections.send({
       method: call.method,
@@ -151,7 +155,7 @@
       accepts: (_status, headers) => resultOf(headers) !== undefined,
     }, lost.signal);
     options.signal.removeEventListener("abort", onAbort);
-    const { verdict, isSilent } = watch.stop();
+    const { neverArrived, isSilent } = watch.stop();
     const tookMs = performance.now() - sentAtMs;
     if (result.kind === "failed" && options.signal.aborted) {
       return {
@@ -160,7 +164,7 @@
         ...(isSilent ? { transitMs: tookMs } : {}),
       };
     }
-    return toPeerResult(result, verdict, tookMs);
+    return toPeerResult(result, neverArrived, tookMs);
   }
 
   /**
@@ -214,8 +218,12 @@
   }
 
   /** Asks about a request again and again until its answer comes. */
-  #watch(call: MeshCall, lost: AbortController): QueryWatch {
-    let verdict: CallOutcome | undefined;
+  #watch(
+    call: MeshCall,
+    told: Pick<SendOptions, "onDoubt"> & { readonly lost: AbortController },
+  ): QueryWatch {
+    let neverArrived = false;
+    let isDoubted = false;
     let last: CallStatus | undefined;
     let repeated = 0;
     const sentAtMs = performance.now();
@@ -234,16 +242,26 @@
         askedMs: Math.round(nowMs - askedAtMs),
         wasSent,
       });
-      verdict = silenceVerdict(status, repeated, call.kind);
-      if (verdict !== undefined) lost.abort(GIVEN_UP);
-      else timer = setTimeout(ask, QUERY_PERIOD_MS);
+      const verdict = silenceVerdict(status, repeated, call.kind);
+      switch (verdict.kind) {
+        case "not-run":
+          neverArrived = true;
+          told.lost.abort(GIVEN_UP);
+          return;
+        case "doubted":
+          if (!isDoubted) told.onDoubt(verdict.reason);
+          isDoubted = true;
+          break;
+        case "wait":
+      }
+      timer = setTimeout(ask, QUERY_PERIOD_MS);
     };
     let timer: NodeJS.Timeout | undefined = setTimeout(ask, QUERY_AFTER_MS);
     return {
       stop: () => {
         clearTimeout(timer);
         timer = undefined;
-        return { verdict, isSilent: repeated > 0 && last === undefined };
+        return { neverArrived, isSilent: repeated > 0 && last === undefined };
       },
     };
   }
@@ -287,7 +305,8 @@
 interface QueryWatch {
   /** Ends the questions; returns what they found out. */
   stop(): {
-    readonly verdict: CallOutcome | undefined;
+    /** Whether the destination said so. */
+    readonly neverArrived: boolean;
     /** Whether the last question got no answer. */
     readonly isSilent: boolean;
   };
@@ -313,13 +332,13 @@
 
 function toPeerResult(
   result: StackResult,
-  verdict: CallOutcome | undefined,
+  neverArrived: boolean,
   tookMs: number,
 ): PeerResult {
   if (result.kind === "failed") {
-    if (verdict !== undefined) return { outcome: verdict };
+    const mayHaveRun = result.sent && !neverArrived;
     return {
-      outcome: result.sent
+      outcome: mayHaveRun
         ? { kind: "unknown", reason: MeshReason.Broken }
         : notRunOutcome(MeshReason.Unreachable),
     };
