Take no request that may outlast a stopping daemon

Callers whose requests came in the second half of the grace, on connections that were still open, were cut without an answer while a backend server worked: a stopping daemon took what had more time left than itself, as it reckoned with 2 s at most for any request. Such a request is refused at once as not run now, at the ingress and at the destination, and its caller can go to another daemon.

--- a/src/sidecar/ending.ts
+++ b/src/sidecar/ending.ts
@@ -1,5 +1,5 @@
-/** Longest time that a request is taken to need, in ms. */
-const MAX_EXPECTED_MS = 2_000;
+/** Time to answer what reaches its deadline before the process ends, in ms. */
+const ANSWER_MARGIN_MS = 100;
 
 /**
  * The time at which this process ends, once it was asked to.
@@ -8,7 +8,7 @@
  * ```ts
  * const ending = new Ending();
  * ending.endAtMs = 5_000;
- * ending.allows(6_000, 4_000); // false
+ * ending.allows(6_000); // false
  * ```
  */
 export class Ending {
@@ -16,13 +16,12 @@
   endAtMs = Infinity;
 
   /**
-   * Says whether a request that is taken now can be answered before the end.
+   * Says whether a request is sure to be answered before the end.
    *
    * @param deadlineMs Monotonic time until which its caller waits.
-   * @param nowMs Monotonic time.
-   * @returns Whether it can.
+   * @returns Whether it is.
    */
-  allows(deadlineMs: number, nowMs: number): boolean {
-    return Math.min(deadlineMs, nowMs + MAX_EXPECTED_MS) <= this.endAtMs;
+  allows(deadlineMs: number): boolean {
+    return deadlineMs + ANSWER_MARGIN_MS <= this.endAtMs;
   }
 }
--- a/src/sidecar/ingress_task.ts
+++ b/src/sidecar/ingress_task.ts
@@ -168,7 +168,7 @@
   ): Promise<void> {
     const { request, response, caller, route, id, arrivedAtMs, body } = parts;
     const times = this.#times(request, route, arrivedAtMs);
-    if (!this.#options.ending.allows(times.deadlineMs, arrivedAtMs)) {
+    if (!this.#options.ending.allows(times.deadlineMs)) {
       return this.#refuse(response, id, {
         status: 503,
         retryAfterMs: ENDING_RETRY_AFTER_MS,
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -143,7 +143,7 @@
   ): Promise<CallOutcome> {
     const { destination, ending } = this.#options;
     if (!mayRun) return notRunOutcome(MeshReason.Unreachable);
-    if (!ending.allows(call.deadlineMs, performance.now())) {
+    if (!ending.allows(call.deadlineMs)) {
       return notRunOutcome(MeshReason.Leaving);
     }
     await caller.isWaitedFor();
