Try a free slot elsewhere for a request in doubt

A request that was doubted after 1.7 s was never sent elsewhere: its time was past the bound on useful ends (a quarter behind its objective), so the second try was taken for hopeless and the caller waited for its deadline. The bound spares others a longer queue; a free slot takes nothing from them, and the destination's own queue starts such a request at once. Where a destination reports no wait, only the deadline bounds the try now.

Evidence: 'a request whose destination stays silent is served elsewhere meanwhile' fails before (not served, one destination) and passes.

--- a/src/sidecar/call_flow.ts
+++ b/src/sidecar/call_flow.ts
@@ -175,11 +175,17 @@
     return this.#giveUp();
   }
 
-  /** Whether even the best destination reports too long a queue. */
+  /**
+   * Whether even the best destination reports too long a queue. A free slot
+   * takes nothing from others, so it serves whatever ends before its deadline.
+   */
   #isHopeless(choice: DestinationChoice): boolean {
     const endMs = performance.now() + choice.waitMs + choice.serviceMs;
     const times = { ...this.#request, arrivedAtMs: this.#arrivedAtMs };
-    if (endMs <= latestUsefulMs(times, choice.isShort)) return false;
+    const untilMs = choice.waitMs > 0
+      ? latestUsefulMs(times, choice.isShort)
+      : times.deadlineMs;
+    if (endMs <= untilMs) return false;
     this.#steps.push(
       `${choice.record.id}:hopeless:${MeshReason.Overloaded}:${
         Math.round(choice.waitMs)
--- a/tests/platform/busy_destination_test.ts
+++ b/tests/platform/busy_destination_test.ts
@@ -97,4 +97,31 @@
   },
 );
 
+// Guards against waiting for a destination that is gone while another is free.
+daemonsTest(
+  "a request whose destination stays silent is served elsewhere meanwhile",
+  3,
+  async ([ingress, ...others], store) => {
+    store.put(CONFIG_KEY, JSON.stringify(sampleConfig(2, [PATIENT_ROUTE])));
+    ingress!.backend.isDraining = true;
+    await ingress!.announce("draining");
+    await until(() => isServed(ingress!, "before", PATH), "the way is known");
+    for (const { backend } of others) backend.workMs = WORK_MS;
+    const ranAt = () =>
+      others.filter(({ backend }) =>
+        backend.runs.some(({ id }) => id === "patient")
+      );
+    const served = isServed(ingress!, "patient", PATH);
+    await until(() => ranAt().length > 0, "the request runs");
+    const silent = ranAt()[0]!;
+    silent.pause();
+    const isServedMeanwhile = await served;
+    silent.resume();
+    assert.equal(
+      { isServedMeanwhile, destinations: ranAt().length },
+      { isServedMeanwhile: true, destinations: 2 },
+    );
+  },
+);
+
 test.run();
