Ask about a request once its answer is overdue

The first question comes after twice the expected wait and service time now, 0.4 to 1.5 s. Where requests are short nothing changes.

--- a/src/sidecar/call_flow.ts
+++ b/src/sidecar/call_flow.ts
@@ -221,6 +221,7 @@
         this.#callFor(choice),
         {
           signal,
+          expectedMs: choice.waitMs + choice.serviceMs,
           onDoubt: (reason) => {
             this.#note(choice, `doubted:${reason}`, startedAtMs);
             this.#arrivals++;
--- a/src/sidecar/fleet.ts
+++ b/src/sidecar/fleet.ts
@@ -45,7 +45,7 @@
  *
  * @example
  * ```ts ignore
- * const outcome = await fleet.execute(record, call, { signal, onDoubt });
+ * const outcome = await fleet.execute(record, call, options);
  * ```
  */
 export class Fleet {
@@ -92,13 +92,13 @@
    *
    * @param record The backend server.
    * @param call The request.
-   * @param options Cancellation, and who hears that it may be lost.
+   * @param options How it is sent.
    * @returns The outcome; never rejects.
    */
   async execute(
     record: BackendRecord,
     call: MeshCall,
-    options: Pick<SendOptions, "signal" | "onDoubt">,
+    options: Omit<SendOptions, "configVersion">,
   ): Promise<PeerResult["outcome"]> {
     const { view, client } = this.#linkOf(record);
     view.sent(call.route);
@@ -106,7 +106,7 @@
     const result = isOwn
       ? await this.#executeHere(call, options.signal)
       : await client.execute(call, {
-        signal: options.signal,
+        ...options,
         configVersion: this.#options.routes.version,
         onDoubt: (reason) => {
           view.unreached(performance.now());
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -28,8 +28,12 @@
   type StackResult,
 } from "../transport/http/connection_stack.ts";
 
-/** Silence after which a daemon asks what became of a request, in ms. */
-const QUERY_AFTER_MS = 400;
+/** Least silence after which a daemon asks what became of a request, in ms. */
+const MIN_QUERY_AFTER_MS = 400;
+/** Most silence after which it asks, in ms: a connection may have gone silent. */
+const MAX_QUERY_AFTER_MS = 1_500;
+/** Multiple of the expected time after which an answer is overdue. */
+const OVERDUE_FACTOR = 2;
 /** Pause between two questions about one request, in ms. */
 const QUERY_PERIOD_MS = 500;
 /** Time in which a question must be answered, in ms. */
@@ -70,6 +74,8 @@
   readonly signal: AbortSignal;
   /** Newest configuration version known. */
   readonly configVersion: number;
+  /** Time that the answer is expected to take, in ms. */
+  readonly expectedMs: number;
   /** Takes in that the request may be lost; it goes on all the same. */
   readonly onDoubt: (reason: MeshReason) => void;
 }
@@ -141,7 +147,7 @@
     const lost = new AbortController();
     const onAbort = () => lost.abort(GIVEN_UP);
     options.signal.addEventListener("abort", onAbort);
-    const watch = this.#watch(call, { lost, onDoubt: options.onDoubt });
+    const watch = this.#watch(call, { ...options, lost });
     const sentAtMs = performance.now();
     const result = await this.#connections.send({
       method: call.method,
@@ -220,7 +226,7 @@
   /** Asks about a request again and again until its answer comes. */
   #watch(
     call: MeshCall,
-    told: Pick<SendOptions, "onDoubt"> & { readonly lost: AbortController },
+    options: SendOptions & { readonly lost: AbortController },
   ): QueryWatch {
     let neverArrived = false;
     let isDoubted = false;
@@ -246,17 +252,20 @@
       switch (verdict.kind) {
         case "not-run":
           neverArrived = true;
-          told.lost.abort(GIVEN_UP);
+          options.lost.abort(GIVEN_UP);
           return;
         case "doubted":
-          if (!isDoubted) told.onDoubt(verdict.reason);
+          if (!isDoubted) options.onDoubt(verdict.reason);
           isDoubted = true;
           break;
         case "wait":
       }
       timer = setTimeout(ask, QUERY_PERIOD_MS);
     };
-    let timer: NodeJS.Timeout | undefined = setTimeout(ask, QUERY_AFTER_MS);
+    let timer: NodeJS.Timeout | undefined = setTimeout(
+      ask,
+      queryAfterMs(options.expectedMs),
+    );
     return {
       stop: () => {
         clearTimeout(timer);
@@ -312,6 +321,11 @@
   };
 }
 
+function queryAfterMs(expectedMs: number): number {
+  const overdueMs = expectedMs * OVERDUE_FACTOR;
+  return Math.min(MAX_QUERY_AFTER_MS, Math.max(MIN_QUERY_AFTER_MS, overdueMs));
+}
+
 function describe(call: MeshCall, configVersion: number): string {
   const nowMs = performance.now();
   return formatCall({
