--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -152,6 +152,58 @@
   ].join(SEPARATOR);
 }
 
+/** A request or an answer as the head of a frame carries it. */
+export interface FrameHead {
+  /** Value of {@linkcode HEADER_CALL} or {@linkcode HEADER_RESULT}. */
+  readonly description: string;
+  /** Method and path of a request, or status of an answer. */
+  readonly start: readonly (string | number)[];
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+}
+
+/**
+ * Formats the head of a frame.
+ *
+ * @param head The head.
+ * @returns Its text.
+ *
+ * @example
+ * ```ts
+ * formatFrameHead({ description: "a", start: [200], headers: [] });
+ * ```
+ */
+export function formatFrameHead(head: FrameHead): string {
+  return JSON.stringify([head.description, head.start, head.headers]);
+}
+
+/**
+ * Parses the head of a frame.
+ *
+ * @param text Its text.
+ * @returns The head; `undefined` where it cannot be read.
+ *
+ * @example
+ * ```ts
+ * parseFrameHead("nonsense"); // undefined
+ * ```
+ */
+export function parseFrameHead(text: string): FrameHead | undefined {
+  let parts: unknown;
+  try {
+    parts = JSON.parse(text);
+  } catch {
+    // The head is not one of ours.
+    return undefined;
+  }
+  if (!Array.isArray(parts) || parts.length !== 3) return undefined;
+  const [description, start, headers] = parts;
+  const isReadable = typeof description === "string" && Array.isArray(start) &&
+    Array.isArray(headers) && headers.length % 2 === 0 &&
+    headers.every((field) => typeof field === "string");
+  return isReadable ? { description, start, headers } : undefined;
+}
+
 function outcomeFields(
   outcome: ResultDescription["outcome"],
 ): readonly (string | number)[] {
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -1,3 +1,4 @@
+import type { Buffer } from "node:buffer";
 import { needsPlace } from "../coordination/dispatch/mod.ts";
 import { silenceVerdict } from "../coordination/retry/silence_verdict.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
@@ -16,13 +17,16 @@
   CallStatus,
   CONFIG_PATH,
   formatCall,
+  formatFrameHead,
   HEADER_CALL,
   HEADER_RESULT,
+  parseFrameHead,
   parseResult,
   PLACE_PATH,
   type ResultDescription,
   STATUS_PATH,
 } from "../protocol/peer_call.ts";
+import { CallChannel } from "../transport/channel/mod.ts";
 import {
   ConnectionStack,
   type StackResult,
@@ -40,6 +44,8 @@
 const QUERY_TIMEOUT_MS = 400;
 /** Longest idle time of a connection for questions, in ms. */
 const QUERY_MAX_IDLE_MS = 2_000;
+/** Largest body that goes with others over one connection, in bytes. */
+const MAX_CHANNEL_BODY_BYTES = 16 * 1024;
 /** Given as a reason, since the default one records a stack each time. */
 const GIVEN_UP = new Error("given up");
 
@@ -104,8 +110,12 @@
  * ```
  */
 export class PeerClient {
+  readonly #address: string;
   readonly #linkMbps: number;
   readonly #onFinding: PeerClientOptions["onFinding"];
+  /** Carries what has no long body. */
+  #channel: CallChannel | undefined;
+  /** For long bodies, and what is not a request. */
   readonly #connections: ConnectionStack;
   /** Apart from requests, so that one that went silent is soon found out. */
   readonly #questions: ConnectionStack;
@@ -118,6 +128,7 @@
    */
   constructor(record: BackendRecord, options: PeerClientOptions) {
     this.#onFinding = options.onFinding;
+    this.#address = record.peerAddress;
     this.#linkMbps = record.linkMbps;
     this.#connections = new ConnectionStack(record.peerAddress);
     this.#questions = new ConnectionStack(record.peerAddress);
@@ -144,33 +155,27 @@
   }
 
   async #exchange(call: MeshCall, options: SendOptions): Promise<PeerResult> {
+    const channel = this.#channelFor(call);
     const lost = new AbortController();
     const onAbort = () => lost.abort(GIVEN_UP);
     options.signal.addEventListener("abort", onAbort);
-    const watch = this.#watch(call, { ...options, lost });
+    const watch = this.#watch(call, { ...options, lost, channel });
     const sentAtMs = performance.now();
-    const result = await this.#connections.send({
-      method: call.method,
-      path: call.path,
-      headers: [
-        ...call.headers,
-        HEADER_CALL,
-        describe(call, options.configVersion),
-      ],
-      body: call.body,
-      accepts: (_status, headers) => resultOf(headers) !== undefined,
-    }, lost.signal);
+    const description = describe(call, options.configVersion);
+    const reply = channel === undefined
+      ? await this.#sendAlone(call, description, lost.signal)
+      : await sendOver(channel, { call, description, signal: lost.signal });
     options.signal.removeEventListener("abort", onAbort);
     const { neverArrived, isSilent } = watch.stop();
     const tookMs = performance.now() - sentAtMs;
-    if (result.kind === "failed" && options.signal.aborted) {
+    if (reply.kind === "failed" && options.signal.aborted) {
       return {
         outcome: { kind: "unknown", reason: MeshReason.Cancelled },
         // Neither the request nor a question about it came through so far.
         ...(isSilent ? { transitMs: tookMs } : {}),
       };
     }
-    return toPeerResult(result, neverArrived, tookMs);
+    return toPeerResult(reply, neverArrived, tookMs);
   }
 
   /**
@@ -206,10 +211,36 @@
 
   /** Closes what is idle. */
   close(): void {
+    this.#channel?.retire();
     this.#connections.close();
     this.#questions.close();
   }
 
+  /** The channel for a request; none for long bodies, which would hold it up. */
+  #channelFor(call: MeshCall): CallChannel | undefined {
+    if ((call.body?.length ?? 0) > MAX_CHANNEL_BODY_BYTES) return undefined;
+    if (this.#channel?.isUsable !== true) {
+      this.#channel = new CallChannel(this.#address);
+    }
+    return this.#channel;
+  }
+
+  async #sendAlone(
+    call: MeshCall,
+    description: string,
+    signal: AbortSignal,
+  ): Promise<Reply> {
+    const result = await this.#connections.send({
+      method: call.method,
+      path: call.path,
+      headers: [...call.headers, HEADER_CALL, description],
+      body: call.body,
+      accepts: (_status, headers) => resultOf(headers) !== undefined,
+    }, signal);
+    if (result.kind === "failed") return result;
+    return { ...result, described: resultOf(result.headers) };
+  }
+
   /** Waits for a place on the way; a destination that names none is no bar. */
   async #untilPlace(call: MeshCall, signal: AbortSignal): Promise<void> {
     const leftMs = Math.max(0, call.deadlineMs - performance.now());
@@ -226,7 +257,10 @@
   /** Asks about a request again and again until its answer comes. */
   #watch(
     call: MeshCall,
-    options: SendOptions & { readonly lost: AbortController },
+    options: SendOptions & {
+      readonly lost: AbortController;
+      readonly channel: CallChannel | undefined;
+    },
   ): QueryWatch {
     let neverArrived = false;
     let isDoubted = false;
@@ -234,6 +268,11 @@
     let repeated = 0;
     const sentAtMs = performance.now();
     const ask = async () => {
+      if (await this.#isOpenOn(options.channel)) {
+        if (timer !== undefined) timer = setTimeout(ask, QUERY_PERIOD_MS);
+        return;
+      }
+      if (timer === undefined) return;
       const askedAtMs = performance.now();
       const { status, wasSent } = await this.#statusOf(call.id, sentAtMs);
       if (timer === undefined) return;
@@ -275,6 +314,14 @@
     };
   }
 
+  /** Whether a channel has a sign of life: its requests are open then. */
+  async #isOpenOn(channel: CallChannel | undefined): Promise<boolean> {
+    if (channel === undefined) return false;
+    if (await channel.isAlive(QUERY_TIMEOUT_MS)) return true;
+    channel.retire();
+    return false;
+  }
+
   async #statusOf(
     id: string,
     sentAtMs: number,
@@ -344,20 +391,55 @@
   return undefined;
 }
 
+/** What came back for a request, over whatever way. */
+type Reply =
+  | { readonly kind: "failed"; readonly sent: boolean }
+  | {
+    readonly kind: "answer";
+    readonly described: ResultDescription | undefined;
+    readonly status: number;
+    /** Names and values in turn. */
+    readonly headers: readonly string[];
+    readonly body: Buffer;
+  };
+
+async function sendOver(
+  channel: CallChannel,
+  parts: {
+    readonly call: MeshCall;
+    readonly description: string;
+    readonly signal: AbortSignal;
+  },
+): Promise<Reply> {
+  const { call, description, signal } = parts;
+  const { method, path, headers } = call;
+  const head = formatFrameHead({ description, start: [method, path], headers });
+  const result = await channel.send({ head, body: call.body }, signal);
+  if (result.kind === "failed") return result;
+  const answer = parseFrameHead(result.head);
+  return {
+    kind: "answer",
+    described: answer && parseResult(answer.description),
+    status: Number(answer?.start[0]),
+    headers: answer?.headers ?? [],
+    body: result.body,
+  };
+}
+
 function toPeerResult(
-  result: StackResult,
+  reply: Reply,
   neverArrived: boolean,
   tookMs: number,
 ): PeerResult {
-  if (result.kind === "failed") {
-    const mayHaveRun = result.sent && !neverArrived;
+  if (reply.kind === "failed") {
+    const mayHaveRun = reply.sent && !neverArrived;
     return {
       outcome: mayHaveRun
         ? { kind: "unknown", reason: MeshReason.Broken }
         : notRunOutcome(MeshReason.Unreachable),
     };
   }
-  const described = resultOf(result.headers);
+  const { described } = reply;
   if (described === undefined) {
     return { outcome: { kind: "unknown", reason: MeshReason.Malformed } };
   }
@@ -366,11 +448,11 @@
   if (outcome.kind !== "answered") {
     return { outcome, load, configVersion, transitMs };
   }
-  const headers = withoutResult(result.headers);
+  const headers = withoutResult(reply.headers);
   return {
     outcome: {
       kind: "answered",
-      answer: { status: result.status, headers, body: result.body },
+      answer: { status: reply.status, headers, body: reply.body },
       serviceMs: outcome.serviceMs,
     },
     load,
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -17,18 +17,21 @@
   type CallDescription,
   CallStatus,
   CONFIG_PATH,
+  formatFrameHead,
   formatResult,
   HEADER_CALL,
   HEADER_RESULT,
   parseCall,
+  parseFrameHead,
   PLACE_PATH,
   STATUS_PATH,
 } from "../protocol/peer_call.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
+import { ChannelServer, type ReceivedCall } from "../transport/channel/mod.ts";
 import {
-  type CallerRequest,
   CallerWatch,
   type StallSource,
+  untilReadAgain,
 } from "../transport/http/caller_watch.ts";
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
@@ -76,6 +79,7 @@
  */
 export class PeerServer {
   readonly server: Server;
+  readonly #channels: ChannelServer;
   readonly #options: PeerServerOptions;
   readonly #callers: CallerWatch;
   readonly #ledger = new CallLedger();
@@ -94,6 +98,15 @@
       requestTimeout: 0,
     }, (request, response) => void this.#handle(request, response));
     this.#callers = new CallerWatch(this.server, options.stalls);
+    this.#channels = new ChannelServer(
+      this.server,
+      (call) => void this.#handleOnChannel(call),
+    );
+  }
+
+  /** Closes the channels of other daemons; the port is the server's. */
+  closeChannels(): void {
+    this.#channels.close();
   }
 
   async #handle(
@@ -126,28 +139,88 @@
       response.destroy();
       return;
     }
-    const call = toCall({ request, description, body: read.body, arrivedAtMs });
-    const outcome = await this.#execute(call, caller, mayRun);
+    const { host } = request.headers;
+    const call = toCall({
+      method: request.method ?? "GET",
+      path: request.url ?? "/",
+      headers: [
+        ...(host === undefined ? [] : ["host", host]),
+        ...endToEndHeaders(request.rawHeaders, SENDER_FIELDS),
+      ],
+      description,
+      body: read.body,
+      arrivedAtMs,
+    });
+    const outcome = await this.#execute(call, {
+      mayRun,
+      signal: caller.cancel.signal,
+      isWaitedFor: caller.isWaitedFor,
+    });
     this.#answer({ call, outcome, arrivedAtMs }, response);
-    this.#ledger.end(id, performance.now());
-    this.#options.onVersion(
-      description.configVersion,
-      request.socket.remoteAddress ?? "",
+    this.#ended(description, request.socket.remoteAddress);
+  }
+
+  async #handleOnChannel(received: ReceivedCall): Promise<void> {
+    const head = parseFrameHead(received.head);
+    const description = head && parseCall(head.description);
+    if (description === undefined) {
+      this.#options.log.warn("peer-call-unreadable", { peer: received.peer });
+      return received.answer("");
+    }
+    const arrivedAtMs = performance.now();
+    const mayRun = this.#ledger.open(description.id, arrivedAtMs);
+    this.#options.metrics.count("peer_calls_total");
+    const [method, path] = head!.start;
+    const { body } = received;
+    const call = toCall({
+      method: String(method),
+      path: String(path),
+      headers: head!.headers,
+      description,
+      body: body.length === 0 ? undefined : body,
+      arrivedAtMs,
+    });
+    const mayBeOld = received.isFirst || this.#options.stalls.isHeldUp;
+    const outcome = await this.#execute(call, {
+      mayRun,
+      signal: received.signal,
+      isWaitedFor: async () => {
+        if (mayBeOld) await untilReadAgain();
+      },
+    });
+    const answer = outcome.kind === "answered" ? outcome.answer : undefined;
+    received.answer(
+      formatFrameHead({
+        description: this.#describe({ call, outcome, arrivedAtMs }),
+        start: [answer?.status ?? NO_ANSWER_STATUS],
+        headers: answer?.headers ?? [],
+      }),
+      answer?.body,
     );
+    this.#ended(description, received.peer);
+  }
+
+  #ended(description: CallDescription, peer: string | undefined): void {
+    this.#ledger.end(description.id, performance.now());
+    this.#options.onVersion(description.configVersion, peer ?? "");
   }
 
   async #execute(
     call: MeshCall,
-    caller: CallerRequest,
-    mayRun: boolean,
+    arrival: {
+      /** Whether nobody was told that it never arrived. */
+      readonly mayRun: boolean;
+      readonly signal: AbortSignal;
+      readonly isWaitedFor: () => Promise<unknown>;
+    },
   ): Promise<CallOutcome> {
     const { destination, ending } = this.#options;
-    if (!mayRun) return notRunOutcome(MeshReason.Unreachable);
+    if (!arrival.mayRun) return notRunOutcome(MeshReason.Unreachable);
     if (!ending.allows(call.deadlineMs)) {
       return notRunOutcome(MeshReason.Leaving);
     }
-    await caller.isWaitedFor();
-    return await destination.execute(call, caller.cancel.signal);
+    await arrival.isWaitedFor();
+    return await destination.execute(call, arrival.signal);
   }
 
   #answer(
@@ -158,13 +231,8 @@
     },
     response: ServerResponse,
   ): void {
-    const { call, outcome, arrivedAtMs } = ended;
-    const result = formatResult({
-      outcome,
-      load: this.#options.destination.loadFor(call),
-      configVersion: this.#options.routes.version,
-      heldMs: performance.now() - arrivedAtMs,
-    });
+    const { outcome } = ended;
+    const result = this.#describe(ended);
     if (outcome.kind !== "answered") {
       response.writeHead(NO_ANSWER_STATUS, [
         HEADER_RESULT,
@@ -185,6 +253,21 @@
     ]).end(body);
   }
 
+  #describe(
+    ended: {
+      readonly call: MeshCall;
+      readonly outcome: CallOutcome;
+      readonly arrivedAtMs: number;
+    },
+  ): string {
+    return formatResult({
+      outcome: ended.outcome,
+      load: this.#options.destination.loadFor(ended.call),
+      configVersion: this.#options.routes.version,
+      heldMs: performance.now() - ended.arrivedAtMs,
+    });
+  }
+
   #answerQuestion(request: IncomingMessage, response: ServerResponse): void {
     const target = request.url ?? "";
     if (target === CONFIG_PATH) {
@@ -251,25 +334,16 @@
 
 /** Times count from the arrival of the head: a long body takes its own time. */
 function toCall(
-  parts: {
-    readonly request: IncomingMessage;
+  parts: Pick<MeshCall, "method" | "path" | "headers" | "body"> & {
     readonly description: CallDescription;
-    readonly body: MeshCall["body"];
     readonly arrivedAtMs: number;
   },
 ): MeshCall {
-  const { request, description, body, arrivedAtMs } = parts;
-  const host = request.headers.host;
+  const { description, arrivedAtMs, ...request } = parts;
   const { remainingMs, objectiveInMs, ...described } = description;
   return {
     ...described,
-    method: request.method ?? "GET",
-    path: request.url ?? "/",
-    headers: [
-      ...(host === undefined ? [] : ["host", host]),
-      ...endToEndHeaders(request.rawHeaders, SENDER_FIELDS),
-    ],
-    body,
+    ...request,
     deadlineMs: arrivedAtMs + remainingMs,
     objectiveAtMs: arrivedAtMs + objectiveInMs,
   };
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -232,6 +232,7 @@
     this.#stopped.abort();
     this.#loop.stop();
     this.#usage.stop();
+    this.#peers.closeChannels();
     const servers = [
       this.#ingress.server,
       this.#peers.server,
--- /dev/null
+++ b/src/transport/channel/call_channel_test.ts
@@ -0,0 +1,130 @@
+import { Buffer } from "node:buffer";
+import { createServer } from "node:http";
+import { createServer as createNetServer, type Server } from "node:net";
+import type { AddressInfo } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { until } from "../../../testkit/until.ts";
+import { CallChannel } from "./call_channel.ts";
+import { ChannelServer, type ReceivedCall } from "./channel_server.ts";
+
+const NEVER = new AbortController().signal;
+const SIGN_MS = 100;
+
+async function addressOf(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** Runs a test on a channel to a server that keeps the calls it gets. */
+async function withChannel(
+  run: (parts: {
+    readonly channel: CallChannel;
+    readonly calls: ReceivedCall[];
+    readonly server: ChannelServer;
+    readonly connections: () => number;
+  }) => Promise<void>,
+): Promise<void> {
+  const http = createServer();
+  let opened = 0;
+  http.on("connection", () => opened++);
+  const calls: ReceivedCall[] = [];
+  const server = new ChannelServer(http, (call) => calls.push(call));
+  const channel = new CallChannel(await addressOf(http));
+  try {
+    await run({ channel, calls, server, connections: () => opened });
+  } finally {
+    channel.close();
+    server.close();
+    http.close();
+  }
+}
+
+test("CallChannel carries many calls over one connection, in any order", () =>
+  withChannel(async ({ channel, calls, connections }) => {
+    const results = Promise.all(["a", "b", "c"].map(async (name) => {
+      const result = await channel.send(
+        { head: name, body: Buffer.from(`body of ${name}`) },
+        NEVER,
+      );
+      return result.kind === "result" ? `${result.head} ${result.body}` : "";
+    }));
+    await until(() => calls.length === 3, "all calls are there");
+    for (const { head, body, answer } of [...calls].reverse()) {
+      answer(`${head} done`, Buffer.from(body));
+    }
+    assert.equal(
+      { results: await results, connections: connections() },
+      {
+        results: ["a done body of a", "b done body of b", "c done body of c"],
+        connections: 1,
+      },
+    );
+  }));
+
+test("CallChannel tells the other daemon which call is not waited for", () =>
+  withChannel(async ({ channel, calls }) => {
+    const cancel = new AbortController();
+    const kept = channel.send({ head: "kept", body: undefined }, NEVER);
+    const left = channel.send({ head: "left", body: undefined }, cancel.signal);
+    await until(() => calls.length === 2, "both calls are there");
+    cancel.abort();
+    await until(() => calls[1]!.signal.aborted, "the call is cancelled");
+    for (const { answer } of calls) answer("late");
+    assert.equal(
+      { kept: (await kept).kind, left: await left },
+      { kept: "result", left: { kind: "failed", sent: true } },
+    );
+  }));
+
+// Guards against work for a caller that left before its call was read.
+test("ChannelServer starts no call whose cancellation came with it", () =>
+  withChannel(async ({ channel, calls }) => {
+    const cancel = new AbortController();
+    const left = channel.send({ head: "left", body: undefined }, cancel.signal);
+    cancel.abort();
+    await left;
+    const isAlive = await channel.isAlive(2_000);
+    assert.equal({ isAlive, calls: calls.length }, { isAlive: true, calls: 0 });
+  }));
+
+test("CallChannel fails its calls as the connection ends", () =>
+  withChannel(async ({ channel, calls, server }) => {
+    const call = channel.send({ head: "cut", body: undefined }, NEVER);
+    await until(() => calls.length === 1, "the call is there");
+    server.close();
+    assert.equal(
+      { result: await call, isUsable: channel.isUsable },
+      { result: { kind: "failed", sent: true }, isUsable: false },
+    );
+    await until(() => calls[0]!.signal.aborted, "the call is cancelled");
+  }));
+
+test("CallChannel knows that nothing was sent where no port is open", async () => {
+  const server = createNetServer();
+  const address = await addressOf(server);
+  await new Promise((resolve) => server.close(resolve));
+  const channel = new CallChannel(address);
+  const result = await channel.send({ head: "lost", body: undefined }, NEVER);
+  assert.equal(result, { kind: "failed", sent: false });
+});
+
+test("CallChannel takes a peer that does not answer for silent", async () => {
+  const server = createNetServer(() => {});
+  const channel = new CallChannel(await addressOf(server));
+  const isAlive = await channel.isAlive(SIGN_MS);
+  channel.close();
+  server.close();
+  assert.is(isAlive, false);
+});
+
+test("CallChannel closes a connection that speaks another protocol", async () => {
+  const server = createServer((_request, response) => response.end("hello"));
+  const channel = new CallChannel(await addressOf(server));
+  const result = await channel.send({ head: "odd", body: undefined }, NEVER);
+  server.closeAllConnections();
+  server.close();
+  assert.equal(result, { kind: "failed", sent: true });
+});
+
+test.run();
--- /dev/null
+++ b/src/transport/channel/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Connections between daemons that carry many calls at a time.
+ *
+ * @module
+ */
+export * from "./call_channel.ts";
+export * from "./channel_opening.ts";
+export * from "./channel_server.ts";
