Bench: processor time of one request at both daemons on its way

requestCost starts daemons as they are deployed, sends a light, a steady and twice too high a load, and divides what they used by the requests. Instructions and system calls hold still where processor time does not, on a shared machine.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 import { benchFlood } from "./flood.ts";
 import { benchHop } from "./hop.ts";
 import { benchPoison } from "./poison.ts";
+import { benchRequestCost } from "./request_cost.ts";
 import { benchScale } from "./scale.ts";
 
 /** A measurement, given the seed of its random choices. */
@@ -17,6 +18,7 @@
   faults: benchFaults,
   poison: benchPoison,
   scale: benchScale,
+  requestCost: benchRequestCost,
   convergence: benchFleet(["convergence"]),
   control: benchFleet(["control"]),
   churn: benchFleet(["churn"]),
