--- a/tests/platform/held_up_test.ts
+++ b/tests/platform/held_up_test.ts
@@ -4,7 +4,12 @@
 import * as assert from "uvu/assert";
 import type { SoakInstance } from "../../soak/instance.ts";
 import { RequestKind } from "../../src/protocol/mesh.ts";
-import { formatCall, HEADER_CALL } from "../../src/protocol/peer_call.ts";
+import {
+  formatCall,
+  formatFrameHead,
+  HEADER_CALL,
+} from "../../src/protocol/peer_call.ts";
+import { CallChannel } from "../../src/transport/channel/mod.ts";
 import { until } from "../../testkit/until.ts";
 import {
   daemonsTest,
@@ -26,8 +31,8 @@
   daemonsTest(name, 1, ([daemon]) => run(daemon!));
 }
 
-function peerRequest(id: string): string {
-  const description = formatCall({
+function describe(id: string): string {
+  return formatCall({
     id,
     route: "stock",
     kind: RequestKind.Idempotent,
@@ -39,8 +44,11 @@
     objectiveInMs: 5_000,
     configVersion: 1,
   });
+}
+
+function peerRequest(id: string): string {
   return `GET /stock/1 HTTP/1.1\r\nhost: shop.example\r\n` +
-    `x-attempt-id: ${id}\r\n${HEADER_CALL}: ${description}\r\n\r\n`;
+    `x-attempt-id: ${id}\r\n${HEADER_CALL}: ${describe(id)}\r\n\r\n`;
 }
 
 /**
@@ -99,6 +107,48 @@
   },
 );
 
+// Guards against the same where daemons share a connection for many requests.
+daemonTest(
+  "a daemon that was held up runs no calls that were cancelled meanwhile",
+  async (daemon) => {
+    const channels = Array.from(
+      { length: CALLERS },
+      () => new CallChannel(`127.0.0.1:${daemon.peerPort}`),
+    );
+    const send = (channel: CallChannel, id: string, signal: AbortSignal) => {
+      const headers = ["host", "shop.example", "x-attempt-id", id];
+      const start = ["GET", "/stock/1"];
+      const head = formatFrameHead({
+        description: describe(id),
+        start,
+        headers,
+      });
+      return channel.send({ head, body: undefined }, signal);
+    };
+    const stays = new AbortController().signal;
+    await send(channels[0]!, "before", stays);
+    daemon.pause();
+    const leaves = new AbortController();
+    const left = channels.map((channel, index) =>
+      send(channel, `left-${index}`, leaves.signal)
+    );
+    await sleep(300);
+    leaves.abort();
+    await Promise.all(left);
+    await sleep(700);
+    daemon.resume();
+    await Promise.all(
+      channels.map((channel, index) => send(channel, `kept-${index}`, stays)),
+    );
+    for (const channel of channels) channel.close();
+    const ids = daemon.backend.runs.map(({ id }) => id);
+    assert.equal({
+      kept: ids.filter((id) => id.startsWith("kept-")).length,
+      left: ids.filter((id) => id.startsWith("left-")),
+    }, { kept: CALLERS, left: [] });
+  },
+);
+
 // Guards against the same for requests that waited for a slot before.
 daemonTest(
   "a daemon that was held up starts nothing that waits for callers that left",
