Ask whether an endpoint is in reach before work that may run once

Callers saw "502 unknown peer-failed" for 2 to 4 of 90 orders while a domain was cut off, in tests and beside other load.

Cause: an order was what found out that a way was cut. It spilled over to an order server of the domain that was cut off, before anything else had tried the way, and again once the 1 s was over for which the endpoint counted as out of reach. The stand-in of the cut accepts the connection and resets it, so nobody can tell whether the order ran, and it must not be sent again.

Change: an endpoint is proven in reach for 1 s by each answer of its daemon; a broken connection ends the proof. Work that may run once goes to proven endpoints only. Another one is asked first, by a new kind of request to the port that calls take, over a new connection: beside the call where a proven endpoint has room (or the other one is known to be doubtful), before it where not. A call waits for three unanswered questions at most, 250 ms each while others are left, and is refused as not run then. What may be repeated goes on as before. A daemon that does not know the question refuses it, which is an answer, so versions mix.

Why it works: the question can be lost without harm, and the order is sent where a daemon has answered on the same way within a second. An order that crosses with a cut in that second can still be lost.

The new test in ingress_call_test.ts got "502 unknown peer-failed" from the former code.

--- a/src/coordination/routing/balancer.ts
+++ b/src/coordination/routing/balancer.ts
@@ -33,6 +33,8 @@
   readonly tried: ReadonlySet<string>;
   /** Monotonic time. */
   readonly nowMs: number;
+  /** Whether only endpoints that are proven in reach count. @default {false} */
+  readonly isProven?: boolean;
 }
 
 /**
@@ -113,7 +115,10 @@
   choose(serviceName: string, options: ChooseOptions): Chosen | undefined {
     const { tried, nowMs, service } = options;
     const all = this.endpointsOf(serviceName);
-    const untried = all.filter((endpoint) => !tried.has(endpoint.member.id));
+    const untried = all.filter((endpoint) =>
+      !tried.has(endpoint.member.id) &&
+      (options.isProven !== true || endpoint.isProven(nowMs))
+    );
     // Who is out of reach cannot help, however many are ejected.
     const inReach = untried.filter((endpoint) =>
       !endpoint.isUnreachable(nowMs)
--- a/src/coordination/routing/endpoint.ts
+++ b/src/coordination/routing/endpoint.ts
@@ -14,6 +14,11 @@
 const MAX_LOAD_MEMORY_MS = 500;
 /** Longest time for which an endpoint out of reach is not tried, in ms. */
 const MAX_UNREACHABLE_MS = 4_000;
+/**
+ * Time for which an answer proves that an endpoint is in reach, in ms: as long
+ * as one out of reach is left out at first.
+ */
+const PROOF_MS = 1_000;
 /** Share of full weight with which a newly ready endpoint starts. */
 const SLOW_START_FLOOR = 0.1;
 
@@ -34,6 +39,8 @@
   latencyMs = INITIAL_LATENCY_MS;
   #load: AdmissionLoad | undefined;
   #loadUntilMs = 0;
+  #provenUntilMs = 0;
+  #isDoubtful = false;
   #readySinceMs: number;
   readonly #ejection = new Ejection();
   readonly #unreachable = new Ejection(MAX_UNREACHABLE_MS);
@@ -97,6 +104,7 @@
    * @returns Whether it counted as in reach until now.
    */
   unreached(nowMs: number): boolean {
+    this.doubted();
     if (this.isUnreachable(nowMs)) return false;
     this.#unreachable.start(nowMs);
     return true;
@@ -107,19 +115,38 @@
     return this.#unreachable.isActive(nowMs);
   }
 
+  /** Records that the way to the endpoint may be cut. */
+  doubted(): void {
+    this.#provenUntilMs = 0;
+    this.#isDoubtful = true;
+  }
+
+  /** Whether the way may be cut, and nothing came over it since. */
+  get isDoubtful(): boolean {
+    return this.#isDoubtful;
+  }
+
+  /** Says whether an answer proves that it is in reach at a monotonic time. */
+  isProven(nowMs: number): boolean {
+    return nowMs < this.#provenUntilMs;
+  }
+
   /** Says whether the endpoint is ejected at a monotonic time. */
   isEjected(nowMs: number): boolean {
     return this.#ejection.isActive(nowMs);
   }
 
   /**
-   * Takes in a report that came with an answer.
+   * Takes in a report that came with an answer, which proves that the
+   * endpoint is in reach.
    *
    * @param load The report, which counts for a short while.
    * @param nowMs Monotonic time.
    */
   reported(load: AdmissionLoad, nowMs: number): void {
     this.#load = load;
+    this.#provenUntilMs = nowMs + PROOF_MS;
+    this.#isDoubtful = false;
     const memoryMs = Math.max(MIN_LOAD_MEMORY_MS, this.latencyMs);
     this.#loadUntilMs = nowMs + Math.min(MAX_LOAD_MEMORY_MS, memoryMs);
   }
--- a/src/coordination/routing/placement.ts
+++ b/src/coordination/routing/placement.ts
@@ -1,8 +1,11 @@
-import type { Service } from "../../protocol/config_schema.ts";
+import { Delivery, type Service } from "../../protocol/config_schema.ts";
 import type { Balancer, Chosen } from "./balancer.ts";
+import type { Endpoint } from "./endpoint.ts";
 
 /** Destinations without a free slot that may send one call on. */
 export const MAX_REDIRECTS = 2;
+/** Questions without an answer that one call may wait for. */
+export const MAX_UNANSWERED = 3;
 
 /** Service of a call that is to be placed. */
 export interface PlacementService {
@@ -10,16 +13,29 @@
   readonly service: Service;
 }
 
+/** Where the next attempt of a call goes. */
+export interface Placed extends Chosen {
+  /**
+   * Endpoint to be asked whether it is in reach: before the attempt where it is
+   * the attempt's own, else beside it.
+   */
+  readonly asked: Endpoint | undefined;
+}
+
 /**
  * Places the attempts of one call.
  *
  * An endpoint is tried again only after all others, and only where the call did
  * not fail there: it had no free slot, or the connection was lost on the way.
  *
+ * A call that may run once is never what finds out that an endpoint is out of
+ * reach, as nobody could tell then whether it ran: an endpoint without a fresh
+ * proof is asked first.
+ *
  * @example
  * ```ts ignore
  * const placement = new Placement(balancer, { name: "lookup", service });
- * const chosen = placement.next(performance.now());
+ * const placed = placement.next(performance.now());
  * ```
  */
 export class Placement {
@@ -28,6 +44,7 @@
   readonly #tried = new Set<string>();
   readonly #reusable = new Set<string>();
   #redirects = 0;
+  #unanswered = 0;
 
   /**
    * Starts without attempts.
@@ -46,10 +63,11 @@
    * @param nowMs Monotonic time.
    * @returns The endpoint; `undefined` where none is left.
    */
-  next(nowMs: number): Chosen | undefined {
+  next(nowMs: number): Placed | undefined {
     const chosen = this.#choose(nowMs) ?? this.#chooseAgain(nowMs);
-    if (chosen !== undefined) this.#tried.add(chosen.endpoint.member.id);
-    return chosen;
+    const placed = chosen && this.#prove(chosen, nowMs);
+    if (placed !== undefined) this.#tried.add(placed.endpoint.member.id);
+    return placed;
   }
 
   /**
@@ -97,14 +115,41 @@
     this.#reusable.add(id);
   }
 
+  /** Records that the call was not sent, as a question was not answered. */
+  unanswered(): void {
+    this.#unanswered++;
+  }
+
+  /** Puts a proven endpoint in the place of one that has to be asked. */
+  #prove(chosen: Chosen, nowMs: number): Placed | undefined {
+    const { service } = this.#target;
+    const { endpoint } = chosen;
+    if (
+      service.delivery === Delivery.Idempotent || endpoint.isProven(nowMs)
+    ) return { ...chosen, asked: undefined };
+    const proven = this.#choose(nowMs, true);
+    const mayWait = this.#unanswered < MAX_UNANSWERED;
+    const isBetter = proven !== undefined &&
+      (endpoint.isDoubtful || proven.endpoint.utilization(nowMs) < 1);
+    if (proven !== undefined && (isBetter || !mayWait)) {
+      return { ...proven, asked: endpoint };
+    }
+    return mayWait ? { ...chosen, asked: endpoint } : undefined;
+  }
+
   #chooseAgain(nowMs: number): Chosen | undefined {
     for (const id of this.#reusable) this.#tried.delete(id);
     this.#reusable.clear();
     return this.#choose(nowMs);
   }
 
-  #choose(nowMs: number): Chosen | undefined {
+  #choose(nowMs: number, isProven = false): Chosen | undefined {
     const { name, service } = this.#target;
-    return this.#balancer.choose(name, { service, tried: this.#tried, nowMs });
+    return this.#balancer.choose(name, {
+      service,
+      tried: this.#tried,
+      nowMs,
+      isProven,
+    });
   }
 }
--- a/src/coordination/routing/placement_test.ts
+++ b/src/coordination/routing/placement_test.ts
@@ -6,11 +6,13 @@
   MemberSchema,
   MemberState,
 } from "../../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import { Delivery } from "../../protocol/config_schema.ts";
 import { Random } from "../../protocol/random.ts";
 import { Balancer } from "./balancer.ts";
-import { MAX_REDIRECTS, Placement } from "./placement.ts";
+import { MAX_REDIRECTS, MAX_UNANSWERED, Placement } from "./placement.ts";
 
 const SLOTS = 2;
+const FREE = { running: 0, queued: 0, limit: SLOTS };
 const FULL = { running: SLOTS, queued: 0, limit: SLOTS };
 
 function balancerOf(...ids: string[]): Balancer {
@@ -70,4 +72,70 @@
   assert.is(placement.mayBeRedirected(0), false);
 });
 
+/** Where an order goes, and which endpoint is asked. */
+function placeOrder(
+  placement: Placement,
+  nowMs: number,
+): [string?, string?] {
+  const placed = placement.next(nowMs);
+  return [placed?.endpoint.member.id, placed?.asked?.member.id];
+}
+
+function orderOn(balancer: Balancer): Placement {
+  const service = sampleService({ delivery: Delivery.AtMostOnce });
+  return new Placement(balancer, { name: "lookup", service });
+}
+
+// Guards against orders that were the first to try a way that had been cut,
+// and of which nobody could tell whether they ran.
+test("next() has an endpoint asked before work that may run once, until an answer and after it grew old", () => {
+  const balancer = balancerOf("a");
+  const [a] = balancer.endpointsOf("lookup");
+  const unknown = placeOrder(orderOn(balancer), 0);
+  a!.reported(FREE, 0);
+  const proven = placeOrder(orderOn(balancer), 500);
+  a!.doubted();
+  const broken = placeOrder(orderOn(balancer), 500);
+  a!.reported(FREE, 500);
+  const again = placeOrder(orderOn(balancer), 1_000);
+  const old = placeOrder(orderOn(balancer), 2_000);
+  const repeatable = placementOn(balancer).next(2_000)!.asked;
+  assert.equal({ unknown, proven, broken, again, old, repeatable }, {
+    unknown: ["a", "a"],
+    proven: ["a", undefined],
+    broken: ["a", "a"],
+    again: ["a", undefined],
+    old: ["a", "a"],
+    repeatable: undefined,
+  });
+});
+
+test("next() sends work that may run once to a proven endpoint while another is asked", () => {
+  const balancer = balancerOf("a", "b");
+  const [a, b] = balancer.endpointsOf("lookup");
+  a!.succeeded(500);
+  a!.reported(FREE, 0);
+  const free = placeOrder(orderOn(balancer), 0);
+  a!.reported(FULL, 0);
+  const full = placeOrder(orderOn(balancer), 0);
+  b!.doubted();
+  const doubtful = placeOrder(orderOn(balancer), 0);
+  assert.equal({ free, full, doubtful }, {
+    free: ["a", "b"],
+    full: ["b", "b"],
+    doubtful: ["a", "b"],
+  });
+});
+
+test("next() has no more endpoints asked than a call may wait for", () => {
+  const ids = ["a", "b", "c", "d", "e"];
+  const placement = orderOn(balancerOf(...ids));
+  const asked = ids.map((_, nowMs) => {
+    const [id] = placeOrder(placement, nowMs);
+    if (id !== undefined) placement.unanswered();
+    return id !== undefined;
+  });
+  assert.equal(asked, ids.map((_, index) => index < MAX_UNANSWERED));
+});
+
 test.run();
--- a/src/daemon/answer_writer.ts
+++ b/src/daemon/answer_writer.ts
@@ -105,6 +105,15 @@
     this.#response.writeHead(head.status, head.headers);
   }
 
+  /** Answers a peer that asks whether this daemon is in reach. */
+  present(): void {
+    if (this.isClosed) return;
+    const headers: AnswerHead["headers"] = { connection: "close" };
+    this.#addState(headers, PRESENT);
+    this.#response.writeHead(204, headers);
+    this.#response.end();
+  }
+
   #addState(
     headers: AnswerHead["headers"],
     state: Pick<Refusal, "outcome" | "retryable"> & Partial<Refusal>,
@@ -157,4 +166,5 @@
   }
 }
 
+const PRESENT = { outcome: Outcome.NotRun, retryable: false };
 const RAN = { outcome: Outcome.Ran, retryable: false };
--- a/src/daemon/daemon_tasks.ts
+++ b/src/daemon/daemon_tasks.ts
@@ -12,6 +12,7 @@
 import { IngressServer } from "./ingress_server.ts";
 import { LeaseTask } from "./lease_task.ts";
 import { PeerCaller } from "./peer_caller.ts";
+import { ReachInquiries } from "./reach_inquiries.ts";
 import { ReaderTask } from "./reader_task.ts";
 
 /** What the tasks of a daemon are built from. */
@@ -141,6 +142,11 @@
       log: links.log,
       metrics: links.metrics,
       attempts: { selfId, ...tasks },
+      inquiries: new ReachInquiries({
+        peers: tasks.peers,
+        log: links.log,
+        metrics: links.metrics,
+      }),
     },
   });
 }
--- a/src/daemon/ingress_attempt.ts
+++ b/src/daemon/ingress_attempt.ts
@@ -36,8 +36,8 @@
 /** What an attempt needs. */
 export interface AttemptOptions {
   readonly selfId: string;
-  readonly peers: PeerCaller;
-  readonly destination: Destination;
+  readonly peers: Pick<PeerCaller, "execute" | "settle">;
+  readonly destination: Pick<Destination, "admission" | "execute">;
 }
 
 /** Receiver and environment of an attempt. */
@@ -158,6 +158,7 @@
 
   onBroken(): void {
     if (this.#isOver) return;
+    this.endpoint.doubted();
     this.#fail();
     void this.#settle(true).then((state) => {
       // Nobody answers the question either.
--- a/src/daemon/ingress_call.ts
+++ b/src/daemon/ingress_call.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
-import type { Balancer } from "../coordination/routing/balancer.ts";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Balancer, Chosen } from "../coordination/routing/balancer.ts";
 import type { Endpoint } from "../coordination/routing/endpoint.ts";
 import type { Placement } from "../coordination/routing/placement.ts";
 import type { LatencyTracker } from "../coordination/retry/latency_tracker.ts";
@@ -27,6 +28,7 @@
 import type { AnswerWriter } from "./answer_writer.ts";
 import { monotonicMs } from "./clocks.ts";
 import { crashIdOf } from "./destination.ts";
+import type { ReachInquiries } from "./reach_inquiries.ts";
 import {
   type AttemptEvents,
   type AttemptOptions,
@@ -35,6 +37,9 @@
 
 /** Time that destinations get beyond the deadline to answer precisely, in ms. */
 const ANSWER_GRACE_MS = 50;
+/** Longest wait for a question while other endpoints are left, in ms. */
+const QUESTION_PATIENCE_MS = 250;
+
 /** What ingress calls share. */
 export interface IngressContext {
   readonly balancer: Balancer;
@@ -44,6 +49,7 @@
   readonly decisions: DecisionLog;
   readonly metrics: Metrics;
   readonly attempts: AttemptOptions;
+  readonly inquiries: ReachInquiries;
 }
 
 /** Evidence of a service that its calls share. */
@@ -227,12 +233,45 @@
   /** Makes an attempt, or gives the answer that stands where none is left. */
   #attempt(standing: Refusal = notRun(Reason.NoBackend)): void {
     if (this.#isOver) return;
-    const { template, route, placement } = this.#accepted;
-    const { balancer, attempts } = this.#context;
+    const { placement, requestId } = this.#accepted;
+    const { balancer, attempts, inquiries } = this.#context;
     const nowMs = monotonicMs();
     balancer.reportOwn(attempts.destination.admission.load, nowMs);
-    const chosen = placement.next(nowMs);
-    if (chosen === undefined) return this.#answer(standing);
+    const placed = placement.next(nowMs);
+    if (placed === undefined) return this.#answer(standing);
+    const { endpoint, asked } = placed;
+    if (asked === endpoint) return void this.#ask(placed);
+    if (asked !== undefined) void inquiries.ask(asked, requestId);
+    this.#send(placed, nowMs);
+  }
+
+  /** Makes an attempt once its endpoint is known to be in reach, or another. */
+  async #ask(chosen: Chosen): Promise<void> {
+    const { placement, requestId } = this.#accepted;
+    const { endpoint } = chosen;
+    const askedAtMs = monotonicMs();
+    const answer = this.#context.inquiries.ask(endpoint, requestId);
+    const isInReach = placement.isElsewhereLeft(askedAtMs)
+      ? await Promise.race([
+        answer,
+        sleep(QUESTION_PATIENCE_MS, false, { ref: false }),
+      ])
+      : await answer;
+    if (this.#isOver) return;
+    const nowMs = monotonicMs();
+    if (isInReach) return this.#send(chosen, nowMs);
+    endpoint.doubted();
+    placement.unanswered();
+    this.#note("reach-unknown", {
+      backend: endpoint.member.id,
+      waitedMs: Math.round(nowMs - askedAtMs),
+    });
+    this.#attempt(notRun(Reason.PeerFailed));
+  }
+
+  #send(chosen: Chosen, nowMs: number): void {
+    const { template, route } = this.#accepted;
+    const { attempts } = this.#context;
     const { endpoint } = chosen;
     this.#attempts++;
     const attempt = new IngressAttempt(this.#callOf(nowMs), chosen, {
--- /dev/null
+++ b/src/daemon/ingress_call_test.ts
@@ -0,0 +1,217 @@
+import { EventEmitter } from "node:events";
+import { IncomingMessage, type ServerResponse } from "node:http";
+import { Socket } from "node:net";
+import { create } from "@bufbuild/protobuf";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { sampleBase } from "../../testkit/sample_config.ts";
+import type { AdmissionLoad } from "../coordination/admission/admission_queue.ts";
+import { LatencyTracker } from "../coordination/retry/latency_tracker.ts";
+import { RetryBudget } from "../coordination/retry/retry_budget.ts";
+import { Balancer } from "../coordination/routing/balancer.ts";
+import { Placement } from "../coordination/routing/placement.ts";
+import { QuarantineList } from "../coordination/quarantine/quarantine_list.ts";
+import type { Call, Execution } from "../protocol/call.ts";
+import {
+  type Member,
+  MemberSchema,
+  MemberState,
+  SettleState,
+} from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import { HEADER_OUTCOME, HEADER_REASON } from "../protocol/headers.ts";
+import { Random } from "../protocol/random.ts";
+import { FailureKind, StepError } from "../protocol/step_error.ts";
+import { ConfigSnapshot } from "../state/config_snapshot.ts";
+import { DecisionLog } from "../state/decision_log.ts";
+import { RequestBody } from "../transport/http/request_body.ts";
+import { EventLog } from "../transport/observe/event_log.ts";
+import { openMetrics } from "../transport/observe/metrics.ts";
+import { AnswerWriter } from "./answer_writer.ts";
+import { monotonicMs } from "./clocks.ts";
+import { IngressCall, type IngressContext } from "./ingress_call.ts";
+import type { PeerSink } from "./peer_caller.ts";
+import { ReachInquiries } from "./reach_inquiries.ts";
+
+const SLOTS = 10;
+const FREE = { running: 0, queued: 0, limit: SLOTS };
+/** A load at which calls spill over to other domains. */
+const BUSY = { running: 9, queued: 0, limit: SLOTS };
+const ROUTE = new ConfigSnapshot(1, sampleBase()).routes
+  .find(({ name }) => name === "order")!;
+
+function memberOf(domain: string): Member {
+  return create(MemberSchema, {
+    id: domain,
+    domain,
+    service: "order",
+    state: MemberState.ALIVE,
+    backendReady: true,
+    slots: SLOTS,
+  });
+}
+
+/** Backend servers of two domains, of which some are cut off. */
+class Fleet {
+  /** Domains whose connections are accepted and then reset. */
+  readonly cut = new Set<string>();
+  /** Domains that questions get lost on the way to. */
+  readonly silent = new Set<string>();
+  /** Calls that were sent, by the domain that they were sent to. */
+  readonly sent: string[] = [];
+  readonly balancer = new Balancer(
+    { id: "ingress", domain: "east" },
+    new Random(1),
+  );
+
+  constructor(...domains: string[]) {
+    for (const domain of domains) {
+      this.balancer.update(memberOf(domain), 0);
+    }
+  }
+
+  execute(member: Member, _call: Call, sink: PeerSink): Execution {
+    this.sent.push(member.domain);
+    queueMicrotask(() => {
+      if (this.cut.has(member.domain)) return sink.onBroken(RESET);
+      sink.onLoad(member.domain === "east" ? BUSY : FREE);
+      sink.onHead({ status: 200, headers: {} });
+      sink.onEnd();
+    });
+    return { cancel: () => {}, resume: () => {} };
+  }
+
+  settle(member: Member): Promise<SettleState> {
+    return Promise.resolve(
+      this.cut.has(member.domain) ? SettleState.UNKNOWN : SettleState.DONE,
+    );
+  }
+
+  ask(member: Member): Promise<AdmissionLoad | undefined> {
+    if (this.silent.has(member.domain)) return new Promise(() => {});
+    return Promise.resolve(this.cut.has(member.domain) ? undefined : FREE);
+  }
+
+  /** Sends an order and tells what its caller gets. */
+  async order(): Promise<string> {
+    const request = new IncomingMessage(new Socket());
+    const result = await RequestBody.read(request, 0);
+    assert.is(result.kind, "body");
+    const response = new Response();
+    const log = new EventLog({ level: "none", file: "/dev/null" });
+    const metrics = openMetrics(undefined, "ingress");
+    const context = {
+      balancer: this.balancer,
+      quarantine: new QuarantineList(),
+      random: new Random(1),
+      log,
+      metrics,
+      decisions: new DecisionLog(),
+      inquiries: new ReachInquiries({ peers: this, log, metrics }),
+      attempts: {
+        selfId: "ingress",
+        peers: this,
+        destination: { admission: { load: FREE } },
+      },
+    } as unknown as IngressContext;
+    await new Promise<void>((resolve) =>
+      new IngressCall({
+        requestId: "r",
+        route: ROUTE,
+        body: (result as { body: RequestBody }).body,
+        writer: new AnswerWriter(
+          response as unknown as ServerResponse,
+          "r",
+          { kind: "caller", isLeaving: false },
+        ),
+        response: response as unknown as ServerResponse,
+        evidence: { budget: new RetryBudget(), latency: new LatencyTracker() },
+        placement: new Placement(this.balancer, {
+          name: ROUTE.serviceName,
+          service: ROUTE.service,
+        }),
+        onOver: resolve,
+        template: {
+          service: ROUTE.serviceName,
+          rank: ROUTE.rank,
+          caller: "vendor",
+          method: "POST",
+          path: "/order",
+          headers: [],
+          deadlineMs: monotonicMs() + ROUTE.service.timeoutMs,
+          depth: 1,
+          fingerprint: "",
+          contentDigest: "",
+          idempotencyKey: "key",
+          retries: { left: 3 },
+        },
+      }, context).start()
+    );
+    return response.shown;
+  }
+}
+
+/** Keeps what is written to a caller. */
+class Response extends EventEmitter {
+  readonly destroyed = false;
+  writableEnded = false;
+  shown = "";
+
+  writeHead(status: number, headers: Record<string, string>): void {
+    const reason = headers[HEADER_REASON];
+    this.shown = [status, headers[HEADER_OUTCOME], reason]
+      .filter((part) => part !== undefined).join(" ");
+  }
+
+  end(): void {
+    this.writableEnded = true;
+  }
+}
+
+const RESET = new StepError(FailureKind.Ambiguous, "call-peer", "reset", {
+  peer: "west",
+});
+
+// Guards against orders that were the first to try the way to a domain that
+// had been cut off, and of which nobody could tell whether they ran.
+test("an order that spills over to a domain that was cut off is served by its own", async () => {
+  const fleet = new Fleet("east", "west");
+  const answers = [await fleet.order()];
+  fleet.cut.add("west");
+  // The own domain's load lets this one spill over.
+  answers.push(await fleet.order());
+  assert.equal({ answers, sent: fleet.sent }, {
+    answers: ["200 ran", "200 ran"],
+    sent: ["east", "east"],
+  });
+});
+
+test("an order is refused as not run when the only backend server is cut off", async () => {
+  const fleet = new Fleet("west");
+  fleet.cut.add("west");
+  const answers = [await fleet.order(), await fleet.order()];
+  fleet.cut.delete("west");
+  answers.push(await fleet.order());
+  assert.equal({ answers, sent: fleet.sent }, {
+    answers: [
+      "502 not-run peer-failed",
+      "502 not-run peer-failed",
+      "200 ran",
+    ],
+    sent: ["west"],
+  });
+});
+
+test("an order does not wait for a question that is lost while another backend server is left", async () => {
+  const fleet = new Fleet("east", "west");
+  fleet.silent.add("east");
+  const startedAtMs = monotonicMs();
+  const answers = [await fleet.order(), await fleet.order()];
+  const isPrompt = monotonicMs() - startedAtMs < ROUTE.service.timeoutMs;
+  assert.equal({ answers, sent: fleet.sent, isPrompt }, {
+    answers: ["200 ran", "200 ran"],
+    sent: ["west", "west"],
+    isPrompt: true,
+  });
+});
+
+test.run();
--- a/src/daemon/peer_caller.ts
+++ b/src/daemon/peer_caller.ts
@@ -15,6 +15,7 @@
   formatPeerCall,
   HEADER_PEER_ANSWER,
   HEADER_PEER_CALL,
+  HEADER_PEER_QUESTION,
   parsePeerAnswer,
 } from "../protocol/peer_headers.ts";
 import {
@@ -43,6 +44,9 @@
 /** Longest time to settle an outcome, in ms. */
 const SETTLE_TIMEOUT_MS = 1_000;
 
+/** Longest time for a daemon to say that it is in reach, in ms. */
+const QUESTION_TIMEOUT_MS = 1_000;
+
 /** A sink that also learns the destination's load. */
 export interface PeerSink extends AnswerSink {
   onLoad(load: AdmissionLoad): void;
@@ -99,6 +103,32 @@
     return receiver.send(this.#poolOf(member, call), this.#headers(call));
   }
 
+  /**
+   * Asks the destination over a new connection, on the way that calls take,
+   * whether it is in reach.
+   *
+   * @param member The destination.
+   * @returns Its load; `undefined` where it does not answer.
+   */
+  async ask(member: Member): Promise<AdmissionLoad | undefined> {
+    const pool = new Pool(originOf(member), {
+      connections: 1,
+      connect: { timeout: QUESTION_TIMEOUT_MS },
+      ...localAddressOf(this.#options.sourceAddress),
+    });
+    const headers = [
+      HEADER_PEER_TOKEN,
+      this.#options.token(),
+      HEADER_PEER_QUESTION,
+      "reach",
+    ];
+    try {
+      return await askOver(pool, headers);
+    } finally {
+      void pool.destroy();
+    }
+  }
+
   /**
    * Asks the destination over a new connection what became of a call.
    *
@@ -137,7 +167,7 @@
   }
 
   #poolOf(member: Member, call: Call): Pool {
-    const origin = `http://${member.host}:${member.peerPort}`;
+    const origin = originOf(member);
     const key = `${origin}|${call.rank}`;
     let pool = this.#pools.get(key);
     if (pool === undefined) {
@@ -179,6 +209,36 @@
   }
 }
 
+function originOf(member: Member): string {
+  return `http://${member.host}:${member.peerPort}`;
+}
+
+function askOver(
+  pool: Pool,
+  headers: readonly string[],
+): Promise<AdmissionLoad | undefined> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => resolve(undefined), QUESTION_TIMEOUT_MS);
+    const finish = (load: AdmissionLoad | undefined) => {
+      clearTimeout(timer);
+      resolve(load);
+    };
+    Exchange.send(pool, {
+      method: "OPTIONS",
+      path: "/",
+      headers,
+      body: { kind: "none" },
+    }, {
+      // A daemon that does not know the question refuses it: it is in reach.
+      onHead: (head) =>
+        finish(parsePeerAnswer(singleHeader(head.headers, HEADER_PEER_ANSWER))),
+      onData: () => true,
+      onEnd: () => finish(undefined),
+      onError: () => finish(undefined),
+    });
+  });
+}
+
 /** Reads the answer of a destination. */
 class PeerAnswer {
   readonly #member: Member;
--- /dev/null
+++ b/src/daemon/peer_caller_test.ts
@@ -0,0 +1,67 @@
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Server } from "node:net";
+import { create } from "@bufbuild/protobuf";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  type Member,
+  MemberSchema,
+} from "../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import { FleetClients } from "../transport/control/fleet_client.ts";
+import { PeerAuth } from "../transport/control/peer_auth.ts";
+import { EventLog } from "../transport/observe/event_log.ts";
+import { LoopWatch } from "../transport/observe/loop_watch.ts";
+import type { Destination } from "./destination.ts";
+import { PeerCaller } from "./peer_caller.ts";
+import { PeerServer } from "./peer_server.ts";
+
+const HOST = "127.0.0.1";
+const LOAD = { running: 2, queued: 1, limit: 8 };
+const auth = new PeerAuth([{ id: "k1", secret: "test-secret-0123456789" }]);
+
+const senders: string[] = [];
+const peers = new PeerServer({
+  destination: { admission: { load: LOAD } } as Destination,
+  auth,
+  loop: new LoopWatch({
+    log: new EventLog({ level: "none", file: "/dev/null" }),
+  }),
+  onSender: (id) => senders.push(id),
+});
+const token = () => auth.token("asker", Date.now());
+const clients = new FleetClients(token);
+const caller = new PeerCaller({ clients, token, sourceAddress: undefined });
+/** Accepts connections and resets them. */
+const resetting: Server = createServer((socket) => socket.resetAndDestroy());
+
+function memberAt(peerPort: number): Member {
+  return create(MemberSchema, { id: "east", host: HOST, peerPort });
+}
+
+test.after(async () => {
+  resetting.close();
+  clients.close();
+  await Promise.all([caller.close(), peers.close()]);
+});
+
+test("ask() tells the load of a daemon in reach, and nothing where connections are reset or refused", async () => {
+  const port = await peers.listen(HOST, 0);
+  await once(resetting.listen(0, HOST), "listening");
+  const resetPort = (resetting.address() as AddressInfo).port;
+  const inReach = await caller.ask(memberAt(port));
+  const reset = await caller.ask(memberAt(resetPort));
+  await peers.close();
+  const refused = await caller.ask(memberAt(port));
+  assert.equal(
+    { load: inReach?.limit, queued: inReach?.queued, reset, refused, senders },
+    {
+      load: LOAD.limit,
+      queued: LOAD.queued,
+      reset: undefined,
+      refused: undefined,
+      senders: ["asker"],
+    },
+  );
+});
+
+test.run();
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -11,6 +11,7 @@
 } from "../protocol/headers.ts";
 import {
   HEADER_PEER_CALL,
+  HEADER_PEER_QUESTION,
   parsePeerCall,
   type PeerCallHeader,
 } from "../protocol/peer_headers.ts";
@@ -111,6 +112,7 @@
       return refuseUnread(request, writer, Reason.PeerUnauthorized);
     }
     onSender(sender);
+    if (headers[HEADER_PEER_QUESTION] !== undefined) return writer.present();
     if (header === undefined) {
       return refuseUnread(request, writer, Reason.HeaderInvalid);
     }
