Give a leaving member no work once it is suspected

Seen in a run of request_faults beside six busy processes (load 29): a daemon that was stopping was sent lookups again, 1.1 s after it had told others that it drains; 24 calls by way of one ingress got "502 peer-failed".

Cause: a suspicion takes the place of the member's state, and a suspected member gets work. A daemon that drains beside load is suspected easily, and was at once again after each refutation (log of that run: draining, suspect, draining, suspect, within 1.8 s).

Change: a record of a member that drains or left says that its backend server is not ready, which a suspicion does not touch, whatever the backend server announces meanwhile.

--- a/src/coordination/membership/membership.ts
+++ b/src/coordination/membership/membership.ts
@@ -181,6 +181,8 @@
   ): Member {
     const next = Object.assign(clone(MemberSchema, this.#self), patch);
     next.incarnation = incarnation + 1;
+    // A suspicion takes the place of the state, and the suspected get work.
+    if (next.state !== MemberState.ALIVE) next.backendReady = false;
     this.#self = next;
     this.#merge(next, { wallMs: nowMs, monotonicMs: nowMs });
     return next;
