Answer the calls that wait before a stopping daemon closes

Callers of a daemon that stopped saw ECONNRESET, and daemons that had sent it calls answered "502 peer-failed", beside load.

Cause: a daemon that had no processor time looks for running calls before it reads what came meanwhile, finds none, and closes. Then it tells other daemons that it leaves, reads the calls during that, and cuts them as it closes their connections.

The port for daemons accepts and answers what waits before it closes.

--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -4,6 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { AnswerSink, Call, CallBody } from "../protocol/call.ts";
 import {
   HEADER_IDEMPOTENCY_KEY,
@@ -23,7 +24,11 @@
   singleHeader,
 } from "../transport/http/header_filter.ts";
 import { CallerWatch } from "../transport/http/caller_watch.ts";
-import { closeServer, listen } from "../transport/http/listen.ts";
+import {
+  closeServer,
+  listen,
+  stopAccepting,
+} from "../transport/http/listen.ts";
 import type { LoopWatch } from "../transport/observe/loop_watch.ts";
 import { AnswerWriter } from "./answer_writer.ts";
 import { monotonicMs } from "./clocks.ts";
@@ -31,6 +36,10 @@
 
 /** Time for which an idle connection of a peer stays open, in ms. */
 const IDLE_CONNECTION_MS = 60_000;
+/** Longest time to answer the calls that wait while closing, in ms. */
+const MAX_CLOSE_MS = 1_000;
+/** Time between two looks at them, in ms. */
+const CLOSE_POLL_MS = 10;
 
 /** What a {@linkcode PeerServer} needs. */
 export interface PeerServerOptions {
@@ -56,6 +65,7 @@
   readonly #options: PeerServerOptions;
   readonly #server: Server;
   readonly #callers: CallerWatch;
+  #running = 0;
 
   /**
    * Creates a server.
@@ -88,9 +98,18 @@
     return listen(this.#server, host, port);
   }
 
-  /** Closes the port and all connections. */
-  close(): Promise<void> {
-    return closeServer(this.#server);
+  /**
+   * Closes the port and all connections, once the calls that wait there are
+   * answered: the system would reset them, and their senders could not tell
+   * whether they ran.
+   */
+  async close(): Promise<void> {
+    await stopAccepting(this.#server);
+    const untilMs = monotonicMs() + MAX_CLOSE_MS;
+    while (this.#running > 0 && monotonicMs() < untilMs) {
+      await sleep(CLOSE_POLL_MS);
+    }
+    await closeServer(this.#server);
   }
 
   async #serve(
@@ -100,7 +119,11 @@
     const { destination, auth, onSender } = this.#options;
     const { headers } = request;
     const caller = this.#callers.enter(request);
-    response.once("close", caller.done);
+    this.#running++;
+    response.once("close", () => {
+      this.#running--;
+      caller.done();
+    });
     const header = parsePeerCall(singleHeader(headers, HEADER_PEER_CALL));
     const writer = new AnswerWriter(response, header?.id ?? "", {
       kind: "peer",
--- /dev/null
+++ b/src/daemon/peer_server_test.ts
@@ -0,0 +1,38 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { waitingCallers } from "../../testkit/waiting_callers.ts";
+import { HEADER_PEER_TOKEN } from "../protocol/headers.ts";
+import { PeerAuth } from "../transport/control/peer_auth.ts";
+import { EventLog } from "../transport/observe/event_log.ts";
+import { LoopWatch } from "../transport/observe/loop_watch.ts";
+import type { Destination } from "./destination.ts";
+import { PeerServer } from "./peer_server.ts";
+
+const HOST = "127.0.0.1";
+const CALLERS = 20;
+const LOAD = { running: 0, queued: 0, limit: 8 };
+
+// Guards against calls of peers whose connections were reset as a daemon that
+// had been held up stopped, so that nobody could tell whether they ran.
+test("close() answers the calls that wait to be accepted", async () => {
+  const auth = new PeerAuth([{ id: "k1", secret: "test-secret-0123456789" }]);
+  const server = new PeerServer({
+    destination: { admission: { load: LOAD } } as Destination,
+    auth,
+    loop: new LoopWatch({
+      log: new EventLog({ level: "none", file: "/dev/null" }),
+    }),
+    onSender: () => {},
+  });
+  const port = await server.listen(HOST, 0);
+  const token = auth.token("sender", Date.now());
+  const { answered } = waitingCallers(
+    port,
+    CALLERS,
+    `GET / HTTP/1.1\r\nhost: a\r\n${HEADER_PEER_TOKEN}: ${token}`,
+  );
+  await server.close();
+  assert.is(await answered, CALLERS);
+});
+
+test.run();
--- a/tests/integration/request_faults_test.ts
+++ b/tests/integration/request_faults_test.ts
@@ -161,6 +161,30 @@
   await fleet.settled();
 });
 
+// Guards against calls of callers that were reset as a daemon stopped: they
+// came on an open connection while the daemon had no processor time.
+test("a daemon that is held up while it stops cuts no call on an open connection", async () => {
+  const [{ daemon }] = fleet.ofService("proof") as [Instance];
+  const dispatcher = new Agent({ connections: 1 });
+  const opened = await call(daemon.ingress, "/lookup/opens", { dispatcher });
+  daemon.child.signal("SIGTERM");
+  await sleep(600);
+  daemon.child.signal("SIGSTOP");
+  const answer = call(daemon.ingress, "/lookup/sleep/400", { dispatcher });
+  await sleep(700);
+  daemon.child.signal("SIGCONT");
+  const { status, reason } = await answer;
+  await daemon.child.exited();
+  await dispatcher.destroy();
+  daemon.restart();
+  await fleet.settled();
+  assert.equal({ opened: opened.status, status, reason }, {
+    opened: 200,
+    status: 200,
+    reason: "",
+  });
+});
+
 test("a backend server that drains cuts no request, and gets no new work", async () => {
   const [first, second, third] = fleet.ofService("lookup") as [
     Instance,
