Make the fleet whole before each test of request faults

"a backend server that drains cuts no request, and gets no new work" once ended with "Cannot wait for east-order-2 knows the fleet: 30000 ms passed".

Cause: the test before it had failed in the same run, with a call cut (ECONNRESET), after it had stopped a daemon and before it started it again. So a daemon was missing, and each later test that waits for the whole fleet fails.

Change: before each test the fleet ends all faults, and starts daemons and backend servers that have ended again. No check is weaker.

--- a/testkit/fleet.ts
+++ b/testkit/fleet.ts
@@ -27,6 +27,8 @@
 /** One instance of a fleet: a daemon, with a backend server beside it. */
 export interface Instance {
   readonly daemon: DaemonProcess;
+  /** Service of the backend server; "" for none. */
+  readonly service: string;
   backend: BackendServer | BackendProcess | undefined;
 }
 
@@ -222,6 +224,19 @@
     }
   }
 
+  /**
+   * Ends all faults and starts what has ended again, so that a test that failed
+   * halfway does not fail those after it.
+   */
+  async mend(): Promise<void> {
+    this.heal();
+    this.store.comeBack();
+    const ended = this.instances.map((one) => this.#restart(one));
+    if ((await Promise.all(ended)).includes(true)) {
+      await this.settled(START_TIMEOUT_MS);
+    }
+  }
+
   /** Ends all processes and stand-ins. */
   async close(): Promise<void> {
     await Promise.all(this.instances.map(async ({ daemon, backend }) => {
@@ -253,7 +268,7 @@
         ? {}
         : { breakage: this.#plan.breakage }),
     });
-    const instance: Instance = { daemon, backend: undefined };
+    const instance: Instance = { daemon, service, backend: undefined };
     this.instances.push(instance);
     // A daemon that breaks promises may misreport its version.
     if (this.#plan.breakage !== "versions") {
@@ -267,6 +282,24 @@
     }
   }
 
+  /** Starts the processes of an instance that have ended again. */
+  async #restart(instance: Instance): Promise<boolean> {
+    const { daemon, backend, service } = instance;
+    const isDaemonGone = daemon.child.hasExited;
+    if (isDaemonGone) daemon.restart();
+    else daemon.child.signal("SIGCONT");
+    if (!(backend instanceof BackendProcess) || !backend.child.hasExited) {
+      return isDaemonGone;
+    }
+    await daemon.holds(1, START_TIMEOUT_MS);
+    instance.backend = await startBackendProcess(
+      daemon,
+      service,
+      this.#plan.behaviour,
+    );
+    return true;
+  }
+
   #isOf(address: string, domain: string): boolean {
     const host = address.replace(/^::ffff:/, "");
     return this.inDomain(domain).some((one) => one.daemon.plan.host === host);
--- a/tests/integration/request_faults_test.ts
+++ b/tests/integration/request_faults_test.ts
@@ -45,6 +45,12 @@
   await fleet.close();
 });
 
+// Guards against failures that only follow from another test's: the daemon
+// that it had stopped was missing, and the fleet was waited for in vain.
+test.before.each(async () => {
+  await fleet.mend();
+});
+
 /** Sends lookups at a fixed rate through some daemons. */
 async function lookups(
   instances: readonly Instance[],
