Deliver an answer that comes after the news that its call ended

But it gave up a call whose answer had not come yet as soon as its destination once said that the call had ended.

Cause: the answer and the news of the end come over different connections. An ingress that had no processor time, or a full link, may bring the news first; the answer that lay ready was dropped, and the caller got "502 unknown".

Change: the news decides only when it comes a second time in a row, at the next look at the late call, whose pauses double.

--- a/src/daemon/ingress_attempt.ts
+++ b/src/daemon/ingress_attempt.ts
@@ -67,6 +67,8 @@
   #execution: Execution | undefined;
   #isOver = false;
   #isSettling = false;
+  /** Whether the destination has said that the call ended. */
+  #hasEnded = false;
 
   /**
    * Creates an attempt that is not sent yet.
@@ -119,6 +121,11 @@
     this.#isSettling = false;
     if (this.#isOver || state === SettleState.RUNNING) return;
     if (state === SettleState.UNKNOWN) return;
+    if (state === SettleState.DONE && !this.#hasEnded) {
+      // Its answer may be on its way, or wait here to be read.
+      this.#hasEnded = true;
+      return;
+    }
     // Not run, or its answer was lost: the connection has gone silent.
     this.#execution?.cancel();
     if (state === SettleState.NOT_RUN) this.#events.onAttemptLost(this);
