Bench of what sidecar daemons cost without requests

Purpose: start, idling, a series of versions, changing records and a store out of reach for a third of the daemons, each as processor time of a daemon, share of the kernel and calls to the store. npm run bench -- sidecar.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import { benchPoison } from "./poison.ts";
 import { benchRequestCost } from "./request_cost.ts";
 import { benchScale } from "./scale.ts";
+import { benchSidecar } from "./sidecar.ts";
 
 /** A measurement, given the seed of its random choices. */
 type Bench = (seed: number) => Promise<unknown>;
@@ -19,6 +20,7 @@
   poison: benchPoison,
   scale: benchScale,
   requestCost: benchRequestCost,
+  sidecar: benchSidecar,
   convergence: benchFleet(["convergence"]),
   control: benchFleet(["control"]),
   churn: benchFleet(["churn"]),
--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -38,6 +38,8 @@
   readonly storePort: number;
   /** Time from SIGTERM to the end, in s; {@linkcode GRACE_S} unless said. */
   readonly graceS?: number;
+  /** Arguments of Node.js for the daemon; none unless said. */
+  readonly nodeArgs?: readonly string[];
 }
 
 /** Bandwidths that daemons take their links to have, in Mbit/s. */
@@ -120,6 +122,11 @@
     return !this.#daemon.hasExited && !this.#isPaused;
   }
 
+  /** Id of the daemon's process. */
+  get pid(): number {
+    return this.#daemon.pid;
+  }
+
   /** Last output of the daemon. */
   get output(): string {
     return this.#daemon.output;
@@ -210,7 +217,8 @@
   }
 
   #start(): Child {
-    return new Child([this.#options.bundle], {
+    const { nodeArgs = [], bundle } = this.#options;
+    return new Child([...nodeArgs, bundle], {
       SESAMEPOND_CONFIG: this.#settingsFile,
     });
   }
