Pause 0.8 s after a poll with events

Cause: while all daemons of a fleet start, each of them polls the store until its failure domain has enough records to choose readers; with 0.3 s between two polls that was half of their calls. A series of versions cost each reader three polls a second, and each follower as many adoptions. Change: a pause of 0.8 s; what others have is looked up after 1 s instead of 0.5 s, as the own poll may pause for that long. A version is known 0.8 s after it was written at the latest, of 2 s.

--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -16,9 +16,9 @@
 /** Longest time that the store may hold a poll, in ms. */
 const POLL_WAIT_MS = 10_000;
 /** Pause after a poll with events, so that a series costs few calls, in ms. */
-const COALESCE_MS = 300;
+const COALESCE_MS = 800;
 /** Time in which the own poll should bring a version others have, in ms. */
-const HEARSAY_GRACE_MS = 500;
+const HEARSAY_GRACE_MS = COALESCE_MS + 200;
 /** Shortest and longest pause after a failed call, in ms. */
 const MIN_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 800;
--- a/tests/platform/readers_test.ts
+++ b/tests/platform/readers_test.ts
@@ -15,6 +15,9 @@
 /** Time in which a version must be in force. */
 const APPLY_MS = 2_000;
 const WATCH_PATH = "/api/kv-watch";
+/** Versions of a series, and the pause between two. */
+const SERIES = 20;
+const SERIES_GAP_MS = 100;
 
 async function readersTest(
   run: (mesh: FakeMesh) => Promise<void>,
@@ -61,6 +64,21 @@
     assert.ok(calls < SIZE / 2, `${calls} calls`);
   }));
 
+// Guards against a poll for every few versions of a series.
+test("a series of versions costs each reader a few polls, and the last one is in force in time", () =>
+  readersTest(async (mesh) => {
+    const before = mesh.store.calls.get(WATCH_PATH) ?? 0;
+    for (let version = 5; version < 5 + SERIES; version++) {
+      const config = sampleConfig(version);
+      mesh.store.put(CONFIG_KEY, JSON.stringify(config));
+      await sleep(SERIES_GAP_MS);
+    }
+    addRoute(mesh, 5 + SERIES);
+    await untilInForce(mesh);
+    const calls = (mesh.store.calls.get(WATCH_PATH) ?? 0) - before;
+    assert.ok(calls <= SIZE, `${calls} calls`);
+  }));
+
 test("a version is in force in time though both readers have just died", () =>
   readersTest(async (mesh) => {
     mesh.instances[0]!.sidecar.kill();
