Sidecar: an address that other daemons use may differ from the own one

Cause: a daemon announces the address at which it listens, so it cannot stand behind a port mapping, nor behind a proxy that disturbs the ways between daemons. src/daemon has such a setting (advertised). Change: advertisedPeerAddress, which the record of the backend server carries where it is set.

--- a/src/sidecar/backend_keeper.ts
+++ b/src/sidecar/backend_keeper.ts
@@ -158,17 +158,18 @@
 
   #publish(state: BackendState, of = this.#options.backend.current): void {
     if (of === undefined) return;
+    const { settings } = this.#options;
     const isDraining = of.state === BackendState.Draining;
     const record: BackendRecord = {
       id: of.id,
-      instance: this.#options.settings.instance,
+      instance: settings.instance,
       service: of.service,
-      domain: this.#options.settings.domain,
-      peerAddress: this.#options.settings.peerAddress,
+      domain: settings.domain,
+      peerAddress: settings.advertisedPeerAddress ?? settings.peerAddress,
       slots: of.slots,
       state: isDraining ? BackendState.Draining : state,
       bornAtUnixMs: of.bornAtUnixMs,
-      linkMbps: this.#options.settings.linkMbps,
+      linkMbps: settings.linkMbps,
     };
     this.#options.directory.put(record);
     this.#options.announcer.publish(record);
--- a/src/sidecar/sidecar_settings.ts
+++ b/src/sidecar/sidecar_settings.ts
@@ -9,8 +9,10 @@
   readonly backendAddress: string;
   /** Address for callers and for the backend server's own calls. */
   readonly ingressAddress: string;
-  /** Address for other daemons. */
+  /** Address at which it listens for other daemons. */
   readonly peerAddress: string;
+  /** Address that others use, where it differs, as behind a port mapping. */
+  readonly advertisedPeerAddress?: string;
   /** Address of the readiness check. */
   readonly readyAddress: string;
   /** Address at which the backend server announces itself. */
