Soak: lost requests around planned work, slow daemons and slow ways

Cause: the soak missed the incident in docs/incidents/lost.md. It had no faults on the ways between daemons, backend servers that work for 5 ms only, and no check of requests that are given up while a backend server is at work. Change: soak/lost_requests.ts compares what callers got with the start and the end of the runs, around SIGTERM, SIGHUP and configurations, and leaves out what touched daemons or ways suffer. Backend servers work for 5 ms to 1.5 s, callers wait 1.2 s to 4 s. Loopback proxies stand on the ways between daemons. Daemons run in slices of 40 ms in 240 ms; SIGTERM comes in series. A plan has planned work alone or all faults. The grace is 6 s, the default, instead of 2 s. Faults have a random source of their own, so that a seed has the same ones. A run that finds something keeps the logs of all its daemons. Most daemons of a run: 100.

--- a/bench/request_cost.ts
+++ b/bench/request_cost.ts
@@ -134,7 +134,10 @@
       path: isOrder ? "/orders/1" : "/stock/1",
       body: isOrder ? "x".repeat(ORDER_BYTES) : "",
       isIdempotent: !isOrder,
+      ingress: "instance-0",
+      timeoutMs: TIMEOUT_MS,
       sentAtMs: performance.now(),
+      endedAtMs: Infinity,
       leftAtMs: Infinity,
       ingressPausesMs: [],
       status: 0,
@@ -143,7 +146,6 @@
     await sendAsCaller(request, {
       agent: this.#agent,
       port: this.#ingress.ingressPort,
-      timeoutMs: TIMEOUT_MS,
     });
     return request.status;
   }
--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -7,8 +7,6 @@
   readonly agent: Agent;
   /** Port of the daemon that takes the request. */
   readonly port: number;
-  /** Time for which the caller says that it waits, in ms. */
-  readonly timeoutMs: number;
   /** Time after which it leaves without an answer, in ms. */
   readonly leavesAfterMs?: number | undefined;
 }
@@ -25,6 +23,10 @@
   options: CallerOptions,
 ): Promise<void> {
   return new Promise((resolve) => {
+    const end = () => {
+      request.endedAtMs = Math.min(request.endedAtMs, performance.now());
+      resolve();
+    };
     const outgoing = sendRequest({
       agent: options.agent,
       host: "127.0.0.1",
@@ -34,7 +36,7 @@
       headers: {
         host: "shop.example",
         "x-attempt-id": request.id,
-        "x-deadline-ms": String(options.timeoutMs),
+        "x-deadline-ms": String(request.timeoutMs),
       },
     }, (response) => {
       let answer = "";
@@ -43,9 +45,9 @@
         clearTimeout(leaving);
         request.status = response.statusCode ?? 0;
         request.answer = answer;
-        resolve();
+        end();
       });
-      response.on("error", () => resolve());
+      response.on("error", end);
     });
     const leave = () => {
       request.leftAtMs = performance.now();
@@ -55,8 +57,8 @@
       ? undefined
       : setTimeout(leave, options.leavesAfterMs);
     // No answer is an answer too: the status stays 0.
-    outgoing.on("error", () => resolve());
-    outgoing.setTimeout(options.timeoutMs * 2, () => outgoing.destroy());
+    outgoing.on("error", end);
+    outgoing.setTimeout(request.timeoutMs * 2, () => outgoing.destroy());
     outgoing.end(request.body);
   });
 }
--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -1,6 +1,7 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
 import { FakeBackend } from "../platform/fakes/backend.ts";
 import { FaultProxy } from "../fakes/fault_proxy.ts";
 import { Child } from "../testkit/child.ts";
@@ -8,7 +9,7 @@
 
 const HOST = "127.0.0.1";
 /** Time from SIGTERM to the end of a daemon, in s. */
-export const GRACE_S = 2;
+export const GRACE_S = 6;
 /**
  * First port of the daemons, below those that the system hands out: a daemon
  * that is down must find its port free, and nobody else may answer there.
@@ -16,8 +17,13 @@
 const FIRST_PORT = 10_000;
 const PORTS_PER_INSTANCE = 5;
 /** Runs of the soak that may overlap, and the ports that each has. */
-const OVERLAPPING_RUNS = 80;
-const PORTS_PER_RUN = 250;
+const OVERLAPPING_RUNS = 40;
+const PORTS_PER_RUN = 500;
+/** Most instances of a run. */
+export const MAX_INSTANCES = PORTS_PER_RUN / PORTS_PER_INSTANCE;
+/** Slices in which a throttled process runs and stands, in ms. */
+const RUN_SLICE_MS = 40;
+const STOP_SLICE_MS = 200;
 /** Pause between two announcements, in ms. */
 const ANNOUNCE_PERIOD_MS = 300;
 
@@ -40,6 +46,8 @@
   readonly graceS?: number;
   /** Arguments of Node.js for the daemon; none unless said. */
   readonly nodeArgs?: readonly string[];
+  /** Time that its backend server works on a request, in ms; short at first. */
+  readonly workMsOf?: (id: string) => number;
 }
 
 /** Bandwidths that daemons take their links to have, in Mbit/s. */
@@ -47,12 +55,15 @@
 const SLOW_MBPS = 7;
 
 /**
- * A daemon as a process, behind a fault proxy to the store, with the stand-in
- * of a backend server that announces itself.
+ * A daemon as a process, with fault proxies on its way to the store and on the
+ * way of other daemons to it, and the stand-in of a backend server that
+ * announces itself.
  */
 export class SoakInstance {
   readonly name: string;
   readonly storeProxy: FaultProxy;
+  /** Other daemons reach this one through it. */
+  readonly peerProxy: FaultProxy;
   backend: FakeBackend;
   /** Monotonic time at which the present life's drain was acknowledged. */
   drainedAtMs = Infinity;
@@ -66,7 +77,9 @@
   #sequence = 0;
   #life = 1;
   #isPaused = false;
+  #isStopping = false;
   #isEnding = false;
+  #formerOutput = "";
 
   private constructor(
     options: InstanceOptions,
@@ -74,7 +87,7 @@
       readonly ports: readonly number[];
       readonly backend: FakeBackend;
       readonly storeProxy: FaultProxy;
-      readonly proxyPort: number;
+      readonly peerProxy: FaultProxy;
     },
   ) {
     this.name = `instance-${options.index}`;
@@ -82,8 +95,9 @@
     this.#ports = parts.ports;
     this.backend = parts.backend;
     this.storeProxy = parts.storeProxy;
+    this.peerProxy = parts.peerProxy;
     this.#settingsFile = join(options.folder, `${this.name}.jsonc`);
-    this.#writeSettings(parts.proxyPort);
+    this.#writeSettings();
     this.#daemon = this.#start();
     this.#announcing = setInterval(
       () => void this.announce(),
@@ -98,13 +112,13 @@
    * @returns The instance, whose daemon may not be ready yet.
    */
   static async start(options: InstanceOptions): Promise<SoakInstance> {
+    const ports = portsOf(options.index);
     const storeProxy = new FaultProxy(options.storePort);
-    return new SoakInstance(options, {
-      ports: portsOf(options.index),
-      backend: await FakeBackend.start(`i-${options.index}-1`),
-      storeProxy,
-      proxyPort: await storeProxy.listen(),
-    });
+    const peerProxy = new FaultProxy(ports[1]!);
+    await Promise.all([storeProxy.listen(), peerProxy.listen()]);
+    const backend = await FakeBackend.start(`i-${options.index}-1`);
+    if (options.workMsOf !== undefined) backend.workMsOf = options.workMsOf;
+    return new SoakInstance(options, { ports, backend, storeProxy, peerProxy });
   }
 
   /** Port for callers. */
@@ -112,14 +126,14 @@
     return this.#ports[0]!;
   }
 
-  /** Port for other daemons. */
+  /** Port at which its daemon listens for other daemons. */
   get peerPort(): number {
     return this.#ports[1]!;
   }
 
-  /** Whether a daemon process is there and not paused. */
-  get isRunning(): boolean {
-    return !this.#daemon.hasExited && !this.#isPaused;
+  /** Output of all its daemons. */
+  get output(): string {
+    return this.#formerOutput + this.#daemon.output;
   }
 
   /** Id of the daemon's process. */
@@ -127,9 +141,9 @@
     return this.#daemon.pid;
   }
 
-  /** Last output of the daemon. */
-  get output(): string {
-    return this.#daemon.output;
+  /** Whether its daemon was asked to stop and is still there. */
+  get isStopping(): boolean {
+    return this.#isStopping;
   }
 
   /** Kills the daemon and starts it again after a pause. */
@@ -141,12 +155,15 @@
   /** Stops the daemon gracefully and starts it again. */
   async restart(): Promise<void> {
     this.resume();
+    this.#isStopping = true;
     await this.#daemon.stop();
+    this.#isStopping = false;
     this.#restart();
   }
 
-  /** Sends SIGHUP. */
+  /** Sends SIGHUP; it would end a process that does not handle it yet. */
   reload(): void {
+    if (!this.#daemon.output.includes("event=daemon-started")) return;
     this.#daemon.signal("SIGHUP");
   }
 
@@ -157,6 +174,23 @@
     this.#daemon.signal("SIGSTOP");
   }
 
+  /**
+   * Lets the daemon run in slices, as with too little processor time.
+   *
+   * @param lastsMs Time after which it runs freely again.
+   */
+  async throttle(lastsMs: number): Promise<void> {
+    const daemon = this.#daemon;
+    const untilMs = performance.now() + lastsMs;
+    while (performance.now() < untilMs && !daemon.hasExited) {
+      this.pausesMs.push(performance.now());
+      if (!this.#isPaused) daemon.signal("SIGSTOP");
+      await sleep(STOP_SLICE_MS);
+      if (!this.#isPaused) daemon.signal("SIGCONT");
+      await sleep(RUN_SLICE_MS);
+    }
+  }
+
   /** Lets a paused process go on. */
   resume(): void {
     this.#isPaused = false;
@@ -193,8 +227,14 @@
     this.backend = await FakeBackend.start(
       `i-${this.#options.index}-${this.#life}`,
     );
+    this.backend.workMsOf = former.workMsOf;
     const { id, runs } = former;
-    const life = { id, runs, drainedAtMs: this.drainedAtMs };
+    const life = {
+      id,
+      instance: this.name,
+      runs,
+      drainedAtMs: this.drainedAtMs,
+    };
     this.drainedAtMs = Infinity;
     this.#sequence = 0;
     return life;
@@ -207,12 +247,14 @@
     this.resume();
     await this.#daemon.kill();
     await this.storeProxy.close();
+    await this.peerProxy.close();
     await this.backend.stop();
   }
 
   #restart(): void {
     if (this.#isEnding || !this.#daemon.hasExited) return;
     this.#isPaused = false;
+    this.#formerOutput += this.#daemon.output;
     this.#daemon = this.#start();
   }
 
@@ -223,7 +265,7 @@
     });
   }
 
-  #writeSettings(storePort: number): void {
+  #writeSettings(): void {
     const at = (index: number) => `${HOST}:${this.#ports[index]}`;
     writeFileSync(
       this.#settingsFile,
@@ -235,10 +277,11 @@
         backendAddress: this.backend.address,
         ingressAddress: at(0),
         peerAddress: at(1),
+        advertisedPeerAddress: `${HOST}:${this.peerProxy.port}`,
         readyAddress: at(2),
         controlAddress: at(3),
         metricsAddress: at(4),
-        storeAddress: `${HOST}:${storePort}`,
+        storeAddress: `${HOST}:${this.storeProxy.port}`,
         bounds: [
           `GraceS=${this.#options.graceS ?? GRACE_S}`,
           "RetryRatio=0.2",
--- /dev/null
+++ b/soak/keep_logs.ts
@@ -0,0 +1,22 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import type { SoakResult } from "./soak.ts";
+
+/**
+ * Writes what a run found, its faults and the daemons' output into a folder
+ * that is kept, and names it on standard error.
+ *
+ * @param result The run.
+ */
+export function keepLogs(result: SoakResult): void {
+  const { seed, faults, problems, logs } = result;
+  const folder = mkdtempSync(join(tmpdir(), `sesamepond-soak-seed-${seed}-`));
+  writeFileSync(join(folder, "problems.txt"), problems.join("\n"));
+  writeFileSync(join(folder, "faults.txt"), faults.join("\n"));
+  for (const [name, output] of Object.entries(logs)) {
+    writeFileSync(join(folder, `${name}.log`), output);
+  }
+  process.stderr.write(`logs of seed ${seed}: ${folder}\n`);
+}
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,9 +1,8 @@
-import { mkdtempSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
+import { FaultPlan } from "./faults.ts";
+import { keepLogs } from "./keep_logs.ts";
 import { runSoak } from "./soak.ts";
 
 /** Problems of a seed that are printed. */
@@ -25,32 +24,30 @@
     default: 3,
     describe: "failure domains; 8 daemons in one have readers",
   })
+  .option("plan", {
+    choices: Object.values(FaultPlan),
+    default: FaultPlan.All,
+    describe: "faults of the runs",
+  })
   .strict()
   .parseAsync();
 
-/** Writes the daemons' last output into a folder that is kept. */
-function keepLogs(seed: number, logs: Readonly<Record<string, string>>): void {
-  const folder = mkdtempSync(join(tmpdir(), `sesamepond-soak-seed-${seed}-`));
-  for (const [name, output] of Object.entries(logs)) {
-    writeFileSync(join(folder, `${name}.log`), output);
-  }
-  process.stderr.write(`logs of seed ${seed}: ${folder}\n`);
-}
-
 let failed = 0;
 for (let seed = args.seed; seed < args.seed + args.seeds; seed++) {
-  const { seconds, instances, domains } = args;
-  const result = await runSoak({ seed, seconds, instances, domains });
-  const { sent, served, faults, problems, logs } = result;
+  const { seconds, instances, domains, plan } = args;
+  const result = await runSoak({ seed, seconds, instances, domains, plan });
+  const { sent, statuses, faults, problems, stalledMs } = result;
   if (problems.length > 0) {
     failed++;
-    keepLogs(seed, logs);
+    keepLogs(result);
   }
   const summary = {
     seed,
     sent,
-    served,
+    statuses,
     faults: faults.length,
+    stalledMs,
+    found: problems.length,
     problems: problems.slice(0, MAX_SHOWN_PROBLEMS),
   };
   process.stdout.write(`${JSON.stringify(summary)}\n`);
--- a/soak/promises.ts
+++ b/soak/promises.ts
@@ -11,8 +11,14 @@
   readonly path: string;
   readonly body: string;
   readonly isIdempotent: boolean;
+  /** Name of the instance whose daemon took it. */
+  readonly ingress: string;
+  /** Time for which the caller says that it waits, in ms. */
+  readonly timeoutMs: number;
   /** Monotonic time at which the caller sent it. */
   sentAtMs: number;
+  /** Monotonic time of the answer, or of the end of its connection. */
+  endedAtMs: number;
   /** Monotonic time at which the caller gave it up, if it did. */
   leftAtMs: number;
   /** Monotonic times at which the daemon that took it was paused. */
@@ -25,6 +31,8 @@
 /** The runs at one life of a backend server. */
 export interface BackendLife {
   readonly id: string;
+  /** Name of the instance. */
+  readonly instance: string;
   readonly runs: readonly BackendRun[];
   /** Monotonic time at which its drain was acknowledged. */
   readonly drainedAtMs: number;
--- a/soak/promises_test.ts
+++ b/soak/promises_test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { BackendRun } from "../platform/fakes/backend.ts";
+import { type BackendRun, RunEnd } from "../platform/fakes/backend.ts";
 import { brokenPromises, type SentRequest } from "./promises.ts";
 
 function request(fields: Partial<SentRequest> = {}): SentRequest {
@@ -9,7 +9,10 @@
     path: "/orders/1",
     body: "x",
     isIdempotent: false,
+    ingress: "instance-0",
+    timeoutMs: 1_000,
     sentAtMs: 0,
+    endedAtMs: 100,
     leftAtMs: Infinity,
     ingressPausesMs: [],
     status: 200,
@@ -26,6 +29,8 @@
     remainingMs: 100,
     body: "x",
     atMs: 0,
+    end: RunEnd.Answered,
+    endedAtMs: 5,
     ...fields,
   };
 }
@@ -35,7 +40,7 @@
   runs: readonly BackendRun[],
   drainedAtMs = Infinity,
 ): string[] {
-  const life = { id: "i-1", runs, drainedAtMs };
+  const life = { id: "i-1", instance: "instance-1", runs, drainedAtMs };
   return brokenPromises(new Map([[sent.id, sent]]), [life]);
 }
 
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -5,31 +5,55 @@
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { BackendFault } from "../platform/fakes/backend.ts";
-import { KvServer, StoreFault } from "../platform/fakes/kv_server.ts";
+import { KvServer } from "../platform/fakes/kv_server.ts";
 import {
   addedRoute,
   CONFIG_KEY,
   sampleConfig,
 } from "../platform/fakes/mesh.ts";
+import { hash32 } from "../src/protocol/hash.ts";
 import { Random } from "../src/protocol/random.ts";
 import { sendAsCaller } from "./caller.ts";
-import { SoakInstance } from "./instance.ts";
+import {
+  type FaultContext,
+  FaultPlan,
+  faultsOf,
+  MAX_FAULT_MS,
+  MAX_SLOW_MS,
+} from "./faults.ts";
+import { GRACE_S, MAX_INSTANCES, SoakInstance } from "./instance.ts";
+import {
+  type Impairment,
+  lostRequests,
+  type PlannedWork,
+} from "./lost_requests.ts";
 import {
   type BackendLife,
   brokenPromises,
   type SentRequest,
 } from "./promises.ts";
 
-/** Requests in a second. */
-const REQUESTS_PER_S = 80;
+/** Requests in a second for each instance, and of all at most. */
+const REQUESTS_PER_INSTANCE_S = 20;
+const MAX_REQUESTS_PER_S = 300;
 /** Longest pause between two faults, in ms; faults overlap. */
-const MAX_FAULT_GAP_MS = 600;
-/** Longest time that a fault lasts, in ms. */
-const MAX_FAULT_MS = 2_500;
+const MAX_FAULT_GAP_MS: Readonly<Record<FaultPlan, number>> = {
+  [FaultPlan.Planned]: 1_200,
+  [FaultPlan.All]: 600,
+};
 /** Time in which all is served again after the last fault, in ms. */
 const RECOVERY_MS = 15_000;
-const TIMEOUT_MS = 1_200;
+/** Time for which callers wait, in ms. */
+const MIN_TIMEOUT_MS = 1_200;
+const MAX_TIMEOUT_MS = 4_000;
+/** Time that routes allow, in s. */
+const ROUTE_TIMEOUT_S = MAX_TIMEOUT_MS / 1_000;
+/** Least time and spread of the work on a request, in ms; each as often. */
+const WORK_KINDS = [[5, 1], [5, 1], [5, 1], [5, 300], [300, 1_200]] as const;
+/** Pause between two looks at whether the soak itself stood still, in ms. */
+const STALL_CHECK_MS = 20;
+/** Time for which it may stand still without a mark on its requests, in ms. */
+const MAX_STALL_MS = 100;
 /** Time in which a version is in force once all faults are over, in ms. */
 const APPLY_MS = 5_000;
 /** One of this many orders has a body that asks for a place on a slow link. */
@@ -48,6 +72,8 @@
   readonly instances: number;
   /** Failure domains over which they are spread; 3 unless said. */
   readonly domains?: number;
+  /** Faults; all kinds unless said. */
+  readonly plan?: FaultPlan;
 }
 
 /** What a run found. */
@@ -55,8 +81,12 @@
   readonly seed: number;
   readonly sent: number;
   readonly served: number;
+  /** Requests by status; 0 without an answer. */
+  readonly statuses: Readonly<Record<number, number>>;
   readonly faults: readonly string[];
   readonly problems: readonly string[];
+  /** Longest time for which the soak's own process stood still, in ms. */
+  readonly stalledMs: number;
   /** Last output of each daemon, by instance. */
   readonly logs: Readonly<Record<string, string>>;
 }
@@ -81,26 +111,36 @@
 class Soak {
   readonly #options: SoakOptions;
   readonly #random: Random;
+  /** Apart, so that a seed has the same faults at each run. */
+  readonly #faultRandom: Random;
   readonly #folder = mkdtempSync(join(tmpdir(), "sesamepond-soak-"));
-  readonly #agent = new Agent({ keepAlive: true });
+  /** Uses all open connections in turn until they are closed. */
+  readonly #agent = new Agent({ keepAlive: true, scheduling: "fifo" });
   readonly #sent = new Map<string, SentRequest>();
   readonly #formerLives: BackendLife[] = [];
   readonly #faults: string[] = [];
+  readonly #planned: PlannedWork[] = [];
+  readonly #impairments: Impairment[] = [];
   #store!: KvServer;
   #instances: SoakInstance[] = [];
   #version = 1;
   #nextId = 1;
+  #stalledMs = 0;
 
   constructor(options: SoakOptions) {
+    if (options.instances > MAX_INSTANCES) {
+      throw new RangeError(`A run has ${MAX_INSTANCES} instances at most`);
+    }
     this.#options = options;
     this.#random = new Random(options.seed);
+    this.#faultRandom = new Random(options.seed);
   }
 
   async start(): Promise<void> {
     const bundle = join(this.#folder, "sesamepond.mjs");
     spawnSync(process.execPath, ["scripts/build_platform.mjs", bundle]);
     this.#store = await KvServer.start();
-    this.#store.put(CONFIG_KEY, JSON.stringify(sampleConfig(1)));
+    this.#writeConfig();
     const storePort = Number(this.#store.address.split(":")[1]);
     for (let index = 0; index < this.#options.instances; index++) {
       this.#instances.push(
@@ -110,6 +150,7 @@
           folder: this.#folder,
           bundle,
           storePort,
+          workMsOf,
         }),
       );
     }
@@ -117,28 +158,49 @@
   }
 
   async run(): Promise<SoakResult> {
-    const load = setInterval(() => this.#sendOne(), 1_000 / REQUESTS_PER_S);
+    const requestsPerS = Math.min(
+      this.#instances.length * REQUESTS_PER_INSTANCE_S,
+      MAX_REQUESTS_PER_S,
+    );
+    const load = setInterval(() => this.#sendOne(), 1_000 / requestsPerS);
+    const stalls = this.#watchStalls();
     const endAtMs = performance.now() + this.#options.seconds * 1_000;
+    const maxGapMs = MAX_FAULT_GAP_MS[this.#options.plan ?? FaultPlan.All];
     while (performance.now() < endAtMs) {
-      await sleep(this.#random.below(MAX_FAULT_GAP_MS));
+      await sleep(this.#faultRandom.below(maxGapMs));
       this.#injectFault();
     }
-    await sleep(MAX_FAULT_MS * 2);
+    await sleep(MAX_SLOW_MS);
     clearInterval(load);
-    await sleep(TIMEOUT_MS * 2);
+    await sleep(MAX_TIMEOUT_MS + MIN_TIMEOUT_MS);
+    clearInterval(stalls);
     const isServed = await this.#untilServed(RECOVERY_MS);
-    const problems = brokenPromises(this.#sent, this.#lives());
+    const lives = this.#lives();
+    const problems = [
+      ...brokenPromises(this.#sent, lives),
+      ...lostRequests(this.#sent.values(), lives, {
+        graceMs: GRACE_S * 1_000,
+        planned: this.#planned,
+        impairments: this.#impairments,
+      }),
+    ];
+    for (const { name, peerProxy } of this.#instances) {
+      if (peerProxy.accepted === 0) problems.push(`no daemon called ${name}`);
+    }
     if (!isServed) problems.push("not all daemons serve after the last fault");
     problems.push(...await this.#withoutLastVersion());
-    const served = [...this.#sent.values()].filter(({ status }) =>
-      status === 200
-    );
+    const statuses: Record<number, number> = {};
+    for (const { status } of this.#sent.values()) {
+      statuses[status] = (statuses[status] ?? 0) + 1;
+    }
     return {
       seed: this.#options.seed,
       sent: this.#sent.size,
-      served: served.length,
+      served: statuses[200] ?? 0,
+      statuses,
       faults: this.#faults,
       problems,
+      stalledMs: Math.round(this.#stalledMs),
       logs: Object.fromEntries(
         this.#instances.map(({ name, output }) => [name, output]),
       ),
@@ -152,9 +214,24 @@
     rmSync(this.#folder, { recursive: true });
   }
 
+  #watchStalls(): NodeJS.Timeout {
+    let lastMs = performance.now();
+    return setInterval(() => {
+      const nowMs = performance.now();
+      const gapMs = nowMs - lastMs;
+      this.#stalledMs = Math.max(this.#stalledMs, gapMs);
+      // The ways, callers and backend servers are this process, and stood still.
+      if (gapMs > MAX_STALL_MS) {
+        for (const { pausesMs } of this.#instances) pausesMs.push(lastMs);
+      }
+      lastMs = nowMs;
+    }, STALL_CHECK_MS);
+  }
+
   #lives(): BackendLife[] {
-    const present = this.#instances.map(({ backend, drainedAtMs }) => ({
+    const present = this.#instances.map(({ name, backend, drainedAtMs }) => ({
       id: backend.id,
+      instance: name,
       runs: backend.runs,
       drainedAtMs,
     }));
@@ -175,10 +252,7 @@
   /** Names the daemons that do not take a last version in time. */
   async #withoutLastVersion(): Promise<string[]> {
     const path = "/last/1";
-    this.#store.put(
-      CONFIG_KEY,
-      JSON.stringify(sampleConfig(++this.#version, [addedRoute("last")])),
-    );
+    this.#writeConfig([addedRoute("last")]);
     const endAtMs = performance.now() + APPLY_MS;
     // All are asked at once, so that a slow one takes no time from the others.
     const taken = await Promise.all(
@@ -227,6 +301,10 @@
     const body = `body of ${id}`.padEnd(isLong ? LONG_BODY_BYTES : 0, ".");
     const request = {
       id,
+      ingress: instance.name,
+      timeoutMs: MIN_TIMEOUT_MS +
+        this.#random.below(MAX_TIMEOUT_MS - MIN_TIMEOUT_MS),
+      endedAtMs: Infinity,
       sentAtMs: performance.now(),
       leftAtMs: Infinity,
       ingressPausesMs: instance.pausesMs,
@@ -248,78 +326,29 @@
     return sendAsCaller(request, {
       agent: this.#agent,
       port: instance.ingressPort,
-      timeoutMs: TIMEOUT_MS,
       leavesAfterMs,
     });
   }
 
   #injectFault(): void {
-    const faults = this.#faultsOf(this.#random.pick(this.#instances)!);
-    const name = this.#random.pick(Object.keys(faults))!;
-    this.#faults.push(name);
-    faults[name]!(100 + this.#random.below(MAX_FAULT_MS));
+    const instance = this.#faultRandom.pick(this.#instances)!;
+    const plan = this.#options.plan ?? FaultPlan.All;
+    const faults = faultsOf(plan, instance, this.#context());
+    const name = this.#faultRandom.pick(Object.keys(faults))!;
+    this.#faults.push(`${name} ${instance.name}`);
+    faults[name]!(100 + this.#faultRandom.below(MAX_FAULT_MS));
   }
 
-  /** Each fault ends by itself after the given time. */
-  #faultsOf(
-    instance: SoakInstance,
-  ): Readonly<Record<string, (lastsMs: number) => void>> {
-    const { storeProxy } = instance;
-    const heal = (lastsMs: number) =>
-      setTimeout(() => storeProxy.set({ kind: "none" }), lastsMs);
-    const storeFault = (fault: StoreFault) => (lastsMs: number) => {
-      this.#store.fault = fault;
-      setTimeout(() => this.#store.fault = StoreFault.None, lastsMs);
-    };
-    const backendFault = (fault: BackendFault) => (lastsMs: number) => {
-      const { backend } = instance;
-      backend.fault = fault;
-      setTimeout(() => backend.fault = BackendFault.None, lastsMs);
-    };
+  #context(): FaultContext {
     return {
-      "store-path-cut": (lastsMs) => {
-        storeProxy.set({ kind: "cut" });
-        heal(lastsMs);
-      },
-      "store-path-silent": (lastsMs) => {
-        storeProxy.set({ kind: "silence" });
-        heal(lastsMs);
-      },
-      "store-path-one-way": (lastsMs) => {
-        storeProxy.set({ kind: "one-way" });
-        heal(lastsMs);
-      },
-      "store-path-slow": (lastsMs) => {
-        storeProxy.set({ kind: "delay", delayMs: 200 });
-        heal(lastsMs);
-      },
-      "store-busy": storeFault(StoreFault.Busy),
-      "store-silent": storeFault(StoreFault.Silent),
-      "store-loses-answers": storeFault(StoreFault.LosesAnswers),
-      "store-lapses": () => this.#store.lapseLeases(),
-      "store-compacts": () => this.#store.compact(),
-      "config-change": () => {
-        const config = sampleConfig(++this.#version);
-        this.#store.put(CONFIG_KEY, JSON.stringify(config));
-      },
-      "backend-sheds": backendFault(BackendFault.Shed),
-      "backend-resets": backendFault(BackendFault.Reset),
-      "backend-cuts-answers": backendFault(BackendFault.CutUnframed),
-      "backend-crosses-answers": backendFault(BackendFault.WrongId),
-      "backend-silent": backendFault(BackendFault.Silent),
-      "backend-endless-head": backendFault(BackendFault.EndlessHead),
-      "backend-endless-interim": backendFault(BackendFault.EndlessInterim),
-      "backend-endless-body": backendFault(BackendFault.EndlessBody),
-      "backend-endless-extension": backendFault(BackendFault.EndlessExtension),
-      "backend-endless-other": backendFault(BackendFault.EndlessOther),
-      "backend-replaced": (lastsMs) => void this.#replace(instance, lastsMs),
-      "daemon-crash": (lastsMs) => void instance.crash(lastsMs / 4),
-      "daemon-restart": () => void instance.restart(),
-      "daemon-reload": () => instance.reload(),
-      "daemon-pause": (lastsMs) => {
-        instance.pause();
-        setTimeout(() => instance.resume(), lastsMs);
-      },
+      store: this.#store,
+      instances: this.#instances,
+      random: this.#faultRandom,
+      planned: this.#planned,
+      impairments: this.#impairments,
+      changeConfig: () => this.#writeConfig(),
+      replaceBackend: (instance, drainMs) =>
+        void this.#replace(instance, drainMs),
     };
   }
 
@@ -327,4 +356,22 @@
     if (instance.backend.isDraining) return;
     this.#formerLives.push(await instance.replaceBackend(lastsMs));
   }
+
+  #writeConfig(extra: object[] = []): void {
+    const config = sampleConfig(this.#version++, extra);
+    this.#store.put(
+      CONFIG_KEY,
+      JSON.stringify(
+        config,
+        (key, value) => key === "TimeoutS" ? ROUTE_TIMEOUT_S : value,
+      ),
+    );
+  }
+}
+
+/** Some requests are quick, some last longer than questions about them. */
+function workMsOf(id: string): number {
+  const random = new Random(hash32(id));
+  const [leastMs, spreadMs] = random.pick(WORK_KINDS)!;
+  return leastMs + random.below(spreadMs);
 }
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -1,6 +1,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { runSoak } from "./soak.ts";
+import { FaultPlan } from "./faults.ts";
+import { keepLogs } from "./keep_logs.ts";
+import { runSoak, type SoakOptions } from "./soak.ts";
 
 /**
  * Seeds that failed once.
@@ -23,23 +25,40 @@
 const READER_REGRESSION_SEEDS: readonly number[] = [316];
 const CI_SEEDS: readonly number[] = [1];
 
-const CASES = [
+/**
+ * Seeds that failed around planned work, with slow daemons and slow ways.
+ *
+ * 12: callers got 502 while a backend server was at work: two questions in a
+ * row about a request had no answer within 0.4 s each, over a slow way, and
+ * were taken for the loss of the destination (docs/incidents/lost.md).
+ */
+const PLANNED_REGRESSION_SEEDS: readonly number[] = [12];
+
+interface Case {
+  readonly name: string;
+  readonly options: SoakOptions;
+}
+
+const CASES: readonly Case[] = [
   ...[...CI_SEEDS, ...REGRESSION_SEEDS].map((seed) => ({
-    seed,
-    instances: 4,
-    domains: 3,
+    name: `breaks no promise under the faults of seed ${seed}`,
+    options: { seed, seconds: 5, instances: 4, domains: 3 },
   })),
   // Two daemons read the store for the others.
   ...[2, ...READER_REGRESSION_SEEDS].map((seed) => ({
-    seed,
-    instances: 9,
-    domains: 1,
+    name: `breaks no promise under the faults of seed ${seed}`,
+    options: { seed, seconds: 5, instances: 9, domains: 1 },
+  })),
+  ...PLANNED_REGRESSION_SEEDS.map((seed) => ({
+    name: `breaks no promise around the planned work of seed ${seed}`,
+    options: { seed, seconds: 10, instances: 4, plan: FaultPlan.Planned },
   })),
 ];
 
-for (const { seed, instances, domains } of CASES) {
-  test(`runSoak() breaks no promise under the faults of seed ${seed}`, async () => {
-    const result = await runSoak({ seed, seconds: 5, instances, domains });
+for (const { name, options } of CASES) {
+  test(`runSoak() ${name}`, async () => {
+    const result = await runSoak(options);
+    if (result.problems.length > 0) keepLogs(result);
     assert.equal({
       problems: result.problems,
       hasServed: result.served > 0,
--- a/testkit/child.ts
+++ b/testkit/child.ts
@@ -3,7 +3,7 @@
 import { until } from "./until.ts";
 
 /** Last output of a child that is kept, in characters. */
-const KEPT_OUTPUT = 64 * 1024;
+const KEPT_OUTPUT = 512 * 1024;
 
 /**
  * A process that the harness started, and ends by its id.
@@ -34,7 +34,10 @@
       env: { ...process.env, ...env },
     });
     const keep = (chunk: Uint8Array) => {
-      this.output = (this.output + chunk.toString()).slice(-KEPT_OUTPUT);
+      this.output += chunk.toString();
+      // Cut seldom, as that copies what is kept.
+      if (this.output.length < 2 * KEPT_OUTPUT) return;
+      this.output = this.output.slice(-KEPT_OUTPUT);
     };
     this.#process.stdout!.on("data", keep);
     this.#process.stderr!.on("data", keep);
