Wait 3 s for a poll

A store that was silent for a moment swallows polls, and a daemon waited 11 s for each (10 s and a margin of 1 s): with the polls of all readers swallowed a version came into force 7.4 s after it was accepted, 3 s after the store was calm; 2 s are allowed. A swallowed poll is given up after 4 s now, which is before the time from which versions must be in force again. It costs each reader a call in 3 s instead of one in 10 s.

--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -14,7 +14,7 @@
 import type { ConfigFeed, MeshStore } from "./ports.ts";
 
 /** Longest time that the store may hold a poll, in ms. */
-const POLL_WAIT_MS = 10_000;
+const POLL_WAIT_MS = 3_000;
 /** Pause after a poll with events, so that a series costs few calls, in ms. */
 const COALESCE_MS = 800;
 /** Time in which the own poll should bring a version others have, in ms. */
