Count the send beside a doubted one; doubt again while nothing answers

Sends in parallel could exceed a route's attempts: a doubted send that ended counted, the open one beside it did not, so a third backend server got the request (attempts 2). A request was doubted once only: if no destination was free at that moment, it waited for its deadline. Two silences with a sign of life between them counted as two in a row. The budget was spent although no destination was left. And a connection that breaks took all of its requests for possibly run; the destination is asked once now, and those that it never saw are sent elsewhere.

A send that is not in doubt is waited for; the doubt is told at each question, and the budget is spent last.

--- a/src/sidecar/call_flow.ts
+++ b/src/sidecar/call_flow.ts
@@ -59,8 +59,6 @@
   readonly choice: DestinationChoice;
   /** Whether it may be lost, by what questions about it found out. */
   isDoubted: boolean;
-  /** What happens to it next. */
-  event: Promise<AttemptEvent>;
 }
 
 /** A send that ended, or that is in doubt where it has no outcome. */
@@ -69,13 +67,19 @@
   readonly outcome: CallOutcome | undefined;
 }
 
+/** Whether another destination is tried. */
+enum Look {
+  None,
+  /** Nothing has arrived at a backend server: only a hop is spent. */
+  Free,
+  /** One more arrival, within the route's attempts and the budget. */
+  Repeat,
+}
+
 /** What follows from the end of a send. */
 type NextStep =
   | { readonly kind: "done"; readonly result: FlowResult }
-  /** Another destination is tried. */
-  | { readonly kind: "look" }
-  /** The other sends are waited for, if there are any. */
-  | { readonly kind: "wait" };
+  | { readonly kind: "go-on"; readonly look: Look };
 
 /** What a flow works with. */
 export interface FlowContext {
@@ -108,6 +112,10 @@
   readonly #arrivedAtMs = performance.now();
   /** Sends without an outcome yet. */
   readonly #open = new Set<Attempt>();
+  readonly #events: AttemptEvent[] = [];
+  #onEvent: (() => void) | undefined;
+  #expire = () => {};
+  #sends = 0;
   /** Arrivals at backend servers, as far as they are known or feared. */
   #arrivals = 0;
   /** Whether a send that has ended may have run. */
@@ -140,10 +148,15 @@
   run(cancel: AbortController): Promise<FlowResult> {
     return new Promise((resolve) => {
       const leftMs = this.#request.deadlineMs - performance.now();
-      const timer = setTimeout(() => {
+      this.#expire = () => {
+        clearTimeout(timer);
         resolve(this.#timedOut());
         cancel.abort();
-      }, Math.max(0, leftMs) + DEADLINE_MARGIN_MS);
+      };
+      const timer = setTimeout(
+        this.#expire,
+        Math.max(0, leftMs) + DEADLINE_MARGIN_MS,
+      );
       this.#loop(cancel.signal).then((result) => {
         clearTimeout(timer);
         resolve(result);
@@ -152,29 +165,40 @@
     });
   }
 
+  /** Ends the request as if its deadline had come. */
+  expire(): void {
+    this.#expire();
+  }
+
   async #loop(signal: AbortSignal): Promise<FlowResult> {
-    this.#context.budgetOf(this.#request.service).request(performance.now());
-    let sends = 0;
-    let isLooking = true;
-    while (!signal.aborted) {
-      const choice = isLooking && sends < MAX_HOPS ? this.#choose() : undefined;
-      if (choice !== undefined && !this.#isHopeless(choice)) {
-        sends++;
-        this.#send(choice, signal);
-      }
-      if (this.#open.size === 0) break;
+    this.#budget.request(performance.now());
+    this.#tryNext(Look.Free, signal);
+    while (this.#open.size > 0 && !signal.aborted) {
       const { attempt, outcome } = await this.#nextEvent();
-      if (outcome === undefined) {
-        isLooking = this.#isRepeatable() && this.#mayRepeat();
-        continue;
-      }
-      const next = this.#conclude(attempt, outcome);
+      const next = outcome === undefined
+        ? this.#concludeDoubt(attempt)
+        : this.#conclude(attempt, outcome);
       if (next.kind === "done") return next.result;
-      isLooking = next.kind === "look";
+      this.#tryNext(next.look, signal);
     }
     return this.#giveUp();
   }
 
+  /**
+   * Sends the request to one more destination, if there is a good one. A send
+   * that is not in doubt is waited for instead.
+   */
+  #tryNext(look: Look, signal: AbortSignal): void {
+    if (look === Look.None || signal.aborted || this.#sends >= MAX_HOPS) return;
+    if ([...this.#open].some(({ isDoubted }) => !isDoubted)) return;
+    const isRepeat = look === Look.Repeat;
+    if (isRepeat && !this.#mayRepeat()) return;
+    const choice = this.#choose();
+    if (choice === undefined || this.#isHopeless(choice)) return;
+    if (isRepeat && !this.#budget.trySpend(performance.now())) return;
+    this.#send(choice, signal);
+  }
+
   /**
    * Whether even the best destination reports too long a queue. A free slot
    * takes nothing from others, so it serves whatever ends before its deadline.
@@ -210,41 +234,44 @@
   }
 
   /** Sends the request; its events come from {@linkcode #nextEvent}. */
-  #send(choice: DestinationChoice, signal: AbortSignal): void {
+  async #send(choice: DestinationChoice, signal: AbortSignal): Promise<void> {
     const startedAtMs = performance.now();
-    const attempt: Attempt = { choice, isDoubted: false, event: undefined! };
+    const attempt: Attempt = { choice, isDoubted: false };
+    this.#sends++;
     this.#open.add(attempt);
     this.#excluded.add(choice.record.id);
-    attempt.event = new Promise((resolve) => {
-      const ended = this.#context.fleet.execute(
-        choice.record,
-        this.#callFor(choice),
-        {
-          signal,
-          expectedMs: choice.waitMs + choice.serviceMs,
-          onDoubt: (reason) => {
+    const outcome = await this.#context.fleet.execute(
+      choice.record,
+      this.#callFor(choice),
+      {
+        signal,
+        expectedMs: choice.waitMs + choice.serviceMs,
+        onDoubt: (reason) => {
+          if (!attempt.isDoubted) {
             this.#note(choice, `doubted:${reason}`, startedAtMs);
-            this.#arrivals++;
-            attempt.isDoubted = true;
-            attempt.event = ended;
-            resolve({ attempt, outcome: undefined });
-          },
+          }
+          this.#tell({ attempt, outcome: undefined });
         },
-      ).then((outcome) => {
-        const detail = outcome.kind === "answered"
-          ? outcome.answer.status
-          : outcome.reason;
-        this.#note(choice, `${outcome.kind}:${detail}`, startedAtMs);
-        return { attempt, outcome };
-      });
-      ended.then(resolve);
-    });
+      },
+    );
+    const detail = outcome.kind === "answered"
+      ? outcome.answer.status
+      : outcome.reason;
+    this.#note(choice, `${outcome.kind}:${detail}`, startedAtMs);
+    this.#tell({ attempt, outcome });
+  }
+
+  #tell(event: AttemptEvent): void {
+    this.#events.push(event);
+    this.#onEvent?.();
   }
 
   /** Waits until a send ends, or may be lost. */
-  #nextEvent(): Promise<AttemptEvent> {
-    const events = [...this.#open].map(({ event }) => event);
-    return events.length === 1 ? events[0]! : Promise.race(events);
+  async #nextEvent(): Promise<AttemptEvent> {
+    if (this.#events.length === 0) {
+      await new Promise<void>((resolve) => this.#onEvent = resolve);
+    }
+    return this.#events.shift()!;
   }
 
   #note(choice: DestinationChoice, outcome: string, startedAtMs: number): void {
@@ -278,20 +305,28 @@
           };
         }
         this.#failedAnswer = outcome.answer;
-        return this.#lookOrWait(this.#isRepeatable());
+        return { kind: "go-on", look: this.#lookAgain() };
       case "not-run":
-        return this.#concludeNotRun(attempt, outcome);
+        return { kind: "go-on", look: this.#concludeNotRun(attempt, outcome) };
       case "unknown":
         this.#countArrival(attempt);
         this.#hasUnknown = true;
-        return this.#lookOrWait(this.#isRepeatable());
+        return { kind: "go-on", look: this.#lookAgain() };
     }
   }
 
+  /** A doubt may come again while the send is open. */
+  #concludeDoubt(attempt: Attempt): NextStep {
+    if (!this.#open.has(attempt)) return { kind: "go-on", look: Look.None };
+    this.#countArrival(attempt);
+    attempt.isDoubted = true;
+    return { kind: "go-on", look: this.#lookAgain() };
+  }
+
   #concludeNotRun(
     attempt: Attempt,
     outcome: Extract<CallOutcome, { kind: "not-run" }>,
-  ): NextStep {
+  ): Look {
     const { record } = attempt.choice;
     if (outcome.retryAfterMs > 0) {
       this.#retryAfterMs = Math.min(this.#retryAfterMs, outcome.retryAfterMs);
@@ -302,10 +337,13 @@
     if (isGone && entry?.missingSinceMs !== 0) {
       this.#context.directory.remove(record.instance);
     }
-    if (outcome.reason === MeshReason.Expired) return { kind: "wait" };
-    if (!outcome.arrived) return { kind: "look" };
-    this.#countArrival(attempt);
-    return this.#lookOrWait(true);
+    if (outcome.reason === MeshReason.Expired) return Look.None;
+    if (outcome.arrived) {
+      this.#countArrival(attempt);
+      return Look.Repeat;
+    }
+    if (attempt.isDoubted) this.#arrivals--;
+    return Look.Free;
   }
 
   /** A doubted send has been counted. */
@@ -313,21 +351,22 @@
     if (!attempt.isDoubted) this.#arrivals++;
   }
 
-  #lookOrWait(isAllowed: boolean): NextStep {
-    return { kind: isAllowed && this.#mayRepeat() ? "look" : "wait" };
+  #lookAgain(): Look {
+    return this.#isRepeatable() ? Look.Repeat : Look.None;
   }
 
   #isRepeatable(): boolean {
     return this.#request.route.kind === RequestKind.Idempotent;
   }
 
-  /** Whether one more arrival is within the attempts and the budget. */
+  /** Whether one more arrival is within the attempts of the route. */
   #mayRepeat(): boolean {
-    const { route, service, deadlineMs } = this.#request;
-    if (this.#arrivals >= route.maxAttempts) return false;
-    const nowMs = performance.now();
-    if (nowMs >= deadlineMs) return false;
-    return this.#context.budgetOf(service).trySpend(nowMs);
+    const { route, deadlineMs } = this.#request;
+    return this.#arrivals < route.maxAttempts && performance.now() < deadlineMs;
+  }
+
+  get #budget(): WindowBudget {
+    return this.#context.budgetOf(this.#request.service);
   }
 
   /** Whether a backend server may have run it, or may be at work. */
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -82,7 +82,7 @@
   readonly configVersion: number;
   /** Time that the answer is expected to take, in ms. */
   readonly expectedMs: number;
-  /** Takes in that the request may be lost; it goes on all the same. */
+  /** Takes in, again and again, that it may be lost; it goes on all the same. */
   readonly onDoubt: (reason: MeshReason) => void;
 }
 
@@ -175,7 +175,11 @@
         ...(isSilent ? { transitMs: tookMs } : {}),
       };
     }
-    return toPeerResult(reply, neverArrived, tookMs);
+    const isLostWithOthers = reply.kind === "failed" && reply.sent &&
+      channel !== undefined && !neverArrived;
+    const isUnknown = isLostWithOthers &&
+      (await this.#statusOf(call.id, sentAtMs)).status === CallStatus.Unknown;
+    return toPeerResult(reply, neverArrived || isUnknown, tookMs);
   }
 
   /**
@@ -263,12 +267,12 @@
     },
   ): QueryWatch {
     let neverArrived = false;
-    let isDoubted = false;
     let last: CallStatus | undefined;
     let repeated = 0;
     const sentAtMs = performance.now();
     const ask = async () => {
       if (await this.#isOpenOn(options.channel)) {
+        repeated = 0;
         if (timer !== undefined) timer = setTimeout(ask, QUERY_PERIOD_MS);
         return;
       }
@@ -294,8 +298,7 @@
           options.lost.abort(GIVEN_UP);
           return;
         case "doubted":
-          if (!isDoubted) options.onDoubt(verdict.reason);
-          isDoubted = true;
+          options.onDoubt(verdict.reason);
           break;
         case "wait":
       }
--- /dev/null
+++ b/src/sidecar/peer_client_test.ts
@@ -0,0 +1,78 @@
+import { type AddressInfo, createServer } from "node:net";
+import { Buffer } from "node:buffer";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { BackendState, RequestKind } from "../protocol/mesh.ts";
+import { encodeFrame, FrameKind, FrameReader } from "../protocol/call_frame.ts";
+import { CHANNEL_ACCEPTED } from "../transport/channel/channel_opening.ts";
+import { PeerClient } from "./peer_client.ts";
+
+// Guards against two silent questions "in a row" with a sign of life between.
+test("PeerClient counts silence anew after a sign of life", async () => {
+  let pings = 0;
+  const server = createServer((socket) => {
+    const reader = new FrameReader();
+    let isOpen = false;
+    socket.on("error", () => {});
+    socket.on("data", (chunk: Buffer) => {
+      let rest = chunk;
+      if (!isOpen) {
+        // Questions over HTTP stay without an answer.
+        if (!chunk.toString("latin1").includes("upgrade:")) return;
+        isOpen = true;
+        socket.write(CHANNEL_ACCEPTED);
+        rest = chunk.subarray(chunk.indexOf("\r\n\r\n") + 4);
+      }
+      for (const { kind, call } of reader.push(rest)) {
+        // The second sign of life comes, the first and the third do not.
+        if (kind === FrameKind.Ping && ++pings === 2) {
+          socket.write(encodeFrame(FrameKind.Pong, call));
+        }
+      }
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const findings: number[] = [];
+  const client = new PeerClient({
+    id: "b",
+    instance: "i",
+    service: "stock",
+    domain: "a",
+    peerAddress: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    slots: 1,
+    state: BackendState.Ready,
+    bornAtUnixMs: 1,
+    linkMbps: 0,
+  }, { onFinding: ({ repeated }) => findings.push(repeated) });
+  const cancel = new AbortController();
+  const nowMs = performance.now();
+  let doubts = 0;
+  const call = client.execute({
+    id: "r",
+    route: "stock",
+    kind: RequestKind.Idempotent,
+    priority: 0,
+    callerService: "web",
+    service: "stock",
+    backendId: "b",
+    method: "GET",
+    path: "/",
+    headers: [],
+    body: undefined,
+    deadlineMs: nowMs + 9_000,
+    objectiveAtMs: nowMs + 9_000,
+  }, {
+    signal: cancel.signal,
+    configVersion: 1,
+    expectedMs: 0,
+    onDoubt: () => doubts++,
+  });
+  await new Promise((resolve) => setTimeout(resolve, 3_400));
+  cancel.abort();
+  await call;
+  client.close();
+  server.close();
+  assert.equal({ findings, doubts }, { findings: [1, 1], doubts: 0 });
+});
+
+test.run();
