Answer what a stopping daemon takes last

Callers with an open connection that had carried no request yet were cut while a backend server worked, when a stopping daemon ended early: it decided to end, and took requests for 60 ms more. From the decision on requests are refused as not run now, and the process ends once all are answered. What is open at the latest end gets its answer (504, or 503 where it has not run) instead of a cut.

Requests of the first 0.45 of the grace are taken as before; later ones have to be sure of their answer.

A destination whose ledger may have forgotten a request no longer says that it never arrived.

--- a/src/sidecar/call_ledger.ts
+++ b/src/sidecar/call_ledger.ts
@@ -1,7 +1,7 @@
 import { CallStatus } from "../protocol/peer_call.ts";
 
 /** Time for which an ended or refused request is remembered, in ms. */
-const MEMORY_MS = 10_000;
+export const MEMORY_MS = 10_000;
 
 interface Entry {
   readonly status: CallStatus;
--- a/src/sidecar/ending.ts
+++ b/src/sidecar/ending.ts
@@ -1,27 +1,61 @@
+/** Part of the grace after which the process ends at the latest. */
+const LATEST_END_SHARE = 0.95;
+/** Part of the grace in which requests are taken whatever time they have. */
+const LENIENT_SHARE = 0.45;
 /** Time to answer what reaches its deadline before the process ends, in ms. */
 const ANSWER_MARGIN_MS = 100;
 
 /**
- * The time at which this process ends, once it was asked to.
+ * The time at which this process ends, once it was asked to, and what it takes
+ * until then.
  *
  * @example
  * ```ts
  * const ending = new Ending();
- * ending.endAtMs = 5_000;
- * ending.allows(6_000); // false
+ * ending.begin(0, 6_000);
+ * ending.allows(6_000, 4_000); // false
  * ```
  */
 export class Ending {
+  #endAtMs = Infinity;
+  #lenientUntilMs = Infinity;
+
   /** Monotonic time of the end; infinite until the process is asked to stop. */
-  endAtMs = Infinity;
+  get endAtMs(): number {
+    return this.#endAtMs;
+  }
+
+  /**
+   * Takes in that the process was asked to stop.
+   *
+   * @param nowMs Monotonic time.
+   * @param graceMs Time until it is ended by force.
+   */
+  begin(nowMs: number, graceMs: number): void {
+    this.#endAtMs = nowMs + graceMs * LATEST_END_SHARE;
+    this.#lenientUntilMs = nowMs + graceMs * LENIENT_SHARE;
+  }
+
+  /**
+   * Takes in that the process ends once what it carries is answered.
+   *
+   * @param nowMs Monotonic time.
+   */
+  close(nowMs: number): void {
+    this.#endAtMs = nowMs;
+    this.#lenientUntilMs = nowMs;
+  }
 
   /**
-   * Says whether a request is sure to be answered before the end.
+   * Says whether a request may be taken. Late ones have to be sure of an answer
+   * before the end, as they would be cut; early ones are likely to end before.
    *
    * @param deadlineMs Monotonic time until which its caller waits.
-   * @returns Whether it is.
+   * @param nowMs Monotonic time.
+   * @returns Whether it may.
    */
-  allows(deadlineMs: number): boolean {
-    return deadlineMs + ANSWER_MARGIN_MS <= this.endAtMs;
+  allows(deadlineMs: number, nowMs: number): boolean {
+    return nowMs < this.#lenientUntilMs ||
+      deadlineMs + ANSWER_MARGIN_MS <= this.#endAtMs;
   }
 }
--- a/src/sidecar/ingress_task.ts
+++ b/src/sidecar/ingress_task.ts
@@ -67,6 +67,7 @@
   /** Longest time that callers of a route give, by its name. */
   readonly #longestWaitMs = new Map<string, number>();
   readonly #callers: CallerWatch;
+  readonly #flows = new Set<CallFlow>();
   #isClosing = false;
   #open = 0;
   #lastRequestAtMs = 0;
@@ -110,6 +111,11 @@
     this.#isClosing = true;
   }
 
+  /** Answers what is open as if its deadline had come, as the process ends. */
+  expire(): void {
+    for (const flow of this.#flows) flow.expire();
+  }
+
   /** Takes in the limits of a new configuration. */
   configured(): void {
     const limits = this.#options.routes.current?.config.limits;
@@ -168,7 +174,7 @@
   ): Promise<void> {
     const { request, response, caller, route, id, arrivedAtMs, body } = parts;
     const times = this.#times(request, route, arrivedAtMs);
-    if (!this.#options.ending.allows(times.deadlineMs)) {
+    if (!this.#options.ending.allows(times.deadlineMs, arrivedAtMs)) {
       return this.#refuse(response, id, {
         status: 503,
         retryAfterMs: ENDING_RETRY_AFTER_MS,
@@ -194,7 +200,9 @@
       service: target.service,
       ...times,
     }, this.#options.flow);
+    this.#flows.add(flow);
     const result = await flow.run(caller.cancel);
+    this.#flows.delete(flow);
     this.#deliver(response, id, result);
     this.#requestLog.ended({ id, route, flow, result, arrivedAtMs });
   }
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -36,7 +36,7 @@
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
-import { CallLedger } from "./call_ledger.ts";
+import { CallLedger, MEMORY_MS } from "./call_ledger.ts";
 import type { Ending } from "./ending.ts";
 import type { DestinationTask } from "./destination_task.ts";
 import { PlaceDesk } from "./place_desk.ts";
@@ -216,7 +216,7 @@
   ): Promise<CallOutcome> {
     const { destination, ending } = this.#options;
     if (!arrival.mayRun) return notRunOutcome(MeshReason.Unreachable);
-    if (!ending.allows(call.deadlineMs)) {
+    if (!ending.allows(call.deadlineMs, performance.now())) {
       return notRunOutcome(MeshReason.Leaving);
     }
     await arrival.isWaitedFor();
@@ -292,12 +292,13 @@
 
   /**
    * A request that is older than this process may have run beside an earlier
-   * one, whose ledger went with it.
+   * one, whose ledger went with it; one older than the ledger's memory may have
+   * been forgotten.
    */
   #statusOf(encodedId: string, ageMs: number): CallStatus {
     const nowMs = performance.now();
     const status = this.#ledger.ask(decodeURIComponent(encodedId), nowMs);
-    const isOlder = ageMs + START_MARGIN_MS >= nowMs;
+    const isOlder = ageMs + START_MARGIN_MS >= nowMs || ageMs >= MEMORY_MS;
     const known = status === CallStatus.Unknown && isOlder
       ? CallStatus.Ended
       : status;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -30,8 +30,6 @@
 const BUDGET_RATIO_SHARE = 0.5;
 /** Share of the fleet-wide slack of repeats that all daemons together use. */
 const BUDGET_SLACK_SHARE = 0.7;
-/** Part of the grace after which the process ends at the latest. */
-const LATEST_END_SHARE = 0.95;
 /** Part of the grace before which the process does not end. */
 const EARLIEST_END_SHARE = 0.4;
 /** Part of the grace after which others choose other backend servers. */
@@ -207,19 +205,19 @@
     this.#ingress.close();
     // Until callers have gone elsewhere, the backend server serves as before.
     setTimeout(() => this.#keeper.leave(), graceMs * AWAY_SHARE);
-    const endAtMs = startedAtMs + graceMs * LATEST_END_SHARE;
-    this.#ending.endAtMs = endAtMs;
-    await new Promise<void>((resolve) => {
-      const timer = setInterval(() => {
-        const nowMs = performance.now();
-        if (nowMs < endAtMs && !this.#isQuiet(startedAtMs, nowMs)) return;
-        clearInterval(timer);
-        resolve();
-      }, END_CHECK_MS);
-    });
+    this.#ending.begin(startedAtMs, graceMs);
+    const { endAtMs } = this.#ending;
+    await until((nowMs) =>
+      nowMs >= endAtMs || this.#isQuiet(startedAtMs, nowMs)
+    );
+    // Some callers still have connections; what comes on them is refused.
+    this.#ending.close(performance.now());
     await stopAccepting(this.#ingress.server);
     this.#ingress.server.closeIdleConnections();
     await sleep(CLOSE_MS);
+    await until((nowMs) => nowMs >= endAtMs || this.#isIdle());
+    this.#ingress.expire();
+    await sleep(CLOSE_MS);
     this.#stopped.abort();
     this.#loop.stop();
     this.#usage.stop();
@@ -248,10 +246,14 @@
   #isQuiet(startedAtMs: number, nowMs: number): boolean {
     const { graceMs } = this.#settings;
     if (nowMs - startedAtMs < graceMs * EARLIEST_END_SHARE) return false;
-    return this.#ingress.open === 0 && this.#destination.size === 0 &&
+    return this.#isIdle() &&
       nowMs - this.#ingress.lastRequestAtMs > QUIET_END_MS;
   }
 
+  #isIdle(): boolean {
+    return this.#ingress.open === 0 && this.#destination.size === 0;
+  }
+
   #openGauges(): void {
     const delays = monitorEventLoopDelay({ resolution: 200 });
     delays.enable();
@@ -344,6 +346,18 @@
   }
 }
 
+/** Waits until a condition holds, which is looked at every few ms. */
+function until(holds: (nowMs: number) => boolean): Promise<void> {
+  return new Promise((resolve) => {
+    if (holds(performance.now())) return resolve();
+    const timer = setInterval(() => {
+      if (!holds(performance.now())) return;
+      clearInterval(timer);
+      resolve();
+    }, END_CHECK_MS);
+  });
+}
+
 async function listenAt(server: Server, address: string): Promise<void> {
   const portAt = address.lastIndexOf(":");
   await listen(
--- a/tests/platform/stopping_test.ts
+++ b/tests/platform/stopping_test.ts
@@ -70,4 +70,72 @@
   },
 );
 
+// Guards against requests that a stopping daemon takes between its decision to
+// end early and its exit, and cuts.
+daemonsTest(
+  "a daemon that ends early answers what it takes last",
+  2,
+  async ([daemon, other]) => {
+    daemon!.backend.workMs = 1_000;
+    other!.backend.workMs = 1_000;
+    void daemon!.restart();
+    await sleep(1_500);
+    const sockets: Socket[] = [];
+    const startMs = performance.now();
+    while (performance.now() - startMs < 10_000) {
+      const socket = await Promise.race([
+        open(daemon!.ingressPort),
+        sleep(1_000),
+      ]);
+      if (socket === undefined || socket.destroyed) break;
+      sockets.push(socket);
+      await sleep(2);
+    }
+    const last = sockets.slice(-5);
+    const answers = await Promise.all(last.map((socket, index) => {
+      let answer = "";
+      socket.on("data", (chunk) => answer += String(chunk));
+      socket.write(edgeRequest(`last-${index}`));
+      return Promise.race([
+        sleep(5_000, "hung"),
+        new Promise<string>((resolve) =>
+          socket.once("close", () => resolve(answer.split("\r\n", 1)[0]!))
+        ),
+      ]);
+    }));
+    const runs = [daemon!, other!].flatMap(({ backend }) =>
+      backend.runs.map(({ id }) => id)
+    ).filter((id) => id.startsWith("last-"));
+    for (const socket of sockets) socket.destroy();
+    assert.equal({ opened: sockets.length > 0, answers, runs }, {
+      opened: true,
+      answers: Array(5).fill("HTTP/1.1 503 Service Unavailable"),
+      runs: [],
+    });
+  },
+);
+
+// Guards against a backend server that nobody may use, though its daemon stays
+// for seconds and others still choose it.
+daemonsTest(
+  "a stopping daemon's backend server is used until others have heard",
+  2,
+  async ([ingress, destination], store) => {
+    const route = {
+      ...addedRoute("long"),
+      Action: { Service: "stock", TimeoutS: 5, Attempts: 1 },
+    };
+    store.put(CONFIG_KEY, JSON.stringify(sampleConfig(2, [route])));
+    ingress!.backend.isDraining = true;
+    await ingress!.announce("draining");
+    await until(
+      () => isServed(ingress!, "before", "/long/1"),
+      "the way is known",
+    );
+    void destination!.restart();
+    await sleep(1_000);
+    const served = await isServed(ingress!, "while-stopping", "/long/1");
+    assert.is(served, true);
+  },
+);
 test.run();
