Close idle channels at both ends; send nothing on one that closes

Found in the review: a call on a channel that was closing counted as possibly run though it was never written; a peer that vanished left its channel open for good; of the calls that waited unread with a new channel only the first counted as old, so that a cancellation behind the others came late.

--- a/src/transport/channel/call_channel.ts
+++ b/src/transport/channel/call_channel.ts
@@ -52,7 +52,6 @@
   #lastPing = 0;
   #isConnected = false;
   #isRetired = false;
-  #isClosed = false;
 
   /**
    * Opens a channel; calls may be sent at once.
@@ -88,7 +87,7 @@
 
   /** Whether further calls may be sent. */
   get isUsable(): boolean {
-    return !this.#isRetired && !this.#isClosed;
+    return !this.#isRetired && !this.#socket.destroyed;
   }
 
   /**
@@ -99,7 +98,9 @@
    * @returns The result; never rejects.
    */
   send(call: ChannelCall, signal: AbortSignal): Promise<ChannelResult> {
-    if (this.#isClosed) return Promise.resolve({ kind: "failed", sent: false });
+    if (this.#socket.destroyed) {
+      return Promise.resolve({ kind: "failed", sent: false });
+    }
     const number = this.#lastCall = this.#lastCall % MAX_CALL + 1;
     return new Promise((resolve) => {
       const onAbort = () => {
@@ -125,7 +126,7 @@
    * read, and those without a result are open.
    */
   isAlive(timeoutMs: number): Promise<boolean> {
-    if (this.#isClosed) return Promise.resolve(false);
+    if (this.#socket.destroyed) return Promise.resolve(false);
     const number = this.#lastPing = this.#lastPing % MAX_CALL + 1;
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
@@ -187,7 +188,6 @@
   }
 
   #closed(): void {
-    this.#isClosed = true;
     for (const settle of this.#calls.values()) {
       settle({ kind: "failed", sent: this.#isConnected });
     }
--- a/src/transport/channel/call_channel_test.ts
+++ b/src/transport/channel/call_channel_test.ts
@@ -100,6 +100,20 @@
     await until(() => calls[0]!.signal.aborted, "the call is cancelled");
   }));
 
+// Guards against a call that was never written and counts as possibly run.
+test("CallChannel sends nothing once it is closed", () =>
+  withChannel(async ({ channel, calls }) => {
+    await channel.isAlive(2_000);
+    channel.close();
+    const { isUsable } = channel;
+    const result = await channel.send({ head: "late", body: undefined }, NEVER);
+    assert.equal({ isUsable, result, calls: calls.length }, {
+      isUsable: false,
+      result: { kind: "failed", sent: false },
+      calls: 0,
+    });
+  }));
+
 test("CallChannel knows that nothing was sent where no port is open", async () => {
   const server = createNetServer();
   const address = await addressOf(server);
--- a/src/transport/channel/channel_server.ts
+++ b/src/transport/channel/channel_server.ts
@@ -9,6 +9,9 @@
 } from "../../protocol/call_frame.ts";
 import { CHANNEL_ACCEPTED, CHANNEL_PROTOCOL } from "./channel_opening.ts";
 
+/** Time after which a channel without calls is closed; senders are sooner. */
+const IDLE_MS = 60_000;
+
 /** A call that another daemon sent. */
 export interface ReceivedCall {
   readonly head: string;
@@ -23,6 +26,12 @@
   readonly answer: (head: string, body?: Buffer) => void;
 }
 
+/** Optional settings of a {@linkcode ChannelServer}. */
+export interface ChannelServerOptions {
+  /** Time after which a channel without calls is closed. @default {60_000} */
+  idleMs?: number;
+}
+
 /**
  * Takes the calls of other daemons' channels on a server's port.
  *
@@ -34,15 +43,22 @@
 export class ChannelServer {
   readonly #sockets = new Set<Socket>();
   readonly #onCall: (call: ReceivedCall) => void;
+  readonly #idleMs: number;
 
   /**
    * Takes the upgrades of a server.
    *
    * @param server The server.
    * @param onCall Takes in a call.
+   * @param options What differs from the defaults.
    */
-  constructor(server: Server, onCall: (call: ReceivedCall) => void) {
+  constructor(
+    server: Server,
+    onCall: (call: ReceivedCall) => void,
+    options: ChannelServerOptions = {},
+  ) {
     this.#onCall = onCall;
+    this.#idleMs = options.idleMs ?? IDLE_MS;
     server.on("upgrade", (request: IncomingMessage, socket: Socket, head) => {
       if (request.headers.upgrade !== CHANNEL_PROTOCOL) {
         socket.destroy();
@@ -62,6 +78,10 @@
     socket.setNoDelay(true);
     const channel = new ServedChannel(socket, this.#onCall);
     socket.on("data", (chunk: Buffer) => channel.read(chunk));
+    // Also for a peer that vanished without a word.
+    socket.setTimeout(this.#idleMs, () => {
+      if (channel.isIdle) socket.destroy();
+    });
     // A sender that has ended waits for no results.
     socket.once("end", () => socket.destroy());
     socket.on("error", () => {
@@ -89,6 +109,11 @@
     this.#onCall = onCall;
   }
 
+  /** Whether no call is open. */
+  get isIdle(): boolean {
+    return this.#calls.size === 0;
+  }
+
   read(chunk: Buffer): void {
     let frames: readonly Frame[];
     try {
@@ -106,6 +131,7 @@
       this.#calls.get(call)?.abort();
     }
     for (const frame of frames) this.#take(frame, cancelled);
+    this.#hasCalled ||= frames.some(({ kind }) => kind === FrameKind.Call);
   }
 
   closed(): void {
@@ -132,14 +158,12 @@
   #start({ call, head, body }: Frame): void {
     const cancel = new AbortController();
     this.#calls.set(call, cancel);
-    const isFirst = !this.#hasCalled;
-    this.#hasCalled = true;
     this.#onCall({
       head,
       body,
       peer: this.#socket.remoteAddress ?? "",
       signal: cancel.signal,
-      isFirst,
+      isFirst: !this.#hasCalled,
       answer: (resultHead, resultBody) => {
         if (!this.#calls.delete(call) || cancel.signal.aborted) return;
         this.#socket.write(
--- /dev/null
+++ b/src/transport/channel/channel_server_test.ts
@@ -0,0 +1,57 @@
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { until } from "../../../testkit/until.ts";
+import { encodeFrame, FrameKind } from "../../protocol/call_frame.ts";
+import { CHANNEL_UPGRADE } from "./channel_opening.ts";
+import { ChannelServer, type ReceivedCall } from "./channel_server.ts";
+
+const IDLE_MS = 100;
+
+/** Runs a test on a raw connection to a server that keeps the calls it gets. */
+async function withSocket(
+  run: (socket: Socket, calls: readonly ReceivedCall[]) => Promise<void>,
+): Promise<void> {
+  const http = createServer();
+  const calls: ReceivedCall[] = [];
+  const server = new ChannelServer(http, (call) => calls.push(call), {
+    idleMs: IDLE_MS,
+  });
+  await new Promise<void>((resolve) => http.listen(0, "127.0.0.1", resolve));
+  const socket = connect((http.address() as AddressInfo).port, "127.0.0.1");
+  try {
+    await run(socket, calls);
+  } finally {
+    socket.destroy();
+    server.close();
+    http.close();
+  }
+}
+
+// Guards against work for callers that left before a new channel was read.
+test("ChannelServer takes all calls of the first read for old", () =>
+  withSocket(async (socket, calls) => {
+    socket.write(Buffer.concat([
+      Buffer.from(CHANNEL_UPGRADE),
+      encodeFrame(FrameKind.Call, 1, { head: "a" }),
+      encodeFrame(FrameKind.Call, 2, { head: "b" }),
+    ]));
+    await until(() => calls.length === 2, "the first calls");
+    socket.write(encodeFrame(FrameKind.Call, 3, { head: "c" }));
+    await until(() => calls.length === 3, "the last call");
+    assert.equal(calls.map(({ isFirst }) => isFirst), [true, true, false]);
+  }));
+
+// Guards against channels of peers that vanished, which stay for good.
+test("ChannelServer closes a channel without calls", () =>
+  withSocket(async (socket) => {
+    socket.write(CHANNEL_UPGRADE);
+    socket.resume();
+    await once(socket, "close");
+    assert.ok(socket.destroyed);
+  }));
+
+test.run();
