Bundle the sidecar daemon as CommonJS

Cause: a process that starts an ES module loads the loader of ES modules and wraps each module of Node.js that it imports.

--- a/bench/request_cost.ts
+++ b/bench/request_cost.ts
@@ -40,7 +40,7 @@
 /** Measures the processor time of a request at both daemons on its way. */
 export async function benchRequestCost(): Promise<unknown> {
   const folder = mkdtempSync(join(tmpdir(), "sesamepond-cost-"));
-  const bundle = join(folder, "sesamepond.mjs");
+  const bundle = join(folder, "sesamepond.cjs");
   spawnSync(process.execPath, ["scripts/build_platform.mjs", bundle]);
   const store = await KvServer.start();
   store.put(CONFIG_KEY, JSON.stringify(sampleConfig(1)));
--- a/bench/sidecar.ts
+++ b/bench/sidecar.ts
@@ -109,7 +109,7 @@
   }
 
   async #startDaemons(): Promise<void> {
-    const bundle = join(this.#folder, "sesamepond.mjs");
+    const bundle = join(this.#folder, "sesamepond.cjs");
     spawnSync(process.execPath, ["scripts/build_platform.mjs", bundle]);
     this.#putVersion();
     for (let index = 0; index < RECORDS_ELSEWHERE; index++) {
--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -1,7 +1,8 @@
 // Bundles the daemon for the platform into one file, which starts faster and
 // takes less memory than its modules. HTTP/2 is left out: the client loads it
 // with its connections, and with it TLS and cryptography, and nothing here
-// speaks it.
+// speaks it. The format is CommonJS, as the loader of ES modules costs a process
+// 1 MB or 2 and a sixth of the work of its start.
 // The first argument names another output file, for tests.
 import process from "node:process";
 import { build } from "esbuild";
@@ -9,18 +10,21 @@
 const withoutHttp2 = {
   name: "without-http2",
   setup(builder) {
-    builder.onLoad({ filter: /undici\/lib\/dispatcher\/client-h2\.js$/ }, () => ({
-      contents: "module.exports = () => { throw new Error('no HTTP/2') }",
-    }));
+    builder.onLoad(
+      { filter: /undici\/lib\/dispatcher\/client-h2\.js$/ },
+      () => ({
+        contents: "module.exports = () => { throw new Error('no HTTP/2') }",
+      }),
+    );
   },
 };
 
 await build({
   entryPoints: ["platform/main.ts"],
-  outfile: process.argv[2] ?? "target/sesamepond.mjs",
+  outfile: process.argv[2] ?? "target/sesamepond.cjs",
   bundle: true,
   platform: "node",
-  format: "esm",
+  format: "cjs",
   target: "node20",
   mainFields: ["module", "main"],
   minifyWhitespace: true,
@@ -28,8 +32,4 @@
   legalComments: "linked",
   logLevel: "error",
   plugins: [withoutHttp2],
-  banner: {
-    js:
-      "import{createRequire}from'node:module';const require=createRequire(import.meta.url);",
-  },
 });
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -137,7 +137,7 @@
   }
 
   async start(): Promise<void> {
-    const bundle = join(this.#folder, "sesamepond.mjs");
+    const bundle = join(this.#folder, "sesamepond.cjs");
     spawnSync(process.execPath, ["scripts/build_platform.mjs", bundle]);
     this.#store = await KvServer.start();
     this.#writeConfig();
--- a/tests/platform/daemon_processes.ts
+++ b/tests/platform/daemon_processes.ts
@@ -29,7 +29,7 @@
 ): void {
   test(name, async () => {
     const folder = mkdtempSync(join(tmpdir(), "sesamepond-"));
-    const bundle = join(folder, "sesamepond.mjs");
+    const bundle = join(folder, "sesamepond.cjs");
     spawnSync(process.execPath, ["scripts/build_platform.mjs", bundle]);
     const store = await KvServer.start();
     store.put(CONFIG_KEY, JSON.stringify(sampleConfig(1)));
--- a/tests/platform/process_test.ts
+++ b/tests/platform/process_test.ts
@@ -54,7 +54,7 @@
 
 test("the bundled daemon starts, serves, reloads and ends", async () => {
   const folder = mkdtempSync(join(tmpdir(), "sesamepond-"));
-  const bundle = join(folder, "sesamepond.mjs");
+  const bundle = join(folder, "sesamepond.cjs");
   spawnSync(process.execPath, ["scripts/build_platform.mjs", bundle]);
   const store = await KvServer.start();
   store.put(CONFIG_KEY, JSON.stringify(sampleConfig(1)));
@@ -110,7 +110,7 @@
 
 test("a settings file that is wrong ends the daemon with the reason", async () => {
   const folder = mkdtempSync(join(tmpdir(), "sesamepond-"));
-  const bundle = join(folder, "sesamepond.mjs");
+  const bundle = join(folder, "sesamepond.cjs");
   spawnSync(process.execPath, ["scripts/build_platform.mjs", bundle]);
   const settings = join(folder, "settings");
   writeFileSync(settings, '{ "instance": "a", "domain": 7 }');
