Take answers by the calls of the client's core

Cause: the client makes the calls of its newer interface from those of its core, parses all header fields into an object for them and adds two objects a request; none of that is used here. Change: the collector takes the core's calls.

--- a/src/transport/http/connection_stack.ts
+++ b/src/transport/http/connection_stack.ts
@@ -237,11 +237,17 @@
   readonly readBeforeBytes: number;
 }
 
-/** Collects the answer of one exchange. */
+/**
+ * Collects the answer of one exchange.
+ *
+ * Takes the calls of the client's core. Those of its newer interface are made
+ * from them, with all header fields parsed once more.
+ */
 class AnswerCollector implements Dispatcher.DispatchHandler {
   readonly #options: CollectorOptions;
   readonly #onAbort = () => this.#abort("cancelled");
-  #controller: Dispatcher.DispatchController | undefined;
+  /** Cuts the connection; there once the request is being sent. */
+  #cut: ((reason: Error) => void) | undefined;
   #status = 0;
   #headers: readonly string[] = [];
   #chunks: Buffer[] = [];
@@ -266,51 +272,43 @@
     if (answerBytes > maxBytes) this.#abort("the answer's framing has no end");
   }
 
-  onRequestStart(controller: Dispatcher.DispatchController): void {
-    this.#controller = controller;
+  onConnect(cut: (reason?: Error) => void): void {
+    this.#cut = cut;
     if (this.#options.signal?.aborted) this.#abort("cancelled");
   }
 
-  onResponseStart(
-    controller: Dispatcher.DispatchController,
-    status: number,
-  ): void {
-    if (status < 200) return;
+  onHeaders(status: number, rawHeaders: readonly Buffer[]): boolean {
+    if (status < 200) return true;
     this.#status = status;
-    const raw = controller as unknown as { rawHeaders: readonly Buffer[] };
-    this.#headers = raw.rawHeaders.map((field) => field.toString("latin1"));
+    this.#headers = rawHeaders.map((field) => field.toString("latin1"));
     // The body of an answer to another request may have no end.
     if (this.#options.accepts?.(status, this.#headers) === false) {
       this.#answered(Buffer.alloc(0), true);
     }
+    return true;
   }
 
-  onResponseData(
-    _controller: Dispatcher.DispatchController,
-    chunk: Uint8Array,
-  ): void {
-    if (this.#isDone) return;
+  onData(chunk: Buffer): boolean {
+    if (this.#isDone) return true;
     this.#chunks.push(Buffer.from(chunk));
     const longest = COLLECTED.take(this, chunk.length);
     if (longest !== undefined) longest.#abort("answers take too much memory");
+    return true;
   }
 
-  onResponseEnd(): void {
+  onComplete(): void {
     const body = this.#chunks.length === 1
       ? this.#chunks[0]!
       : Buffer.concat(this.#chunks);
     this.#answered(body);
   }
 
-  onResponseError(
-    _controller: Dispatcher.DispatchController | null,
-    error: Error,
-  ): void {
+  onError(error: Error): void {
     this.fail(error);
   }
 
   fail(error: unknown): void {
-    const sent = this.#controller !== undefined;
+    const sent = this.#cut !== undefined;
     this.#finish({ kind: "failed", sent, message: messageOf(error) });
   }
 
@@ -325,8 +323,8 @@
   }
 
   #abort(reason: string): void {
-    if (this.#controller === undefined) this.fail(new Error(reason));
-    else this.#controller.abort(new Error(reason));
+    if (this.#cut === undefined) this.fail(new Error(reason));
+    else this.#cut(new Error(reason));
   }
 
   #finish(result: StackResult): void {
