Copy and parse less for each request

Cause: a call was copied field by field through the rest of its description, the fields of an answer were mapped three times, and whole numbers were encoded as URL parts. Change: calls are built by name, the fields of an answer are mapped once to accept and once to classify it, only texts are encoded and only encoded fields decoded; an empty queue is not scanned.

--- a/src/coordination/dispatch/destination_choice.ts
+++ b/src/coordination/dispatch/destination_choice.ts
@@ -53,10 +53,13 @@
   records: readonly BackendRecord[],
   options: ChoiceOptions,
 ): DestinationChoice | undefined {
-  const { nowMs, viewOf } = options;
-  const candidates = records.filter((one) => !options.excluded.has(one.id));
-  const inReach = candidates.filter((one) => !viewOf(one).isUnreachable(nowMs));
-  const usable = inReach.length > 0 ? inReach : candidates;
+  const { nowMs, viewOf, excluded } = options;
+  const inReach = records.filter((one) =>
+    !excluded.has(one.id) && !viewOf(one).isUnreachable(nowMs)
+  );
+  const usable = inReach.length > 0
+    ? inReach
+    : records.filter((one) => !excluded.has(one.id));
   let best: (DestinationChoice & { readonly cost: number }) | undefined;
   for (const record of compared(usable, options)) {
     const estimate = estimateOf(record, options);
--- a/src/coordination/dispatch/work_queue.ts
+++ b/src/coordination/dispatch/work_queue.ts
@@ -23,6 +23,8 @@
   readonly arrivedAtMs: number;
 }
 
+const NOTHING: Dispatch<never> = { started: [], expired: [] };
+
 /** Answer to a request for a slot. */
 export type Offer =
   | { readonly kind: "start" }
@@ -146,6 +148,7 @@
    * @returns The requests that left the queue.
    */
   dispatch(nowMs: number): Dispatch<T> {
+    if (this.#waiting.length === 0) return NOTHING;
     const expired = this.#waiting.filter((item) => this.#isLost(item, nowMs));
     for (const item of expired) this.remove(item);
     const started: T[] = [];
--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -75,17 +75,17 @@
  */
 export function formatCall(call: CallDescription): string {
   return [
-    call.id,
-    call.route,
+    encodeURIComponent(call.id),
+    encodeURIComponent(call.route),
     KIND_CODES[call.kind],
     call.priority,
-    call.callerService,
-    call.service,
-    call.backendId,
+    encodeURIComponent(call.callerService),
+    encodeURIComponent(call.service),
+    encodeURIComponent(call.backendId),
     Math.round(call.remainingMs),
     Math.round(call.objectiveInMs),
     call.configVersion,
-  ].map((field) => encodeURIComponent(field)).join(SEPARATOR);
+  ].join(SEPARATOR);
 }
 
 /**
@@ -105,14 +105,13 @@
   const [id, route, kindCode, , callerService, service, backendId] =
     fields as string[];
   const kind = KINDS_BY_CODE.get(kindCode!);
-  const numbers = [3, 7, 8, 9].map((index) => Number(fields[index]));
-  if (kind === undefined || !numbers.every(Number.isFinite)) return undefined;
-  const [priority, remainingMs, objectiveInMs, configVersion] = numbers as [
-    number,
-    number,
-    number,
-    number,
-  ];
+  const priority = Number(fields[3]);
+  const remainingMs = Number(fields[7]);
+  const objectiveInMs = Number(fields[8]);
+  const configVersion = Number(fields[9]);
+  const areFinite = Number.isFinite(priority) && Number.isFinite(remainingMs) &&
+    Number.isFinite(objectiveInMs) && Number.isFinite(configVersion);
+  if (kind === undefined || !areFinite) return undefined;
   return {
     id: id!,
     route: route!,
@@ -236,9 +235,12 @@
   const fields = value.split(SEPARATOR);
   if (fields.length !== RESULT_FIELDS) return undefined;
   const outcome = parseOutcome(fields[0]!, fields[1]!, Number(fields[2]));
-  const numbers = fields.slice(3).map(Number);
-  if (outcome === undefined || !numbers.every(Number.isFinite)) {
-    return undefined;
+  if (outcome === undefined) return undefined;
+  const numbers: number[] = [];
+  for (let index = 3; index < RESULT_FIELDS; index++) {
+    const number = Number(fields[index]);
+    if (!Number.isFinite(number)) return undefined;
+    numbers.push(number);
   }
   const [running, queued, limit, waitMs, failureShare, configVersion, heldMs] =
     numbers as [number, number, number, number, number, number, number];
@@ -274,8 +276,10 @@
 }
 
 function decodeFields(value: string): string[] | undefined {
+  const fields = value.split(SEPARATOR);
+  if (!value.includes("%")) return fields;
   try {
-    return value.split(SEPARATOR).map(decodeURIComponent);
+    return fields.map(decodeURIComponent);
   } catch {
     // A malformed escape: the header is not one of ours.
     return undefined;
--- a/src/sidecar/backend_answer.ts
+++ b/src/sidecar/backend_answer.ts
@@ -39,9 +39,15 @@
  * ```
  */
 export function isOwnAnswer(head: AnswerHead): boolean {
-  const { call, status, names } = head;
   const fields = headerMap(head.headers);
-  if (isRejection(head, fields)) return true;
+  return isRejection(head, fields) || isAnswer(head, fields);
+}
+
+function isAnswer(
+  head: AnswerHead,
+  fields: ReadonlyMap<string, string>,
+): boolean {
+  const { call, status, names } = head;
   if (fields.get(names.requestId) !== call.id) return false;
   if (fields.has("content-encoding")) return false;
   return status >= 300 || fields.has(names.answerProof);
@@ -67,7 +73,8 @@
   }
   const { status, headers, body } = result;
   const head = { call, status, headers, names };
-  if (isRejection(head, headerMap(headers))) {
+  const fields = headerMap(headers);
+  if (isRejection(head, fields)) {
     return {
       kind: "not-run",
       reason: MeshReason.Shed,
@@ -75,7 +82,7 @@
       retryAfterMs: 0,
     };
   }
-  if (!isOwnAnswer(head)) {
+  if (!isAnswer(head, fields)) {
     return { kind: "unknown", reason: MeshReason.Malformed };
   }
   const kept = endToEndHeaders(headers, ANSWER_FRAMING);
--- a/src/sidecar/ingress_task.ts
+++ b/src/sidecar/ingress_task.ts
@@ -185,16 +185,13 @@
     if (target === undefined) {
       return this.#refuse(response, id, { status: 503 });
     }
-    const host = request.headers.host ?? "";
+    const headers = endToEndHeaders(request.rawHeaders, this.#droppedHeaders);
+    headers.push("host", request.headers.host ?? "");
     const flow = new CallFlow({
       id,
       method: request.method ?? "GET",
       path: request.url ?? "/",
-      headers: [
-        "host",
-        host,
-        ...endToEndHeaders(request.rawHeaders, this.#droppedHeaders),
-      ],
+      headers,
       body,
       route,
       service: target.service,
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -340,12 +340,21 @@
     readonly arrivedAtMs: number;
   },
 ): MeshCall {
-  const { description, arrivedAtMs, ...request } = parts;
-  const { remainingMs, objectiveInMs, ...described } = description;
+  const { description, arrivedAtMs } = parts;
+  // Each field by its name, as a copy of the rest takes far longer.
   return {
-    ...described,
-    ...request,
-    deadlineMs: arrivedAtMs + remainingMs,
-    objectiveAtMs: arrivedAtMs + objectiveInMs,
+    id: description.id,
+    method: parts.method,
+    path: parts.path,
+    headers: parts.headers,
+    body: parts.body,
+    route: description.route,
+    kind: description.kind,
+    priority: description.priority,
+    callerService: description.callerService,
+    service: description.service,
+    backendId: description.backendId,
+    deadlineMs: arrivedAtMs + description.remainingMs,
+    objectiveAtMs: arrivedAtMs + description.objectiveInMs,
   };
 }
