--- a/src/transport/observe/text_metrics.ts
+++ b/src/transport/observe/text_metrics.ts
@@ -5,6 +5,12 @@
 /** Labels of one series. */
 export type Labels = Readonly<Record<string, string>>;
 
+interface Counter {
+  /** Name and labels as they are written. */
+  readonly series: string;
+  value: number;
+}
+
 interface Histogram {
   readonly counts: number[];
   sumMs: number;
@@ -22,7 +28,7 @@
  * ```
  */
 export class TextMetrics {
-  readonly #counters = new Map<string, number>();
+  readonly #counters = new Map<string, Counter>();
   readonly #histograms = new Map<string, Histogram>();
   readonly #gauges = new Map<string, () => number>();
 
@@ -34,8 +40,11 @@
    * @param by What to add.
    */
   count(name: string, labels: Labels = {}, by = 1): void {
-    const series = seriesOf(name, labels);
-    this.#counters.set(series, (this.#counters.get(series) ?? 0) + by);
+    let key = name;
+    for (const label in labels) key += `\n${label}\n${labels[label]}`;
+    const counter = this.#counters.get(key);
+    if (counter !== undefined) counter.value += by;
+    else this.#counters.set(key, { series: seriesOf(name, labels), value: by });
   }
 
   /**
@@ -79,7 +88,7 @@
   /** All series, one a line. */
   text(): string {
     const lines: string[] = [];
-    for (const [series, value] of this.#counters) {
+    for (const { series, value } of this.#counters.values()) {
       lines.push(`${series} ${value}`);
     }
     for (const [name, read] of this.#gauges) lines.push(`${name} ${read()}`);
