End the timer of a request that waited for a slot

Cause: the timer and the listener of a request that waited stayed until its time had passed. They kept the request with its body, and the timer woke the process. Change: both end as the request leaves the queue.

--- a/src/sidecar/destination_task.ts
+++ b/src/sidecar/destination_task.ts
@@ -39,6 +39,13 @@
   readonly resolve: (outcome: CallOutcome) => void;
 }
 
+/** What ends the wait of a job for a slot. */
+interface Wait {
+  readonly signal: AbortSignal;
+  readonly onAbort: () => void;
+  readonly timer: NodeJS.Timeout;
+}
+
 /** What a destination needs besides its backend server. */
 export interface DestinationOptions {
   readonly backend: OwnBackend;
@@ -64,7 +71,7 @@
   readonly #log: EventLog;
   readonly #metrics: TextMetrics;
   readonly #queue = new WorkQueue<Job>(1);
-  readonly #signals = new WeakMap<Job, AbortSignal>();
+  readonly #waits = new Map<Job, Wait>();
   readonly #cancelledLines: LineLimit;
   #connections: ConnectionStack | undefined;
   #address = "";
@@ -103,6 +110,7 @@
   /** Sends back what waits, as the backend server leaves. */
   drain(): void {
     for (const job of this.#queue.removeAll()) {
+      this.#endWait(job);
       job.resolve(notRunOutcome(MeshReason.Leaving));
     }
   }
@@ -124,10 +132,13 @@
       running: this.#queue.running,
       queued: this.#queue.queued,
       limit: this.#queue.slots,
-      waitMs: this.#queue.expectedWaitMs(
-        { ...call, arrivedAtMs: nowMs },
-        nowMs,
-      ),
+      waitMs: this.#queue.expectedWaitMs({
+        route: call.route,
+        priority: call.priority,
+        objectiveAtMs: call.objectiveAtMs,
+        deadlineMs: call.deadlineMs,
+        arrivedAtMs: nowMs,
+      }, nowMs),
       failureShare: this.#failureShare,
     };
   }
@@ -172,28 +183,38 @@
   }
 
   #await(job: Job, signal: AbortSignal): void {
-    this.#signals.set(job, signal);
-    signal.addEventListener("abort", () => {
+    const onAbort = () => {
       if (!this.#queue.remove(job)) return;
+      this.#endWait(job);
       this.#noteCancelled(job, undefined);
       job.resolve(notRunOutcome(MeshReason.Cancelled));
-    }, { once: true });
+    };
+    signal.addEventListener("abort", onAbort, { once: true });
     const untilMs = this.#queue.usefulUntilMs(job);
     const waitMs = Math.max(0, untilMs - performance.now());
-    setTimeout(() => {
-      if (this.#queue.remove(job)) {
-        job.resolve(notRunOutcome(MeshReason.Expired));
-      }
+    const timer = setTimeout(() => {
+      if (!this.#queue.remove(job)) return;
+      this.#endWait(job);
+      job.resolve(notRunOutcome(MeshReason.Expired));
     }, waitMs);
+    this.#waits.set(job, { signal, onAbort, timer });
+  }
+
+  /** A timer that stays wakes the process, and keeps the whole request. */
+  #endWait(job: Job): AbortSignal {
+    const { signal, onAbort, timer } = this.#waits.get(job)!;
+    this.#waits.delete(job);
+    clearTimeout(timer);
+    signal.removeEventListener("abort", onAbort);
+    return signal;
   }
 
   #apply(dispatch: Dispatch<Job>): void {
     for (const job of dispatch.expired) {
+      this.#endWait(job);
       job.resolve(notRunOutcome(MeshReason.Expired));
     }
-    for (const job of dispatch.started) {
-      this.#run(job, this.#signals.get(job)!);
-    }
+    for (const job of dispatch.started) this.#run(job, this.#endWait(job));
   }
 
   async #run(job: Job, signal: AbortSignal): Promise<void> {
