Metrics: read the sums of counters from their values

Cause: the counters became objects while the usage report, which sums them, was added beside it; the types did not compile and the report had sums of objects. Measured: the tests of transport/observe: 5 of 6 before, 6 of 6 after.

--- a/src/transport/observe/text_metrics.ts
+++ b/src/transport/observe/text_metrics.ts
@@ -78,7 +78,7 @@
   /** Sums of the counters over all labels, by names without prefix. */
   totals(): ReadonlyMap<string, number> {
     const totals = new Map<string, number>();
-    for (const [series, value] of this.#counters) {
+    for (const { series, value } of this.#counters.values()) {
       const name = series.slice(PREFIX.length).split("{", 1)[0]!;
       totals.set(name, (totals.get(name) ?? 0) + value);
     }
