--- a/soak/keep_logs.ts
+++ b/soak/keep_logs.ts
@@ -5,16 +5,17 @@
 import type { SoakResult } from "./soak.ts";
 
 /**
- * Writes what a run found, its faults and the daemons' output into a folder
- * that is kept, and names it on standard error.
+ * Writes what a run found, its faults, its requests without an answer of a
+ * backend server and the daemons' output into a folder, and names it on standard error.
  *
  * @param result The run.
  */
 export function keepLogs(result: SoakResult): void {
-  const { seed, faults, problems, logs } = result;
+  const { seed, faults, problems, unserved, logs } = result;
   const folder = mkdtempSync(join(tmpdir(), `sesamepond-soak-seed-${seed}-`));
   writeFileSync(join(folder, "problems.txt"), problems.join("\n"));
   writeFileSync(join(folder, "faults.txt"), faults.join("\n"));
+  writeFileSync(join(folder, "unserved.txt"), unserved.join("\n"));
   for (const [name, output] of Object.entries(logs)) {
     writeFileSync(join(folder, `${name}.log`), output);
   }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -24,6 +24,11 @@
     default: 3,
     describe: "failure domains; 8 daemons in one have readers",
   })
+  .option("keep", {
+    type: "boolean",
+    default: false,
+    describe: "keep the logs of runs that find nothing, too",
+  })
   .option("plan", {
     choices: Object.values(FaultPlan),
     default: FaultPlan.All,
@@ -37,10 +42,8 @@
   const { seconds, instances, domains, plan } = args;
   const result = await runSoak({ seed, seconds, instances, domains, plan });
   const { sent, statuses, faults, problems, stalledMs } = result;
-  if (problems.length > 0) {
-    failed++;
-    keepLogs(result);
-  }
+  if (problems.length > 0) failed++;
+  if (problems.length > 0 || args.keep) keepLogs(result);
   const summary = {
     seed,
     sent,
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -85,6 +85,8 @@
   readonly statuses: Readonly<Record<number, number>>;
   readonly faults: readonly string[];
   readonly problems: readonly string[];
+  /** One line for each request that was not served. */
+  readonly unserved: readonly string[];
   /** Longest time for which the soak's own process stood still, in ms. */
   readonly stalledMs: number;
   /** Last output of each daemon, by instance. */
@@ -200,6 +202,7 @@
       statuses,
       faults: this.#faults,
       problems,
+      unserved: [...this.#sent.values()].flatMap(describeUnserved),
       stalledMs: Math.round(this.#stalledMs),
       logs: Object.fromEntries(
         this.#instances.map(({ name, output }) => [name, output]),
@@ -375,3 +378,11 @@
   const [leastMs, spreadMs] = random.pick(WORK_KINDS)!;
   return leastMs + random.below(spreadMs);
 }
+
+function describeUnserved(request: SentRequest): string[] {
+  const { id, status, ingress, sentAtMs, endedAtMs, leftAtMs } = request;
+  if (status === 200) return [];
+  const tookMs = Math.round(endedAtMs - sentAtMs);
+  const hasLeft = leftAtMs < Infinity ? ", its caller left" : "";
+  return [`${id} got ${status} from ${ingress} after ${tookMs} ms${hasLeft}`];
+}
