Soak: claim a block of ports instead of one by the process id

Change: the last port of a block is held for the life of the process; a block that is taken is passed over.

--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -5,32 +5,27 @@
 import { FakeBackend } from "../platform/fakes/backend.ts";
 import { FaultProxy } from "../fakes/fault_proxy.ts";
 import { Child } from "../testkit/child.ts";
+import { claimPortBlock, USABLE_PORTS } from "./port_block.ts";
 import type { BackendLife } from "./promises.ts";
 
 const HOST = "127.0.0.1";
 /** Time from SIGTERM to the end of a daemon, in s. */
 export const GRACE_S = 6;
-/**
- * First port of the daemons, below those that the system hands out: a daemon
- * that is down must find its port free, and nobody else may answer there.
- */
-const FIRST_PORT = 10_000;
 const PORTS_PER_INSTANCE = 5;
-/** Runs of the soak that may overlap, and the ports that each has. */
-const OVERLAPPING_RUNS = 40;
-const PORTS_PER_RUN = 500;
 /** Most instances of a run. */
-export const MAX_INSTANCES = PORTS_PER_RUN / PORTS_PER_INSTANCE;
+export const MAX_INSTANCES = Math.floor(USABLE_PORTS / PORTS_PER_INSTANCE);
 /** Slices in which a throttled process runs and stands, in ms. */
 const RUN_SLICE_MS = 40;
 const STOP_SLICE_MS = 200;
 /** Pause between two announcements, in ms. */
 const ANNOUNCE_PERIOD_MS = 300;
 
-function portsOf(index: number): number[] {
-  const runPort = FIRST_PORT +
-    (process.pid % OVERLAPPING_RUNS) * PORTS_PER_RUN;
-  const first = runPort + index * PORTS_PER_INSTANCE;
+let claimed: Promise<number> | undefined;
+
+/** All instances of this process share a block of ports. */
+async function portsOf(index: number): Promise<number[]> {
+  claimed ??= claimPortBlock(process.pid);
+  const first = await claimed + index * PORTS_PER_INSTANCE;
   return Array.from({ length: PORTS_PER_INSTANCE }, (_, port) => first + port);
 }
 
@@ -112,7 +107,7 @@
    * @returns The instance, whose daemon may not be ready yet.
    */
   static async start(options: InstanceOptions): Promise<SoakInstance> {
-    const ports = portsOf(options.index);
+    const ports = await portsOf(options.index);
     const storeProxy = new FaultProxy(options.storePort);
     const peerProxy = new FaultProxy(ports[1]!);
     await Promise.all([storeProxy.listen(), peerProxy.listen()]);
