--- /dev/null
+++ b/tests/platform/destination_wait_test.ts
@@ -0,0 +1,88 @@
+import process from "node:process";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FakeBackend } from "../../platform/fakes/backend.ts";
+import { EDGE_HEADERS } from "../../platform/edge_headers.ts";
+import { BackendState, RequestKind } from "../../src/protocol/mesh.ts";
+import type { MeshCall } from "../../src/protocol/mesh_call.ts";
+import { DestinationTask } from "../../src/sidecar/destination_task.ts";
+import { OwnBackend } from "../../src/state/own_backend.ts";
+import { EventLog } from "../../src/transport/observe/event_log.ts";
+import { TextMetrics } from "../../src/transport/observe/text_metrics.ts";
+import { until } from "../../testkit/until.ts";
+
+/** Longer than the test, so that a timer that stays is seen. */
+const DEADLINE_MS = 60_000;
+const WORK_MS = 20;
+const SETTLE_MS = 5_000;
+
+function call(id: string): MeshCall {
+  const nowMs = performance.now();
+  return {
+    id,
+    method: "GET",
+    path: "/stock/1",
+    headers: ["host", "shop.example", EDGE_HEADERS.requestId, id],
+    body: undefined,
+    route: "stock",
+    kind: RequestKind.Idempotent,
+    priority: 0,
+    callerService: "shop",
+    service: "stock",
+    backendId: "i-1",
+    deadlineMs: nowMs + DEADLINE_MS,
+    objectiveAtMs: nowMs + DEADLINE_MS,
+  };
+}
+
+function started(server: FakeBackend): DestinationTask {
+  const announcement = {
+    id: server.id,
+    service: "stock",
+    address: server.address,
+    slots: 1,
+    state: BackendState.Ready,
+    sequence: 1,
+    bornAtUnixMs: 1,
+  };
+  const backend = new OwnBackend();
+  backend.announced(announcement);
+  const destination = new DestinationTask({
+    backend,
+    headers: EDGE_HEADERS,
+    stalls: { isHeldUp: false },
+    log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
+    metrics: new TextMetrics(),
+  });
+  destination.started(announcement);
+  return destination;
+}
+
+function timers(): number {
+  return process.getActiveResourcesInfo()
+    .filter((name) => name === "Timeout").length;
+}
+
+// Guards against timers and listeners of requests that had waited for a slot:
+// each stayed, with the request's body, until the request's time had passed.
+test("execute() keeps nothing of a request that waited", async () => {
+  const server = await FakeBackend.start("i-1");
+  server.workMs = WORK_MS;
+  const destination = started(server);
+  const before = timers();
+  const cancel = new AbortController();
+  const outcomes = Promise.all([
+    ...["a", "b", "c"].map((id) =>
+      destination.execute(call(id), new AbortController().signal)
+    ),
+    destination.execute(call("d"), cancel.signal),
+  ]);
+  cancel.abort();
+  const kinds = (await outcomes).map(({ kind }) => kind);
+  // Connections and the log have short timers of their own.
+  await until(() => timers() <= before, "no timer stays", SETTLE_MS);
+  assert.equal(kinds, ["answered", "answered", "answered", "not-run"]);
+  await server.stop();
+});
+
+test.run();
