--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -27,6 +27,8 @@
 export enum FaultPlan {
   /** Work of operators, slow daemons and slow ways. */
   Planned = "planned",
+  /** Besides, faults of the store and of backend servers, and of one daemon. */
+  Mixed = "mixed",
   /** Faults of the store, ways, daemons and backend servers besides. */
   All = "all",
 }
@@ -63,6 +65,16 @@
   switch (plan) {
     case FaultPlan.Planned:
       return plannedFaults(instance, context);
+    case FaultPlan.Mixed:
+      return {
+        ...plannedFaults(instance, context),
+        ...storeFaults(instance, context),
+        ...backendFaults(instance),
+        // The others stay sound, so that what they lose counts.
+        ...(instance === context.instances.at(-1)
+          ? daemonFaults(instance, context)
+          : {}),
+      };
     case FaultPlan.All:
       return {
         ...plannedFaults(instance, context),
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -39,6 +39,7 @@
 /** Longest pause between two faults, in ms; faults overlap. */
 const MAX_FAULT_GAP_MS: Readonly<Record<FaultPlan, number>> = {
   [FaultPlan.Planned]: 1_200,
+  [FaultPlan.Mixed]: 600,
   [FaultPlan.All]: 600,
 };
 /** Time in which all is served again after the last fault, in ms. */
