--- a/src/sidecar/fleet.ts
+++ b/src/sidecar/fleet.ts
@@ -9,12 +9,9 @@
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import type { DestinationTask } from "./destination_task.ts";
-import {
-  type Finding,
-  PeerClient,
-  type PeerResult,
-  type SendOptions,
-} from "./peer_client.ts";
+import { PeerClient, type SendOptions } from "./peer_client.ts";
+import type { PeerResult } from "./peer_reply.ts";
+import type { Finding } from "./silence_watch.ts";
 
 /** Most lines about questions without a good answer in a second. */
 const MAX_FINDING_LINES_PER_S = 20;
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -1,29 +1,18 @@
-import type { Buffer } from "node:buffer";
 import { needsPlace } from "../coordination/dispatch/mod.ts";
-import { silenceVerdict } from "../coordination/retry/silence_verdict.ts";
-import type { BackendRecord } from "../protocol/mesh.ts";
 import {
   decodeFeed,
   type FeedNews,
   formatFeedTarget,
 } from "../protocol/feed.ts";
-import type {
-  CallOutcome,
-  DestinationLoad,
-  MeshCall,
-} from "../protocol/mesh_call.ts";
+import type { BackendRecord } from "../protocol/mesh.ts";
+import type { MeshCall } from "../protocol/mesh_call.ts";
 import { MeshReason, notRunOutcome } from "../protocol/mesh_call.ts";
 import {
   CallStatus,
   CONFIG_PATH,
   formatCall,
-  formatFrameHead,
   HEADER_CALL,
-  HEADER_RESULT,
-  parseFrameHead,
-  parseResult,
   PLACE_PATH,
-  type ResultDescription,
   STATUS_PATH,
 } from "../protocol/peer_call.ts";
 import { CallChannel } from "../transport/channel/mod.ts";
@@ -31,15 +20,15 @@
   ConnectionStack,
   type StackResult,
 } from "../transport/http/connection_stack.ts";
+import {
+  type PeerResult,
+  type Reply,
+  resultOf,
+  sendOver,
+  toPeerResult,
+} from "./peer_reply.ts";
+import { type Finding, SilenceWatch } from "./silence_watch.ts";
 
-/** Least silence after which a daemon asks what became of a request, in ms. */
-const MIN_QUERY_AFTER_MS = 400;
-/** Most silence after which it asks, in ms: a connection may have gone silent. */
-const MAX_QUERY_AFTER_MS = 1_500;
-/** Multiple of the expected time after which an answer is overdue. */
-const OVERDUE_FACTOR = 2;
-/** Pause between two questions about one request, in ms. */
-const QUERY_PERIOD_MS = 500;
 /** Time in which a question must be answered, in ms. */
 const QUERY_TIMEOUT_MS = 400;
 /** Longest idle time of a connection for questions, in ms. */
@@ -54,21 +43,6 @@
 /** Time beyond that after which the daemon is taken to be out of reach, in ms. */
 const FEED_MARGIN_MS = 500;
 
-/** What a question about a request without an answer found out. */
-export interface Finding {
-  readonly id: string;
-  /** What the destination says; `undefined` where it says nothing in time. */
-  readonly status: CallStatus | undefined;
-  /** How often in a row it has said so. */
-  readonly repeated: number;
-  /** Time since the request was sent. */
-  readonly ageMs: number;
-  /** Time that the question took. */
-  readonly askedMs: number;
-  /** Whether the question was written to an open connection. */
-  readonly wasSent: boolean;
-}
-
 /** What a client tells besides the outcomes of requests. */
 export interface PeerClientOptions {
   readonly onFinding: (finding: Finding) => void;
@@ -86,17 +60,6 @@
   readonly onDoubt: (reason: MeshReason) => void;
 }
 
-/** Outcome of a request with what came beside it. */
-export interface PeerResult {
-  readonly outcome: CallOutcome;
-  readonly load?: DestinationLoad;
-  readonly configVersion?: number;
-  /** Time that the request and its answer were on their way, in ms. */
-  readonly transitMs?: number;
-  /** Time that a long body waited for a place on the way, in ms. */
-  readonly placeWaitMs?: number;
-}
-
 /**
  * Sends requests to the daemon beside another backend server.
  *
@@ -159,27 +122,42 @@
     const lost = new AbortController();
     const onAbort = () => lost.abort(GIVEN_UP);
     options.signal.addEventListener("abort", onAbort);
-    const watch = this.#watch(call, { ...options, lost, channel });
+    let neverArrived = false;
+    const watch = new SilenceWatch({
+      id: call.id,
+      kind: call.kind,
+      expectedMs: options.expectedMs,
+      isOpen: () => this.#isOpenOn(channel),
+      askStatus: (ageMs) => this.#statusOf(call.id, ageMs),
+      onFinding: this.#onFinding,
+      onDoubt: options.onDoubt,
+      onNeverArrived: () => {
+        neverArrived = true;
+        onAbort();
+      },
+    });
     const sentAtMs = performance.now();
     const description = describe(call, options.configVersion);
     const reply = channel === undefined
       ? await this.#sendAlone(call, description, lost.signal)
       : await sendOver(channel, { call, description, signal: lost.signal });
     options.signal.removeEventListener("abort", onAbort);
-    const { neverArrived, isSilent } = watch.stop();
+    watch.stop();
     const tookMs = performance.now() - sentAtMs;
     if (reply.kind === "failed" && options.signal.aborted) {
       return {
         outcome: { kind: "unknown", reason: MeshReason.Cancelled },
         // Neither the request nor a question about it came through so far.
-        ...(isSilent ? { transitMs: tookMs } : {}),
+        ...(watch.isSilent ? { transitMs: tookMs } : {}),
       };
     }
     const isLostWithOthers = reply.kind === "failed" && reply.sent &&
       channel !== undefined && !neverArrived;
-    const isUnknown = isLostWithOthers &&
-      (await this.#statusOf(call.id, sentAtMs)).status === CallStatus.Unknown;
-    return toPeerResult(reply, neverArrived || isUnknown, tookMs);
+    if (isLostWithOthers) {
+      const { status } = await this.#statusOf(call.id, tookMs);
+      neverArrived = status === CallStatus.Unknown;
+    }
+    return toPeerResult(reply, neverArrived, tookMs);
   }
 
   /**
@@ -258,65 +236,6 @@
     }, AbortSignal.any([signal, timeout]));
   }
 
-  /** Asks about a request again and again until its answer comes. */
-  #watch(
-    call: MeshCall,
-    options: SendOptions & {
-      readonly lost: AbortController;
-      readonly channel: CallChannel | undefined;
-    },
-  ): QueryWatch {
-    let neverArrived = false;
-    let last: CallStatus | undefined;
-    let repeated = 0;
-    const sentAtMs = performance.now();
-    const ask = async () => {
-      if (await this.#isOpenOn(options.channel)) {
-        repeated = 0;
-        if (timer !== undefined) timer = setTimeout(ask, QUERY_PERIOD_MS);
-        return;
-      }
-      if (timer === undefined) return;
-      const askedAtMs = performance.now();
-      const { status, wasSent } = await this.#statusOf(call.id, sentAtMs);
-      if (timer === undefined) return;
-      repeated = status === last ? repeated + 1 : 1;
-      last = status;
-      const nowMs = performance.now();
-      this.#onFinding({
-        id: call.id,
-        status,
-        repeated,
-        ageMs: Math.round(nowMs - sentAtMs),
-        askedMs: Math.round(nowMs - askedAtMs),
-        wasSent,
-      });
-      const verdict = silenceVerdict(status, repeated, call.kind);
-      switch (verdict.kind) {
-        case "not-run":
-          neverArrived = true;
-          options.lost.abort(GIVEN_UP);
-          return;
-        case "doubted":
-          options.onDoubt(verdict.reason);
-          break;
-        case "wait":
-      }
-      timer = setTimeout(ask, QUERY_PERIOD_MS);
-    };
-    let timer: NodeJS.Timeout | undefined = setTimeout(
-      ask,
-      queryAfterMs(options.expectedMs),
-    );
-    return {
-      stop: () => {
-        clearTimeout(timer);
-        timer = undefined;
-        return { neverArrived, isSilent: repeated > 0 && last === undefined };
-      },
-    };
-  }
-
   /** Whether a channel has a sign of life: its requests are open then. */
   async #isOpenOn(channel: CallChannel | undefined): Promise<boolean> {
     if (channel === undefined) return false;
@@ -327,11 +246,10 @@
 
   async #statusOf(
     id: string,
-    sentAtMs: number,
+    ageMs: number,
   ): Promise<Pick<Finding, "status" | "wasSent">> {
-    const ageMs = Math.ceil(performance.now() - sentAtMs);
     const result = await this.#ask(
-      `${STATUS_PATH}${encodeURIComponent(id)}?ageMs=${ageMs}`,
+      `${STATUS_PATH}${encodeURIComponent(id)}?ageMs=${Math.ceil(ageMs)}`,
     );
     if (result.kind === "failed") {
       return { status: undefined, wasSent: result.sent };
@@ -361,21 +279,6 @@
   }
 }
 
-interface QueryWatch {
-  /** Ends the questions; returns what they found out. */
-  stop(): {
-    /** Whether the destination said so. */
-    readonly neverArrived: boolean;
-    /** Whether the last question got no answer. */
-    readonly isSilent: boolean;
-  };
-}
-
-function queryAfterMs(expectedMs: number): number {
-  const overdueMs = expectedMs * OVERDUE_FACTOR;
-  return Math.min(MAX_QUERY_AFTER_MS, Math.max(MIN_QUERY_AFTER_MS, overdueMs));
-}
-
 function describe(call: MeshCall, configVersion: number): string {
   const nowMs = performance.now();
   return formatCall({
@@ -385,98 +288,3 @@
     configVersion,
   });
 }
-
-function resultOf(headers: readonly string[]): ResultDescription | undefined {
-  for (let index = 0; index < headers.length; index += 2) {
-    if (headers[index]!.toLowerCase() !== HEADER_RESULT) continue;
-    return parseResult(headers[index + 1]!);
-  }
-  return undefined;
-}
-
-/** What came back for a request, over whatever way. */
-type Reply =
-  | { readonly kind: "failed"; readonly sent: boolean }
-  | {
-    readonly kind: "answer";
-    readonly described: ResultDescription | undefined;
-    readonly status: number;
-    /** Names and values in turn. */
-    readonly headers: readonly string[];
-    readonly body: Buffer;
-  };
-
-async function sendOver(
-  channel: CallChannel,
-  parts: {
-    readonly call: MeshCall;
-    readonly description: string;
-    readonly signal: AbortSignal;
-  },
-): Promise<Reply> {
-  const { call, description, signal } = parts;
-  const { method, path, headers } = call;
-  const head = formatFrameHead({ description, start: [method, path], headers });
-  const result = await channel.send({ head, body: call.body }, signal);
-  if (result.kind === "failed") return result;
-  const answer = parseFrameHead(result.head);
-  return {
-    kind: "answer",
-    described: answer && parseResult(answer.description),
-    status: Number(answer?.start[0]),
-    headers: answer?.headers ?? [],
-    body: result.body,
-  };
-}
-
-function toPeerResult(
-  reply: Reply,
-  neverArrived: boolean,
-  tookMs: number,
-): PeerResult {
-  if (reply.kind === "failed") {
-    const mayHaveRun = reply.sent && !neverArrived;
-    return {
-      outcome: mayHaveRun
-        ? { kind: "unknown", reason: MeshReason.Broken }
-        : notRunOutcome(MeshReason.Unreachable),
-    };
-  }
-  const { described } = reply;
-  if (described === undefined) {
-    return { outcome: { kind: "unknown", reason: MeshReason.Malformed } };
-  }
-  const { outcome, load, configVersion, heldMs } = described;
-  const transitMs = Math.max(0, tookMs - heldMs);
-  if (outcome.kind !== "answered") {
-    return { outcome, load, configVersion, transitMs };
-  }
-  const headers = withoutResult(reply.headers);
-  return {
-    outcome: {
-      kind: "answered",
-      answer: { status: reply.status, headers, body: reply.body },
-      serviceMs: outcome.serviceMs,
-    },
-    load,
-    configVersion,
-    transitMs,
-  };
-}
-
-const CONNECTION_FIELDS = new Set([
-  HEADER_RESULT,
-  "connection",
-  "keep-alive",
-  "content-length",
-  "transfer-encoding",
-]);
-
-function withoutResult(headers: readonly string[]): string[] {
-  const kept: string[] = [];
-  for (let index = 0; index < headers.length; index += 2) {
-    if (CONNECTION_FIELDS.has(headers[index]!.toLowerCase())) continue;
-    kept.push(headers[index]!, headers[index + 1]!);
-  }
-  return kept;
-}
