Wake an idle daemon less often

Cause: a monitor of the event loop woke the process five times a second and the look for vanished records twice, beside four looks at the clock. Change: the looks at the clock also give the delay of the event loop; vanished records are looked after only while there are any.

--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,5 +1,4 @@
 import { createServer, type Server } from "node:http";
-import { monitorEventLoopDelay } from "node:perf_hooks";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { WindowBudget } from "../coordination/retry/window_budget.ts";
@@ -38,7 +37,6 @@
 const QUIET_END_MS = 400;
 /** Time in which callers hear that their connections close, in ms. */
 const CLOSE_MS = 60;
-const NS_PER_MS = 1e6;
 /** Pause between two checks for the end, in ms. */
 const END_CHECK_MS = 50;
 
@@ -255,15 +253,13 @@
   }
 
   #openGauges(): void {
-    const delays = monitorEventLoopDelay({ resolution: 200 });
-    delays.enable();
     this.#metrics.gauge("config_version", () => this.#routes.version);
     this.#metrics.gauge("backends_known", () => this.#directory.size);
     this.#metrics.gauge("requests_open", () => this.#ingress.open);
     this.#metrics.gauge("destination_requests", () => this.#destination.size);
     this.#metrics.gauge(
       "event_loop_delay_p99_ms",
-      () => delays.percentile(99) / NS_PER_MS,
+      () => this.#loop.delayP99Ms,
     );
   }
 
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -63,6 +63,7 @@
   #isConnected = false;
   #hasListed = false;
   #refreshing = false;
+  #sweepTimer: NodeJS.Timeout | undefined;
 
   /**
    * Creates a task that has not started.
@@ -103,14 +104,13 @@
    * @param signal Ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const sweep = setInterval(() => this.#sweep(), SWEEP_PERIOD_MS);
     let revision: number | undefined;
     while (!signal.aborted) {
       revision = revision === undefined
         ? await this.#list()
         : await this.#poll(revision);
     }
-    clearInterval(sweep);
+    clearTimeout(this.#sweepTimer);
   }
 
   /**
@@ -253,10 +253,17 @@
     }
     const instance = key.slice(RECORD_PREFIX.length);
     this.#options.directory.missing(instance, performance.now());
+    this.#sweepLater();
+  }
+
+  /** Only what vanished is looked after, so that an idle daemon sleeps. */
+  #sweepLater(): void {
+    this.#sweepTimer ??= setTimeout(() => this.#sweep(), SWEEP_PERIOD_MS);
   }
 
   /** Removes what vanished from the store and did not come back. */
   #sweep(): void {
+    this.#sweepTimer = undefined;
     const nowMs = performance.now();
     const { directory, log, onGone } = this.#options;
     for (const { record, missingSinceMs } of [...directory.entries]) {
@@ -264,9 +271,11 @@
       if (!this.#isConnected) {
         directory.put(record);
         directory.missing(record.instance, nowMs);
+      }
+      if (!this.#isConnected || nowMs - missingSinceMs < MISSING_GRACE_MS) {
+        this.#sweepLater();
         continue;
       }
-      if (nowMs - missingSinceMs < MISSING_GRACE_MS) continue;
       log.info("backend-gone", {
         backend: record.id,
         instance: record.instance,
--- a/src/transport/observe/loop_watch.ts
+++ b/src/transport/observe/loop_watch.ts
@@ -1,5 +1,5 @@
 import type { Server } from "node:net";
-import { performance } from "node:perf_hooks";
+import { createHistogram, performance } from "node:perf_hooks";
 import type { EventLog } from "./event_log.ts";
 
 /** Pause between two looks at the clock, in ms. */
@@ -11,6 +11,8 @@
 /** Part of the turns with a new connection from which on others waited. */
 const BUSY_SHARE = 0.8;
 
+const MICROS_PER_MS = 1_000;
+
 /** Where a {@linkcode LoopWatch} tells what it finds. */
 export interface LoopWatchOptions {
   readonly log: EventLog;
@@ -43,6 +45,7 @@
 export class LoopWatch {
   readonly #options: LoopWatchOptions;
   readonly #servers: Accepted[] = [];
+  readonly #delaysMicros = createHistogram();
   #turns = turnsSoFar();
   #timer: NodeJS.Timeout | undefined;
   #lookedAtMs = performance.now();
@@ -74,6 +77,11 @@
     return this.#wasLate || this.#delayMs(performance.now()) >= HELD_UP_MS;
   }
 
+  /** 99th percentile of the delays of all looks so far, in ms. */
+  get delayP99Ms(): number {
+    return this.#delaysMicros.percentile(99) / MICROS_PER_MS;
+  }
+
   /** Starts to look at the clock; does not keep the process alive. */
   start(): void {
     this.#lookedAtMs = performance.now();
@@ -90,6 +98,8 @@
     const delayMs = this.#delayMs(nowMs);
     this.#lookedAtMs = nowMs;
     this.#wasLate = delayMs >= HELD_UP_MS;
+    // The histogram takes whole numbers from 1.
+    this.#delaysMicros.record(Math.max(1, Math.round(delayMs * MICROS_PER_MS)));
     this.#checkAccepted();
     if (!this.#wasLate) return;
     this.#options.onHeldUp?.(delayMs);
--- a/src/transport/observe/loop_watch_test.ts
+++ b/src/transport/observe/loop_watch_test.ts
@@ -33,4 +33,17 @@
   });
 });
 
+test("delayP99Ms tells how late the process was when it looked at the clock", async () => {
+  const log = new EventLog({ sink: { write: () => {}, close: () => {} } });
+  const watch = new LoopWatch({ log });
+  watch.start();
+  const before = watch.delayP99Ms;
+  standStill(600);
+  await sleep(0);
+  const after = watch.delayP99Ms;
+  watch.stop();
+  log.close();
+  assert.equal({ before, isNoted: after >= 300 }, { before: 0, isNoted: true });
+});
+
 test.run();
