Soak: a refused connection is no lost request

The soak had stood still for up to 1,025 ms as it started processes, and the daemons' logs have nothing of the requests. The reason of the end was not kept. Change: a request keeps the code of the error that ended it, and unserved.txt names it; ECONNREFUSED is left out where a request did not run, as no process has read it. ECONNRESET counts as before.

--- a/bench/request_cost.ts
+++ b/bench/request_cost.ts
@@ -142,6 +142,7 @@
       ingressPausesMs: [],
       status: 0,
       answer: "",
+      error: "",
     };
     await sendAsCaller(request, {
       agent: this.#agent,
--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -27,6 +27,10 @@
       request.endedAtMs = Math.min(request.endedAtMs, performance.now());
       resolve();
     };
+    const fail = (error: NodeJS.ErrnoException) => {
+      request.error = error.code ?? error.message;
+      end();
+    };
     const outgoing = sendRequest({
       agent: options.agent,
       host: "127.0.0.1",
@@ -47,7 +51,7 @@
         request.answer = answer;
         end();
       });
-      response.on("error", end);
+      response.on("error", fail);
     });
     const leave = () => {
       request.leftAtMs = performance.now();
@@ -57,7 +61,7 @@
       ? undefined
       : setTimeout(leave, options.leavesAfterMs);
     // No answer is an answer too: the status stays 0.
-    outgoing.on("error", end);
+    outgoing.on("error", fail);
     outgoing.setTimeout(request.timeoutMs * 2, () => outgoing.destroy());
     outgoing.end(request.body);
   });
--- a/soak/lost_requests.ts
+++ b/soak/lost_requests.ts
@@ -97,7 +97,9 @@
   const sinceMs = Math.round(endedAtMs - work.atMs);
   const line = `${id} got ${status} from ${ingress} after ${ageMs} ms, ` +
     `${sinceMs} ms after ${work.kind}`;
-  const isClosed = status === 0 && ageMs > LOSS_SLACK_MS;
+  // No process has read what could not be sent.
+  const isClosed = status === 0 && ageMs > LOSS_SLACK_MS &&
+    request.error !== "ECONNREFUSED";
   if (runs.length === 0) return isClosed ? [`${line}, and did not run`] : [];
   const lost = runs.find((placed) => isLost(request, placed, history));
   if (lost === undefined) return [];
--- a/soak/promises.ts
+++ b/soak/promises.ts
@@ -26,6 +26,8 @@
   /** Status; 0 where the connection ended without an answer. */
   status: number;
   answer: string;
+  /** Code of the error that ended its connection; empty without one. */
+  error: string;
 }
 
 /** The runs at one life of a backend server. */
--- a/soak/promises_test.ts
+++ b/soak/promises_test.ts
@@ -17,6 +17,7 @@
     ingressPausesMs: [],
     status: 200,
     answer: "answer of i-1 to r1",
+    error: "",
     ...fields,
   };
 }
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -317,6 +317,7 @@
       isIdempotent,
       status: 0,
       answer: "",
+      error: "",
     };
     this.#sent.set(id, request);
     return request;
@@ -384,6 +385,6 @@
   const { id, status, ingress, sentAtMs, endedAtMs, leftAtMs } = request;
   if (status === 200) return [];
   const tookMs = Math.round(endedAtMs - sentAtMs);
-  const hasLeft = leftAtMs < Infinity ? ", its caller left" : "";
-  return [`${id} got ${status} from ${ingress} after ${tookMs} ms${hasLeft}`];
+  const reason = leftAtMs < Infinity ? "its caller left" : request.error;
+  return [`${id} got ${status} from ${ingress} after ${tookMs} ms ${reason}`];
 }
