--- a/soak/main.ts
+++ b/soak/main.ts
@@ -37,6 +37,11 @@
   .strict()
   .parseAsync();
 
+// An exit ends the daemons, which a signal alone would leave behind.
+for (const signal of ["SIGINT", "SIGTERM"]) {
+  process.once(signal, () => process.exit(1));
+}
+
 let failed = 0;
 for (let seed = args.seed; seed < args.seed + args.seeds; seed++) {
   const { seconds, instances, domains, plan } = args;
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -31,8 +31,12 @@
  * 12: callers got 502 while a backend server was at work: two questions in a
  * row about a request had no answer within 0.4 s each, over a slow way, and
  * were taken for the loss of the destination (docs/incidents/lost.md).
+ *
+ * 115: a caller got 504 after 70 ms. Its request came just before a stopping
+ * daemon began to close, and was looked at just after, when all that had come
+ * before passed for early. Seen once; ending_test.ts has it without chance.
  */
-const PLANNED_REGRESSION_SEEDS: readonly number[] = [12];
+const PLANNED_REGRESSION_SEEDS: readonly number[] = [12, 115];
 
 interface Case {
   readonly name: string;
@@ -49,6 +53,10 @@
     name: `breaks no promise under the faults of seed ${seed}`,
     options: { seed, seconds: 5, instances: 9, domains: 1 },
   })),
+  {
+    name: "breaks no promise under the mixed faults of seed 3",
+    options: { seed: 3, seconds: 5, instances: 4, plan: FaultPlan.Mixed },
+  },
   ...PLANNED_REGRESSION_SEEDS.map((seed) => ({
     name: `breaks no promise around the planned work of seed ${seed}`,
     options: { seed, seconds: 10, instances: 4, plan: FaultPlan.Planned },
--- a/src/sidecar/ending_test.ts
+++ b/src/sidecar/ending_test.ts
@@ -30,4 +30,13 @@
   });
 });
 
+// Guards against a request that came just before the process began to close,
+// and is taken just after: its caller gets 504 while a backend server works.
+test("Ending.allows() refuses after close() what had come late before it", () => {
+  const ending = new Ending();
+  ending.begin(0, GRACE_MS);
+  ending.close(5_700);
+  assert.equal(ending.allows(60_000, 5_690), false);
+});
+
 test.run();
