Refuse what came before a stopping daemon closed and is judged after

Closing moved the end of the lenient time on to the present; a request is judged by its arrival, so one whose head came just before passed for early, and was ended with all others 70 ms later. Nothing is taken leniently after the daemon closes now.

--- a/src/sidecar/ending.ts
+++ b/src/sidecar/ending.ts
@@ -43,7 +43,8 @@
    */
   close(nowMs: number): void {
     this.#endAtMs = nowMs;
-    this.#lenientUntilMs = nowMs;
+    // Also for a request that came before and is judged only now.
+    this.#lenientUntilMs = -Infinity;
   }
 
   /**
