--- a/tests/platform/stopping_test.ts
+++ b/tests/platform/stopping_test.ts
@@ -28,6 +28,21 @@
 /** Time that the backend server works on it, beyond the end, in ms. */
 const LONG_WORK_MS = 3_000;
 
+/** Work of a request that a process would cut as it ends early, in ms. */
+const WORK_MS = 1_000;
+/** Time from SIGTERM until a quiet daemon is soon to end, in ms. */
+const BEFORE_END_MS = 1_500;
+/** Longest time for which connections are opened, in ms. */
+const MAX_OPEN_MS = 10_000;
+/** Time after which a port that does not accept counts as closed, in ms. */
+const HANGING_OPEN_MS = 1_000;
+const OPEN_PERIOD_MS = 2;
+/** Connections, opened last, on which requests are sent. */
+const LAST = 5;
+const MAX_ANSWER_MS = 5_000;
+/** Time from SIGTERM at which others still choose the daemon, in ms. */
+const BEFORE_AWAY_MS = 1_000;
+
 async function answerOn(socket: Socket, request: string): Promise<string> {
   let answer = "";
   socket.on("data", (chunk) => answer += String(chunk));
@@ -70,46 +85,43 @@
   },
 );
 
+/** Opens connections until the daemon accepts no more. */
+async function openUntilClosed(port: number): Promise<Socket[]> {
+  const sockets: Socket[] = [];
+  const untilMs = performance.now() + MAX_OPEN_MS;
+  while (performance.now() < untilMs) {
+    const socket = await Promise.race([open(port), sleep(HANGING_OPEN_MS)]);
+    if (socket === undefined || socket.destroyed) break;
+    sockets.push(socket);
+    await sleep(OPEN_PERIOD_MS);
+  }
+  return sockets;
+}
+
 // Guards against requests that a stopping daemon takes between its decision to
 // end early and its exit, and cuts.
 daemonsTest(
   "a daemon that ends early answers what it takes last",
   2,
-  async ([daemon, other]) => {
-    daemon!.backend.workMs = 1_000;
-    other!.backend.workMs = 1_000;
-    void daemon!.restart();
-    await sleep(1_500);
-    const sockets: Socket[] = [];
-    const startMs = performance.now();
-    while (performance.now() - startMs < 10_000) {
-      const socket = await Promise.race([
-        open(daemon!.ingressPort),
-        sleep(1_000),
-      ]);
-      if (socket === undefined || socket.destroyed) break;
-      sockets.push(socket);
-      await sleep(2);
-    }
-    const last = sockets.slice(-5);
-    const answers = await Promise.all(last.map((socket, index) => {
-      let answer = "";
-      socket.on("data", (chunk) => answer += String(chunk));
-      socket.write(edgeRequest(`last-${index}`));
-      return Promise.race([
-        sleep(5_000, "hung"),
-        new Promise<string>((resolve) =>
-          socket.once("close", () => resolve(answer.split("\r\n", 1)[0]!))
-        ),
-      ]);
-    }));
-    const runs = [daemon!, other!].flatMap(({ backend }) =>
-      backend.runs.map(({ id }) => id)
-    ).filter((id) => id.startsWith("last-"));
+  async (daemons) => {
+    const backends = daemons.map(({ backend }) => backend);
+    for (const backend of backends) backend.workMs = WORK_MS;
+    void daemons[0]!.restart();
+    await sleep(BEFORE_END_MS);
+    const sockets = await openUntilClosed(daemons[0]!.ingressPort);
+    const answers = await Promise.all(
+      sockets.slice(-LAST).map((socket, index) =>
+        Promise.race([
+          answerOn(socket, edgeRequest(`last-${index}`)),
+          sleep(MAX_ANSWER_MS, "no answer"),
+        ])
+      ),
+    );
     for (const socket of sockets) socket.destroy();
-    assert.equal({ opened: sockets.length > 0, answers, runs }, {
-      opened: true,
-      answers: Array(5).fill("HTTP/1.1 503 Service Unavailable"),
+    const runs = backends.flatMap((backend) => backend.runs)
+      .filter(({ id }) => id.startsWith("last-"));
+    assert.equal({ answers, runs }, {
+      answers: Array(LAST).fill("HTTP/1.1 503 Service Unavailable"),
       runs: [],
     });
   },
@@ -121,21 +133,14 @@
   "a stopping daemon's backend server is used until others have heard",
   2,
   async ([ingress, destination], store) => {
-    const route = {
-      ...addedRoute("long"),
-      Action: { Service: "stock", TimeoutS: 5, Attempts: 1 },
-    };
-    store.put(CONFIG_KEY, JSON.stringify(sampleConfig(2, [route])));
+    store.put(CONFIG_KEY, JSON.stringify(sampleConfig(2, [LONG_ROUTE])));
     ingress!.backend.isDraining = true;
     await ingress!.announce("draining");
-    await until(
-      () => isServed(ingress!, "before", "/long/1"),
-      "the way is known",
-    );
+    await until(() => isServed(ingress!, "before", LONG_PATH), "the way");
     void destination!.restart();
-    await sleep(1_000);
-    const served = await isServed(ingress!, "while-stopping", "/long/1");
-    assert.is(served, true);
+    await sleep(BEFORE_AWAY_MS);
+    assert.is(await isServed(ingress!, "while-stopping", LONG_PATH), true);
   },
 );
+
 test.run();
