--- a/src/sidecar/call_flow.ts
+++ b/src/sidecar/call_flow.ts
@@ -1,20 +1,17 @@
-import type { Buffer } from "node:buffer";
 import {
   chooseDestination,
   type DestinationChoice,
   latestUsefulMs,
 } from "../coordination/dispatch/mod.ts";
 import type { WindowBudget } from "../coordination/retry/window_budget.ts";
-import { type MeshRoute, RequestKind } from "../protocol/mesh.ts";
+import { RequestKind } from "../protocol/mesh.ts";
 import type {
   CallOutcome,
   MeshAnswer,
   MeshCall,
 } from "../protocol/mesh_call.ts";
 import { MeshReason } from "../protocol/mesh_call.ts";
-import type { Random } from "../protocol/random.ts";
-import type { BackendDirectory } from "../state/backend_directory.ts";
-import type { Fleet } from "./fleet.ts";
+import type { FlowContext, FlowRequest, FlowResult } from "./flow_types.ts";
 
 /** Most destinations that are asked for room in turn. */
 const MAX_HOPS = 3;
@@ -27,33 +24,6 @@
 /** Part of the time left after which a caller still has time to be served. */
 const LONGEST_RETURN_SHARE = 0.33;
 
-/** A caller's request, read whole. */
-export interface FlowRequest {
-  readonly id: string;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: readonly string[];
-  readonly body: Buffer | undefined;
-  readonly route: MeshRoute;
-  readonly service: string;
-  readonly deadlineMs: number;
-  readonly objectiveAtMs: number;
-}
-
-/** What the caller gets. */
-export type FlowResult =
-  | { readonly kind: "answered"; readonly answer: MeshAnswer }
-  /** It has not run and never will. */
-  | {
-    readonly kind: "refused";
-    readonly reason: string;
-    readonly retryAfterMs: number;
-  }
-  /** It may have run. */
-  | { readonly kind: "failed"; readonly reason: string }
-  /** The time ran out, and it may have run. */
-  | { readonly kind: "timed-out" };
-
 /** One send of the request to a destination. */
 interface Attempt {
   readonly choice: DestinationChoice;
@@ -81,16 +51,6 @@
   | { readonly kind: "done"; readonly result: FlowResult }
   | { readonly kind: "go-on"; readonly look: Look };
 
-/** What a flow works with. */
-export interface FlowContext {
-  readonly fleet: Fleet;
-  readonly directory: BackendDirectory;
-  readonly random: Random;
-  readonly domain: string;
-  readonly callerService: string;
-  readonly budgetOf: (service: string) => WindowBudget;
-}
-
 /**
  * Carries one request from backend server to backend server until it has an
  * answer.
--- a/src/sidecar/call_flow_test.ts
+++ b/src/sidecar/call_flow_test.ts
@@ -11,8 +11,9 @@
 import { type CallOutcome, MeshReason } from "../protocol/mesh_call.ts";
 import { Random } from "../protocol/random.ts";
 import { BackendDirectory } from "../state/backend_directory.ts";
-import { CallFlow, type FlowContext } from "./call_flow.ts";
+import { CallFlow } from "./call_flow.ts";
 import type { Fleet } from "./fleet.ts";
+import type { FlowContext } from "./flow_types.ts";
 import type { SendOptions } from "./peer_client.ts";
 
 interface Sent {
--- a/src/sidecar/ingress_task.ts
+++ b/src/sidecar/ingress_task.ts
@@ -16,13 +16,9 @@
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
-import {
-  CallFlow,
-  type FlowContext,
-  type FlowRequest,
-  type FlowResult,
-} from "./call_flow.ts";
+import { CallFlow } from "./call_flow.ts";
 import type { Ending } from "./ending.ts";
+import type { FlowContext, FlowRequest, FlowResult } from "./flow_types.ts";
 import type { EdgeHeaders } from "./ports.ts";
 import { readBody } from "./read_body.ts";
 import { RequestLog } from "./request_log.ts";
--- a/src/sidecar/request_log.ts
+++ b/src/sidecar/request_log.ts
@@ -3,7 +3,8 @@
 import type { EventLog } from "../transport/observe/event_log.ts";
 import { LineLimit } from "../transport/observe/line_limit.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
-import type { CallFlow, FlowResult } from "./call_flow.ts";
+import type { CallFlow } from "./call_flow.ts";
+import type { FlowResult } from "./flow_types.ts";
 
 /** One of this many answered requests is logged. */
 const LOGGED_SHARE = 50;
