Refuse uploads at once that get no place on a full link in time

The destination knows how many bodies wait and how long each holds its place; it refuses what cannot get one while it has use, and the sender stops waiting then. The request has not run, so another destination is tried, or the caller is told when to come back.

--- a/src/coordination/dispatch/body_gate.ts
+++ b/src/coordination/dispatch/body_gate.ts
@@ -4,6 +4,10 @@
 const MAX_ON_WAY = 2;
 /** Transfer time from which on a body asks for a place, in ms. */
 const LONG_TRANSFER_MS = 20;
+/** Time that a body is taken to hold a place before any has come, in ms. */
+const FIRST_TURN_MS = 100;
+/** Weight of the newest body in the time that bodies hold a place. */
+const TURN_WEIGHT = 0.2;
 const BITS_PER_BYTE = 8;
 const BITS_PER_MBPS_MS = 1_000;
 
@@ -25,6 +29,21 @@
   return linkMbps > 0 && transferMs >= LONG_TRANSFER_MS;
 }
 
+/** Answer to a request for a place. */
+export type PlaceOffer =
+  | { readonly kind: "admit" }
+  | { readonly kind: "wait" }
+  /** The wait for a place is longer than a place has use. */
+  | { readonly kind: "refuse"; readonly waitMs: number };
+
+/** A request for a place. */
+export interface PlaceRequest {
+  /** Id of the request whose body is to come. */
+  readonly id: string;
+  /** Time for which a place has use, in ms. */
+  readonly usefulMs: number;
+}
+
 /**
  * Lets few long bodies at a time onto the way to a destination with a slow
  * link, first come, first served. Many senders at once would fill the link's
@@ -33,7 +52,7 @@
  * @example
  * ```ts
  * const gate = new BodyGate();
- * gate.ask("a", 0); // true
+ * gate.ask({ id: "a", usefulMs: 1_000 }, 0); // { kind: "admit" }
  * gate.arrived("a", 70); // []
  * ```
  */
@@ -41,6 +60,7 @@
   /** Times at which places lapse, by the id of the request. */
   readonly #lapseAtMs = new Map<string, number>();
   #waiting: string[] = [];
+  #turnMs = FIRST_TURN_MS;
 
   /** Requests that wait for a place. */
   get waiting(): number {
@@ -50,13 +70,18 @@
   /**
    * Asks for a place.
    *
-   * @param id Id of the request.
+   * @param request The request.
    * @param nowMs Monotonic time.
-   * @returns Whether the body may come at once; else it waits.
+   * @returns Whether the body may come at once, waits, or has no chance.
    */
-  ask(id: string, nowMs: number): boolean {
-    this.#waiting.push(id);
-    return this.advance(nowMs).includes(id);
+  ask(request: PlaceRequest, nowMs: number): PlaceOffer {
+    const turns = Math.ceil((this.#waiting.length + 1) / MAX_ON_WAY);
+    const waitMs = turns * this.#turnMs;
+    this.#waiting.push(request.id);
+    if (this.advance(nowMs).includes(request.id)) return { kind: "admit" };
+    if (waitMs <= request.usefulMs) return { kind: "wait" };
+    this.#waiting.pop();
+    return { kind: "refuse", waitMs };
   }
 
   /**
@@ -67,6 +92,11 @@
    * @returns Ids of the requests whose bodies may come now.
    */
   arrived(id: string, nowMs: number): readonly string[] {
+    const lapseAtMs = this.#lapseAtMs.get(id);
+    if (lapseAtMs !== undefined) {
+      const turnMs = nowMs - (lapseAtMs - PLACE_MS);
+      this.#turnMs += (turnMs - this.#turnMs) * TURN_WEIGHT;
+    }
     this.#lapseAtMs.delete(id);
     this.#waiting = this.#waiting.filter((one) => one !== id);
     return this.advance(nowMs);
--- a/src/coordination/dispatch/body_gate_test.ts
+++ b/src/coordination/dispatch/body_gate_test.ts
@@ -2,6 +2,11 @@
 import * as assert from "uvu/assert";
 import { BodyGate, needsPlace } from "./body_gate.ts";
 
+/** What a request for a place at time 0 gets. */
+function kindOf(gate: BodyGate, id: string, usefulMs = 60_000): string {
+  return gate.ask({ id, usefulMs }, 0).kind;
+}
+
 test("needsPlace() asks for long bodies on slow links only", () => {
   const cases: [number, number][] = [
     [60_000, 7],
@@ -23,14 +28,14 @@
 
 test("ask() lets a burst of uploads through two at a time, in order", () => {
   const gate = new BodyGate();
-  const asked = ["a", "b", "c", "d", "e"].map((id) => gate.ask(id, 0));
+  const asked = ["a", "b", "c", "d", "e"].map((id) => kindOf(gate, id));
   assert.equal({
     asked,
     afterB: gate.arrived("b", 70),
     afterA: gate.arrived("a", 80),
     waiting: gate.waiting,
   }, {
-    asked: [true, true, false, false, false],
+    asked: ["admit", "admit", "wait", "wait", "wait"],
     afterB: ["c"],
     afterA: ["d"],
     waiting: 1,
@@ -39,14 +44,33 @@
 
 test("arrived() frees the place of a request that was given up", () => {
   const gate = new BodyGate();
-  for (const id of ["a", "b", "c", "d"]) gate.ask(id, 0);
+  for (const id of ["a", "b", "c", "d"]) kindOf(gate, id);
   assert.equal([gate.arrived("c", 10), gate.arrived("a", 20)], [[], ["d"]]);
 });
 
 test("advance() takes back the place of a sender that died", () => {
   const gate = new BodyGate();
-  for (const id of ["a", "b", "c"]) gate.ask(id, 0);
+  for (const id of ["a", "b", "c"]) kindOf(gate, id);
   assert.equal([gate.advance(900), gate.advance(1_000)], [[], ["c"]]);
 });
 
+// Guards against uploads that wait for a full link until their callers' time is
+// over: a burst that lasts leaves the later ones no chance.
+test("ask() refuses at once the uploads that a lasting burst leaves no time", () => {
+  const gate = new BodyGate();
+  for (let turn = 0; turn < 40; turn++) {
+    gate.ask({ id: `slow-${turn}`, usefulMs: 60_000 }, turn * 400);
+    gate.arrived(`slow-${turn}`, (turn + 1) * 400);
+  }
+  const burst = Array.from(
+    { length: 12 },
+    (_, index) => kindOf(gate, `upload-${index}`, 1_000),
+  );
+  assert.equal({ burst: burst.join(" "), waiting: gate.waiting }, {
+    burst:
+      "admit admit wait wait wait wait refuse refuse refuse refuse refuse refuse",
+    waiting: 4,
+  });
+});
+
 test.run();
--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -11,6 +11,8 @@
 export const STATUS_PATH = "/.sesamepond/status/";
 /** Path under which a daemon asks for a place for a long body, by its id. */
 export const PLACE_PATH = "/.sesamepond/place/";
+/** Sets off the time for which a place has use. */
+const USEFUL_FIELD = "?usefulMs=";
 /** Path at which a daemon hands out its newest configuration. */
 export const CONFIG_PATH = "/.sesamepond/config";
 /** What a destination knows of a request. */
@@ -151,6 +153,46 @@
   ].join(SEPARATOR);
 }
 
+/**
+ * Formats the target of a question for a place for a long body.
+ *
+ * @param id Id of the request.
+ * @param usefulMs Time for which a place has use.
+ * @returns The target.
+ *
+ * @example
+ * ```ts
+ * formatPlaceTarget("a", 500);
+ * ```
+ */
+export function formatPlaceTarget(id: string, usefulMs: number): string {
+  return `${PLACE_PATH}${encodeURIComponent(id)}${USEFUL_FIELD}${
+    Math.floor(usefulMs)
+  }`;
+}
+
+/**
+ * Parses the target of a question for a place.
+ *
+ * @param target The target, which starts with {@linkcode PLACE_PATH}.
+ * @returns Id and time; one that is not said is infinite.
+ *
+ * @example
+ * ```ts
+ * parsePlaceTarget(formatPlaceTarget("a", 500)); // { id: "a", usefulMs: 500 }
+ * ```
+ */
+export function parsePlaceTarget(
+  target: string,
+): { readonly id: string; readonly usefulMs: number } {
+  const [id, useful] = target.slice(PLACE_PATH.length).split(USEFUL_FIELD);
+  const usefulMs = Number(useful ?? Infinity);
+  return {
+    id: decodeURIComponent(id!),
+    usefulMs: Number.isNaN(usefulMs) ? Infinity : usefulMs,
+  };
+}
+
 /** A request or an answer as the head of a frame carries it. */
 export interface FrameHead {
   /** Value of {@linkcode HEADER_CALL} or {@linkcode HEADER_RESULT}. */
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -1,4 +1,4 @@
-import { needsPlace } from "../coordination/dispatch/mod.ts";
+import { latestUsefulMs, needsPlace } from "../coordination/dispatch/mod.ts";
 import {
   decodeFeed,
   type FeedNews,
@@ -11,8 +11,8 @@
   CallStatus,
   CONFIG_PATH,
   formatCall,
+  formatPlaceTarget,
   HEADER_CALL,
-  PLACE_PATH,
   STATUS_PATH,
 } from "../protocol/peer_call.ts";
 import { CallChannel } from "../transport/channel/mod.ts";
@@ -109,11 +109,17 @@
       return await this.#exchange(call, options);
     }
     const askedAtMs = performance.now();
-    await this.#untilPlace(call, options.signal);
+    const refusal = await this.#untilPlace(call, options.signal);
     const placeWaitMs = performance.now() - askedAtMs;
     if (options.signal.aborted) {
       return { outcome: notRunOutcome(MeshReason.Cancelled), placeWaitMs };
     }
+    if (refusal !== undefined) {
+      return {
+        outcome: notRunOutcome(MeshReason.Overloaded, refusal.waitMs),
+        placeWaitMs: refusal.waitMs,
+      };
+    }
     return { ...await this.#exchange(call, options), placeWaitMs };
   }
 
@@ -223,17 +229,32 @@
     return { ...result, described: resultOf(result.headers) };
   }
 
-  /** Waits for a place on the way; a destination that names none is no bar. */
-  async #untilPlace(call: MeshCall, signal: AbortSignal): Promise<void> {
-    const leftMs = Math.max(0, call.deadlineMs - performance.now());
+  /**
+   * Waits for a place on the way while it has use; a destination that does not
+   * answer at all is no bar.
+   *
+   * @returns The expected wait where there is no place in time.
+   */
+  async #untilPlace(
+    call: MeshCall,
+    signal: AbortSignal,
+  ): Promise<{ readonly waitMs: number } | undefined> {
+    const askedAtMs = performance.now();
+    const times = { ...call, arrivedAtMs: askedAtMs };
+    const usefulMs = Math.max(0, latestUsefulMs(times, false) - askedAtMs);
     // Only whole numbers are taken for a time.
-    const timeout = AbortSignal.timeout(Math.ceil(leftMs));
-    await this.#connections.send({
+    const timeout = AbortSignal.timeout(Math.ceil(usefulMs));
+    const result = await this.#connections.send({
       method: "GET",
-      path: PLACE_PATH + encodeURIComponent(call.id),
+      path: formatPlaceTarget(call.id, usefulMs),
       headers: [],
       body: undefined,
     }, AbortSignal.any([signal, timeout]));
+    if (result.kind === "failed") {
+      return timeout.aborted ? { waitMs: usefulMs } : undefined;
+    }
+    if (result.status === 200) return undefined;
+    return { waitMs: Number(result.body.toString()) || 0 };
   }
 
   /** Whether a channel has a sign of life: its requests are open then. */
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -23,6 +23,7 @@
   HEADER_RESULT,
   parseCall,
   parseFrameHead,
+  parsePlaceTarget,
   PLACE_PATH,
   STATUS_PATH,
 } from "../protocol/peer_call.ts";
@@ -276,12 +277,14 @@
       const [id, ageMs] = target.slice(STATUS_PATH.length).split("?ageMs=");
       response.writeHead(200).end(this.#statusOf(id!, Number(ageMs ?? 0)));
     } else if (target.startsWith(PLACE_PATH)) {
-      const id = decodeURIComponent(target.slice(PLACE_PATH.length));
+      const { id, usefulMs } = parsePlaceTarget(target);
       response.once("close", () => {
         if (!response.writableFinished) this.#places.arrived(id);
       });
-      this.#places.ask(id, () => {
-        response.writeHead(200, { "content-length": 0 }).end();
+      this.#places.ask({ id, usefulMs }, {
+        admit: () => response.writeHead(200, { "content-length": 0 }).end(),
+        refuse: (waitMs) =>
+          response.writeHead(NO_ANSWER_STATUS).end(String(Math.ceil(waitMs))),
       });
     } else if (target.startsWith(FEED_PATH)) {
       void this.#answerFollower(target, response);
--- a/src/sidecar/place_desk.ts
+++ b/src/sidecar/place_desk.ts
@@ -1,15 +1,26 @@
-import { BodyGate } from "../coordination/dispatch/mod.ts";
+import { BodyGate, type PlaceRequest } from "../coordination/dispatch/mod.ts";
 
 /** Pause between two looks for places that lapsed, in ms. */
 const LAPSE_CHECK_MS = 250;
 
+/** What becomes of a question for a place. */
+export interface PlaceAnswers {
+  /** The body may come. */
+  readonly admit: () => void;
+  /** It has no chance: a place is free after a time in ms. */
+  readonly refuse: (waitMs: number) => void;
+}
+
 /**
  * Holds the questions of other daemons for a place for a long body until there
  * is one.
  *
  * @example
  * ```ts ignore
- * desk.ask("a", () => response.writeHead(200).end());
+ * desk.ask({ id: "a", usefulMs: 1_000 }, {
+ *   admit: () => response.writeHead(200).end(),
+ *   refuse: () => response.writeHead(503).end(),
+ * });
  * desk.arrived("a");
  * ```
  */
@@ -21,11 +32,22 @@
   /**
    * Takes in a question.
    *
-   * @param id Id of the request.
-   * @param admit Called once the body may come.
+   * @param request The request for a place.
+   * @param answers What to do once its fate is known.
    */
-  ask(id: string, admit: () => void): void {
-    if (this.#gate.ask(id, performance.now())) return admit();
+  ask(request: PlaceRequest, answers: PlaceAnswers): void {
+    const offer = this.#gate.ask(request, performance.now());
+    switch (offer.kind) {
+      case "admit":
+        return answers.admit();
+      case "refuse":
+        return answers.refuse(offer.waitMs);
+      case "wait":
+        this.#await(request.id, answers.admit);
+    }
+  }
+
+  #await(id: string, admit: () => void): void {
     this.#admit.set(id, admit);
     this.#check ??= setInterval(
       () => this.#answer(this.#gate.advance(performance.now())),
