Catch up with a series of versions by a listing

Cause: a poll brings each version of a series whole, 310 KB each; on a link of 7 Mbit/s a daemon that reads the store itself fell behind by more versions with each poll, and came to a version every 3 s (log: 28, 30 and 34 adopted at 26.8 s, 55 at 29.8 s). After a poll with more than one version the daemon lists the store now, which brings the newest only, and of several versions in one answer only the newest is adopted. The pause is 0.5 s.

store_sync_task_test.ts fails without the listing (polls after 3, and adopts 2).

--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -16,7 +16,7 @@
 /** Longest time that the store may hold a poll, in ms. */
 const POLL_WAIT_MS = 3_000;
 /** Pause after a poll with events, so that a series costs few calls, in ms. */
-const COALESCE_MS = 800;
+const COALESCE_MS = 500;
 /** Time in which the own poll should bring a version others have, in ms. */
 const HEARSAY_GRACE_MS = COALESCE_MS + 200;
 /** Shortest and longest pause after a failed call, in ms. */
@@ -193,12 +193,47 @@
       return undefined;
     }
     this.#apply(result);
-    if (result.events.length > 0) await sleep(COALESCE_MS);
-    return result.revision;
+    if (result.events.length === 0) return result.revision;
+    await sleep(COALESCE_MS);
+    const versions = result.events.filter(({ key }) => key === source.key);
+    return versions.length > 1
+      ? await this.#catchUp(result.revision)
+      : result.revision;
+  }
+
+  /**
+   * Reads what the store holds now. In a series of versions a poll brings each
+   * of them whole, and a slow link falls behind by more with each poll.
+   */
+  async #catchUp(afterRevision: number): Promise<number> {
+    const { store, source, directory, ownKey } = this.#options;
+    const listed = await store.list(source.watchPrefix);
+    this.#count("list", listed.isOk());
+    if (listed.isErr()) {
+      await this.#backOff(listed.error.message);
+      return afterRevision;
+    }
+    const { entries, revision } = listed.value;
+    const present = new Set(entries.map(({ key }) => key));
+    const known = [...directory.entries].map(({ record }) =>
+      RECORD_PREFIX + record.instance
+    );
+    const events = [
+      ...entries.filter((entry) => entry.modRevision > afterRevision)
+        .map((entry) => ({ key: entry.key, entry })),
+      ...[...new Set([...known, ownKey])].filter((key) => !present.has(key))
+        .map((key) => ({ key })),
+    ];
+    this.#apply({ events, revision });
+    return revision;
   }
 
   #apply(news: FeedNews): void {
-    for (const { key, entry } of news.events) {
+    const { source } = this.#options;
+    const newest = news.events.findLast(({ key }) => key === source.key);
+    for (const event of news.events) {
+      const { key, entry } = event;
+      if (key === source.key && event !== newest) continue;
       if (entry === undefined) this.#missing(key);
       else this.#put(entry);
     }
--- /dev/null
+++ b/src/sidecar/store_sync_task_test.ts
@@ -0,0 +1,94 @@
+import { Buffer } from "node:buffer";
+import { setTimeout as sleep } from "node:timers/promises";
+import { okAsync, ResultAsync } from "neverthrow";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { MeshConfig } from "../protocol/mesh.ts";
+import type { StoreEntry } from "../protocol/store.ts";
+import { BackendDirectory } from "../state/backend_directory.ts";
+import { RouteTableHolder } from "../state/route_table_holder.ts";
+import { EventLog } from "../transport/observe/event_log.ts";
+import { TextMetrics } from "../transport/observe/text_metrics.ts";
+import type { FeedFollower } from "./feed_follower.ts";
+import type { MeshStore } from "./ports.ts";
+import { StoreSyncTask } from "./store_sync_task.ts";
+
+const KEY = "config";
+/** Longer than the pause after a poll with events, in ms. */
+const RUN_MS = 900;
+
+function versionAt(modRevision: number): StoreEntry {
+  const value = Buffer.from(String(modRevision));
+  return { key: KEY, value, modRevision, leaseId: "0" };
+}
+
+function decode(bytes: Uint8Array): MeshConfig {
+  const version = Number(Buffer.from(bytes).toString());
+  return {
+    version,
+    routes: [],
+    services: [],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  } as unknown as MeshConfig;
+}
+
+// Guards against versions that come into force seconds late over a slow link:
+// each poll brought all versions of a series whole, and more with each poll.
+test("StoreSyncTask reads the newest version after a poll that brought several", async () => {
+  const calls: string[] = [];
+  const listed = [versionAt(1), versionAt(9)];
+  const routes = new RouteTableHolder();
+  const adopted: number[] = [];
+  const store = {
+    list: () => {
+      calls.push("list");
+      const entry = listed.shift()!;
+      return okAsync({ entries: [entry], revision: entry.modRevision });
+    },
+    poll: ({ afterRevision }: { readonly afterRevision: number }) => {
+      calls.push(`poll after ${afterRevision}`);
+      const events = [2, 3].map((revision) => ({
+        key: KEY,
+        entry: versionAt(revision),
+      }));
+      return afterRevision === 1
+        ? okAsync({ kind: "events" as const, events, revision: 3 })
+        : ResultAsync.fromSafePromise(sleep(RUN_MS)).map(() => ({
+          kind: "events" as const,
+          events: [],
+          revision: afterRevision,
+        }));
+    },
+  } as unknown as MeshStore;
+  const task = new StoreSyncTask({
+    store,
+    source: { key: KEY, watchPrefix: "", decode },
+    routes,
+    directory: new BackendDirectory(),
+    log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
+    metrics: new TextMetrics(),
+    ownKey: "own",
+    follower: {
+      poll: () => Promise.resolve(undefined),
+    } as unknown as FeedFollower,
+    onConfig: () => adopted.push(routes.version),
+    onOwnRecord: () => {},
+    onGone: () => {},
+  });
+  const ended = new AbortController();
+  const running = task.run(ended.signal);
+  await sleep(RUN_MS);
+  ended.abort();
+  await running;
+  assert.equal({ calls, adopted }, {
+    calls: ["list", "poll after 1", "list", "poll after 9"],
+    adopted: [1, 3, 9],
+  });
+});
+
+test.run();
