--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -206,7 +206,8 @@
    * of them whole, and a slow link falls behind by more with each poll.
    */
   async #catchUp(afterRevision: number): Promise<number> {
-    const { store, source, directory, ownKey } = this.#options;
+    const { store, source, directory, ownKey, routes } = this.#options;
+    const versionBefore = routes.version;
     const listed = await store.list(source.watchPrefix);
     this.#count("list", listed.isOk());
     if (listed.isErr()) {
@@ -225,15 +226,15 @@
         .map((key) => ({ key })),
     ];
     this.#apply({ events, revision });
-    return revision;
+    const hasChanged = events.some(({ key }) => key === source.key);
+    // The last write may be no newer version, and hide one that was before it.
+    return hasChanged && routes.version === versionBefore
+      ? afterRevision
+      : revision;
   }
 
   #apply(news: FeedNews): void {
-    const { source } = this.#options;
-    const newest = news.events.findLast(({ key }) => key === source.key);
-    for (const event of news.events) {
-      const { key, entry } = event;
-      if (key === source.key && event !== newest) continue;
+    for (const { key, entry } of news.events) {
       if (entry === undefined) this.#missing(key);
       else this.#put(entry);
     }
--- a/src/sidecar/store_sync_task_test.ts
+++ b/src/sidecar/store_sync_task_test.ts
@@ -37,11 +37,11 @@
   } as unknown as MeshConfig;
 }
 
-// Guards against versions that come into force seconds late over a slow link:
-// each poll brought all versions of a series whole, and more with each poll.
-test("StoreSyncTask reads the newest version after a poll that brought several", async () => {
+/** What a task asks and adopts in a series, given what listings bring. */
+async function follow(
+  listed: StoreEntry[],
+): Promise<{ calls: string[]; adopted: number[] }> {
   const calls: string[] = [];
-  const listed = [versionAt(1), versionAt(9)];
   const routes = new RouteTableHolder();
   const adopted: number[] = [];
   const store = {
@@ -85,9 +85,25 @@
   await sleep(RUN_MS);
   ended.abort();
   await running;
-  assert.equal({ calls, adopted }, {
+  return { calls, adopted };
+}
+
+// Guards against versions that come into force seconds late over a slow link:
+// each poll brought all versions of a series whole, and more with each poll.
+test("StoreSyncTask reads the newest version after a poll that brought several", async () => {
+  assert.equal(await follow([versionAt(1), versionAt(9)]), {
     calls: ["list", "poll after 1", "list", "poll after 9"],
-    adopted: [1, 3, 9],
+    adopted: [1, 2, 3, 9],
+  });
+});
+
+// Guards against a version that is never seen, as an older one was written
+// after it: a listing brings the last write only.
+test("StoreSyncTask polls on from before a listing without a newer version", async () => {
+  const older = { ...versionAt(1), modRevision: 9 };
+  assert.equal(await follow([versionAt(1), older]), {
+    calls: ["list", "poll after 1", "list", "poll after 3"],
+    adopted: [1, 2, 3],
   });
 });
 
