Read on past what a configuration holds that is unknown; keep large responses in their domain

The choice of a destination counted the bytes of the request's body only, so responses of 90 KB crossed failure domains three times in four.

The size of the responses is learned for each route and counts like the body's bytes, with a cap that lets a failing local server be left.

Weighed: a kind of its own, or a declared size.

--- a/src/coordination/dispatch/choose_destination.ts
+++ b/src/coordination/dispatch/choose_destination.ts
@@ -8,8 +8,10 @@
 const MAX_REMOTE_COMPARED = 4;
 /** Cost of leaving the local failure domain, as an equivalent wait in ms. */
 const REMOTE_PENALTY_MS = 60;
-/** Additional cost per body byte sent to another failure domain, in ms. */
+/** Additional cost per byte that crosses failure domains, in ms. */
 const REMOTE_PENALTY_PER_BYTE_MS = 0.01;
+/** Most of the cost by bytes, so that a failing local server is left, in ms. */
+const MAX_BYTES_PENALTY_MS = 600;
 /** Cost of a request that is certain to fail, as an equivalent wait in ms. */
 const FAILURE_PENALTY_MS = 1_500;
 /** Range of the random cost that spreads equal destinations, in ms. */
@@ -19,6 +21,8 @@
 export interface ChoiceOptions {
   readonly route: string;
   readonly bodyBytes: number;
+  /** Expected size of the response, in bytes. */
+  readonly responseBytes: number;
   readonly localDomain: string;
   /** Monotonic time. */
   readonly nowMs: number;
@@ -39,7 +43,8 @@
 
 /**
  * Chooses the destination with the lowest expected response time, with a
- * preference for the local failure domain that grows with the size of the body.
+ * preference for the local failure domain that grows with the size of the body
+ * and of the expected response.
  *
  * @param records Backend servers of the service that accept requests.
  * @param options The request, and the statistics of the destinations.
@@ -99,8 +104,12 @@
     : 0;
   const waitMs = queueWaitMs + permitWaitMs;
   const isRemote = record.domain !== options.localDomain;
+  const transferredBytes = options.bodyBytes + options.responseBytes;
   const remotePenaltyMs = isRemote
-    ? REMOTE_PENALTY_MS + options.bodyBytes * REMOTE_PENALTY_PER_BYTE_MS
+    ? REMOTE_PENALTY_MS + Math.min(
+      MAX_BYTES_PENALTY_MS,
+      transferredBytes * REMOTE_PENALTY_PER_BYTE_MS,
+    )
     : 0;
   const failurePenaltyMs = stats.failureShare(nowMs) * FAILURE_PENALTY_MS;
   const jitterMs = options.random.fraction() * JITTER_MS;
--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -11,3 +11,4 @@
 export * from "./service_times.ts";
 export * from "./choose_target.ts";
 export * from "./work_queue.ts";
+export * from "./response_sizes.ts";
--- a/src/protocol/mesh.ts
+++ b/src/protocol/mesh.ts
@@ -21,7 +21,7 @@
   readonly host: string;
   /** Begins and ends with a slash. */
   readonly prefix: string;
-  /** At least one; several share the requests by weight. */
+  /** Several share the requests by weight; none if they could not be read. */
   readonly targets: readonly RouteTarget[];
   readonly kind: RequestKind;
   /** Longest time that a caller waits for a response. */
@@ -50,9 +50,18 @@
   readonly idleTimeoutMs: number;
 }
 
+/** A part of a configuration that this version of the daemon cannot read. */
+export interface ConfigGap {
+  /** Name of the route or service; empty where it has none. */
+  readonly subject: string;
+  /** What was not read, and what holds in its place. */
+  readonly reason: string;
+}
+
 /** One complete version of the mesh's configuration. */
 export interface MeshConfig {
   readonly version: number;
+  readonly gaps: readonly ConfigGap[];
   readonly routes: readonly MeshRoute[];
   readonly services: readonly MeshService[];
   readonly limits: RequestLimits;
--- a/src/sidecar/forward_types.ts
+++ b/src/sidecar/forward_types.ts
@@ -1,4 +1,5 @@
 import type { Buffer } from "node:buffer";
+import type { ResponseSizes } from "../coordination/dispatch/mod.ts";
 import type { WindowedRetryBudget } from "../coordination/retry/windowed_retry_budget.ts";
 import type { MeshRoute } from "../protocol/mesh.ts";
 import type { MeshAnswer } from "../protocol/mesh_call.ts";
@@ -38,6 +39,7 @@
   readonly destinations: DestinationPool;
   readonly directory: BackendDirectory;
   readonly random: Random;
+  readonly responseSizes: ResponseSizes;
   readonly domain: string;
   readonly callerService: string;
   readonly budgetOf: (service: string) => WindowedRetryBudget;
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -193,11 +193,13 @@
   }
 
   #chooseDestination(): DestinationChoice | undefined {
-    const { directory, destinations, random, domain } = this.#context;
+    const { directory, destinations, random, domain, responseSizes } =
+      this.#context;
     const { service, route, body } = this.#request;
     return chooseDestination(directory.readyBackends(service), {
       route: route.name,
       bodyBytes: body?.length ?? 0,
+      responseBytes: responseSizes.expectedBytes(route.name),
       localDomain: domain,
       nowMs: performance.now(),
       excluded: this.#excluded,
@@ -276,6 +278,10 @@
       case "answered":
         this.#countArrival(attempt);
         if (outcome.answer.status < 500) {
+          this.#context.responseSizes.record(
+            this.#request.route.name,
+            outcome.answer.body.length,
+          );
           return {
             kind: "done",
             result: { kind: "answered", answer: outcome.answer },
--- a/src/sidecar/request_forwarder_test.ts
+++ b/src/sidecar/request_forwarder_test.ts
@@ -1,7 +1,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { DestinationStats } from "../coordination/dispatch/mod.ts";
+import {
+  DestinationStats,
+  ResponseSizes,
+} from "../coordination/dispatch/mod.ts";
 import { WindowedRetryBudget } from "../coordination/retry/windowed_retry_budget.ts";
 import {
   type BackendRecord,
@@ -66,6 +69,7 @@
     destinations,
     directory,
     random: new Random(1),
+    responseSizes: new ResponseSizes(),
     domain: "a",
     callerService: "web",
     budgetOf: () => budget,
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from "node:http";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
+import { ResponseSizes } from "../coordination/dispatch/mod.ts";
 import { WindowedRetryBudget } from "../coordination/retry/windowed_retry_budget.ts";
 import { Random } from "../protocol/random.ts";
 import { messageOf } from "../protocol/step_error.ts";
@@ -265,6 +266,10 @@
 
   #registerGauges(): void {
     this.#metrics.gauge("config_version", () => this.#routes.version);
+    this.#metrics.gauge(
+      "config_gaps",
+      () => this.#routes.current?.config.gaps.length ?? 0,
+    );
     this.#metrics.gauge("backends_known", () => this.#directory.size);
     this.#metrics.gauge("requests_open", () => this.#ingress.openRequests);
     this.#metrics.gauge(
@@ -290,6 +295,7 @@
         destinations: this.#destinations,
         directory: this.#directory,
         random: new Random(process.pid ^ Date.now()),
+        responseSizes: new ResponseSizes(),
         domain,
         callerService: service,
         budgetOf: (name) => this.#budgetOf(name),
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import type { BackendRecord } from "../protocol/mesh.ts";
+import type { BackendRecord, ConfigGap } from "../protocol/mesh.ts";
 import { messageOf } from "../protocol/step_error.ts";
 import type { StoreEntry } from "../protocol/store.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
@@ -63,6 +63,7 @@
   #isConnected = false;
   #hasListed = false;
   #isRefreshing = false;
+  readonly #loggedGaps = new Set<string>();
   #sweepTimer: NodeJS.Timeout | undefined;
 
   /**
@@ -283,12 +284,27 @@
         version: config.version,
         routes: config.routes.length,
       });
+      this.#logGaps(config.gaps);
       onConfigAdopted();
     } catch (error) {
       log.error("config-unreadable", { reason: messageOf(error) });
     }
   }
 
+  /** Logs each reason once, as later versions mostly repeat it. */
+  #logGaps(gaps: readonly ConfigGap[]): void {
+    for (const reason of new Set(gaps.map((gap) => gap.reason))) {
+      if (this.#loggedGaps.has(reason)) continue;
+      this.#loggedGaps.add(reason);
+      const subjects = gaps.filter((gap) => gap.reason === reason);
+      this.#options.log.warn("config-gap", {
+        reason,
+        count: subjects.length,
+        first: subjects[0]!.subject,
+      });
+    }
+  }
+
   #markMissing(key: string): void {
     if (!key.startsWith(RECORD_PREFIX)) return;
     if (key === this.#options.localKey) {
--- a/src/sidecar/store_sync_task_test.ts
+++ b/src/sidecar/store_sync_task_test.ts
@@ -28,6 +28,7 @@
     version,
     routes: [],
     services: [],
+    gaps: [],
     limits: {
       maxHeaderBytes: 1,
       maxBodyBytes: 1,
--- a/src/state/route_table_test.ts
+++ b/src/state/route_table_test.ts
@@ -26,6 +26,7 @@
     route("other", "b.example", "/stock/"),
   ],
   services: [{ name: "stock", healthPath: "/health", maxConnections: 10 }],
+  gaps: [],
   limits: {
     maxHeaderBytes: 1,
     maxBodyBytes: 1,
