Estimate service times by the pace of a backend server within its service

Cause: a daemon kept one average for each route and backend server. Without a sample it took 50 ms for any server and route, and one short call made a server look fast for long orders; a fast 500 counted as a short service time. At 194 daemons a pair meets once in 24 s, so most choices were made on such figures.

Change: service times are averaged by route over the service; a backend server has one pace relative to it, fed by its successful requests of all routes, which returns to 1 without samples.

--- a/src/coordination/dispatch/choose_destination.ts
+++ b/src/coordination/dispatch/choose_destination.ts
@@ -115,6 +115,6 @@
   const jitterMs = options.random.fraction() * JITTER_MS;
   const cost = waitMs + serviceMs + remotePenaltyMs + failurePenaltyMs +
     jitterMs;
-  const isShort = stats.serviceTimes.isShort(route);
+  const isShort = stats.isShort(route);
   return { record, waitMs, serviceMs, isShort, cost };
 }
--- a/src/coordination/dispatch/destination_stats.ts
+++ b/src/coordination/dispatch/destination_stats.ts
@@ -5,6 +5,7 @@
 } from "../../protocol/mesh_call.ts";
 import { Ejection } from "../routing/ejection.ts";
 import { DecayingAverage } from "./decaying_average.ts";
+import { BackendPace } from "./backend_pace.ts";
 import { ServiceTimes } from "./service_times.ts";
 
 /** Time constant with which the weight of a load report decays, in ms. */
@@ -42,7 +43,7 @@
  * ```
  */
 export class DestinationStats {
-  readonly serviceTimes = new ServiceTimes();
+  readonly #pace: BackendPace;
   readonly #transitMs = new DecayingAverage();
   readonly #permitWaitMs = new DecayingAverage();
   readonly #unreachable = new Ejection(MAX_UNREACHABLE_MS);
@@ -54,6 +55,15 @@
   #failureShare = 0;
   #failureShareAtMs = 0;
 
+  /**
+   * Creates the statistics of a destination without requests so far.
+   *
+   * @param serviceTimes Service times over all destinations of its service.
+   */
+  constructor(serviceTimes = new ServiceTimes()) {
+    this.#pace = new BackendPace(serviceTimes);
+  }
+
   /**
    * Records that a request is sent.
    *
@@ -76,7 +86,9 @@
     this.#inFlight--;
     switch (outcome.kind) {
       case "answered":
-        this.serviceTimes.record(route, outcome.serviceMs);
+        if (outcome.answer.status < 500) {
+          this.#pace.record(route, outcome.serviceMs, nowMs);
+        }
         this.#recordResult(outcome.answer.status >= 500, nowMs);
         return;
       case "not-run":
@@ -175,7 +187,7 @@
     nowMs: number,
     slots: number,
   ): { readonly waitMs: number; readonly serviceMs: number } {
-    const serviceMs = this.serviceTimes.expectedMs(route);
+    const serviceMs = this.#pace.expectedMs(route, nowMs);
     const limit = Math.max(1, this.#load?.limit ?? slots);
     const weight = this.#reportWeight(nowMs);
     const reported = (this.#load?.running ?? 0) + (this.#load?.queued ?? 0);
@@ -200,6 +212,11 @@
     return wait.waitMs * weight + wait.sentSince * perRequestMs;
   }
 
+  /** Returns whether requests of a route are short for the service. */
+  isShort(route: string): boolean {
+    return this.#pace.isShort(route);
+  }
+
   #reportWeight(nowMs: number): number {
     return Math.exp(-(nowMs - this.#reportedAtMs) / REPORT_DECAY_MS);
   }
--- a/src/coordination/dispatch/destination_stats_test.ts
+++ b/src/coordination/dispatch/destination_stats_test.ts
@@ -2,13 +2,15 @@
 import * as assert from "uvu/assert";
 import { MeshReason } from "../../protocol/mesh_call.ts";
 import { DestinationStats } from "./destination_stats.ts";
+import { ServiceTimes } from "./service_times.ts";
 
 const LOAD = { running: 12, queued: 30, limit: 12, failureShare: 0 };
 
 test("estimate() keeps the waits of long orders and short calls apart", () => {
-  const stats = new DestinationStats();
-  stats.serviceTimes.record("order", 300);
-  stats.serviceTimes.record("call", 60);
+  const times = new ServiceTimes();
+  times.record("order", 300);
+  times.record("call", 60);
+  const stats = new DestinationStats(times);
   stats.recordLoad("call", { ...LOAD, waitMs: 20 }, 0);
   stats.recordLoad("order", { ...LOAD, waitMs: 900 }, 0);
   const waits = ["call", "order"].map((route) =>
--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./transfer_limiter.ts";
+export * from "./backend_pace.ts";
 export * from "./choose_destination.ts";
 export * from "./destination_stats.ts";
 export * from "./decaying_average.ts";
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -1,7 +1,10 @@
 import type { EventLog } from "../transport/observe/event_log.ts";
 import { LogRateLimiter } from "../transport/observe/log_rate_limiter.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
-import { DestinationStats } from "../coordination/dispatch/mod.ts";
+import {
+  DestinationStats,
+  ServiceTimes,
+} from "../coordination/dispatch/mod.ts";
 import type { ChangeBatch } from "../protocol/feed.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
 import type { MeshCall } from "../protocol/mesh_call.ts";
@@ -48,6 +51,8 @@
 export class DestinationPool {
   readonly #options: DestinationPoolOptions;
   readonly #destinations = new Map<string, Destination>();
+  /** Service times over all destinations of a service. */
+  readonly #serviceTimes = new Map<string, ServiceTimes>();
   readonly #statusLines: LogRateLimiter;
 
   /**
@@ -163,6 +168,15 @@
     return { outcome, load: dispatcher.loadFor(call) };
   }
 
+  #serviceTimesOf(service: string): ServiceTimes {
+    let times = this.#serviceTimes.get(service);
+    if (times === undefined) {
+      times = new ServiceTimes();
+      this.#serviceTimes.set(service, times);
+    }
+    return times;
+  }
+
   #findOrCreate(record: BackendRecord): Destination {
     const known = this.#destinations.get(record.instance);
     const isSame = known?.id === record.id &&
@@ -172,7 +186,7 @@
     const destination = {
       id: record.id,
       address: record.peerAddress,
-      stats: new DestinationStats(),
+      stats: new DestinationStats(this.#serviceTimesOf(record.service)),
       client: new PeerClient(record, {
         onStatusReport: (report) => this.#recordStatusReport(record, report),
       }),
