Weigh bytes between domains against the time to the objective

Cause: a lookup with a response of 5 KB left its domain for 110 ms of expected time, so a slow local server sent most of them across although both met the objective. The expected transit counted as a queue, so requests were refused as too late at servers with free slots.

Change: a byte weighs 0.05 ms, at most half of the time to the objective; only time behind other requests makes the strict limit apply.

--- a/src/coordination/dispatch/choose_destination.ts
+++ b/src/coordination/dispatch/choose_destination.ts
@@ -9,9 +9,11 @@
 /** Cost of leaving the local failure domain, as an equivalent wait in ms. */
 const REMOTE_PENALTY_MS = 60;
 /** Additional cost per byte that crosses failure domains, in ms. */
-const REMOTE_PENALTY_PER_BYTE_MS = 0.01;
+const REMOTE_PENALTY_PER_BYTE_MS = 0.05;
 /** Most of the cost by bytes, so that a failing local server is left, in ms. */
 const MAX_BYTES_PENALTY_MS = 600;
+/** Share of the time to the objective that bytes may keep a request waiting. */
+const MAX_BYTES_PENALTY_SHARE = 0.5;
 /** Cost of a request that is certain to fail, as an equivalent wait in ms. */
 const FAILURE_PENALTY_MS = 1_500;
 /** Range of the random cost that spreads equal destinations, in ms. */
@@ -23,6 +25,7 @@
   readonly bodyBytes: number;
   /** Expected size of the response, in bytes. */
   readonly responseBytes: number;
+  readonly objectiveAtMs: number;
   readonly localDomain: string;
   /** Monotonic time. */
   readonly nowMs: number;
@@ -36,6 +39,8 @@
 export interface DestinationChoice {
   readonly record: BackendRecord;
   readonly waitMs: number;
+  /** The part of the wait that is spent behind other requests. */
+  readonly queueMs: number;
   readonly serviceMs: number;
   /** Whether the request is short compared to the destination's average. */
   readonly isShort: boolean;
@@ -94,7 +99,7 @@
 ): DestinationChoice & { readonly cost: number } {
   const { nowMs, route } = options;
   const stats = options.statsOf(record);
-  const { waitMs: queueWaitMs, serviceMs } = stats.estimate(
+  const estimate = stats.estimate(
     route,
     nowMs,
     record.slots,
@@ -102,19 +107,29 @@
   const permitWaitMs = needsTransferPermit(options.bodyBytes, record.linkMbps)
     ? stats.expectedPermitWaitMs(nowMs)
     : 0;
-  const waitMs = queueWaitMs + permitWaitMs;
+  const { serviceMs } = estimate;
+  const waitMs = estimate.waitMs + permitWaitMs;
+  const queueMs = estimate.queueMs + permitWaitMs;
   const isRemote = record.domain !== options.localDomain;
-  const transferredBytes = options.bodyBytes + options.responseBytes;
-  const remotePenaltyMs = isRemote
-    ? REMOTE_PENALTY_MS + Math.min(
-      MAX_BYTES_PENALTY_MS,
-      transferredBytes * REMOTE_PENALTY_PER_BYTE_MS,
-    )
-    : 0;
+  const remotePenaltyMs = isRemote ? computeRemotePenaltyMs(options) : 0;
   const failurePenaltyMs = stats.failureShare(nowMs) * FAILURE_PENALTY_MS;
   const jitterMs = options.random.fraction() * JITTER_MS;
   const cost = waitMs + serviceMs + remotePenaltyMs + failurePenaltyMs +
     jitterMs;
   const isShort = stats.isShort(route);
-  return { record, waitMs, serviceMs, isShort, cost };
+  return { record, waitMs, queueMs, serviceMs, isShort, cost };
+}
+
+/**
+ * Bytes between domains are dear, but a request is not kept from its objective
+ * for them.
+ */
+function computeRemotePenaltyMs(options: ChoiceOptions): number {
+  const bytes = options.bodyBytes + options.responseBytes;
+  const slackMs = Math.max(0, options.objectiveAtMs - options.nowMs);
+  return REMOTE_PENALTY_MS + Math.min(
+    MAX_BYTES_PENALTY_MS,
+    bytes * REMOTE_PENALTY_PER_BYTE_MS,
+    slackMs * MAX_BYTES_PENALTY_SHARE,
+  );
 }
--- a/src/coordination/dispatch/destination_stats.ts
+++ b/src/coordination/dispatch/destination_stats.ts
@@ -180,13 +180,18 @@
    * @param route Name of its route.
    * @param nowMs Monotonic time, in ms.
    * @param slots Slots that the backend server announced.
-   * @returns The wait and the service time, in ms.
+   * @returns The wait, its part spent behind other requests, and the service
+   * time, in ms.
    */
   estimate(
     route: string,
     nowMs: number,
     slots: number,
-  ): { readonly waitMs: number; readonly serviceMs: number } {
+  ): {
+    readonly waitMs: number;
+    readonly queueMs: number;
+    readonly serviceMs: number;
+  } {
     const serviceMs = this.#pace.expectedMs(route, nowMs);
     const limit = Math.max(1, this.#load?.limit ?? slots);
     const weight = this.#reportWeight(nowMs);
@@ -196,16 +201,17 @@
     const slowdownMs = Math.min(1, busy / limit) ** 3 * serviceMs *
       FULL_LOAD_SLOWDOWN;
     const isFull = busy >= limit;
-    return {
-      waitMs:
-        this.#estimateWaitMs(route, nowMs, isFull ? serviceMs / limit : 0) +
-        slowdownMs + this.#transitMs.valueAt(nowMs),
-      serviceMs,
-    };
+    const queueMs = this.#estimateQueueMs(
+      route,
+      nowMs,
+      isFull ? serviceMs / limit : 0,
+    );
+    const waitMs = queueMs + slowdownMs + this.#transitMs.valueAt(nowMs);
+    return { waitMs, queueMs, serviceMs };
   }
 
   /** Uses the route's own wait, as the queue's order depends on the route. */
-  #estimateWaitMs(route: string, nowMs: number, perRequestMs: number): number {
+  #estimateQueueMs(route: string, nowMs: number, perRequestMs: number): number {
     const wait = this.#waits.get(route);
     if (wait === undefined) return perRequestMs;
     const weight = Math.exp((wait.atMs - nowMs) / REPORT_DECAY_MS);
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -34,6 +34,9 @@
  */
 const MAX_RETRY_AFTER_SHARE = 0.33;
 
+/** Shortest time behind other requests from which a queue exists, in ms. */
+const MIN_QUEUE_MS = 5;
+
 /** One send of the request to a destination. */
 interface Attempt {
   readonly choice: DestinationChoice;
@@ -179,7 +182,7 @@
   #isQueueTooLong(choice: DestinationChoice): boolean {
     const expectedEndMs = performance.now() + choice.waitMs + choice.serviceMs;
     const times = { ...this.#request, arrivedAtMs: this.#arrivedAtMs };
-    const latestEndMs = choice.waitMs > 0
+    const latestEndMs = choice.queueMs >= MIN_QUEUE_MS
       ? effectiveDeadlineMs(times, choice.isShort)
       : times.deadlineMs;
     if (expectedEndMs <= latestEndMs) return false;
@@ -195,11 +198,12 @@
   #chooseDestination(): DestinationChoice | undefined {
     const { directory, destinations, random, domain, responseSizes } =
       this.#context;
-    const { service, route, body } = this.#request;
+    const { service, route, body, objectiveAtMs } = this.#request;
     return chooseDestination(directory.readyBackends(service), {
       route: route.name,
       bodyBytes: body?.length ?? 0,
       responseBytes: responseSizes.expectedBytes(route.name),
+      objectiveAtMs,
       localDomain: domain,
       nowMs: performance.now(),
       excluded: this.#excluded,
