--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -7,7 +7,7 @@
 } from "../coordination/dispatch/mod.ts";
 import type { ChangeBatch } from "../protocol/feed.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
-import type { MeshCall } from "../protocol/mesh_call.ts";
+import type { CallOutcome, MeshCall } from "../protocol/mesh_call.ts";
 import { CallStatus } from "../protocol/peer_call.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
@@ -22,6 +22,7 @@
 /** Options of a {@linkcode DestinationPool}. */
 export interface DestinationPoolOptions {
   readonly instance: string;
+  readonly domain: string;
   readonly directory: BackendDirectory;
   readonly routes: RouteTableHolder;
   readonly dispatcher: BackendDispatcher;
@@ -117,6 +118,9 @@
       });
     const nowMs = performance.now();
     stats.recordOutcome(call.route, result.outcome, nowMs);
+    if (record.domain !== this.#options.domain) {
+      this.#countRemoteBytes(call, result.outcome);
+    }
     if (result.load !== undefined) {
       stats.recordLoad(call.route, result.load, nowMs);
     }
@@ -159,6 +163,18 @@
     });
   }
 
+  #countRemoteBytes(call: MeshCall, outcome: CallOutcome): void {
+    const requestBytes = call.body?.length ?? 0;
+    const responseBytes = outcome.kind === "answered"
+      ? outcome.answer.body.length
+      : 0;
+    this.#options.metrics.count(
+      "remote_bytes_total",
+      { route: call.route },
+      requestBytes + responseBytes,
+    );
+  }
+
   async #executeLocally(
     call: MeshCall,
     signal: AbortSignal,
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -115,6 +115,7 @@
     });
     this.#destinations = new DestinationPool({
       instance: settings.instance,
+      domain: settings.domain,
       directory: this.#directory,
       routes: this.#routes,
       dispatcher: this.#dispatcher,
