Restart without a change in the store

Cause: a stopping daemon wrote its record as away after a fifth of the grace period and as ready after its restart, each time with a new lease. Others left its backend server alone from then on until the second change had come, some 5 s, and each change cost all daemons work.

Change: the record stays. A stopping daemon refuses requests of other daemons from 1.8 s on, by when its own callers have left; they leave it out for a second and send on at once, as nothing ran. The next process adopts the lease of the record that it finds.

--- a/src/coordination/dispatch/destination_stats.ts
+++ b/src/coordination/dispatch/destination_stats.ts
@@ -92,6 +92,10 @@
         this.#recordResult(outcome.answer.status >= 500, nowMs);
         return;
       case "not-run":
+        // Its record stays as it is while its daemon restarts.
+        if (outcome.reason === MeshReason.Leaving) {
+          this.recordUnreachable(nowMs);
+        }
         if (outcome.hasReachedBackend || ABSENT_REASONS.has(outcome.reason)) {
           this.#recordResult(true, nowMs);
         }
--- a/src/coordination/dispatch/destination_stats_test.ts
+++ b/src/coordination/dispatch/destination_stats_test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { MeshReason } from "../../protocol/mesh_call.ts";
+import { MeshReason, notRunOutcome } from "../../protocol/mesh_call.ts";
 import { DestinationStats } from "./destination_stats.ts";
 import { ServiceTimes } from "./service_times.ts";
 
@@ -38,6 +38,20 @@
   ]);
 });
 
+// Pattern: machines restart in turn, and their records do not say so.
+test("isUnreachable() is true for a second after a stopping daemon's refusal", () => {
+  const stats = new DestinationStats();
+  stats.recordSend("order");
+  stats.recordOutcome("order", notRunOutcome(MeshReason.Leaving), 0);
+  stats.recordLoad("order", { ...LOAD, waitMs: 0 }, 0);
+  assert.equal([0, 900, 1_100].map((nowMs) => stats.isUnreachable(nowMs)), [
+    true,
+    true,
+    false,
+  ]);
+  assert.is(stats.failureShare(0), 0);
+});
+
 test("failureShare() rises if a daemon reports no backend server", () => {
   const stats = new DestinationStats();
   for (let index = 0; index < 3; index++) {
--- a/src/protocol/mesh.ts
+++ b/src/protocol/mesh.ts
@@ -71,8 +71,6 @@
 export enum BackendState {
   Ready = "ready",
   Draining = "draining",
-  /** The backend server still runs, but its local daemon is stopping. */
-  DaemonStopping = "away",
 }
 
 /** Announcement of a backend server to its local daemon. */
--- a/src/sidecar/backend_lifecycle.ts
+++ b/src/sidecar/backend_lifecycle.ts
@@ -37,7 +37,6 @@
 export class BackendLifecycle {
   readonly #options: BackendLifecycleOptions;
   #hasRecovered = false;
-  #isDaemonStopping = false;
 
   /**
    * Creates a lifecycle before any announcement.
@@ -48,12 +47,6 @@
     this.#options = options;
   }
 
-  /** Publishes that this daemon is stopping, so that others avoid it. */
-  publishDaemonStopping(): void {
-    this.#isDaemonStopping = true;
-    this.#publish(BackendState.DaemonStopping);
-  }
-
   /**
    * Restores the backend server that an earlier daemon process recorded.
    *
@@ -69,7 +62,6 @@
         this.#options.backend.restoreDrained(record.id, record.bornAtUnixMs);
         return;
       case BackendState.Ready:
-      case BackendState.DaemonStopping:
         void this.#recoverReady(record);
     }
   }
@@ -121,11 +113,7 @@
       case "started":
         this.#logBackend("backend-started", announcement);
         this.#options.dispatcher.connect(announcement);
-        this.#publish(
-          this.#isDaemonStopping
-            ? BackendState.DaemonStopping
-            : BackendState.Ready,
-        );
+        this.#publish(BackendState.Ready);
         return;
       case "draining":
         this.#logBackend("backend-draining", announcement);
--- a/src/sidecar/graceful_shutdown.ts
+++ b/src/sidecar/graceful_shutdown.ts
@@ -2,6 +2,11 @@
 const LATEST_END_SHARE = 0.95;
 /** Share of the grace period in which every request is admitted. */
 const LENIENT_SHARE = 0.45;
+/**
+ * Time for which requests of other daemons are admitted, in ms: until the
+ * callers have left this instance, which takes two failed readiness checks.
+ */
+const PEERS_ADMITTED_MS = 1_800;
 /** Time needed to send a timeout response before the process ends, in ms. */
 const RESPONSE_MARGIN_MS = 100;
 
@@ -19,6 +24,7 @@
 export class GracefulShutdown {
   #endAtMs = Infinity;
   #lenientUntilMs = Infinity;
+  #peersUntilMs = Infinity;
 
   /** Monotonic time of the end; infinite before {@linkcode begin}. */
   get endAtMs(): number {
@@ -34,6 +40,7 @@
   begin(nowMs: number, graceMs: number): void {
     this.#endAtMs = nowMs + graceMs * LATEST_END_SHARE;
     this.#lenientUntilMs = nowMs + graceMs * LENIENT_SHARE;
+    this.#peersUntilMs = nowMs + PEERS_ADMITTED_MS;
   }
 
   /**
@@ -60,4 +67,17 @@
     return nowMs < this.#lenientUntilMs ||
       deadlineMs + RESPONSE_MARGIN_MS <= this.#endAtMs;
   }
+
+  /**
+   * Reports whether a request of another daemon is admitted. They are refused
+   * earlier, since that daemon can choose another backend server at once, and
+   * this process can only end without running requests.
+   *
+   * @param deadlineMs Monotonic time until which its caller waits.
+   * @param nowMs Monotonic time.
+   * @returns Whether it is admitted.
+   */
+  admitsPeer(deadlineMs: number, nowMs: number): boolean {
+    return nowMs < this.#peersUntilMs && this.admits(deadlineMs, nowMs);
+  }
 }
--- a/src/sidecar/graceful_shutdown_test.ts
+++ b/src/sidecar/graceful_shutdown_test.ts
@@ -39,4 +39,16 @@
   assert.equal(shutdown.admits(60_000, 5_690), false);
 });
 
+test("GracefulShutdown.admitsPeer() refuses other daemons once callers have left", () => {
+  const shutdown = new GracefulShutdown();
+  const before = shutdown.admitsPeer(60_000, 0);
+  shutdown.begin(0, GRACE_MS);
+  const times = [1_700, 1_900];
+  assert.equal({
+    before,
+    peer: times.map((nowMs) => shutdown.admitsPeer(2_000, nowMs)),
+    caller: times.map((nowMs) => shutdown.admits(2_000, nowMs)),
+  }, { before: true, peer: [true, false], caller: [true, true] });
+});
+
 test.run();
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -221,7 +221,7 @@
   ): Promise<CallOutcome> {
     const { dispatcher, shutdown } = this.#options;
     if (!arrival.mayRun) return notRunOutcome(MeshReason.Unreachable);
-    if (!shutdown.admits(call.deadlineMs, performance.now())) {
+    if (!shutdown.admitsPeer(call.deadlineMs, performance.now())) {
       return notRunOutcome(MeshReason.Leaving);
     }
     await arrival.readPendingClose();
--- a/src/sidecar/record_publisher.ts
+++ b/src/sidecar/record_publisher.ts
@@ -17,6 +17,9 @@
 /** Pause before a failed write is retried, in ms. */
 const RETRY_DELAY_MS = 300;
 
+/** Lease of an entry that does not expire. */
+const NO_LEASE = "0";
+
 /** Options of a {@linkcode RecordPublisher}. */
 export interface RecordPublisherOptions {
   readonly store: MeshStore;
@@ -70,13 +73,20 @@
   }
 
   /**
-   * Compares the entry that the store reports with the desired record.
+   * Compares the entry that the store reports with the desired record, and
+   * adopts the lease of an earlier process of this daemon, so that a restart
+   * changes nothing in the store.
    *
    * @param entry The entry under the record's key, if any.
    * @returns The stored record, if any.
    */
   handleStoredEntry(entry: StoreEntry | undefined): BackendRecord | undefined {
     this.#stored = entry?.value;
+    if (this.#leaseId === undefined && hasLease(entry)) {
+      this.#leaseId = entry.leaseId;
+      this.#renewAtMs = performance.now();
+      this.#wake?.();
+    }
     if (!isEqual(this.#stored, this.#desired)) this.#wake?.();
     return entry && decodeRecord(entry.value);
   }
@@ -158,6 +168,10 @@
   }
 }
 
+function hasLease(entry: StoreEntry | undefined): entry is StoreEntry {
+  return entry !== undefined && entry.leaseId !== NO_LEASE;
+}
+
 function isEqual(
   a: Uint8Array | undefined,
   b: Uint8Array | undefined,
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -30,10 +30,8 @@
 const BUDGET_RATIO_SHARE = 0.5;
 /** Share of the fleet-wide retry slack that all daemons together use. */
 const BUDGET_SLACK_SHARE = 0.7;
-/** Share of the grace period before which the process does not end. */
-const EARLIEST_END_SHARE = 0.4;
-/** Share of the grace period after which others avoid this backend server. */
-const DAEMON_STOPPING_SHARE = 0.2;
+/** Earliest end of a stopping process: once its callers have left, in ms. */
+const EARLIEST_END_MS = 2_400;
 /** Time without requests after which a stopping process ends, in ms. */
 const QUIET_PERIOD_MS = 400;
 /** Time for callers to notice that their connections close, in ms. */
@@ -210,11 +208,6 @@
       open: this.#ingress.openRequests,
     });
     this.#ingress.disableKeepAlive();
-    // The backend server stays in use until callers have left this instance.
-    setTimeout(
-      () => this.#lifecycle.publishDaemonStopping(),
-      graceMs * DAEMON_STOPPING_SHARE,
-    );
     this.#shutdown.begin(startedAtMs, graceMs);
     const { endAtMs } = this.#shutdown;
     await waitUntil((nowMs) =>
@@ -254,8 +247,7 @@
   }
 
   #isQuiet(startedAtMs: number, nowMs: number): boolean {
-    const { graceMs } = this.#settings;
-    if (nowMs - startedAtMs < graceMs * EARLIEST_END_SHARE) return false;
+    if (nowMs - startedAtMs < EARLIEST_END_MS) return false;
     return this.#isIdle() &&
       nowMs - this.#ingress.lastRequestAtMs > QUIET_PERIOD_MS;
   }
