Take a refusal without a request id only on a connection's first exchange

A backend server that writes an earlier refusal once more on a kept connection, without the id of a request, was taken to refuse the request that it was running: the caller was told that it had not run, or it ran at a second backend server.

Change: a response knows whether its connection has carried another request. A refusal that names none counts only on the first exchange; else the outcome is unknown and the connection is closed.

Test replaced: classifyResponse() took an unnamed refusal on any connection; the test now tells both apart.

--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -255,13 +255,8 @@
       path: call.path,
       headers: this.#buildHeaders(call, remainingMs),
       body: call.body,
-      accepts: (status, headers) =>
-        isMatchingResponse({
-          call,
-          status,
-          headers,
-          headerNames: this.#headers,
-        }),
+      accepts: (head) =>
+        isMatchingResponse({ ...head, call, headerNames: this.#headers }),
       ...(isIdempotent ? {} : { maxIdleMs: AT_MOST_ONCE_MAX_IDLE_MS }),
     }, signal);
     const outcome = classifyResponse({
--- a/src/sidecar/backend_response.ts
+++ b/src/sidecar/backend_response.ts
@@ -1,6 +1,9 @@
 import type { CallOutcome, MeshCall } from "../protocol/mesh_call.ts";
 import { MeshReason, notRunOutcome } from "../protocol/mesh_call.ts";
-import type { PoolResult } from "../transport/http/lifo_connection_pool.ts";
+import type {
+  PoolResponseHead,
+  PoolResult,
+} from "../transport/http/lifo_connection_pool.ts";
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import type { EdgeHeaders } from "./ports.ts";
 
@@ -10,11 +13,8 @@
 const MISDIRECTED_STATUS = 421;
 
 /** The head of a response, with the request that it should belong to. */
-export interface ResponseHead {
+export interface ResponseHead extends PoolResponseHead {
   readonly call: MeshCall;
-  readonly status: number;
-  /** Names and values in turn. */
-  readonly headers: readonly string[];
   readonly headerNames: EdgeHeaders;
 }
 
@@ -74,8 +74,8 @@
       ? { kind: "unknown", reason: MeshReason.Broken }
       : notRunOutcome(MeshReason.Unreachable);
   }
-  const { status, headers, body } = result;
-  const head = { call, status, headers, headerNames };
+  const { status, headers, isFirst, body } = result;
+  const head = { call, status, headers, isFirst, headerNames };
   const fields = toHeaderMap(headers);
   if (isRejection(head, fields)) {
     return {
@@ -96,14 +96,17 @@
   };
 }
 
-/** A rejection that names another request does not apply to this one. */
+/**
+ * A rejection that names another request does not apply to this one. One that
+ * names none may be a late copy, unless the connection has carried no other.
+ */
 function isRejection(
   head: ResponseHead,
   fields: ReadonlyMap<string, string>,
 ): boolean {
-  const { call, status, headerNames } = head;
+  const { call, status, isFirst, headerNames } = head;
   const id = fields.get(headerNames.requestId);
-  if (id !== undefined && id !== call.id) return false;
+  if (id === undefined ? !isFirst : id !== call.id) return false;
   return fields.has(headerNames.notRun) || status === MISDIRECTED_STATUS;
 }
 
--- a/src/sidecar/backend_response_test.ts
+++ b/src/sidecar/backend_response_test.ts
@@ -32,11 +32,16 @@
   backendId: "backend",
 };
 
-function classify(status: number, headers: readonly string[]): string {
+function classify(
+  status: number,
+  headers: readonly string[],
+  isFirst = false,
+): string {
   const result: PoolResult = {
     kind: "answer",
     status,
     headers,
+    isFirst,
     body: Buffer.from("x"),
     isMismatched: false,
   };
@@ -71,15 +76,19 @@
 test("classifyResponse() accepts only a rejection of the request", () => {
   const outcomes = [
     classify(503, ["id", "r1", "not-run", "1"]),
+    classify(400, ["not-run", "1"], true),
+    classify(421, ["backend", "i-2"], true),
     classify(400, ["not-run", "1"]),
     classify(421, ["backend", "i-2"]),
-    classify(503, ["id", "r0", "not-run", "1"]),
+    classify(503, ["id", "r0", "not-run", "1"], true),
   ];
   assert.equal(outcomes, [
     "not-run:shed",
     "not-run:shed",
     "not-run:shed",
     "unknown:malformed",
+    "unknown:malformed",
+    "unknown:malformed",
   ]);
 });
 
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -231,7 +231,7 @@
       path: call.path,
       headers: [...call.headers, HEADER_CALL, description],
       body: call.body,
-      accepts: (_status, headers) => findResult(headers) !== undefined,
+      accepts: ({ headers }) => findResult(headers) !== undefined,
     }, signal);
     if (result.kind === "failed") return result;
     return { ...result, description: findResult(result.headers) };
--- a/src/transport/http/lifo_connection_pool.ts
+++ b/src/transport/http/lifo_connection_pool.ts
@@ -33,21 +33,30 @@
   readonly body: Buffer | undefined;
   /** Maximum idle time of a connection to be reused, in ms. */
   readonly maxIdleMs?: number;
-  /** Checks from the head whether a response belongs to this request. */
-  readonly accepts?: (status: number, headers: readonly string[]) => boolean;
+  /** Checks whether a response belongs to this request. */
+  readonly accepts?: (head: PoolResponseHead) => boolean;
+}
+
+/** The head of a response. */
+export interface PoolResponseHead {
+  readonly status: number;
+  /** Alternating names and values, as received. */
+  readonly headers: readonly string[];
+  /**
+   * Whether its connection has carried no other request. A response that names
+   * no request can only then be told from one to an earlier request.
+   */
+  readonly isFirst: boolean;
 }
 
 /** Result of a request. */
 export type PoolResult =
-  | {
+  | (PoolResponseHead & {
     readonly kind: "answer";
-    readonly status: number;
-    /** Alternating names and values, as received. */
-    readonly headers: readonly string[];
     readonly body: Buffer;
     /** Whether it belongs to another request; the body is empty then. */
     readonly isMismatched: boolean;
-  }
+  })
   | {
     readonly kind: "failed";
     /** Whether the request may have reached the peer. */
@@ -66,6 +75,8 @@
   /** Collects the current response on the connection. */
   collector: ResponseCollector | undefined;
   usedAtMs: number;
+  /** Whether it has carried a request before the current one. */
+  isReused: boolean;
   /** Whether the connection ended with an error, not with the peer's FIN. */
   hasFailed: boolean;
 }
@@ -133,6 +144,7 @@
   #release(connection: Connection): void {
     const nowMs = performance.now();
     connection.usedAtMs = nowMs;
+    connection.isReused = true;
     this.#idle.push(connection);
     const oldest = this.#idle[0]!;
     if (nowMs - oldest.usedAtMs > KEEP_ALIVE_MS) {
@@ -169,6 +181,7 @@
       socket: undefined,
       collector: undefined,
       usedAtMs: 0,
+      isReused: false,
       hasFailed: false,
     };
     return connection;
@@ -221,6 +234,7 @@
       signal,
       accepts: request.accepts,
       initialReadBytes: connection.socket?.bytesRead ?? 0,
+      isFirst: !connection.isReused,
     });
     connection.collector = collector;
     try {
@@ -244,6 +258,7 @@
   readonly accepts: PoolRequest["accepts"];
   /** Bytes that were read from the connection before this exchange. */
   readonly initialReadBytes: number;
+  readonly isFirst: boolean;
 }
 
 /**
@@ -257,8 +272,7 @@
   readonly #onAbort = () => this.#abort("cancelled");
   /** Closes the connection; set once the request is being sent. */
   #disconnect: ((reason: Error) => void) | undefined;
-  #status = 0;
-  #headers: readonly string[] = [];
+  #head: PoolResponseHead | undefined;
   #chunks: Buffer[] = [];
   #isDone = false;
 
@@ -288,10 +302,13 @@
 
   onHeaders(status: number, rawHeaders: readonly Buffer[]): boolean {
     if (status < 200) return true;
-    this.#status = status;
-    this.#headers = rawHeaders.map((field) => field.toString("latin1"));
+    this.#head = {
+      status,
+      headers: rawHeaders.map((field) => field.toString("latin1")),
+      isFirst: this.#options.isFirst,
+    };
     // The body of a response to another request may be endless.
-    if (this.#options.accepts?.(status, this.#headers) === false) {
+    if (this.#options.accepts?.(this.#head) === false) {
       this.#succeed(Buffer.alloc(0), true);
     }
     return true;
@@ -322,13 +339,7 @@
   }
 
   #succeed(body: Buffer, isMismatched = false): void {
-    this.#finish({
-      kind: "answer",
-      status: this.#status,
-      headers: this.#headers,
-      body,
-      isMismatched,
-    });
+    this.#finish({ kind: "answer", ...this.#head!, body, isMismatched });
   }
 
   #abort(reason: string): void {
