Poll the store later in a new fleet, and ask readers sooner again

Cause: at the first start each record that was written ended the polls of all daemons, and a follower left a reader alone for 3 s that did not read yet, as daemons learn the records that choose the readers at different times; it read the store itself meanwhile.

Change: where the first listing has no configuration, the first poll comes 2 s later. A reader that refuses is asked again after 1 s, one that fails after 3 s as before.

--- a/src/protocol/feed.ts
+++ b/src/protocol/feed.ts
@@ -21,6 +21,14 @@
   readonly revision: number;
 }
 
+/** Result of polling a daemon for store changes. */
+export type FeedPollResult =
+  | { readonly kind: "changes"; readonly batch: ChangeBatch }
+  /** The daemon does not read the store, or cannot reach it. */
+  | { readonly kind: "refused" }
+  /** The daemon did not respond. */
+  | { readonly kind: "failed" };
+
 interface WireChange {
   readonly key: string;
   readonly value?: string;
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -5,7 +5,7 @@
   DestinationStats,
   ServiceTimes,
 } from "../coordination/dispatch/mod.ts";
-import type { ChangeBatch } from "../protocol/feed.ts";
+import type { FeedPollResult } from "../protocol/feed.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
 import type { CallOutcome, MeshCall } from "../protocol/mesh_call.ts";
 import { CallStatus } from "../protocol/peer_call.ts";
@@ -81,12 +81,12 @@
    *
    * @param record The backend server.
    * @param afterRevision Newest revision that was seen.
-   * @returns The changes; `undefined` if the daemon cannot provide them.
+   * @returns The changes, or why there are none; never rejects.
    */
   pollFeed(
     record: BackendRecord,
     afterRevision: number,
-  ): Promise<ChangeBatch | undefined> {
+  ): Promise<FeedPollResult> {
     return this.#findOrCreate(record).client.pollFeed(afterRevision);
   }
 
--- a/src/sidecar/feed_follower.ts
+++ b/src/sidecar/feed_follower.ts
@@ -1,12 +1,17 @@
 import { chooseReaders } from "../coordination/readers/mod.ts";
-import type { ChangeBatch } from "../protocol/feed.ts";
+import type { ChangeBatch, FeedPollResult } from "../protocol/feed.ts";
 import { hash32 } from "../protocol/hash.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 
 /** Time for which a reader that failed to respond is not polled, in ms. */
-const READER_PAUSE_MS = 3_000;
+const FAILED_PAUSE_MS = 3_000;
+/**
+ * Time for which a reader that does not read the store yet is not polled, in
+ * ms: daemons learn the records that make one a reader at different times.
+ */
+const REFUSED_PAUSE_MS = 1_000;
 
 /** Options of a {@linkcode FeedFollower}. */
 export interface FeedFollowerOptions {
@@ -17,7 +22,7 @@
   readonly pollFeed: (
     record: BackendRecord,
     afterRevision: number,
-  ) => Promise<ChangeBatch | undefined>;
+  ) => Promise<FeedPollResult>;
   readonly log: EventLog;
 }
 
@@ -57,12 +62,19 @@
     const reader = this.#chooseReader();
     this.#setReader(reader?.instance ?? "");
     if (reader === undefined) return undefined;
-    const update = await this.#options.pollFeed(reader, afterRevision);
-    if (update === undefined) {
-      const untilMs = performance.now() + READER_PAUSE_MS;
-      this.#pausedUntilMs.set(reader.instance, untilMs);
+    const result = await this.#options.pollFeed(reader, afterRevision);
+    switch (result.kind) {
+      case "changes":
+        return result.batch;
+      case "refused":
+        return this.#pause(reader, REFUSED_PAUSE_MS);
+      case "failed":
+        return this.#pause(reader, FAILED_PAUSE_MS);
     }
-    return update;
+  }
+
+  #pause(reader: BackendRecord, pauseMs: number): undefined {
+    this.#pausedUntilMs.set(reader.instance, performance.now() + pauseMs);
   }
 
   /** Returns a reader that is not paused; none if this daemon is a reader. */
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -3,8 +3,8 @@
   needsTransferPermit,
 } from "../coordination/dispatch/mod.ts";
 import {
-  type ChangeBatch,
   decodeFeed,
+  type FeedPollResult,
   formatFeedTarget,
 } from "../protocol/feed.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
@@ -190,19 +190,21 @@
    * Polls for the changes that the daemon has read from the store.
    *
    * @param afterRevision Newest revision that was seen.
-   * @returns The changes; `undefined` if the daemon cannot reach the store,
-   * does not read it, or does not respond.
+   * @returns The changes, or why there are none; never rejects.
    */
-  async pollFeed(afterRevision: number): Promise<ChangeBatch | undefined> {
+  async pollFeed(afterRevision: number): Promise<FeedPollResult> {
     const result = await this.#connections.send({
       method: "GET",
       path: formatFeedTarget(afterRevision, FEED_WAIT_MS),
       headers: [],
       body: undefined,
     }, AbortSignal.timeout(FEED_WAIT_MS + FEED_MARGIN_MS));
-    return result.kind === "answer" && result.status === 200
-      ? decodeFeed(result.body)
-      : undefined;
+    if (result.kind === "failed") return { kind: "failed" };
+    if (result.status !== 200) return { kind: "refused" };
+    const batch = decodeFeed(result.body);
+    return batch === undefined
+      ? { kind: "failed" }
+      : { kind: "changes", batch };
   }
 
   /** Closes idle connections, and the channel once its requests have ended. */
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -17,6 +17,11 @@
 const POLL_WAIT_MS = 3_000;
 /** Pause after a poll with events, so that a series needs few calls, in ms. */
 const COALESCE_MS = 500;
+/**
+ * Pause before the first poll of a store without a configuration, in ms. A new
+ * fleet's daemons record their backend servers then; one poll brings them all.
+ */
+const BOOTSTRAP_PAUSE_MS = 2_000;
 /** Time for a poll to deliver a version that another daemon has, in ms. */
 const PEER_VERSION_GRACE_MS = COALESCE_MS + 200;
 /** Shortest and longest backoff after a failed call, in ms. */
@@ -168,6 +173,7 @@
     if (!present.has(this.#options.localKey)) {
       this.#options.onLocalRecord(undefined);
     }
+    if (!present.has(configSource.key)) await sleep(BOOTSTRAP_PAUSE_MS);
     return revision;
   }
 
--- a/src/sidecar/store_sync_task_test.ts
+++ b/src/sidecar/store_sync_task_test.ts
@@ -40,7 +40,8 @@
 
 /** Runs a task during a series of versions; returns its calls and versions. */
 async function runSync(
-  listed: StoreEntry[],
+  listed: (StoreEntry | undefined)[],
+  runMs = RUN_MS,
 ): Promise<{ calls: string[]; adopted: number[] }> {
   const calls: string[] = [];
   const routes = new RouteTableHolder();
@@ -48,8 +49,11 @@
   const store = {
     list: () => {
       calls.push("list");
-      const entry = listed.shift()!;
-      return okAsync({ entries: [entry], revision: entry.modRevision });
+      const entry = listed.shift();
+      return okAsync({
+        entries: entry === undefined ? [] : [entry],
+        revision: entry?.modRevision ?? 1,
+      });
     },
     poll: ({ afterRevision }: { readonly afterRevision: number }) => {
       calls.push(`poll after ${afterRevision}`);
@@ -83,7 +87,7 @@
   });
   const stopped = new AbortController();
   const running = task.run(stopped.signal);
-  await sleep(RUN_MS);
+  await sleep(runMs);
   stopped.abort();
   await running;
   return { calls, adopted };
@@ -108,4 +112,11 @@
   });
 });
 
+// Pattern: a whole fleet starts for the first time, and each record ended the
+// polls of all its daemons.
+test("StoreSyncTask.run() polls later where the store has no configuration", async () => {
+  const { calls } = await runSync([undefined], 1_500);
+  assert.equal(calls, ["list"]);
+});
+
 test.run();
