Choose by the pace that a backend server reports; use a second queue

Cause: what a backend server says of itself was not read. A request that had expired in the queue of a slow one was refused, though others had free slots. Between daemons one unknown word of a later version made a whole message unreadable.

A request that expired in a queue is sent on where it can still be served, as it has not run. Calls and results take appended fields; an unknown kind runs at most once, an unknown reason becomes "other".

--- a/src/coordination/dispatch/choose_destination_test.ts
+++ b/src/coordination/dispatch/choose_destination_test.ts
@@ -61,6 +61,7 @@
     limit: 9,
     waitMs: local.waitMs,
     failureShare: 0,
+    pace: 1,
   }, 0);
   const free = new DestinationStats();
   for (let index = 0; index < (local.failures ?? 0); index++) {
--- a/src/coordination/dispatch/destination_stats.ts
+++ b/src/coordination/dispatch/destination_stats.ts
@@ -6,6 +6,7 @@
 import { Ejection } from "../routing/ejection.ts";
 import { DecayingAverage } from "./decaying_average.ts";
 import { BackendPace } from "./backend_pace.ts";
+import { MomentaryPace } from "./momentary_pace.ts";
 import { ServiceTimes } from "./service_times.ts";
 
 /** Time constant with which the weight of a load report decays, in ms. */
@@ -46,6 +47,7 @@
   readonly #pace: BackendPace;
   readonly #transitMs = new DecayingAverage();
   readonly #permitWaitMs = new DecayingAverage();
+  readonly #momentaryPace = new MomentaryPace();
   readonly #unreachable = new Ejection(MAX_UNREACHABLE_MS);
   #inFlight = 0;
   #load: DestinationLoad | undefined;
@@ -115,6 +117,7 @@
   recordLoad(route: string, load: DestinationLoad, nowMs: number): void {
     this.#load = load;
     this.#reportedAtMs = nowMs;
+    this.#momentaryPace.record(load.pace, nowMs);
     this.#waits.set(route, { waitMs: load.waitMs, atMs: nowMs, sentSince: 0 });
     this.#unreachable.resetBackoff();
   }
@@ -196,7 +199,8 @@
     readonly queueMs: number;
     readonly serviceMs: number;
   } {
-    const serviceMs = this.#pace.expectedMs(route, nowMs);
+    const serviceMs = this.#pace.expectedMs(route, nowMs) *
+      this.#momentaryPace.valueAt(nowMs);
     const limit = Math.max(1, this.#load?.limit ?? slots);
     const weight = this.#reportWeight(nowMs);
     const reported = (this.#load?.running ?? 0) + (this.#load?.queued ?? 0);
--- a/src/protocol/mesh_call.ts
+++ b/src/protocol/mesh_call.ts
@@ -58,6 +58,8 @@
   Cancelled = "cancelled",
   /** The timeout of the route or the caller passed at the backend server. */
   TimedOut = "timed-out",
+  /** A reason of a later version, which this one does not know. */
+  Other = "other",
 }
 
 /** Outcome of sending a request to one backend server. */
@@ -87,6 +89,8 @@
   readonly waitMs: number;
   /** Share of recent requests that failed at the backend server, 0 to 1. */
   readonly failureShare: number;
+  /** How long work takes at this moment, relative to usual. */
+  readonly pace: number;
 }
 
 /**
--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -27,6 +27,7 @@
 
 /** Separates the fields: few bytes, as each call between domains has them. */
 const SEPARATOR = ";";
+/** Fields of the first version; later versions append theirs. */
 const CALL_FIELDS = 10;
 const RESULT_FIELDS = 10;
 
@@ -105,17 +106,18 @@
  */
 export function parseCall(value: string): CallDescription | undefined {
   const fields = decodeFields(value);
-  if (fields?.length !== CALL_FIELDS) return undefined;
+  if (fields === undefined || fields.length < CALL_FIELDS) return undefined;
   const [id, route, kindCode, , callerService, service, backendId] =
     fields as string[];
-  const kind = KINDS_BY_CODE.get(kindCode!);
+  // The strictest guarantee holds for a kind of a later version.
+  const kind = KINDS_BY_CODE.get(kindCode!) ?? RequestKind.AtMostOnce;
   const priority = Number(fields[3]);
   const remainingMs = Number(fields[7]);
   const objectiveInMs = Number(fields[8]);
   const configVersion = Number(fields[9]);
   const areFinite = Number.isFinite(priority) && Number.isFinite(remainingMs) &&
     Number.isFinite(objectiveInMs) && Number.isFinite(configVersion);
-  if (kind === undefined || !areFinite) return undefined;
+  if (!areFinite) return undefined;
   return {
     id: id!,
     route: route!,
@@ -152,6 +154,7 @@
     load.failureShare.toFixed(2),
     configVersion,
     Math.round(result.heldMs),
+    load.pace.toFixed(2),
   ].join(SEPARATOR);
 }
 
@@ -282,7 +285,7 @@
  */
 export function parseResult(value: string): ResultDescription | undefined {
   const fields = value.split(SEPARATOR);
-  if (fields.length !== RESULT_FIELDS) return undefined;
+  if (fields.length < RESULT_FIELDS) return undefined;
   const outcome = parseOutcome(fields[0]!, fields[1]!, Number(fields[2]));
   if (outcome === undefined) return undefined;
   const numbers: number[] = [];
@@ -293,9 +296,10 @@
   }
   const [running, queued, limit, waitMs, failureShare, configVersion, heldMs] =
     numbers as [number, number, number, number, number, number, number];
+  const pace = Number(fields[RESULT_FIELDS]) || 1;
   return {
     outcome,
-    load: { running, queued, limit, waitMs, failureShare },
+    load: { running, queued, limit, waitMs, failureShare, pace },
     configVersion,
     heldMs,
   };
@@ -312,8 +316,7 @@
       ? { kind: "answered", serviceMs }
       : undefined;
   }
-  if (!REASONS.has(detail)) return undefined;
-  const reason = detail as MeshReason;
+  const reason = REASONS.has(detail) ? detail as MeshReason : MeshReason.Other;
   if (code === "u") return { kind: "unknown", reason };
   if (code !== "r" && code !== "n") return undefined;
   return {
--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -19,9 +19,14 @@
 import type { LocalBackend } from "../state/local_backend.ts";
 import {
   type DispatchResult,
+  MomentaryPace,
   WorkQueue,
 } from "../coordination/dispatch/mod.ts";
-import { classifyResponse, isMatchingResponse } from "./backend_response.ts";
+import {
+  classifyResponse,
+  isMatchingResponse,
+  readPace,
+} from "./backend_response.ts";
 import type { EdgeHeaders } from "./ports.ts";
 
 /** Weight of the newest outcome in the moving average of failures. */
@@ -81,6 +86,7 @@
   #connections: LifoConnectionPool | undefined;
   #address = "";
   #failureShare = 0;
+  readonly #pace = new MomentaryPace();
 
   /**
    * Creates a dispatcher without a backend server.
@@ -145,6 +151,7 @@
         arrivedAtMs: nowMs,
       }, nowMs),
       failureShare: this.#failureShare,
+      pace: this.#pace.valueAt(nowMs),
     };
   }
 
@@ -259,6 +266,7 @@
         isMatchingResponse({ ...head, call, headerNames: this.#headers }),
       ...(isIdempotent ? {} : { maxIdleMs: AT_MOST_ONCE_MAX_IDLE_MS }),
     }, signal);
+    if (result.kind === "answer") this.#recordPace(result.headers);
     const outcome = classifyResponse({
       call,
       result,
@@ -269,6 +277,11 @@
     return outcome;
   }
 
+  #recordPace(headers: readonly string[]): void {
+    const pace = readPace(headers, this.#headers.load);
+    if (pace !== undefined) this.#pace.record(pace, performance.now());
+  }
+
   #buildHeaders(call: MeshCall, remainingMs: number): string[] {
     return [
       ...call.headers,
--- a/src/sidecar/backend_response.ts
+++ b/src/sidecar/backend_response.ts
@@ -5,7 +5,7 @@
   PoolResult,
 } from "../transport/http/lifo_connection_pool.ts";
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
-import type { EdgeHeaders } from "./ports.ts";
+import type { EdgeHeaders, LoadHeader } from "./ports.ts";
 
 /** Headers that describe the framing of one response. */
 const FRAMING_HEADERS = new Set(["content-length"]);
@@ -96,6 +96,29 @@
   };
 }
 
+/**
+ * Reads how fast the backend server works at this moment.
+ *
+ * @param headers Alternating names and values.
+ * @param header The header that says so.
+ * @returns How long work takes relative to usual; `undefined` if not said.
+ *
+ * @example
+ * ```ts ignore
+ * const pace = readPace(result.headers, headerNames.load);
+ * ```
+ */
+export function readPace(
+  headers: readonly string[],
+  header: LoadHeader,
+): number | undefined {
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index]!.toLowerCase() !== header.name) continue;
+    return header.decodePace(headers[index + 1]!);
+  }
+  return undefined;
+}
+
 /**
  * A rejection that names another request does not apply to this one. One that
  * names none may be a late copy, unless the connection has carried no other.
--- a/src/sidecar/backend_response_test.ts
+++ b/src/sidecar/backend_response_test.ts
@@ -4,7 +4,7 @@
 import { RequestKind } from "../protocol/mesh.ts";
 import type { MeshCall } from "../protocol/mesh_call.ts";
 import type { PoolResult } from "../transport/http/lifo_connection_pool.ts";
-import { classifyResponse } from "./backend_response.ts";
+import { classifyResponse, readPace } from "./backend_response.ts";
 
 const CALL: MeshCall = {
   id: "r1",
@@ -30,6 +30,7 @@
   answerProof: "proof",
   notRun: "not-run",
   backendId: "backend",
+  load: { name: "load", decodePace: (value: string) => Number(value) },
 };
 
 function classify(
@@ -92,4 +93,13 @@
   ]);
 });
 
+test("readPace() reads the header that reports the pace", () => {
+  assert.equal(
+    [["id", "r1", "Load", "2.5"], ["id", "r1"]].map((headers) =>
+      readPace(headers, HEADER_NAMES.load)
+    ),
+    [2.5, undefined],
+  );
+});
+
 test.run();
--- a/src/sidecar/ports.ts
+++ b/src/sidecar/ports.ts
@@ -43,7 +43,7 @@
   decode(bytes: Uint8Array): MeshConfig;
 }
 
-/** Lower-case names of the headers that callers and backend servers use. */
+/** The headers that callers and backend servers use, with lower-case names. */
 export interface EdgeHeaders {
   readonly requestId: string;
   readonly timeoutMs: string;
@@ -54,6 +54,18 @@
   /** Marks a response to a request that the backend server did not run. */
   readonly notRun: string;
   readonly backendId: string;
+  readonly load: LoadHeader;
+}
+
+/** Header in which a backend server reports its load. */
+export interface LoadHeader {
+  /** In lower case. */
+  readonly name: string;
+  /**
+   * Decodes how long work takes at this moment, relative to usual; `undefined`
+   * if the value does not say.
+   */
+  readonly decodePace: (value: string) => number | undefined;
 }
 
 /** A call of the backend server or the instance to a control port. */
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -327,7 +327,6 @@
     if (isGone && entry?.missingSinceMs !== 0) {
       this.#context.directory.remove(record.instance);
     }
-    if (outcome.reason === MeshReason.Expired) return Retry.None;
     if (outcome.hasReachedBackend) {
       this.#countArrival(attempt);
       return Retry.Budgeted;
--- a/src/sidecar/request_forwarder_test.ts
+++ b/src/sidecar/request_forwarder_test.ts
@@ -11,7 +11,11 @@
   BackendState,
   RequestKind,
 } from "../protocol/mesh.ts";
-import { type CallOutcome, MeshReason } from "../protocol/mesh_call.ts";
+import {
+  type CallOutcome,
+  MeshReason,
+  notRunOutcome,
+} from "../protocol/mesh_call.ts";
 import { Random } from "../protocol/random.ts";
 import { BackendDirectory } from "../state/backend_directory.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
@@ -186,4 +190,14 @@
   assert.is(sends, 2);
 });
 
+// Pattern: a queue that grew behind a slow backend server while others are free.
+test("RequestForwarder.run() sends a request that expired in a queue to a free destination", async () => {
+  const { sent, result } = startForwarding(1, 2);
+  sent[0]!.end(notRunOutcome(MeshReason.Expired));
+  await sleep(10);
+  sent[1]?.end(notRunOutcome(MeshReason.Leaving));
+  const { kind } = await result;
+  assert.equal({ sends: sent.length, kind }, { sends: 2, kind: "refused" });
+});
+
 test.run();
