Take no single late announcement after a restart whose health check failed

A drain that was acknowledged while the store was down could not be recorded. After a restart the health check says 503, and the next announcement decided; a late one from before the drain put the backend server back in use.

--- a/src/sidecar/backend_lifecycle.ts
+++ b/src/sidecar/backend_lifecycle.ts
@@ -25,6 +25,13 @@
   readonly log: EventLog;
 }
 
+/** A recorded backend process that has not shown yet that it accepts requests. */
+interface UnprovenBackend {
+  readonly id: string;
+  /** Sequence of its first ready announcement; `undefined` before it. */
+  firstSequence: number | undefined;
+}
+
 /**
  * Tracks the state of the local backend server, and updates its dispatcher, the
  * directory and its record accordingly.
@@ -37,6 +44,8 @@
 export class BackendLifecycle {
   readonly #options: BackendLifecycleOptions;
   #hasRecovered = false;
+  /** Backend process that an earlier daemon process may have drained. */
+  #unproven: UnprovenBackend | undefined;
 
   /**
    * Creates a lifecycle before any announcement.
@@ -76,6 +85,7 @@
       name === record.service
     );
     if (service === undefined) return;
+    this.#unproven = { id: record.id, firstSequence: undefined };
     const takesWork = await probeBackend({
       address: this.#options.settings.backendAddress,
       healthPath: service.healthPath,
@@ -87,6 +97,7 @@
       takesWork,
     });
     if (!takesWork || this.#options.backend.isKnown) return;
+    this.#unproven = undefined;
     this.handleAnnouncement({
       id: record.id,
       service: record.service,
@@ -104,6 +115,7 @@
    * @param announcement The announcement.
    */
   handleAnnouncement(announcement: Announcement): void {
+    if (this.#mayBeOutdated(announcement)) return;
     const change = this.#options.backend.applyAnnouncement(announcement);
     switch (change.kind) {
       case "unchanged":
@@ -137,6 +149,26 @@
     if (last !== undefined) this.#publish(BackendState.Draining, last);
   }
 
+  /**
+   * Whether an announcement may be a late one, from before a drain that an
+   * earlier daemon process acknowledged and could not record. A second one
+   * shows that the backend server goes on to announce itself as ready.
+   */
+  #mayBeOutdated(announcement: Announcement): boolean {
+    const unproven = this.#unproven;
+    const isUnproven = unproven?.id === announcement.id &&
+      !this.#options.backend.isKnown &&
+      announcement.state === BackendState.Ready;
+    if (!isUnproven) return false;
+    const { firstSequence } = unproven;
+    unproven.firstSequence ??= announcement.sequence;
+    if (firstSequence !== undefined && announcement.sequence > firstSequence) {
+      return false;
+    }
+    this.#logBackend("backend-unproven", announcement);
+    return true;
+  }
+
   #logBackend(event: string, announcement: Announcement): void {
     this.#options.log.info(event, {
       backend: announcement.id,
