Share the dispatcher of two tests; name extra bytes by an enum

Cause: the test of faulty backend servers wrote the dispatcher of the test of waiting requests again. Change: local_dispatcher.ts serves both. No change of what they check.

--- a/tests/platform/faulty_backend.ts
+++ b/tests/platform/faulty_backend.ts
@@ -11,6 +11,15 @@
   ChunkedAndClose = "chunked-and-close",
 }
 
+/** What is written once more after a response. */
+export enum ExtraBytes {
+  None = "none",
+  SameResponse = "same-response",
+  /** The last refusal before this response, on whatever connection. */
+  EarlierRefusal = "earlier-refusal",
+  InterimResponse = "interim-response",
+}
+
 /** What a faulty backend server does with one request. */
 export interface ResponsePlan {
   readonly framing: Framing;
@@ -24,8 +33,7 @@
   readonly cutAt: number;
   /** Whether it ends with a reset, not orderly. */
   readonly isReset: boolean;
-  /** What is written once more after the response. */
-  readonly extra: "none" | "same" | "earlier-refusal" | "interim";
+  readonly extra: ExtraBytes;
   readonly extraDelayMs: number;
 }
 
@@ -136,10 +144,10 @@
     }
     if (isClosing(plan.framing)) return end(socket);
     const extra = {
-      none: "",
-      same: bytes,
-      "earlier-refusal": earlierRefusal,
-      interim: "HTTP/1.1 103 Early Hints\r\n\r\n",
+      [ExtraBytes.None]: "",
+      [ExtraBytes.SameResponse]: bytes,
+      [ExtraBytes.EarlierRefusal]: earlierRefusal,
+      [ExtraBytes.InterimResponse]: "HTTP/1.1 103 Early Hints\r\n\r\n",
     }[plan.extra];
     if (extra === "") return;
     if (plan.extraDelayMs === 0) socket.write(extra, "latin1");
--- a/tests/platform/faulty_backend_test.ts
+++ b/tests/platform/faulty_backend_test.ts
@@ -3,14 +3,15 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { EDGE_HEADERS } from "../../platform/edge_headers.ts";
-import { BackendState, RequestKind } from "../../src/protocol/mesh.ts";
-import type { CallOutcome, MeshCall } from "../../src/protocol/mesh_call.ts";
-import { BackendDispatcher } from "../../src/sidecar/backend_dispatcher.ts";
-import { LocalBackend } from "../../src/state/local_backend.ts";
-import { EventLog } from "../../src/transport/observe/event_log.ts";
-import { TextMetrics } from "../../src/transport/observe/text_metrics.ts";
-import { FaultyBackend, Framing, type ResponsePlan } from "./faulty_backend.ts";
+import { RequestKind } from "../../src/protocol/mesh.ts";
+import type { CallOutcome } from "../../src/protocol/mesh_call.ts";
+import {
+  ExtraBytes,
+  FaultyBackend,
+  Framing,
+  type ResponsePlan,
+} from "./faulty_backend.ts";
+import { createCall, createDispatcher } from "./local_dispatcher.ts";
 
 const RUNS = {
   seed: Number(process.env.FAULTY_BACKEND_SEED ?? 27),
@@ -27,52 +28,10 @@
   hasId: true,
   cutAt: 1,
   isReset: false,
-  extra: "none",
+  extra: ExtraBytes.None,
   extraDelayMs: 0,
 };
 
-function createCall(id: string): MeshCall {
-  const deadlineMs = performance.now() + TIMEOUT_MS;
-  return {
-    id,
-    method: "POST",
-    path: "/orders/1",
-    headers: ["host", "shop.example", EDGE_HEADERS.requestId, id],
-    body: undefined,
-    route: "orders",
-    kind: RequestKind.AtMostOnce,
-    priority: 0,
-    callerService: "shop",
-    service: "stock",
-    backendId: "i-1",
-    deadlineMs,
-    objectiveAtMs: deadlineMs,
-  };
-}
-
-function createDispatcher(address: string): BackendDispatcher {
-  const announcement = {
-    id: "i-1",
-    service: "stock",
-    address,
-    slots: 1,
-    state: BackendState.Ready,
-    sequence: 1,
-    bornAtUnixMs: 1,
-  };
-  const backend = new LocalBackend();
-  backend.applyAnnouncement(announcement);
-  const dispatcher = new BackendDispatcher({
-    backend,
-    headers: EDGE_HEADERS,
-    stalls: { hasStalled: false },
-    log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
-    metrics: new TextMetrics(),
-  });
-  dispatcher.connect(announcement);
-  return dispatcher;
-}
-
 /** Names what the outcome says wrongly about a request; empty if nothing. */
 function findFault(
   backend: FaultyBackend,
@@ -109,7 +68,11 @@
   for (const [index, pauseMs] of pauses.entries()) {
     const id = `r${index}`;
     const timeout = AbortSignal.timeout(TIMEOUT_MS);
-    const outcome = await dispatcher.execute(createCall(id), timeout);
+    const call = createCall(id, {
+      kind: RequestKind.AtMostOnce,
+      timeoutMs: TIMEOUT_MS,
+    });
+    const outcome = await dispatcher.execute(call, timeout);
     faults.push(findFault(backend, id, outcome));
     if (pauseMs > 0) await sleep(pauseMs);
   }
@@ -124,7 +87,7 @@
   hasId: fc.boolean(),
   cutAt: fc.oneof(fc.constant(1), fc.double({ min: 0, max: 1, noNaN: true })),
   isReset: fc.boolean(),
-  extra: fc.constantFrom("none", "same", "earlier-refusal", "interim"),
+  extra: fc.constantFrom(...Object.values(ExtraBytes)),
   extraDelayMs: fc.constantFrom(0, 1, 5),
 });
 
@@ -136,10 +99,14 @@
   const faults = [];
   for (const extraDelayMs of [0, 1, 5]) {
     for (const pauseMs of [0, 2]) {
-      const repeated = { ...refusal, extra: "same" as const, extraDelayMs };
+      const repeated = {
+        ...refusal,
+        extra: ExtraBytes.SameResponse,
+        extraDelayMs,
+      };
       const later = {
         ...SOUND,
-        extra: "earlier-refusal" as const,
+        extra: ExtraBytes.EarlierRefusal,
         extraDelayMs,
       };
       faults.push(
--- a/tests/platform/slot_wait_test.ts
+++ b/tests/platform/slot_wait_test.ts
@@ -2,62 +2,20 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { FakeBackend } from "../../platform/fakes/backend.ts";
-import { EDGE_HEADERS } from "../../platform/edge_headers.ts";
-import { BackendState, RequestKind } from "../../src/protocol/mesh.ts";
-import type { MeshCall } from "../../src/protocol/mesh_call.ts";
-import { BackendDispatcher } from "../../src/sidecar/backend_dispatcher.ts";
-import { LocalBackend } from "../../src/state/local_backend.ts";
-import { EventLog } from "../../src/transport/observe/event_log.ts";
-import { TextMetrics } from "../../src/transport/observe/text_metrics.ts";
+import { RequestKind } from "../../src/protocol/mesh.ts";
 import { until } from "../../testkit/until.ts";
+import {
+  BACKEND_ID,
+  createCall,
+  createDispatcher,
+} from "./local_dispatcher.ts";
 
 /** Longer than the test, so that a timer that is not cleared is detected. */
-const DEADLINE_MS = 60_000;
+const TIMEOUT_MS = 60_000;
+const OPTIONS = { kind: RequestKind.Idempotent, timeoutMs: TIMEOUT_MS };
 const WORK_MS = 20;
 const TIMER_END_TIMEOUT_MS = 5_000;
 
-function createCall(id: string): MeshCall {
-  const nowMs = performance.now();
-  return {
-    id,
-    method: "GET",
-    path: "/stock/1",
-    headers: ["host", "shop.example", EDGE_HEADERS.requestId, id],
-    body: undefined,
-    route: "stock",
-    kind: RequestKind.Idempotent,
-    priority: 0,
-    callerService: "shop",
-    service: "stock",
-    backendId: "i-1",
-    deadlineMs: nowMs + DEADLINE_MS,
-    objectiveAtMs: nowMs + DEADLINE_MS,
-  };
-}
-
-function createDispatcher(server: FakeBackend): BackendDispatcher {
-  const announcement = {
-    id: server.id,
-    service: "stock",
-    address: server.address,
-    slots: 1,
-    state: BackendState.Ready,
-    sequence: 1,
-    bornAtUnixMs: 1,
-  };
-  const backend = new LocalBackend();
-  backend.applyAnnouncement(announcement);
-  const dispatcher = new BackendDispatcher({
-    backend,
-    headers: EDGE_HEADERS,
-    stalls: { hasStalled: false },
-    log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
-    metrics: new TextMetrics(),
-  });
-  dispatcher.connect(announcement);
-  return dispatcher;
-}
-
 function countTimers(): number {
   return process.getActiveResourcesInfo()
     .filter((name) => name === "Timeout").length;
@@ -66,16 +24,16 @@
 // Guards against a leak: the timer and the listener of each request that had
 // waited for a slot stayed, with the request's body, until its deadline.
 test("execute() releases everything of a request that waited for a slot", async () => {
-  const server = await FakeBackend.start("i-1");
+  const server = await FakeBackend.start(BACKEND_ID);
   server.workMs = WORK_MS;
-  const dispatcher = createDispatcher(server);
+  const dispatcher = createDispatcher(server.address);
   const timersBefore = countTimers();
   const cancel = new AbortController();
   const outcomes = Promise.all([
     ...["a", "b", "c"].map((id) =>
-      dispatcher.execute(createCall(id), new AbortController().signal)
+      dispatcher.execute(createCall(id, OPTIONS), new AbortController().signal)
     ),
-    dispatcher.execute(createCall("d"), cancel.signal),
+    dispatcher.execute(createCall("d", OPTIONS), cancel.signal),
   ]);
   cancel.abort();
   const kinds = (await outcomes).map(({ kind }) => kind);
