Log the age of a daemon's view and where a version came from

Change: config-adopted has origin and the age of the view until then; new lines feed-poll-failed and route-unknown (version and age of what decided), gauge view_age_ms, counter routes_unknown_total. A reader reports the age of its view with each batch in a header. No decision changes.

--- a/src/protocol/feed.ts
+++ b/src/protocol/feed.ts
@@ -4,6 +4,11 @@
 
 /** Path at which a daemon serves the changes that it reads from the store. */
 export const FEED_PATH = "/.sesamepond/feed";
+/**
+ * Header of a response with the age of the responding daemon's view, in ms. It
+ * is not part of the body, which serves several polls.
+ */
+export const HEADER_VIEW_AGE = "x-sesamepond-view-age";
 /** The gzip level that uses the least CPU time. */
 const COMPRESSION_LEVEL = 1;
 
@@ -23,7 +28,12 @@
 
 /** Result of polling a daemon for store changes. */
 export type FeedPollResult =
-  | { readonly kind: "changes"; readonly batch: ChangeBatch }
+  | {
+    readonly kind: "changes";
+    readonly batch: ChangeBatch;
+    /** Age of the daemon's view when it responded, in ms. */
+    readonly viewAgeMs: number;
+  }
   /** The daemon does not read the store, or cannot reach it. */
   | { readonly kind: "refused" }
   /** The daemon did not respond. */
@@ -78,6 +88,26 @@
   return isValid ? { afterRevision, waitMs } : undefined;
 }
 
+/**
+ * Reads the age of the responding daemon's view.
+ *
+ * @param headers Alternating names and values.
+ * @returns The age, in ms; 0 for a daemon of an earlier version, which does not
+ * report it.
+ *
+ * @example
+ * ```ts
+ * readViewAgeMs(["x-sesamepond-view-age", "400"]); // 400
+ * ```
+ */
+export function readViewAgeMs(headers: readonly string[]): number {
+  const index = headers.findIndex((name, position) =>
+    position % 2 === 0 && name.toLowerCase() === HEADER_VIEW_AGE
+  );
+  const ageMs = Number(headers[index + 1]);
+  return index >= 0 && ageMs >= 0 ? ageMs : 0;
+}
+
 /**
  * Encodes a batch, compressed, as configurations are long and repetitive.
  *
--- a/src/sidecar/feed_follower.ts
+++ b/src/sidecar/feed_follower.ts
@@ -13,6 +13,12 @@
  */
 const REFUSED_PAUSE_MS = 1_000;
 
+/** Changes from a reader. */
+export interface FollowedBatch extends ChangeBatch {
+  /** Age of the reader's view when it responded, in ms. */
+  readonly viewAgeMs: number;
+}
+
 /** Options of a {@linkcode FeedFollower}. */
 export interface FeedFollowerOptions {
   readonly instance: string;
@@ -58,14 +64,22 @@
    * @returns The changes; `undefined` if the store itself has to be read, since
    * this daemon is a reader or no reader responds.
    */
-  async poll(afterRevision: number): Promise<ChangeBatch | undefined> {
+  async poll(afterRevision: number): Promise<FollowedBatch | undefined> {
     const reader = this.#chooseReader();
     this.#setReader(reader?.instance ?? "");
     if (reader === undefined) return undefined;
+    const sentAtMs = performance.now();
     const result = await this.#options.pollFeed(reader, afterRevision);
+    if (result.kind !== "changes") {
+      this.#options.log.info("feed-poll-failed", {
+        reader: reader.instance,
+        result: result.kind,
+        tookMs: Math.round(performance.now() - sentAtMs),
+      });
+    }
     switch (result.kind) {
       case "changes":
-        return result.batch;
+        return { ...result.batch, viewAgeMs: result.viewAgeMs };
       case "refused":
         return this.#pause(reader, REFUSED_PAUSE_MS);
       case "failed":
--- a/src/sidecar/feed_follower_test.ts
+++ b/src/sidecar/feed_follower_test.ts
@@ -51,7 +51,7 @@
 
 test("FeedFollower.poll() stays with a reader that has changes", async () => {
   const batch = { events: [], revision: 7 };
-  assert.equal(await poll({ kind: "changes", batch }, 3), {
+  assert.equal(await poll({ kind: "changes", batch, viewAgeMs: 0 }, 3), {
     asked: 1,
     polls: 3,
     revisions: [7, 7, 7],
--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -16,6 +16,7 @@
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
+import { LogRateLimiter } from "../transport/observe/log_rate_limiter.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import type { GracefulShutdown } from "./graceful_shutdown.ts";
 import type {
@@ -34,6 +35,9 @@
 /** Keep-alive timeout before a configuration is known, in ms. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
+/** Most log lines about requests without a route in a second. */
+const MAX_UNKNOWN_LINES_PER_S = 20;
+
 /** Options of an {@linkcode IngressServer}. */
 export interface IngressServerOptions {
   readonly routes: RouteTableHolder;
@@ -43,6 +47,8 @@
   readonly stalls: StallDetector;
   readonly log: EventLog;
   readonly metrics: TextMetrics;
+  /** Age of this daemon's view of the store, in ms. */
+  readonly viewAgeMs: () => number;
 }
 
 /** A response that this daemon generates itself. */
@@ -64,6 +70,7 @@
   readonly server: Server;
   readonly #options: IngressServerOptions;
   readonly #requestLog: RequestLog;
+  readonly #unknownLines: LogRateLimiter;
   readonly #droppedHeaders: ReadonlySet<string>;
   /** Longest timeout that callers have set, by the name of the route. */
   readonly #maxTimeoutMs = new Map<string, number>();
@@ -81,6 +88,10 @@
   constructor(options: IngressServerOptions) {
     this.#options = options;
     this.#requestLog = new RequestLog(options);
+    this.#unknownLines = new LogRateLimiter(
+      options.log,
+      MAX_UNKNOWN_LINES_PER_S,
+    );
     const { timeoutMs, callerService, expectedBackend } = options.headers;
     this.#droppedHeaders = new Set([
       timeoutMs,
@@ -147,7 +158,10 @@
     }
     const path = request.url ?? "/";
     const route = table.find(request.headers.host ?? "", path);
-    if (route === undefined) return this.#reject(response, id, { status: 404 });
+    if (route === undefined) {
+      this.#logUnknownRoute(id, table.config.version);
+      return this.#reject(response, id, { status: 404 });
+    }
     const read = await readBody(request, table.config.limits.maxBodyBytes);
     if (read.kind === "broken") return;
     if (read.kind === "too-large") {
@@ -270,6 +284,17 @@
     response.writeHead(reply.status, headers).end();
   }
 
+  #logUnknownRoute(id: string, configVersion: number): void {
+    const { log, metrics, viewAgeMs } = this.#options;
+    metrics.count("routes_unknown_total");
+    if (!this.#unknownLines.allows(performance.now())) return;
+    log.info("route-unknown", {
+      id,
+      configVersion,
+      viewAgeMs: Math.round(viewAgeMs()),
+    });
+  }
+
   #readHeader(request: IncomingMessage, name: string): string {
     const value = request.headers[name];
     return typeof value === "string" ? value : "";
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -6,6 +6,7 @@
   decodeFeed,
   type FeedPollResult,
   formatFeedTarget,
+  readViewAgeMs,
 } from "../protocol/feed.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
 import type { MeshCall } from "../protocol/mesh_call.ts";
@@ -202,9 +203,11 @@
     if (result.kind === "failed") return { kind: "failed" };
     if (result.status !== 200) return { kind: "refused" };
     const batch = decodeFeed(result.body);
-    return batch === undefined
-      ? { kind: "failed" }
-      : { kind: "changes", batch };
+    return batch === undefined ? { kind: "failed" } : {
+      kind: "changes",
+      batch,
+      viewAgeMs: readViewAgeMs(result.headers),
+    };
   }
 
   /** Closes idle connections, and the channel once its requests have ended. */
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -9,6 +9,7 @@
   type ChangeBatch,
   encodeFeed,
   FEED_PATH,
+  HEADER_VIEW_AGE,
   parseFeedTarget,
 } from "../protocol/feed.ts";
 import type { CallOutcome, MeshCall } from "../protocol/mesh_call.ts";
@@ -68,6 +69,8 @@
     afterRevision: number,
     waitMs: number,
   ) => Promise<ChangeBatch | undefined>;
+  /** Age of this daemon's view of the store, in ms. */
+  readonly viewAgeMs: () => number;
 }
 
 /**
@@ -331,7 +334,10 @@
       return;
     }
     const body = this.#encodeUpdate(update);
-    response.writeHead(200, { "content-length": body.length }).end(body);
+    response.writeHead(200, {
+      "content-length": body.length,
+      [HEADER_VIEW_AGE]: Math.round(this.#options.viewAgeMs()),
+    }).end(body);
   }
 
   /** Caches the last result: followers mostly need the same large update. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -135,6 +135,7 @@
         void this.#sync.handlePeerVersion(version, undefined),
       waitForUpdate: (afterRevision, waitMs) =>
         this.#sync.waitForUpdate(afterRevision, waitMs),
+      viewAgeMs: () => this.#sync.viewAgeMs(),
     });
     const { readyAddress, controlAddress } = settings;
     this.#controlServers = [...new Set([readyAddress, controlAddress])].map(
@@ -259,6 +260,10 @@
 
   #registerGauges(): void {
     this.#metrics.gauge("config_version", () => this.#routes.version);
+    this.#metrics.gauge(
+      "view_age_ms",
+      () => Math.round(this.#sync.viewAgeMs()),
+    );
     this.#metrics.gauge(
       "config_gaps",
       () => this.#routes.current?.config.gaps.length ?? 0,
@@ -284,6 +289,7 @@
       stalls: this.#eventLoop,
       log: this.#log,
       metrics: this.#metrics,
+      viewAgeMs: () => this.#sync.viewAgeMs(),
       forwarding: {
         destinations: this.#destinations,
         directory: this.#directory,
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -4,6 +4,7 @@
 import type { StoreEntry } from "../protocol/store.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
+import { ViewAge } from "../state/view_age.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { decodeRecord, RECORD_PREFIX } from "./backend_record_codec.ts";
@@ -32,6 +33,16 @@
 /** Pause between two checks for missing records, in ms. */
 const SWEEP_PERIOD_MS = 500;
 
+/** The way by which a configuration came. */
+enum ConfigOrigin {
+  Listing = "listing",
+  Poll = "poll",
+  Reader = "reader",
+  /** A read of the key, after another daemon named the version. */
+  KeyRead = "key-read",
+  Peer = "peer",
+}
+
 /** Options of a {@linkcode StoreSyncTask}. */
 export interface StoreSyncOptions {
   readonly store: MeshStore;
@@ -69,6 +80,7 @@
   #hasListed = false;
   #isRefreshing = false;
   readonly #loggedGaps = new Set<string>();
+  readonly #view = new ViewAge();
   #sweepTimer: NodeJS.Timeout | undefined;
 
   /**
@@ -85,6 +97,16 @@
     return this.#hasListed;
   }
 
+  /**
+   * Returns the time since this daemon's view of the store was last known to be
+   * complete. It leaves out the transit of the response that said so.
+   *
+   * @returns The age, in ms; infinite before the first response.
+   */
+  viewAgeMs(): number {
+    return this.#view.ageMs(performance.now());
+  }
+
   /**
    * Waits for changes that this daemon reads from the store.
    *
@@ -138,16 +160,22 @@
       this.#isRefreshing = false;
       return;
     }
-    log.info("config-behind-peer", { version, known: routes.version });
+    log.info("config-behind-peer", {
+      version,
+      known: routes.version,
+      viewAgeMs: Math.round(this.viewAgeMs()),
+    });
     const listed = await this.#options.store.list(
       this.#options.configSource.key,
     );
     if (listed.isOk()) {
-      for (const entry of listed.value.entries) this.#applyEntry(entry);
+      for (const entry of listed.value.entries) {
+        this.#applyEntry(entry, ConfigOrigin.KeyRead);
+      }
     }
     if (version > routes.version) {
       const bytes = await client?.fetchConfig();
-      if (bytes !== undefined) this.#adoptConfig(bytes);
+      if (bytes !== undefined) this.#adoptConfig(bytes, ConfigOrigin.Peer);
     }
     this.#isRefreshing = false;
   }
@@ -164,7 +192,10 @@
     this.#hasListed = true;
     const { entries, revision } = listed.value;
     this.#history.reset(revision);
-    for (const entry of entries) this.#applyEntry(entry);
+    for (const entry of entries) {
+      this.#applyEntry(entry, ConfigOrigin.Listing);
+    }
+    this.#view.confirm(performance.now());
     const present = new Set(entries.map((entry) => entry.key));
     for (const { record } of directory.entries) {
       const key = RECORD_PREFIX + record.instance;
@@ -182,7 +213,8 @@
     this.#isPollingStore = update === undefined;
     if (update === undefined) return await this.#pollStore(afterRevision);
     this.#markConnected();
-    this.#applyUpdate(update);
+    this.#applyUpdate(update, ConfigOrigin.Reader);
+    this.#view.confirm(performance.now() - update.viewAgeMs);
     return update.revision;
   }
 
@@ -204,7 +236,8 @@
       this.#options.log.warn("store-history-lost", { afterRevision });
       return undefined;
     }
-    this.#applyUpdate(result);
+    this.#applyUpdate(result, ConfigOrigin.Poll);
+    this.#view.confirm(performance.now());
     if (result.events.length === 0) return result.revision;
     await sleep(COALESCE_MS);
     const versions = result.events.filter(({ key }) =>
@@ -240,7 +273,8 @@
       ...[...new Set([...known, localKey])].filter((key) => !present.has(key))
         .map((key) => ({ key })),
     ];
-    this.#applyUpdate({ events, revision });
+    this.#applyUpdate({ events, revision }, ConfigOrigin.Listing);
+    this.#view.confirm(performance.now());
     const hasChanged = events.some(({ key }) => key === configSource.key);
     // The last write may be an older version that hides a newer one before it.
     return hasChanged && routes.version === versionBefore
@@ -248,17 +282,19 @@
       : revision;
   }
 
-  #applyUpdate(update: ChangeBatch): void {
+  #applyUpdate(update: ChangeBatch, origin: ConfigOrigin): void {
     for (const { key, entry } of update.events) {
       if (entry === undefined) this.#markMissing(key);
-      else this.#applyEntry(entry);
+      else this.#applyEntry(entry, origin);
     }
     this.#history.record(update.events, update.revision);
   }
 
-  #applyEntry(entry: StoreEntry): void {
+  #applyEntry(entry: StoreEntry, origin: ConfigOrigin): void {
     const { configSource, localKey, onLocalRecord } = this.#options;
-    if (entry.key === configSource.key) this.#adoptConfig(entry.value);
+    if (entry.key === configSource.key) {
+      this.#adoptConfig(entry.value, origin);
+    }
     if (!entry.key.startsWith(RECORD_PREFIX)) return;
     if (entry.key === localKey) onLocalRecord(entry);
     else this.#applyRecord(entry);
@@ -281,7 +317,7 @@
     }
   }
 
-  #adoptConfig(bytes: Uint8Array): void {
+  #adoptConfig(bytes: Uint8Array, origin: ConfigOrigin): void {
     const { configSource, routes, log, onConfigAdopted } = this.#options;
     try {
       const config = configSource.decode(bytes);
@@ -289,6 +325,8 @@
       log.info("config-adopted", {
         version: config.version,
         routes: config.routes.length,
+        origin,
+        viewAgeMs: Math.round(this.viewAgeMs()),
       });
       this.#logGaps(config.gaps);
       onConfigAdopted();
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -14,3 +14,4 @@
 export * from "./resource_set.ts";
 export * from "./route_table.ts";
 export * from "./route_table_holder.ts";
+export * from "./view_age.ts";
