--- a/src/sidecar/peer_client_test.ts
+++ b/src/sidecar/peer_client_test.ts
@@ -1,11 +1,65 @@
 import { type AddressInfo, createServer } from "node:net";
 import { Buffer } from "node:buffer";
+import { Worker } from "node:worker_threads";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { encodeFeed } from "../protocol/feed.ts";
 import { BackendState, RequestKind } from "../protocol/mesh.ts";
 import { encodeFrame, FrameKind, FrameReader } from "../protocol/call_frame.ts";
 import { CHANNEL_UPGRADE_RESPONSE } from "../transport/channel/channel_handshake.ts";
 import { PeerClient } from "./peer_client.ts";
+import type { StatusReport } from "./status_poller.ts";
+
+/** Longer than the time limit of a feed poll, in ms. */
+const STALL_MS = 1_500;
+/** Worker that serves a body and posts its port. */
+const SERVER_SOURCE = `
+  const { createServer } = require("node:http");
+  const { parentPort, workerData } = require("node:worker_threads");
+  const server = createServer((_request, response) => response.end(workerData));
+  server.listen(0, "127.0.0.1", () => parentPort.postMessage(server.address().port));
+`;
+
+function clientOf(
+  port: number,
+  onStatusReport: (report: StatusReport) => void = () => {},
+): PeerClient {
+  return new PeerClient({
+    id: "b",
+    instance: "i",
+    service: "stock",
+    domain: "a",
+    peerAddress: `127.0.0.1:${port}`,
+    slots: 1,
+    state: BackendState.Ready,
+    bornAtUnixMs: 1,
+    linkMbps: 0,
+  }, { onStatusReport });
+}
+
+// Guards against readers that are given up although they responded: after a
+// stall the time limit fired before the response was read.
+test("PeerClient.pollFeed() reads a response that came during a stall", async () => {
+  const batch = { events: [], revision: 7 };
+  const worker = new Worker(SERVER_SOURCE, {
+    eval: true,
+    workerData: encodeFeed(batch),
+  });
+  const port = await new Promise<number>((resolve) =>
+    worker.once("message", resolve)
+  );
+  const client = clientOf(port);
+  // Opens the connection.
+  await client.pollFeed(1);
+  const poll = client.pollFeed(1);
+  // The request leaves before the stall.
+  await new Promise((resolve) => setImmediate(resolve));
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STALL_MS);
+  const result = await poll;
+  client.close();
+  await worker.terminate();
+  assert.equal(result, { kind: "changes", batch, viewAgeMs: 0 });
+});
 
 // Guards against counting two unanswered status queries as consecutive although
 // the channel responded between them.
@@ -34,17 +88,8 @@
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const repeatCounts: number[] = [];
-  const client = new PeerClient({
-    id: "b",
-    instance: "i",
-    service: "stock",
-    domain: "a",
-    peerAddress: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    slots: 1,
-    state: BackendState.Ready,
-    bornAtUnixMs: 1,
-    linkMbps: 0,
-  }, { onStatusReport: ({ repeated }) => repeatCounts.push(repeated) });
+  const { port } = server.address() as AddressInfo;
+  const client = clientOf(port, ({ repeated }) => repeatCounts.push(repeated));
   const cancel = new AbortController();
   const nowMs = performance.now();
   let suspicions = 0;
--- a/tests/platform/readers_test.ts
+++ b/tests/platform/readers_test.ts
@@ -22,7 +22,10 @@
 async function withMesh(
   run: (mesh: FakeMesh) => Promise<void>,
 ): Promise<void> {
-  const mesh = await FakeMesh.start(DAEMON_COUNT, { domains: 1 });
+  const mesh = await FakeMesh.start(DAEMON_COUNT, {
+    domains: 1,
+    hasStoreProxies: true,
+  });
   try {
     // Polls that began before all records were known end with this change.
     mesh.store.put("sesamepond/nothing", "");
@@ -87,6 +90,20 @@
     await waitForAddedRoute(mesh, 2);
   }));
 
+// Guards against versions that are late at daemons with a sound path to the
+// store, as their readers had lost theirs and did not know it.
+test("a version is applied in time although both readers were just cut off from the store", () =>
+  withMesh(async (mesh) => {
+    // The readers' polls are held by the store from now on.
+    mesh.store.put("sesamepond/nothing", "2");
+    await sleep(800);
+    for (const { storeProxy } of mesh.instances.slice(0, 2)) {
+      storeProxy!.set({ kind: "silence" });
+    }
+    addRoute(mesh, 5);
+    await waitForAddedRoute(mesh, 2);
+  }));
+
 test("followers read the store themselves when it recovers", () =>
   withMesh(async (mesh) => {
     mesh.store.fault = StoreFault.Busy;
