Read what came during a stall before a time limit ends an exchange

What callers saw: routes of a new version refused with 404 (CONFIG).

Cause: after a stall of the event loop, timers run before sockets are read. A daemon without processor time gave up a reader whose response had come, left it aside for 3 s, did the same with the second one and then listed the store.

Change: the time limit of an exchange is a field of the request, and the pool lets the event loop read once more before it ends the exchange. All calls of the store, polls, status queries, health checks and transfer permits use it.

--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -199,7 +199,8 @@
       path: formatFeedTarget(afterRevision, FEED_WAIT_MS),
       headers: [],
       body: undefined,
-    }, AbortSignal.timeout(FEED_WAIT_MS + FEED_MARGIN_MS));
+      timeoutMs: FEED_WAIT_MS + FEED_MARGIN_MS,
+    });
     if (result.kind === "failed") return { kind: "failed" };
     if (result.status !== 200) return { kind: "refused" };
     const batch = decodeFeed(result.body);
@@ -258,16 +259,16 @@
       0,
       effectiveDeadlineMs(times, false) - requestedAtMs,
     );
-    // AbortSignal.timeout() accepts only whole numbers.
-    const timeout = AbortSignal.timeout(Math.ceil(maxWaitMs));
     const result = await this.#connections.send({
       method: "GET",
       path: formatTransferPermitTarget(call.id, maxWaitMs),
       headers: [],
       body: undefined,
-    }, AbortSignal.any([signal, timeout]));
+      timeoutMs: Math.ceil(maxWaitMs),
+    }, signal);
     if (result.kind === "failed") {
-      return timeout.aborted ? { waitMs: maxWaitMs } : undefined;
+      const hasTimedOut = performance.now() - requestedAtMs >= maxWaitMs;
+      return hasTimedOut ? { waitMs: maxWaitMs } : undefined;
     }
     if (result.status === 200) return undefined;
     return { waitMs: Number(result.body.toString()) || 0 };
@@ -302,17 +303,14 @@
    * new one. A connection without a response in time is not used again.
    */
   async #query(path: string): Promise<PoolResult> {
-    const timeout = new AbortController();
-    const timer = setTimeout(() => timeout.abort(ABANDONED), QUERY_TIMEOUT_MS);
-    const result = await this.#queryConnections.send({
+    return await this.#queryConnections.send({
       method: "GET",
       path,
       headers: [],
       body: undefined,
       maxIdleMs: QUERY_MAX_IDLE_MS,
-    }, timeout.signal);
-    clearTimeout(timer);
-    return result;
+      timeoutMs: QUERY_TIMEOUT_MS,
+    });
   }
 }
 
--- a/src/sidecar/probe_backend.ts
+++ b/src/sidecar/probe_backend.ts
@@ -31,7 +31,8 @@
     path: options.healthPath,
     headers: [],
     body: undefined,
-  }, AbortSignal.timeout(PROBE_TIMEOUT_MS));
+    timeoutMs: PROBE_TIMEOUT_MS,
+  });
   connections.close();
   if (result.kind === "failed" || result.status !== 200) return false;
   return result.headers.some((field, index) =>
--- a/src/transport/http/lifo_connection_pool.ts
+++ b/src/transport/http/lifo_connection_pool.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
 import { messageOf } from "../../protocol/step_error.ts";
+import { waitForNextPoll } from "./disconnect_detector.ts";
 import { ResponseMemory } from "./response_memory.ts";
 import { buildConnector, Client } from "./undici_client.ts";
 
@@ -33,6 +34,8 @@
   readonly body: Buffer | undefined;
   /** Maximum idle time of a connection to be reused, in ms. */
   readonly maxIdleMs?: number;
+  /** Time limit of the exchange, in ms; none if omitted. */
+  readonly timeoutMs?: number;
   /** Checks whether a response belongs to this request. */
   readonly accepts?: (head: PoolResponseHead) => boolean;
 }
@@ -233,6 +236,7 @@
       resolve,
       signal,
       accepts: request.accepts,
+      timeoutMs: request.timeoutMs,
       initialReadBytes: connection.socket?.bytesRead ?? 0,
       isFirst: !connection.isReused,
     });
@@ -256,6 +260,7 @@
   readonly resolve: (result: PoolResult) => void;
   readonly signal: AbortSignal | undefined;
   readonly accepts: PoolRequest["accepts"];
+  readonly timeoutMs: number | undefined;
   /** Bytes that were read from the connection before this exchange. */
   readonly initialReadBytes: number;
   readonly isFirst: boolean;
@@ -273,12 +278,16 @@
   /** Closes the connection; set once the request is being sent. */
   #disconnect: ((reason: Error) => void) | undefined;
   #head: PoolResponseHead | undefined;
+  readonly #timer: NodeJS.Timeout | undefined;
   #chunks: Buffer[] = [];
   #isDone = false;
 
   constructor(options: CollectorOptions) {
     this.#options = options;
     options.signal?.addEventListener("abort", this.#onAbort);
+    if (options.timeoutMs !== undefined) {
+      this.#timer = setTimeout(() => void this.#expire(), options.timeoutMs);
+    }
   }
 
   /**
@@ -347,9 +356,17 @@
     else this.#disconnect(new Error(reason));
   }
 
+  /** After a stall, a timer fires before the response is read. */
+  async #expire(): Promise<void> {
+    await waitForNextPoll();
+    if (this.#isDone) return;
+    this.#abort(`no response after ${this.#options.timeoutMs} ms`);
+  }
+
   #finish(result: PoolResult): void {
     if (this.#isDone) return;
     this.#isDone = true;
+    clearTimeout(this.#timer);
     RESPONSE_MEMORY.free(this);
     this.#chunks = [];
     this.#options.signal?.removeEventListener("abort", this.#onAbort);
