Bound the age of the view on which followers rely

What callers saw: routes of a new version refused with 404 (CONFIG); dropped and changed routes were late in the same way.

Cause: a follower took an empty answer of its reader for news. A reader that was cut off from the store went on answering until its own poll had failed, up to 4 s, and its followers stayed behind although their own path was sound.

Change: readers poll the store for a second at most, and one whose view is older than 1.5 s refuses, so that the follower reads the store itself. After a poll that failed the next reader is asked without a wait. A read of the key that takes over 0.5 s no longer delays the fetch from the daemon that named a version.

--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -81,13 +81,15 @@
    *
    * @param record The backend server.
    * @param afterRevision Newest revision that was seen.
+   * @param mayWait Whether the daemon may hold the poll until there is a change.
    * @returns The changes, or why there are none; never rejects.
    */
   pollFeed(
     record: BackendRecord,
     afterRevision: number,
+    mayWait: boolean,
   ): Promise<FeedPollResult> {
-    return this.#findOrCreate(record).client.pollFeed(afterRevision);
+    return this.#findOrCreate(record).client.pollFeed(afterRevision, mayWait);
   }
 
   /**
--- a/src/sidecar/feed_follower.ts
+++ b/src/sidecar/feed_follower.ts
@@ -28,6 +28,8 @@
   readonly pollFeed: (
     record: BackendRecord,
     afterRevision: number,
+    /** Whether the daemon may hold the poll until there is a change. */
+    mayWait: boolean,
   ) => Promise<FeedPollResult>;
   readonly log: EventLog;
 }
@@ -47,6 +49,9 @@
   readonly #options: FeedFollowerOptions;
   readonly #pausedUntilMs = new Map<string, number>();
   #reader = "";
+  #isReader = false;
+  /** Whether the last poll failed, so that the view may be behind. */
+  #hasFailed = false;
 
   /**
    * Creates a follower without a reader.
@@ -57,6 +62,11 @@
     this.#options = options;
   }
 
+  /** Whether this daemon read the store for others at the last poll. */
+  get isReader(): boolean {
+    return this.#isReader;
+  }
+
   /**
    * Waits for changes from a reader.
    *
@@ -69,7 +79,12 @@
     this.#setReader(reader?.instance ?? "");
     if (reader === undefined) return undefined;
     const sentAtMs = performance.now();
-    const result = await this.#options.pollFeed(reader, afterRevision);
+    const result = await this.#options.pollFeed(
+      reader,
+      afterRevision,
+      !this.#hasFailed,
+    );
+    this.#hasFailed = result.kind !== "changes";
     if (result.kind !== "changes") {
       this.#options.log.info("feed-poll-failed", {
         reader: reader.instance,
@@ -96,7 +111,8 @@
     const { instance, domain, directory } = this.#options;
     const records = [...directory.entries].map(({ record }) => record);
     const readers = chooseReaders(records, domain);
-    if (readers.some((other) => other.instance === instance)) return undefined;
+    this.#isReader = readers.some((other) => other.instance === instance);
+    if (this.#isReader) return undefined;
     const nowMs = performance.now();
     const available = readers.filter((other) =>
       (this.#pausedUntilMs.get(other.instance) ?? 0) <= nowMs
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -44,7 +44,7 @@
 
 /** Time for which another daemon may hold a poll of its feed, in ms. */
 const FEED_WAIT_MS = 600;
-/** Time beyond `FEED_WAIT_MS` after which a poll counts as failed, in ms. */
+/** Time beyond that wait after which a poll counts as failed, in ms. */
 const FEED_MARGIN_MS = 500;
 
 /** Options of a {@linkcode PeerClient}. */
@@ -191,15 +191,20 @@
    * Polls for the changes that the daemon has read from the store.
    *
    * @param afterRevision Newest revision that was seen.
+   * @param mayWait Whether the daemon may hold the poll until there is a change.
    * @returns The changes, or why there are none; never rejects.
    */
-  async pollFeed(afterRevision: number): Promise<FeedPollResult> {
+  async pollFeed(
+    afterRevision: number,
+    mayWait: boolean,
+  ): Promise<FeedPollResult> {
+    const waitMs = mayWait ? FEED_WAIT_MS : 0;
     const result = await this.#connections.send({
       method: "GET",
-      path: formatFeedTarget(afterRevision, FEED_WAIT_MS),
+      path: formatFeedTarget(afterRevision, waitMs),
       headers: [],
       body: undefined,
-      timeoutMs: FEED_WAIT_MS + FEED_MARGIN_MS,
+      timeoutMs: waitMs + FEED_MARGIN_MS,
     });
     if (result.kind === "failed") return { kind: "failed" };
     if (result.status !== 200) return { kind: "refused" };
--- a/src/sidecar/peer_client_test.ts
+++ b/src/sidecar/peer_client_test.ts
@@ -50,8 +50,8 @@
   );
   const client = clientOf(port);
   // Opens the connection.
-  await client.pollFeed(1);
-  const poll = client.pollFeed(1);
+  await client.pollFeed(1, true);
+  const poll = client.pollFeed(1, true);
   // The request leaves before the stall.
   await new Promise((resolve) => setImmediate(resolve));
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STALL_MS);
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -315,8 +315,8 @@
         instance: this.#settings.instance,
         domain: this.#settings.domain,
         directory: this.#directory,
-        pollFeed: (record, afterRevision) =>
-          this.#destinations.pollFeed(record, afterRevision),
+        pollFeed: (record, afterRevision, mayWait) =>
+          this.#destinations.pollFeed(record, afterRevision, mayWait),
         log: this.#log,
       }),
       onConfigAdopted: () => this.#ingress.applyLimits(),
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -16,6 +16,14 @@
 
 /** Longest time for which the store may hold a poll, in ms. */
 const POLL_WAIT_MS = 3_000;
+/**
+ * The same for a reader: each poll that ends shows its followers that the view
+ * is current.
+ */
+const READER_POLL_WAIT_MS = 1_000;
+const MIN_READER_POLL_WAIT_MS = 300;
+/** Age of a reader's view from which it refuses its followers, in ms. */
+const MAX_READER_AGE_MS = 1_500;
 /** Pause after a poll with events, so that a series needs few calls, in ms. */
 const COALESCE_MS = 500;
 /**
@@ -25,6 +33,10 @@
 const BOOTSTRAP_PAUSE_MS = 2_000;
 /** Time for a poll to deliver a version that another daemon has, in ms. */
 const PEER_VERSION_GRACE_MS = COALESCE_MS + 200;
+/** Time after which another source is asked beside a read of the key, in ms. */
+const KEY_READ_HEDGE_MS = 500;
+/** Longest time for which a request waits for a read of the key, in ms. */
+const CONFIRM_TIMEOUT_MS = 600;
 /** Shortest and longest backoff after a failed call, in ms. */
 const MIN_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 800;
@@ -80,7 +92,11 @@
   #hasListed = false;
   #isRefreshing = false;
   readonly #loggedGaps = new Set<string>();
+  /** Age of the view of all keys. */
   readonly #view = new ViewAge();
+  /** Age of the view of the configuration, which is also read by itself. */
+  readonly #configView = new ViewAge();
+  #keyRead: Promise<boolean> | undefined;
   #sweepTimer: NodeJS.Timeout | undefined;
 
   /**
@@ -107,13 +123,42 @@
     return this.#view.ageMs(performance.now());
   }
 
+  /**
+   * Returns the time since the configuration was last known to be the newest.
+   *
+   * @returns The age, in ms; infinite before the first response.
+   */
+  configAgeMs(): number {
+    const nowMs = performance.now();
+    return Math.min(this.#view.ageMs(nowMs), this.#configView.ageMs(nowMs));
+  }
+
+  /**
+   * Reads the configuration from the store, beside the polls.
+   *
+   * @returns Whether the configuration of this daemon is now the newest; false
+   * if the store does not respond soon.
+   */
+  async confirmConfig(): Promise<boolean> {
+    const timeout = new AbortController();
+    const isRead = await Promise.race([
+      this.#readKey(),
+      sleep(CONFIRM_TIMEOUT_MS, false, { signal: timeout.signal })
+        // Aborted, as the read has ended.
+        .catch(() => false),
+    ]);
+    timeout.abort();
+    return isRead;
+  }
+
   /**
    * Waits for changes that this daemon reads from the store.
    *
    * @param afterRevision Newest revision that the follower has seen.
    * @param waitMs Longest time to wait, in ms.
    * @returns The changes; `undefined` if this daemon does not read the store
-   * itself, cannot reach it, or its history does not reach back far enough.
+   * itself, its view is too old to say that there are none, or its history does
+   * not reach back far enough.
    */
   async waitForUpdate(
     afterRevision: number,
@@ -122,8 +167,14 @@
     const present = this.#history.since(afterRevision);
     if (!this.#isPollingStore || !this.#isConnected) return undefined;
     if (present === undefined || present.events.length > 0) return present;
-    await this.#history.waitForChange(waitMs);
-    return this.#isConnected ? this.#history.since(afterRevision) : undefined;
+    const currentForMs = MAX_READER_AGE_MS - this.viewAgeMs();
+    if (currentForMs <= 0) return undefined;
+    await this.#history.waitForChange(Math.min(waitMs, currentForMs));
+    const update = this.#history.since(afterRevision);
+    const hasChanged = update !== undefined && update.events.length > 0;
+    const isCurrent = this.#isConnected &&
+      (hasChanged || this.viewAgeMs() < MAX_READER_AGE_MS);
+    return isCurrent ? update : undefined;
   }
 
   /**
@@ -153,10 +204,11 @@
     client: PeerClient | undefined,
   ): Promise<void> {
     const { routes, log } = this.#options;
-    if (version <= routes.version || this.#isRefreshing) return;
+    const isBehind = () => version > routes.version;
+    if (!isBehind() || this.#isRefreshing) return;
     this.#isRefreshing = true;
     await sleep(PEER_VERSION_GRACE_MS);
-    if (version <= routes.version) {
+    if (!isBehind()) {
       this.#isRefreshing = false;
       return;
     }
@@ -165,21 +217,37 @@
       known: routes.version,
       viewAgeMs: Math.round(this.viewAgeMs()),
     });
-    const listed = await this.#options.store.list(
-      this.#options.configSource.key,
-    );
-    if (listed.isOk()) {
-      for (const entry of listed.value.entries) {
-        this.#applyEntry(entry, ConfigOrigin.KeyRead);
-      }
-    }
-    if (version > routes.version) {
+    const read = this.#readKey();
+    await Promise.race([read, sleep(KEY_READ_HEDGE_MS)]);
+    if (isBehind()) {
       const bytes = await client?.fetchConfig();
       if (bytes !== undefined) this.#adoptConfig(bytes, ConfigOrigin.Peer);
     }
+    if (isBehind()) await read;
     this.#isRefreshing = false;
   }
 
+  /** Reads the key of the configuration; concurrent calls share one read. */
+  #readKey(): Promise<boolean> {
+    this.#keyRead ??= this.#sendKeyRead().finally(() =>
+      this.#keyRead = undefined
+    );
+    return this.#keyRead;
+  }
+
+  async #sendKeyRead(): Promise<boolean> {
+    const { store, configSource } = this.#options;
+    const sentAtMs = performance.now();
+    const listed = await store.list(configSource.key);
+    this.#countCall("read", listed.isOk());
+    if (listed.isErr()) return false;
+    for (const entry of listed.value.entries) {
+      this.#applyEntry(entry, ConfigOrigin.KeyRead);
+    }
+    this.#configView.confirm(sentAtMs);
+    return true;
+  }
+
   async #list(): Promise<number | undefined> {
     const { store, configSource, directory } = this.#options;
     const listed = await store.list(configSource.watchPrefix);
@@ -223,7 +291,7 @@
     const polled = await store.poll({
       prefix: configSource.watchPrefix,
       afterRevision,
-      waitMs: POLL_WAIT_MS,
+      waitMs: this.#choosePollWaitMs(),
     });
     this.#countCall("poll", polled.isOk());
     if (polled.isErr()) {
@@ -248,6 +316,14 @@
       : result.revision;
   }
 
+  #choosePollWaitMs(): number {
+    if (!this.#options.follower.isReader) return POLL_WAIT_MS;
+    return Math.max(
+      MIN_READER_POLL_WAIT_MS,
+      Math.round(READER_POLL_WAIT_MS - this.viewAgeMs()),
+    );
+  }
+
   /**
    * Lists the current state of the store. During a series of versions, a poll
    * transfers each of them in full, so a slow link falls further behind with
