Deny a route only on the newest configuration

What callers saw: 404 for a route that a confirmed version had added (CONFIG).

Cause: a 404 is a claim about the newest version, and any age of the configuration was good enough for it.

Known routes are served at any age.

--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -7,6 +7,7 @@
 import { chooseTarget } from "../coordination/dispatch/mod.ts";
 import type { MeshRoute } from "../protocol/mesh.ts";
 import { HEADER_CALL, HEADER_RESULT } from "../protocol/peer_call.ts";
+import type { RouteTable } from "../state/route_table.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import {
   type CallerRequest,
@@ -35,6 +36,13 @@
 /** Keep-alive timeout before a configuration is known, in ms. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
+/**
+ * Age of the configuration up to which it decides that a route does not exist,
+ * in ms.
+ */
+const MAX_CONFIG_AGE_MS = 2_000;
+/** Retry-After value if it is not known whether a route exists, in ms. */
+const UNCONFIRMED_RETRY_AFTER_MS = 500;
 /** Most log lines about requests without a route in a second. */
 const MAX_UNKNOWN_LINES_PER_S = 20;
 
@@ -47,8 +55,10 @@
   readonly stalls: StallDetector;
   readonly log: EventLog;
   readonly metrics: TextMetrics;
-  /** Age of this daemon's view of the store, in ms. */
-  readonly viewAgeMs: () => number;
+  /** Time since the configuration was known to be the newest, in ms. */
+  readonly configAgeMs: () => number;
+  /** Reads the newest configuration; returns whether it is in force now. */
+  readonly confirmConfig: () => Promise<boolean>;
 }
 
 /** A response that this daemon generates itself. */
@@ -149,18 +159,25 @@
       caller.done();
     });
     const id = this.#readHeader(request, this.#options.headers.requestId);
-    const table = this.#options.routes.current;
+    const path = request.url ?? "/";
+    const host = request.headers.host ?? "";
+    const { isCurrent, table, route } = await this.#findRoute(host, path);
+    if (response.destroyed) return;
     if (table === undefined) {
       return this.#reject(response, id, {
         status: 503,
         retryAfterMs: NO_CONFIG_RETRY_AFTER_MS,
       });
     }
-    const path = request.url ?? "/";
-    const route = table.find(request.headers.host ?? "", path);
     if (route === undefined) {
-      this.#logUnknownRoute(id, table.config.version);
-      return this.#reject(response, id, { status: 404 });
+      this.#logUnknownRoute(id, table.config.version, isCurrent);
+      return this.#reject(
+        response,
+        id,
+        isCurrent
+          ? { status: 404 }
+          : { status: 503, retryAfterMs: UNCONFIRMED_RETRY_AFTER_MS },
+      );
     }
     const read = await readBody(request, table.config.limits.maxBodyBytes);
     if (read.kind === "broken") return;
@@ -284,14 +301,44 @@
     response.writeHead(reply.status, headers).end();
   }
 
-  #logUnknownRoute(id: string, configVersion: number): void {
-    const { log, metrics, viewAgeMs } = this.#options;
+  /** A missing route is a claim about the newest configuration. */
+  async #findRoute(
+    host: string,
+    path: string,
+  ): Promise<{
+    readonly table: RouteTable | undefined;
+    readonly route: MeshRoute | undefined;
+    /** Whether the table is new enough to decide that there is no route. */
+    readonly isCurrent: boolean;
+  }> {
+    const { routes, configAgeMs, confirmConfig } = this.#options;
+    const table = routes.current;
+    const route = table?.find(host, path);
+    const isCurrent = configAgeMs() <= MAX_CONFIG_AGE_MS;
+    if (table === undefined || route !== undefined || isCurrent) {
+      return { table, route, isCurrent };
+    }
+    const isConfirmed = await confirmConfig();
+    return {
+      table: routes.current,
+      route: routes.current?.find(host, path),
+      isCurrent: isConfirmed || configAgeMs() <= MAX_CONFIG_AGE_MS,
+    };
+  }
+
+  #logUnknownRoute(
+    id: string,
+    configVersion: number,
+    isCurrent: boolean,
+  ): void {
+    const { log, metrics, configAgeMs } = this.#options;
     metrics.count("routes_unknown_total");
     if (!this.#unknownLines.allows(performance.now())) return;
     log.info("route-unknown", {
       id,
       configVersion,
-      viewAgeMs: Math.round(viewAgeMs()),
+      configAgeMs: Math.round(configAgeMs()),
+      isCurrent,
     });
   }
 
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -261,8 +261,8 @@
   #registerGauges(): void {
     this.#metrics.gauge("config_version", () => this.#routes.version);
     this.#metrics.gauge(
-      "view_age_ms",
-      () => Math.round(this.#sync.viewAgeMs()),
+      "config_age_ms",
+      () => Math.round(this.#sync.configAgeMs()),
     );
     this.#metrics.gauge(
       "config_gaps",
@@ -289,7 +289,8 @@
       stalls: this.#eventLoop,
       log: this.#log,
       metrics: this.#metrics,
-      viewAgeMs: () => this.#sync.viewAgeMs(),
+      configAgeMs: () => this.#sync.configAgeMs(),
+      confirmConfig: () => this.#sync.confirmConfig(),
       forwarding: {
         destinations: this.#destinations,
         directory: this.#directory,
--- a/tests/platform/readers_test.ts
+++ b/tests/platform/readers_test.ts
@@ -104,6 +104,25 @@
     await waitForAddedRoute(mesh, 2);
   }));
 
+// Guards against 404 for a route that a newer version may have: a daemon that
+// was cut off from the store spoke for a version that it could not know.
+test("a daemon that is cut off from the store serves its routes and denies none", () =>
+  withMesh(async (mesh) => {
+    const { storeProxy } = mesh.instances[0]!;
+    const statusOf = async (path: string) =>
+      (await mesh.call(0, { path })).status;
+    const before = await statusOf("/missing/1");
+    storeProxy!.set({ kind: "silence" });
+    await sleep(APPLY_MS + 1_000);
+    const during = [await statusOf("/missing/1"), await statusOf("/stock/1")];
+    storeProxy!.set({ kind: "none" });
+    await until(
+      async () => (await statusOf("/missing/1")) === 404,
+      "the daemon knows the newest version again",
+    );
+    assert.equal({ before, during }, { before: 404, during: [503, 200] });
+  }));
+
 test("followers read the store themselves when it recovers", () =>
   withMesh(async (mesh) => {
     mesh.store.fault = StoreFault.Busy;
