Keep the limit per second that a backend server names

Cause: nothing read the header; the only limits were its slots.

Requests wait for a start as for a slot and are refused on arrival if they cannot end in time. The limit goes to the other daemons with each result, where each request sent since counts against it in the choice. A daemon that has passed the limit on names it in its calls, so it also holds after a restart of the daemon beside the backend server.

--- a/src/coordination/dispatch/destination_stats.ts
+++ b/src/coordination/dispatch/destination_stats.ts
@@ -20,6 +20,8 @@
 /** Longest time for which an unreachable destination is not tried, in ms. */
 const MAX_UNREACHABLE_MS = 2_000;
 
+const MS_PER_S = 1_000;
+
 /** Refusal reasons which mean that the backend server is absent. */
 const ABSENT_REASONS: ReadonlySet<MeshReason> = new Set([
   MeshReason.Unreachable,
@@ -51,6 +53,7 @@
   readonly #unreachable = new Ejection(MAX_UNREACHABLE_MS);
   #inFlight = 0;
   #load: DestinationLoad | undefined;
+  #namedLimitPerS: number | undefined;
   /** Latest reported wait of each route. */
   readonly #waits = new Map<string, RouteWait>();
   #reportedAtMs = -Infinity;
@@ -122,6 +125,20 @@
     this.#unreachable.resetBackoff();
   }
 
+  /** Limit per second that the last response of the backend server named. */
+  get namedLimitPerS(): number | undefined {
+    return this.#namedLimitPerS;
+  }
+
+  /**
+   * Records the limit that a response of the backend server named.
+   *
+   * @param limitPerS Requests per second; `undefined` if it named none.
+   */
+  recordNamedLimit(limitPerS: number | undefined): void {
+    this.#namedLimitPerS = limitPerS;
+  }
+
   /**
    * Records the network time of a request and its response. Transit through a
    * saturated link takes longer than any queue at the destination.
@@ -209,10 +226,14 @@
     const slowdownMs = Math.min(1, busy / limit) ** 3 * serviceMs *
       FULL_LOAD_SLOWDOWN;
     const isFull = busy >= limit;
+    const limitPerS = this.#load?.limitPerS;
     const queueMs = this.#estimateQueueMs(
       route,
       nowMs,
-      isFull ? serviceMs / limit : 0,
+      Math.max(
+        isFull ? serviceMs / limit : 0,
+        limitPerS === undefined ? 0 : MS_PER_S / limitPerS,
+      ),
     );
     const waitMs = queueMs + slowdownMs + this.#transitMs.valueAt(nowMs);
     return { waitMs, queueMs, serviceMs };
--- a/src/coordination/dispatch/destination_stats_test.ts
+++ b/src/coordination/dispatch/destination_stats_test.ts
@@ -19,6 +19,19 @@
   assert.equal(waits, [20 + 15, 900 + 75]);
 });
 
+// Pattern: a backend server with free slots takes a few requests a second.
+test("estimate() counts what was sent since the report against a limit", () => {
+  const stats = new DestinationStats();
+  const idle = { ...LOAD, running: 0, queued: 0, waitMs: 0 };
+  stats.recordLoad("order", { ...idle, limitPerS: 10 }, 0);
+  for (let sends = 0; sends < 3; sends++) stats.recordSend("order");
+  const limitedMs = stats.estimate("order", 0, 12).queueMs;
+  stats.recordLoad("order", idle, 0);
+  stats.recordSend("order");
+  const unlimitedMs = stats.estimate("order", 0, 12).queueMs;
+  assert.equal({ limitedMs, unlimitedMs }, { limitedMs: 300, unlimitedMs: 0 });
+});
+
 test("estimate() discounts old reports, so that a full destination is retried", () => {
   const stats = new DestinationStats();
   stats.recordLoad("order", { ...LOAD, waitMs: 900 }, 0);
--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -12,5 +12,6 @@
 export * from "./momentary_pace.ts";
 export * from "./service_times.ts";
 export * from "./choose_target.ts";
+export * from "./start_limiter.ts";
 export * from "./work_queue.ts";
 export * from "./response_sizes.ts";
--- a/src/coordination/dispatch/work_queue.ts
+++ b/src/coordination/dispatch/work_queue.ts
@@ -1,5 +1,6 @@
 import { effectiveDeadlineMs } from "./effective_deadline.ts";
 import { ServiceTimes } from "./service_times.ts";
+import { StartLimiter } from "./start_limiter.ts";
 
 /** Factor on the cost of a request that misses its objective in any case. */
 const LATE_COST_FACTOR = 2;
@@ -44,7 +45,7 @@
  * the expected service time, multiplied for less urgent priorities and for a
  * missed objective. Each priority with waiting requests is guaranteed a small
  * share of the slots. A request that cannot be served in time is refused on
- * arrival.
+ * arrival. A limit on the starts per second holds besides the slots.
  *
  * @example
  * ```ts ignore
@@ -54,6 +55,8 @@
  */
 export class WorkQueue<T extends WorkItem> {
   readonly serviceTimes = new ServiceTimes();
+  /** Limits the starts per second; there is no limit at first. */
+  readonly starts = new StartLimiter();
   #slots: number;
   #waiting: T[] = [];
   #running = 0;
@@ -96,8 +99,10 @@
    */
   offer(item: T, nowMs: number): OfferResult {
     const serviceMs = this.serviceTimes.expectedMs(item.route);
-    if (this.#waiting.length === 0 && this.#running < this.#slots) {
-      if (nowMs >= item.deadlineMs) return this.#refusal(0);
+    const hasFreeSlot = this.#waiting.length === 0 &&
+      this.#running < this.#slots;
+    if (hasFreeSlot && nowMs >= item.deadlineMs) return this.#refusal(0);
+    if (hasFreeSlot && this.starts.tryStart(nowMs)) {
       this.#start(item);
       return { kind: "start" };
     }
@@ -154,7 +159,10 @@
     );
     for (const item of expired) this.remove(item);
     const started: T[] = [];
-    while (this.#running < this.#slots && this.#waiting.length > 0) {
+    while (
+      this.#running < this.#slots && this.#waiting.length > 0 &&
+      this.starts.tryStart(nowMs)
+    ) {
       const item = this.#nextItem(nowMs);
       this.remove(item);
       this.#start(item);
@@ -181,10 +189,23 @@
    * @returns The wait, in ms.
    */
   expectedWaitMs(item: WorkItem, nowMs: number): number {
-    const isFree = this.#waiting.length === 0 && this.#running < this.#slots;
+    const isFree = this.#waiting.length === 0 &&
+      this.#running < this.#slots && this.starts.waitMs(nowMs) === 0;
     return isFree ? 0 : this.#estimateWaitMs(item, nowMs);
   }
 
+  /**
+   * Returns when a waiting request may start that only the limit on starts
+   * keeps waiting.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns The time from now, in ms; `undefined` if there is none.
+   */
+  nextStartMs(nowMs: number): number | undefined {
+    const isHeld = this.#waiting.length > 0 && this.#running < this.#slots;
+    return isHeld ? this.starts.waitMs(nowMs) : undefined;
+  }
+
   #refusal(waitMs: number): OfferResult {
     const retryAfterMs = Math.min(
       MAX_RETRY_AFTER_MS,
@@ -196,11 +217,16 @@
   #estimateWaitMs(item: WorkItem, nowMs: number): number {
     const key = this.#sortKey(item, nowMs);
     let workMs = this.serviceTimes.overallMs;
+    let ahead = 0;
     for (const other of this.#waiting) {
       if (this.#sortKey(other, nowMs) > key) continue;
       workMs += this.serviceTimes.expectedMs(other.route);
+      ahead++;
     }
-    return workMs / Math.max(1, this.#slots);
+    return Math.max(
+      workMs / Math.max(1, this.#slots),
+      this.starts.waitMs(nowMs, ahead + 1),
+    );
   }
 
   /** Smaller keys go first. */
--- a/src/coordination/dispatch/work_queue_test.ts
+++ b/src/coordination/dispatch/work_queue_test.ts
@@ -46,6 +46,29 @@
   }
 }
 
+// Pattern: a backend server in need takes a few requests a second.
+test("offer() lets requests wait for a limit and refuses those that cannot start in time", () => {
+  const queue = new WorkQueue<NamedItem>(12);
+  queue.serviceTimes.record("lookup", 100);
+  queue.starts.setRate(10, 0);
+  const offers = Array.from(
+    { length: 8 },
+    (_, index) => queue.offer(item({ name: `${index}` }), 100),
+  );
+  const started = [200, 250, 300].map((nowMs) =>
+    queue.dispatch(nowMs).started.map(({ name }) => name)
+  );
+  assert.equal({ offers, started, nextStartMs: queue.nextStartMs(300) }, {
+    offers: [
+      { kind: "start" },
+      ...Array(4).fill({ kind: "wait" }),
+      ...Array(3).fill({ kind: "refuse", retryAfterMs: 500 }),
+    ],
+    started: [["1"], [], ["2"]],
+    nextStartMs: 100,
+  });
+});
+
 test("dispatch() starts short subcalls before long orders", () => {
   const queue = fullQueue({ call: 40, order: 210 });
   queue.offer(item({ name: "order", route: "order", priority: 1 }), 0);
--- a/src/protocol/mesh_call.ts
+++ b/src/protocol/mesh_call.ts
@@ -24,6 +24,11 @@
   readonly deadlineMs: number;
   /** Time until which a response meets its latency objective, on that clock. */
   readonly objectiveAtMs: number;
+  /**
+   * Limit per second that the backend server named in the last response that
+   * the sender has passed on; absent if it named none.
+   */
+  readonly namedLimitPerS?: number | undefined;
 }
 
 /** The complete response of a backend server. */
@@ -91,6 +96,8 @@
   readonly failureShare: number;
   /** How long work takes at this moment, relative to usual. */
   readonly pace: number;
+  /** Requests per second that the backend server takes; absent if unlimited. */
+  readonly limitPerS?: number | undefined;
 }
 
 /**
--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -90,6 +90,7 @@
     Math.round(call.remainingMs),
     Math.round(call.objectiveInMs),
     call.configVersion,
+    ...formatLimit(call.namedLimitPerS),
   ].join(SEPARATOR);
 }
 
@@ -129,6 +130,7 @@
     remainingMs,
     objectiveInMs,
     configVersion,
+    ...parseLimit(fields[CALL_FIELDS], "namedLimitPerS"),
   };
 }
 
@@ -155,6 +157,7 @@
     configVersion,
     Math.round(result.heldMs),
     load.pace.toFixed(2),
+    ...formatLimit(load.limitPerS),
   ].join(SEPARATOR);
 }
 
@@ -255,6 +258,20 @@
   return isValid ? { description, start, headers } : undefined;
 }
 
+/** Appended only where there is a limit. */
+function formatLimit(limitPerS: number | undefined): readonly string[] {
+  return limitPerS === undefined ? [] : [limitPerS.toFixed(2)];
+}
+
+function parseLimit<Name extends string>(
+  field: string | undefined,
+  name: Name,
+): { readonly [Key in Name]?: number } {
+  const limitPerS = Number(field ?? NaN);
+  const isLimit = Number.isFinite(limitPerS) && limitPerS >= 0;
+  return isLimit ? { [name]: limitPerS } as { [Key in Name]: number } : {};
+}
+
 function formatOutcome(
   outcome: ResultDescription["outcome"],
 ): readonly (string | number)[] {
@@ -299,7 +316,15 @@
   const pace = Number(fields[RESULT_FIELDS]) || 1;
   return {
     outcome,
-    load: { running, queued, limit, waitMs, failureShare, pace },
+    load: {
+      running,
+      queued,
+      limit,
+      waitMs,
+      failureShare,
+      pace,
+      ...parseLimit(fields[RESULT_FIELDS + 1], "limitPerS"),
+    },
     configVersion,
     heldMs,
   };
--- a/src/protocol/peer_call_test.ts
+++ b/src/protocol/peer_call_test.ts
@@ -66,6 +66,18 @@
   );
 });
 
+test("a limit of the backend server goes to and from its daemon", () => {
+  const call = { ...CALL, namedLimitPerS: 37.8 };
+  const result = {
+    outcome: { kind: "answered" as const, serviceMs: 31 },
+    load: { ...LOAD, limitPerS: 0.25 },
+    configVersion: 7,
+    heldMs: 45,
+  };
+  assert.equal(parseCall(formatCall(call)), call);
+  assert.equal(parseResult(formatResult(result)), result);
+});
+
 test("parseCall() and parseResult() return undefined for malformed values", () => {
   const call = formatCall(CALL);
   const calls = [
--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -25,6 +25,7 @@
 import {
   classifyResponse,
   isMatchingResponse,
+  readLimit,
   readPace,
 } from "./backend_response.ts";
 import type { EdgeHeaders } from "./ports.ts";
@@ -33,6 +34,8 @@
 const FAILURE_WEIGHT = 0.1;
 /** Longest idle time of a connection for an at-most-once request, in ms. */
 const AT_MOST_ONCE_MAX_IDLE_MS = 3_000;
+/** Most log lines about the limit of the backend server in a second. */
+const MAX_LIMIT_LINES_PER_S = 2;
 /** Most log lines about cancelled calls in a second. */
 const MAX_CANCELLED_LINES_PER_S = 50;
 
@@ -87,6 +90,12 @@
   #address = "";
   #failureShare = 0;
   readonly #pace = new MomentaryPace();
+  readonly #limitLines: LogRateLimiter;
+  /** Monotonic time of the newest response with a limit. */
+  #limitNamedAtMs = -Infinity;
+  /** Whether this process of the backend server has responded. */
+  #hasResponse = false;
+  #startTimer: NodeJS.Timeout | undefined;
 
   /**
    * Creates a dispatcher without a backend server.
@@ -99,6 +108,7 @@
     this.#stalls = options.stalls;
     this.#log = options.log;
     this.#metrics = options.metrics;
+    this.#limitLines = new LogRateLimiter(options.log, MAX_LIMIT_LINES_PER_S);
     this.#cancelledLines = new LogRateLimiter(
       options.log,
       MAX_CANCELLED_LINES_PER_S,
@@ -113,6 +123,8 @@
   connect(announcement: Announcement): void {
     this.#queue.slots = announcement.slots;
     this.#failureShare = 0;
+    this.#hasResponse = false;
+    this.#setLimit(undefined, performance.now());
     this.#connections?.close();
     this.#address = announcement.address;
     this.#connections = new LifoConnectionPool(this.#address);
@@ -152,6 +164,7 @@
       }, nowMs),
       failureShare: this.#failureShare,
       pace: this.#pace.valueAt(nowMs),
+      limitPerS: this.#queue.starts.startsPerS,
     };
   }
 
@@ -165,6 +178,10 @@
   execute(call: MeshCall, signal: AbortSignal): Promise<CallOutcome> {
     const refusal = this.#findRefusal(call, signal);
     if (refusal !== undefined) return Promise.resolve(refusal);
+    // An earlier process of this daemon has passed the limit on.
+    if (!this.#hasResponse && call.namedLimitPerS !== undefined) {
+      this.#setLimit(call.namedLimitPerS, performance.now());
+    }
     return new Promise((resolve) => {
       const job = toJob(call, resolve);
       const offer = this.#queue.offer(job, performance.now());
@@ -210,6 +227,17 @@
       job.resolve(notRunOutcome(MeshReason.Expired));
     }, waitMs);
     this.#waits.set(job, { signal, onAbort, timer });
+    this.#scheduleStart();
+  }
+
+  /** Wakes up for requests that only the limit on starts keeps waiting. */
+  #scheduleStart(): void {
+    const delayMs = this.#queue.nextStartMs(performance.now());
+    if (delayMs === undefined || this.#startTimer !== undefined) return;
+    this.#startTimer = setTimeout(() => {
+      this.#startTimer = undefined;
+      this.#applyDispatch(this.#queue.dispatch(performance.now()));
+    }, Math.ceil(delayMs));
   }
 
   /** Clears the timer, which would wake the process and retain the request. */
@@ -227,6 +255,7 @@
       job.resolve(notRunOutcome(MeshReason.Expired));
     }
     for (const job of dispatch.started) this.#run(job, this.#stopWaiting(job));
+    this.#scheduleStart();
   }
 
   async #run(job: Job, signal: AbortSignal): Promise<void> {
@@ -273,6 +302,9 @@
       headerNames: this.#headers,
       serviceMs: performance.now() - startedAtMs,
     });
+    if (result.kind === "answer") {
+      this.#recordLimit(result.headers, outcome, startedAtMs);
+    }
     this.#logFailure(call, result, outcome);
     return outcome;
   }
@@ -282,6 +314,53 @@
     if (pace !== undefined) this.#pace.record(pace, performance.now());
   }
 
+  /**
+   * Takes over the limit that a response names. One that names none lifts it,
+   * unless its request was sent before the limit was named.
+   */
+  #recordLimit(
+    headers: readonly string[],
+    outcome: CallOutcome,
+    sentAtMs: number,
+  ): void {
+    if (outcome.kind === "unknown") return;
+    const nowMs = performance.now();
+    const named = readLimit(headers, this.#headers.limitPerS);
+    switch (named.kind) {
+      case "limited":
+        this.#hasResponse = true;
+        this.#limitNamedAtMs = nowMs;
+        this.#setLimit(named.limitPerS, nowMs);
+        return;
+      case "unlimited":
+        // A rejection may come from another process at the address.
+        if (outcome.kind !== "answered") return;
+        this.#hasResponse = true;
+        if (sentAtMs > this.#limitNamedAtMs) this.#setLimit(undefined, nowMs);
+        return;
+      case "unreadable":
+        if (!this.#limitLines.allows(nowMs)) return;
+        this.#log.warn("backend-limit-unreadable", {
+          peer: this.#address,
+          value: named.value,
+        });
+    }
+  }
+
+  #setLimit(limitPerS: number | undefined, nowMs: number): void {
+    const { starts } = this.#queue;
+    const former = starts.startsPerS;
+    if (limitPerS === former) return;
+    starts.setRate(limitPerS, nowMs);
+    this.#applyDispatch(this.#queue.dispatch(nowMs));
+    if (!this.#limitLines.allows(nowMs)) return;
+    this.#log.info("backend-limited", {
+      peer: this.#address,
+      limitPerS,
+      former,
+    });
+  }
+
   #buildHeaders(call: MeshCall, remainingMs: number): string[] {
     return [
       ...call.headers,
--- a/src/sidecar/backend_response.ts
+++ b/src/sidecar/backend_response.ts
@@ -119,6 +119,43 @@
   return undefined;
 }
 
+/** What a response says about the limit of its backend server. */
+export type NamedLimit =
+  | { readonly kind: "limited"; readonly limitPerS: number }
+  | { readonly kind: "unlimited" }
+  | { readonly kind: "unreadable"; readonly value: string };
+
+/**
+ * Reads the limit that the backend server names.
+ *
+ * @param headers Alternating names and values.
+ * @param name Lower-case name of the header.
+ * @returns The limit.
+ *
+ * @example
+ * ```ts
+ * readLimit(["server-limit", "37.8"], "server-limit");
+ * // { kind: "limited", limitPerS: 37.8 }
+ * ```
+ */
+export function readLimit(
+  headers: readonly string[],
+  name: string,
+): NamedLimit {
+  const index = headers.findIndex((field, position) =>
+    position % 2 === 0 && field.toLowerCase() === name
+  );
+  if (index < 0) return { kind: "unlimited" };
+  const value = headers[index + 1]!;
+  const limitPerS = Number(value);
+  const isLimit = value.trim() !== "" && Number.isFinite(limitPerS) &&
+    limitPerS >= 0;
+  return isLimit ? { kind: "limited", limitPerS } : {
+    kind: "unreadable",
+    value,
+  };
+}
+
 /**
  * A rejection that names another request does not apply to this one. One that
  * names none may be a late copy, unless the connection has carried no other.
--- a/src/sidecar/backend_response_test.ts
+++ b/src/sidecar/backend_response_test.ts
@@ -30,6 +30,7 @@
   answerProof: "proof",
   notRun: "not-run",
   backendId: "backend",
+  limitPerS: "limit",
   load: { name: "load", decodePace: (value: string) => Number(value) },
 };
 
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -107,22 +107,29 @@
   ): Promise<PeerResult["outcome"]> {
     const { stats, client } = this.#findOrCreate(record);
     stats.recordSend(call.route);
+    const { namedLimitPerS } = stats;
     const isLocal = record.instance === this.#options.instance;
     const result = isLocal
       ? await this.#executeLocally(call, options.signal)
-      : await client.execute(call, {
-        ...options,
-        configVersion: this.#options.routes.version,
-        onSuspected: (reason) => {
-          stats.recordUnreachable(performance.now());
-          options.onSuspected(reason);
+      : await client.execute(
+        namedLimitPerS === undefined ? call : { ...call, namedLimitPerS },
+        {
+          ...options,
+          configVersion: this.#options.routes.version,
+          onSuspected: (reason) => {
+            stats.recordUnreachable(performance.now());
+            options.onSuspected(reason);
+          },
         },
-      });
+      );
     const nowMs = performance.now();
     stats.recordOutcome(call.route, result.outcome, nowMs);
     if (record.domain !== this.#options.domain) {
       this.#countRemoteBytes(call, result.outcome);
     }
+    if (result.outcome.kind === "answered") {
+      stats.recordNamedLimit(result.load?.limitPerS);
+    }
     if (result.load !== undefined) {
       stats.recordLoad(call.route, result.load, nowMs);
     }
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -375,5 +375,6 @@
     backendId: description.backendId,
     deadlineMs: arrivedAtMs + description.remainingMs,
     objectiveAtMs: arrivedAtMs + description.objectiveInMs,
+    namedLimitPerS: description.namedLimitPerS,
   };
 }
--- a/src/sidecar/ports.ts
+++ b/src/sidecar/ports.ts
@@ -55,6 +55,11 @@
   readonly notRun: string;
   readonly backendId: string;
   readonly load: LoadHeader;
+  /**
+   * Names the requests per second that the backend server takes, in all of its
+   * responses for as long as the limit holds.
+   */
+  readonly limitPerS: string;
 }
 
 /** Header in which a backend server reports its load. */
