Drain a backend server whose responses say that it leaves

Cause: nothing read the header; only announcements told of a leaving, and those may be late, lost, or never sent.

Change: the daemon beside the backend server takes such a response as the announcement of a drain and records it. A daemon that passes it on marks its own record of that process as draining, so that it is bound even if the other one restarts before the drain is recorded.

--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -27,6 +27,7 @@
   isMatchingResponse,
   readLimit,
   readPace,
+  saysLeaving,
 } from "./backend_response.ts";
 import type { EdgeHeaders } from "./ports.ts";
 
@@ -64,6 +65,8 @@
   readonly stalls: StallDetector;
   readonly log: EventLog;
   readonly metrics: TextMetrics;
+  /** Called with the id of a backend process whose response says it leaves. */
+  readonly onLeaving: (backendId: string) => void;
 }
 
 /**
@@ -90,6 +93,7 @@
   #address = "";
   #failureShare = 0;
   readonly #pace = new MomentaryPace();
+  readonly #onLeaving: BackendDispatcherOptions["onLeaving"];
   readonly #limitLines: LogRateLimiter;
   /** Monotonic time of the newest response with a limit. */
   #limitNamedAtMs = -Infinity;
@@ -108,6 +112,7 @@
     this.#stalls = options.stalls;
     this.#log = options.log;
     this.#metrics = options.metrics;
+    this.#onLeaving = options.onLeaving;
     this.#limitLines = new LogRateLimiter(options.log, MAX_LIMIT_LINES_PER_S);
     this.#cancelledLines = new LogRateLimiter(
       options.log,
@@ -304,6 +309,9 @@
     });
     if (result.kind === "answer") {
       this.#recordLimit(result.headers, outcome, startedAtMs);
+      const isLeaving = outcome.kind === "answered" &&
+        saysLeaving(result.headers, this.#headers.leaving);
+      if (isLeaving) this.#onLeaving(call.backendId);
     }
     this.#logFailure(call, result, outcome);
     return outcome;
--- a/src/sidecar/backend_lifecycle.ts
+++ b/src/sidecar/backend_lifecycle.ts
@@ -128,12 +128,20 @@
         this.#publish(BackendState.Ready);
         return;
       case "draining":
-        this.#logBackend("backend-draining", announcement);
-        this.#options.dispatcher.rejectQueued();
-        this.#publish(BackendState.Draining);
+        this.#startDraining(announcement);
     }
   }
 
+  /**
+   * Records that a response of the backend server says that it leaves.
+   *
+   * @param id Id of the backend process.
+   */
+  handleLeavingResponse(id: string): void {
+    const change = this.#options.backend.applyLeaving(id);
+    if (change.kind === "draining") this.#startDraining(change.announcement);
+  }
+
   /**
    * Records that the backend server has left.
    *
@@ -178,6 +186,12 @@
     });
   }
 
+  #startDraining(announcement: Announcement): void {
+    this.#logBackend("backend-draining", announcement);
+    this.#options.dispatcher.rejectQueued();
+    this.#publish(BackendState.Draining);
+  }
+
   #publish(state: BackendState, of = this.#options.backend.current): void {
     if (of === undefined) return;
     const { settings } = this.#options;
--- a/src/sidecar/backend_response.ts
+++ b/src/sidecar/backend_response.ts
@@ -112,11 +112,27 @@
   headers: readonly string[],
   header: LoadHeader,
 ): number | undefined {
-  for (let index = 0; index < headers.length; index += 2) {
-    if (headers[index]!.toLowerCase() !== header.name) continue;
-    return header.decodePace(headers[index + 1]!);
-  }
-  return undefined;
+  const value = findHeader(headers, header.name);
+  return value === undefined ? undefined : header.decodePace(value);
+}
+
+/**
+ * Reports whether a response says that its backend server leaves.
+ *
+ * @param headers Alternating names and values.
+ * @param name Lower-case name of the header.
+ * @returns Whether it does.
+ *
+ * @example
+ * ```ts
+ * saysLeaving(["server-leaving", "1"], "server-leaving"); // true
+ * ```
+ */
+export function saysLeaving(
+  headers: readonly string[],
+  name: string,
+): boolean {
+  return findHeader(headers, name) === "1";
 }
 
 /** What a response says about the limit of its backend server. */
@@ -142,11 +158,8 @@
   headers: readonly string[],
   name: string,
 ): NamedLimit {
-  const index = headers.findIndex((field, position) =>
-    position % 2 === 0 && field.toLowerCase() === name
-  );
-  if (index < 0) return { kind: "unlimited" };
-  const value = headers[index + 1]!;
+  const value = findHeader(headers, name);
+  if (value === undefined) return { kind: "unlimited" };
   const limitPerS = Number(value);
   const isLimit = value.trim() !== "" && Number.isFinite(limitPerS) &&
     limitPerS >= 0;
@@ -170,6 +183,16 @@
   return fields.has(headerNames.notRun) || status === MISDIRECTED_STATUS;
 }
 
+function findHeader(
+  headers: readonly string[],
+  name: string,
+): string | undefined {
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index]!.toLowerCase() === name) return headers[index + 1]!;
+  }
+  return undefined;
+}
+
 function toHeaderMap(headers: readonly string[]): ReadonlyMap<string, string> {
   const fields = new Map<string, string>();
   for (let index = 0; index < headers.length; index += 2) {
--- a/src/sidecar/backend_response_test.ts
+++ b/src/sidecar/backend_response_test.ts
@@ -31,6 +31,7 @@
   notRun: "not-run",
   backendId: "backend",
   limitPerS: "limit",
+  leaving: "leaving",
   load: { name: "load", decodePace: (value: string) => Number(value) },
 };
 
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -6,12 +6,13 @@
   ServiceTimes,
 } from "../coordination/dispatch/mod.ts";
 import type { FeedPollResult } from "../protocol/feed.ts";
-import type { BackendRecord } from "../protocol/mesh.ts";
+import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
 import type { CallOutcome, MeshCall } from "../protocol/mesh_call.ts";
 import { CallStatus } from "../protocol/peer_call.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import type { BackendDispatcher } from "./backend_dispatcher.ts";
+import { saysLeaving } from "./backend_response.ts";
 import { PeerClient, type SendOptions } from "./peer_client.ts";
 import type { PeerResult } from "./peer_reply.ts";
 import type { StatusReport } from "./status_poller.ts";
@@ -28,6 +29,8 @@
   readonly dispatcher: BackendDispatcher;
   readonly log: EventLog;
   readonly metrics: TextMetrics;
+  /** Header in which a backend server says that it leaves, in lower case. */
+  readonly leavingHeader: string;
   /** Called with the configuration version that another daemon reports. */
   readonly onPeerVersion: (version: number, client: PeerClient) => void;
 }
@@ -128,6 +131,7 @@
       this.#countRemoteBytes(call, result.outcome);
     }
     if (result.outcome.kind === "answered") {
+      this.#recordLeaving(record, result.outcome.answer.headers);
       stats.recordNamedLimit(result.load?.limitPerS);
     }
     if (result.load !== undefined) {
@@ -156,6 +160,22 @@
     this.#destinations.delete(instance);
   }
 
+  /**
+   * Chooses a backend server no more that says it leaves, even if its daemon
+   * restarts and does not know.
+   */
+  #recordLeaving(record: BackendRecord, headers: readonly string[]): void {
+    const { directory, leavingHeader, log } = this.#options;
+    if (!saysLeaving(headers, leavingHeader)) return;
+    if (directory.get(record.instance)?.record.id !== record.id) return;
+    const draining = { ...record, state: BackendState.Draining };
+    if (!directory.put(draining)) return;
+    log.info("backend-leaving", {
+      backend: record.id,
+      instance: record.instance,
+    });
+  }
+
   #recordStatusReport(record: BackendRecord, report: StatusReport): void {
     const { log, metrics } = this.#options;
     const { status, repeated, ...details } = report;
--- a/src/sidecar/ports.ts
+++ b/src/sidecar/ports.ts
@@ -60,6 +60,8 @@
    * responses for as long as the limit holds.
    */
   readonly limitPerS: string;
+  /** "1" in all responses of a backend server that leaves. */
+  readonly leaving: string;
 }
 
 /** Header in which a backend server reports its load. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -95,6 +95,7 @@
       stalls: this.#eventLoop,
       log: this.#log,
       metrics: this.#metrics,
+      onLeaving: (id) => this.#lifecycle.handleLeavingResponse(id),
     });
     this.#publisher = new RecordPublisher({
       store: ports.store,
@@ -119,6 +120,7 @@
       dispatcher: this.#dispatcher,
       log: this.#log,
       metrics: this.#metrics,
+      leavingHeader: ports.headers.leaving,
       onPeerVersion: (version, client) =>
         void this.#sync.handlePeerVersion(version, client),
     });
--- a/src/state/local_backend.ts
+++ b/src/state/local_backend.ts
@@ -86,6 +86,20 @@
     return { kind: "draining", announcement: this.#current };
   }
 
+  /**
+   * Records that the backend server no longer accepts new requests, although
+   * it has not announced so.
+   *
+   * @param id Id of the backend process.
+   * @returns The effect.
+   */
+  applyLeaving(id: string): LocalBackendChange {
+    const ready = this.ready;
+    if (ready?.id !== id) return { kind: "unchanged" };
+    this.#current = { ...ready, state: BackendState.Draining };
+    return { kind: "draining", announcement: this.#current };
+  }
+
   /**
    * Records that the backend server has left.
    *
--- a/tests/platform/local_dispatcher.ts
+++ b/tests/platform/local_dispatcher.ts
@@ -33,6 +33,7 @@
     stalls: { hasStalled: false },
     log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
     metrics: new TextMetrics(),
+    onLeaving: () => {},
   });
   dispatcher.connect(announcement);
   return dispatcher;
