Take no record that names no usable backend server

A record was checked for the types of some fields only. A peer address with a port out of range throws where a connection is opened, outside of every handler, and ended each daemon that chose it. A start in the far future kept the true record of an instance out for good, also where it came under another key.

Change: a record needs an address to which a connection can be opened, names that fit into a header, numbers in range and the key of its instance; unknown fields are left out.

--- a/src/protocol/mod.ts
+++ b/src/protocol/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./address.ts";
 export * from "./canonical_json.ts";
 export * from "./config_schema.ts";
 export * from "./headers.ts";
--- a/src/sidecar/backend_record_codec.ts
+++ b/src/sidecar/backend_record_codec.ts
@@ -1,9 +1,17 @@
 import { Buffer } from "node:buffer";
+import { isAddress } from "../protocol/address.ts";
 import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
 
 /** Prefix of the store keys of backend records. */
 export const RECORD_PREFIX = "sesamepond/backends/";
 
+/** Names go into headers and log lines. */
+const NAME_PATTERN = /^[\x21-\x7e]{1,200}$/;
+const MAX_SLOTS = 1_000_000;
+const MAX_LINK_MBPS = 10_000_000;
+/** Start of the year 2100. */
+const MAX_UNIX_MS = 4_102_444_800_000;
+
 const STATES = new Set<string>(Object.values(BackendState));
 
 /**
@@ -22,40 +30,65 @@
 }
 
 /**
- * Decodes a record from the store.
+ * Decodes a record from the store. Another writer may have left anything under
+ * the key; what names no backend server that can be used is malformed.
  *
  * @param bytes Its bytes.
+ * @param key Key of the entry, which ends with the record's instance.
  * @returns The record; `undefined` if it is malformed.
  *
  * @example
  * ```ts
- * decodeRecord(new Uint8Array()); // undefined
+ * decodeRecord(new Uint8Array(), "sesamepond/backends/a-1"); // undefined
  * ```
  */
-export function decodeRecord(bytes: Uint8Array): BackendRecord | undefined {
+export function decodeRecord(
+  bytes: Uint8Array,
+  key: string,
+): BackendRecord | undefined {
   try {
-    const record = JSON.parse(Buffer.from(bytes).toString());
-    if (!isRecord(record)) return undefined;
+    const fields = JSON.parse(Buffer.from(bytes).toString());
     // Records of earlier versions have no link bandwidth.
-    return { ...record, linkMbps: record.linkMbps ?? 0 };
+    const record = { linkMbps: 0, ...fields };
+    if (!isRecord(record) || key !== RECORD_PREFIX + record.instance) {
+      return undefined;
+    }
+    const { id, instance, service, domain, peerAddress } = record;
+    const { slots, state, bornAtUnixMs, linkMbps } = record;
+    // Leaves out unknown fields, whose values may be deeply nested.
+    return {
+      id,
+      instance,
+      service,
+      domain,
+      peerAddress,
+      slots,
+      state,
+      bornAtUnixMs,
+      linkMbps,
+    };
   } catch {
     // Invalid JSON: the caller logs it with its key.
     return undefined;
   }
 }
 
-function isRecord(value: unknown): value is BackendRecord {
-  if (typeof value !== "object" || value === null) return false;
-  const record = value as Partial<Record<keyof BackendRecord, unknown>>;
-  const texts = [
-    record.id,
-    record.instance,
-    record.service,
-    record.domain,
-    record.peerAddress,
-  ];
-  return texts.every((text) => typeof text === "string" && text !== "") &&
-    typeof record.slots === "number" && record.slots > 0 &&
-    typeof record.bornAtUnixMs === "number" &&
-    STATES.has(String(record.state));
+function isRecord(
+  record: Partial<Record<keyof BackendRecord, unknown>>,
+): record is BackendRecord {
+  const names = [record.id, record.instance, record.service, record.domain];
+  return names.every((name) =>
+    typeof name === "string" && NAME_PATTERN.test(name)
+  ) &&
+    typeof record.peerAddress === "string" && isAddress(record.peerAddress) &&
+    isIntegerUpTo(record.slots, MAX_SLOTS) && record.slots > 0 &&
+    isIntegerUpTo(record.bornAtUnixMs, MAX_UNIX_MS) &&
+    typeof record.linkMbps === "number" && record.linkMbps >= 0 &&
+    record.linkMbps <= MAX_LINK_MBPS && typeof record.state === "string" &&
+    STATES.has(record.state);
+}
+
+function isIntegerUpTo(value: unknown, max: number): value is number {
+  return typeof value === "number" && Number.isInteger(value) && value >= 0 &&
+    value <= max;
 }
--- a/src/sidecar/record_publisher.ts
+++ b/src/sidecar/record_publisher.ts
@@ -88,7 +88,7 @@
       this.#wake?.();
     }
     if (!isEqual(this.#stored, this.#desired)) this.#wake?.();
-    return entry && decodeRecord(entry.value);
+    return entry && decodeRecord(entry.value, entry.key);
   }
 
   /**
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import type { BackendRecord, ConfigGap } from "../protocol/mesh.ts";
+import type { ConfigGap } from "../protocol/mesh.ts";
 import { messageOf } from "../protocol/step_error.ts";
 import type { StoreEntry } from "../protocol/store.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
@@ -377,7 +377,7 @@
   }
 
   #applyRecord(entry: StoreEntry): void {
-    const record: BackendRecord | undefined = decodeRecord(entry.value);
+    const record = decodeRecord(entry.value, entry.key);
     if (record === undefined) {
       this.#options.log.warn("record-unreadable", { key: entry.key });
       return;
--- a/tests/platform/control_decoder_test.ts
+++ b/tests/platform/control_decoder_test.ts
@@ -52,6 +52,10 @@
     JSON.stringify({ ...FIELDS, Capacity: "4" }),
     JSON.stringify({ ...FIELDS, Sequence: undefined }),
     JSON.stringify({ ...FIELDS, born: 1.5 }),
+    JSON.stringify({ ...FIELDS, Address: "10.0.0.1:99999" }),
+    JSON.stringify({ ...FIELDS, Address: "10.0.0.1" }),
+    JSON.stringify({ ...FIELDS, Sequence: 1e300 }),
+    "[".repeat(8_000),
   ];
   const kinds = bodies.map((body) =>
     CONTROL_DECODER.decode("POST", BEAT, body).kind
