Decide by the end of the body whether a stopping daemon takes a request

What operators of a similar system saw: requests that came late in the grace period were taken and passed on, and cut at its end, among them requests that may run once (LOST).

Cause: it could happen here. A stopping daemon refuses what may outlast it by the time at which the head of a request came. An order whose head came early and whose body came late was passed on and cut while its backend server worked.

Change: the time after the body decides.

--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -206,7 +206,9 @@
   ): Promise<void> {
     const { request, response, caller, route, id, arrivedAtMs, body } = parts;
     const times = this.#computeDeadlines(request, route, arrivedAtMs);
-    if (!this.#options.shutdown.admits(times.deadlineMs, arrivedAtMs)) {
+    // The body may have come long after the head.
+    const nowMs = performance.now();
+    if (!this.#options.shutdown.admits(times.deadlineMs, nowMs)) {
       return this.#reject(response, id, {
         status: 503,
         retryAfterMs: SHUTDOWN_RETRY_AFTER_MS,
--- a/tests/platform/stopping_test.ts
+++ b/tests/platform/stopping_test.ts
@@ -25,6 +25,8 @@
 const BUSY_PERIOD_MS = 150;
 /** Time from SIGTERM to the late request, over half the grace period, in ms. */
 const LATE_MS = 3_300;
+/** Time from SIGTERM to the head of a request whose body comes late, in ms. */
+const EARLY_MS = 1_500;
 /** Work on that request, which would end after the daemon's exit, in ms. */
 const LONG_WORK_MS = 3_000;
 
@@ -91,6 +93,37 @@
   },
 );
 
+// Guards against requests that come late in the grace period, are passed on and
+// are cut at its end: the time at which their heads had come decided.
+testDaemons(
+  "a stopping daemon refuses an order whose body comes too late for it to end in time",
+  2,
+  async ([daemon, other], store) => {
+    const route = { ...LONG_ROUTE, Kind: "non_idempotent" };
+    store.put(CONFIG_KEY, JSON.stringify(sampleConfig(2, [route])));
+    await until(() => isServed(daemon!, "before", LONG_PATH), "the long route");
+    const openSocket = await openConnection(daemon!.ingressPort);
+    const stopped = daemon!.restart();
+    await sleep(EARLY_MS);
+    openSocket.write(
+      formatCallerRequest("late", LONG_PATH).replace(
+        "\r\n\r\n",
+        "\r\ncontent-length: 2\r\n\r\na",
+      ).replace("GET", "POST"),
+    );
+    await sleep(LATE_MS - EARLY_MS);
+    for (const { backend } of [daemon!, other!]) backend.workMs = LONG_WORK_MS;
+    const answer = await fetchStatusLine(openSocket, "b");
+    await stopped;
+    const runs = [daemon!, other!].flatMap(({ backend }) => backend.runs)
+      .filter(({ id }) => id === "late");
+    assert.equal({ answer, runs: runs.length }, {
+      answer: "HTTP/1.1 503 Service Unavailable",
+      runs: 0,
+    });
+  },
+);
+
 /** Opens connections until the daemon accepts no more. */
 async function openUntilClosed(port: number): Promise<Socket[]> {
   const sockets: Socket[] = [];
