Take every request for less than three seconds of a long grace period

What callers would see: with a grace period of 10 s, requests sent up to 4.5 s after the signal were taken whatever their deadline, and cut at its end (LOST).

Cause: the time in which every request is taken was a share of the grace period alone.

Change: it is 2.8 s at most, before which a request that is cut was sent no later than 3 s after the signal.

Test: graceful_shutdown_test.ts; the code before took requests 3.0 and 4.4 s after the signal.

--- a/src/sidecar/graceful_shutdown.ts
+++ b/src/sidecar/graceful_shutdown.ts
@@ -2,6 +2,8 @@
 const LATEST_END_SHARE = 0.95;
 /** Share of the grace period in which every request is admitted. */
 const LENIENT_SHARE = 0.45;
+/** Longest such time, in ms: most callers have left this instance by then. */
+const MAX_LENIENT_MS = 2_800;
 /**
  * Time for which requests of other daemons are admitted, in ms: until the
  * callers have left this instance, which takes two failed readiness checks.
@@ -39,7 +41,8 @@
    */
   begin(nowMs: number, graceMs: number): void {
     this.#endAtMs = nowMs + graceMs * LATEST_END_SHARE;
-    this.#lenientUntilMs = nowMs + graceMs * LENIENT_SHARE;
+    this.#lenientUntilMs = nowMs +
+      Math.min(MAX_LENIENT_MS, graceMs * LENIENT_SHARE);
     this.#peersUntilMs = nowMs + PEERS_ADMITTED_MS;
   }
 
--- a/src/sidecar/graceful_shutdown_test.ts
+++ b/src/sidecar/graceful_shutdown_test.ts
@@ -30,6 +30,17 @@
   });
 });
 
+// Guards against requests that are cut after a long grace period: callers sent
+// them long after the signal, and half of the period had not passed.
+test("GracefulShutdown.admits() admits everything for less than three seconds", () => {
+  const shutdown = new GracefulShutdown();
+  shutdown.begin(0, 10_000);
+  assert.equal(
+    [2_600, 3_000, 4_400].map((nowMs) => shutdown.admits(60_000, nowMs)),
+    [true, false, false],
+  );
+});
+
 // Guards against a request that came just before the process began to close,
 // and is taken just after: its caller gets 504 while a backend server works.
 test("GracefulShutdown.admits() refuses a request that arrived before stopAdmission()", () => {
