List the store after a daemon's readers have failed

What callers saw: routes of a new version refused with 404 at a daemon that was 2.9 s behind (CONFIG).

Cause: with a version every 0.7 s, a daemon whose readers had failed polled the store from where it was. The poll transfers each version since then in full, 413 KB of base64 for 1,139 routes. That takes 0.68 s on a link of 4.9 Mbit/s (worked out), so three versions take 2 s, and the daemon falls further behind.

Change: a daemon that turns from its readers to the store with a view older than 1.5 s lists the store, which transfers one version only.

--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -278,8 +278,14 @@
 
   async #poll(afterRevision: number): Promise<number | undefined> {
     const update = await this.#options.follower.poll(afterRevision);
+    const wasFollower = !this.#isPollingStore;
     this.#isPollingStore = update === undefined;
-    if (update === undefined) return await this.#pollStore(afterRevision);
+    if (update === undefined) {
+      const isBehind = wasFollower && this.viewAgeMs() > MAX_READER_AGE_MS;
+      return isBehind
+        ? await this.#catchUp(afterRevision)
+        : await this.#pollStore(afterRevision);
+    }
     this.#markConnected();
     this.#applyUpdate(update, ConfigOrigin.Reader);
     this.#view.confirm(performance.now() - update.viewAgeMs);
@@ -325,9 +331,9 @@
   }
 
   /**
-   * Lists the current state of the store. During a series of versions, a poll
-   * transfers each of them in full, so a slow link falls further behind with
-   * each poll.
+   * Lists the current state of the store. A poll transfers each version since
+   * the last one in full, so a slow link falls further behind with each poll of
+   * a series.
    */
   async #catchUp(afterRevision: number): Promise<number> {
     const { store, configSource, directory, localKey, routes } = this.#options;
@@ -338,6 +344,7 @@
       await this.#backOff(listed.error.message);
       return afterRevision;
     }
+    this.#markConnected();
     const { entries, revision } = listed.value;
     const present = new Set(entries.map(({ key }) => key));
     const known = [...directory.entries].map(({ record }) =>
--- a/src/sidecar/store_sync_task_test.ts
+++ b/src/sidecar/store_sync_task_test.ts
@@ -17,6 +17,9 @@
 /** Longer than the pause after a poll with events, in ms. */
 const RUN_MS = 900;
 
+/** Longer than a view may go without a sign that it is current, in ms. */
+const FAILED_MS = 1_700;
+
 function configEntryAt(modRevision: number): StoreEntry {
   const value = Buffer.from(String(modRevision));
   return { key: KEY, value, modRevision, leaseId: "0" };
@@ -42,6 +45,7 @@
 async function runSync(
   listed: (StoreEntry | undefined)[],
   runMs = RUN_MS,
+  pollReader: () => Promise<undefined> = () => Promise.resolve(undefined),
 ): Promise<{ calls: string[]; adopted: number[] }> {
   const calls: string[] = [];
   const routes = new RouteTableHolder();
@@ -78,9 +82,7 @@
     log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
     metrics: new TextMetrics(),
     localKey: "own",
-    follower: {
-      poll: () => Promise.resolve(undefined),
-    } as unknown as FeedFollower,
+    follower: { poll: pollReader } as unknown as FeedFollower,
     onConfigAdopted: () => adopted.push(routes.version),
     onLocalRecord: () => {},
     onRemoved: () => {},
@@ -102,6 +104,25 @@
   });
 });
 
+// Guards against daemons on slow links that fall behind after their readers have
+// failed: each version since then was transferred in full.
+test("StoreSyncTask.run() lists the store after its readers have failed for long", async () => {
+  let reads = 0;
+  const failSlowly = async () => {
+    if (reads++ === 0) await sleep(FAILED_MS);
+    return undefined;
+  };
+  const { calls, adopted } = await runSync(
+    [configEntryAt(1), configEntryAt(9)],
+    FAILED_MS + RUN_MS / 2,
+    failSlowly,
+  );
+  assert.equal({ calls, adopted }, {
+    calls: ["list", "list", "poll after 9"],
+    adopted: [1, 9],
+  });
+});
+
 // Guards against a version that is never adopted because an older one was
 // written after it: a listing returns only the last write.
 test("StoreSyncTask.run() polls from before a listing without a newer version", async () => {
