Lift the limit of a former process once the new one is connected

Cause: lifting the limit starts requests that wait, and those would have used the connections of the former process. Found by reading the diff; no run showed it.

Change: the new connections come first. A limit of zero between daemons, which none sends, is not taken, as the choice divides by it.

--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -268,7 +268,7 @@
   name: Name,
 ): { readonly [Key in Name]?: number } {
   const limitPerS = Number(field ?? NaN);
-  const isLimit = Number.isFinite(limitPerS) && limitPerS >= 0;
+  const isLimit = Number.isFinite(limitPerS) && limitPerS > 0;
   return isLimit ? { [name]: limitPerS } as { [Key in Name]: number } : {};
 }
 
--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -129,10 +129,10 @@
     this.#queue.slots = announcement.slots;
     this.#failureShare = 0;
     this.#hasResponse = false;
-    this.#setLimit(undefined, performance.now());
     this.#connections?.close();
     this.#address = announcement.address;
     this.#connections = new LifoConnectionPool(this.#address);
+    this.#setLimit(undefined, performance.now());
   }
 
   /** Rejects all queued requests, since the backend server leaves. */
