Limit the silence of the other side and not the length of a transfer

What callers saw: routes of a new version refused with 404 (CONFIG).

Cause: a listing of the store had 1.5 s for its whole transfer. With 1,400 routes more than usual it takes longer on a link of 4.9 Mbit/s, so it failed at each try, and the daemon had to wait for another way.

Change: the time limit of an exchange counts from the last byte of its response.

--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -207,7 +207,7 @@
       path: formatFeedTarget(afterRevision, waitMs),
       headers: [],
       body: undefined,
-      timeoutMs: waitMs + FEED_MARGIN_MS,
+      silenceTimeoutMs: waitMs + FEED_MARGIN_MS,
     });
     if (result.kind === "failed") return { kind: "failed" };
     if (result.status !== 200) return { kind: "refused" };
@@ -272,7 +272,7 @@
       path: formatTransferPermitTarget(call.id, maxWaitMs),
       headers: [],
       body: undefined,
-      timeoutMs: Math.ceil(maxWaitMs),
+      silenceTimeoutMs: Math.ceil(maxWaitMs),
     }, signal);
     if (result.kind === "failed") {
       const hasTimedOut = performance.now() - requestedAtMs >= maxWaitMs;
@@ -320,7 +320,7 @@
       headers,
       body: undefined,
       maxIdleMs: QUERY_MAX_IDLE_MS,
-      timeoutMs: QUERY_TIMEOUT_MS,
+      silenceTimeoutMs: QUERY_TIMEOUT_MS,
     });
   }
 }
--- a/src/transport/http/lifo_connection_pool.ts
+++ b/src/transport/http/lifo_connection_pool.ts
@@ -34,8 +34,11 @@
   readonly body: Buffer | undefined;
   /** Maximum idle time of a connection to be reused, in ms. */
   readonly maxIdleMs?: number;
-  /** Time limit of the exchange, in ms; none if omitted. */
-  readonly timeoutMs?: number;
+  /**
+   * Longest time without a byte of the response, in ms; none if omitted. A long
+   * response that comes steadily over a slow link has no limit.
+   */
+  readonly silenceTimeoutMs?: number;
   /** Checks whether a response belongs to this request. */
   readonly accepts?: (head: PoolResponseHead) => boolean;
 }
@@ -236,7 +239,7 @@
       resolve,
       signal,
       accepts: request.accepts,
-      timeoutMs: request.timeoutMs,
+      silenceTimeoutMs: request.silenceTimeoutMs,
       initialReadBytes: connection.socket?.bytesRead ?? 0,
       isFirst: !connection.isReused,
     });
@@ -260,7 +263,7 @@
   readonly resolve: (result: PoolResult) => void;
   readonly signal: AbortSignal | undefined;
   readonly accepts: PoolRequest["accepts"];
-  readonly timeoutMs: number | undefined;
+  readonly silenceTimeoutMs: number | undefined;
   /** Bytes that were read from the connection before this exchange. */
   readonly initialReadBytes: number;
   readonly isFirst: boolean;
@@ -285,8 +288,11 @@
   constructor(options: CollectorOptions) {
     this.#options = options;
     options.signal?.addEventListener("abort", this.#onAbort);
-    if (options.timeoutMs !== undefined) {
-      this.#timer = setTimeout(() => void this.#expire(), options.timeoutMs);
+    if (options.silenceTimeoutMs !== undefined) {
+      this.#timer = setTimeout(
+        () => void this.#expire(),
+        options.silenceTimeoutMs,
+      );
     }
   }
 
@@ -325,6 +331,7 @@
 
   onData(chunk: Buffer): boolean {
     if (this.#isDone) return true;
+    this.#timer?.refresh();
     this.#chunks.push(Buffer.from(chunk));
     const longest = RESPONSE_MEMORY.take(this, chunk.length);
     if (longest !== undefined) longest.#abort("responses take too much memory");
@@ -358,9 +365,13 @@
 
   /** After a stall, a timer fires before the response is read. */
   async #expire(): Promise<void> {
+    const chunkCount = this.#chunks.length;
     await waitForNextPoll();
     if (this.#isDone) return;
-    this.#abort(`no response after ${this.#options.timeoutMs} ms`);
+    if (this.#chunks.length > chunkCount) return;
+    this.#abort(
+      `nothing was received for ${this.#options.silenceTimeoutMs} ms`,
+    );
   }
 
   #finish(result: PoolResult): void {
--- a/tests/platform/slow_links_test.ts
+++ b/tests/platform/slow_links_test.ts
@@ -1,6 +1,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { FaultProxy } from "../../fakes/fault_proxy.ts";
+import { KvStore } from "../../platform/kv_store.ts";
+import { KvServer } from "../../platform/fakes/kv_server.ts";
 import { decodeConfig } from "../../platform/config_codec.ts";
 import {
   CONFIG_KEY,
@@ -21,6 +23,8 @@
 const ROUTE_COUNT = 2_000;
 /** Bandwidth of the slowest links of a large fleet, 4.9 Mbit/s. */
 const SLOW_BYTES_PER_S = 612_500;
+/** Takes 2.2 s on such a link in base64, in bytes. */
+const LONG_LISTING_BYTES = 1_000_000;
 
 // Guards against versions that no daemon on a slow link gets from another one:
 // their transfer took longer than the time limit.
@@ -60,6 +64,26 @@
   }
 });
 
+// Guards against daemons on slow links that never get a listing: its transfer
+// took longer than the time limit, however steadily it came.
+test("KvStore.list() waits for a listing that takes long and comes steadily", async () => {
+  const store = await KvServer.start();
+  const proxy = new FaultProxy(Number(store.address.split(":")[1]));
+  try {
+    store.put(CONFIG_KEY, "x".repeat(LONG_LISTING_BYTES));
+    const port = await proxy.listen();
+    proxy.set({ kind: "slow", delayMs: 1, bytesPerS: SLOW_BYTES_PER_S });
+    const listed = await new KvStore(`127.0.0.1:${port}`).list("");
+    const sizes = listed.map(({ entries }) =>
+      entries.map(({ value }) => value.length)
+    );
+    assert.equal(sizes.unwrapOr([]), [LONG_LISTING_BYTES]);
+  } finally {
+    await proxy.close();
+    await store.stop();
+  }
+});
+
 test("all uploads of a burst over slow links are served", async () => {
   const mesh = await FakeMesh.start(2, { linkMbps: 7 });
   try {
