Log the end of a backend server and the requests that ran there

The sidecar now logs backend-ended with its proof, and request-ran-at-end with fingerprint, method, host and path. What it does with requests is unchanged.

--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -1,3 +1,4 @@
+import { describeRequest, fingerprintOf } from "../protocol/fingerprint.ts";
 import { type Announcement, RequestKind } from "../protocol/mesh.ts";
 import type {
   CallOutcome,
@@ -29,6 +30,7 @@
   readPace,
   saysLeaving,
 } from "./backend_response.ts";
+import { type BackendEnd, BackendEndDetector } from "./backend_end_detector.ts";
 import type { EdgeHeaders } from "./ports.ts";
 
 /** Weight of the newest outcome in the moving average of failures. */
@@ -37,6 +39,8 @@
 const AT_MOST_ONCE_MAX_IDLE_MS = 3_000;
 /** Most log lines about the limit of the backend server in a second. */
 const MAX_LIMIT_LINES_PER_S = 2;
+/** Most log lines about requests that ran at ends in a second. */
+const MAX_END_LINES_PER_S = 40;
 /** Most log lines about cancelled calls in a second. */
 const MAX_CANCELLED_LINES_PER_S = 50;
 
@@ -95,6 +99,10 @@
   readonly #pace = new MomentaryPace();
   readonly #onLeaving: BackendDispatcherOptions["onLeaving"];
   readonly #limitLines: LogRateLimiter;
+  readonly #endLines: LogRateLimiter;
+  readonly #ends: BackendEndDetector;
+  /** Calls that were sent to a backend process and have no result. */
+  readonly #exchanges = new Set<MeshCall>();
   /** Monotonic time of the newest response with a limit. */
   #limitNamedAtMs = -Infinity;
   /** Whether this process of the backend server has responded. */
@@ -114,6 +122,13 @@
     this.#metrics = options.metrics;
     this.#onLeaving = options.onLeaving;
     this.#limitLines = new LogRateLimiter(options.log, MAX_LIMIT_LINES_PER_S);
+    this.#endLines = new LogRateLimiter(options.log, MAX_END_LINES_PER_S);
+    this.#ends = new BackendEndDetector({
+      backend: options.backend,
+      hasOpenExchange: (backendId) =>
+        [...this.#exchanges].some((call) => call.backendId === backendId),
+      onEnd: (end) => this.#recordEnd(end),
+    });
     this.#cancelledLines = new LogRateLimiter(
       options.log,
       MAX_CANCELLED_LINES_PER_S,
@@ -129,6 +144,7 @@
     this.#queue.slots = announcement.slots;
     this.#failureShare = 0;
     this.#hasResponse = false;
+    this.#ends.recordReplacement();
     this.#connections?.close();
     this.#address = announcement.address;
     this.#connections = new LifoConnectionPool(this.#address);
@@ -137,6 +153,7 @@
 
   /** Rejects all queued requests, since the backend server leaves. */
   rejectQueued(): void {
+    this.#ends.forget();
     for (const job of this.#queue.removeAll()) {
       this.#stopWaiting(job);
       job.resolve(notRunOutcome(MeshReason.Leaving));
@@ -291,6 +308,7 @@
     const remainingMs = Math.floor(call.deadlineMs - performance.now());
     if (remainingMs < 1) return notRunOutcome(MeshReason.Expired);
     const isIdempotent = call.kind === RequestKind.Idempotent;
+    this.#exchanges.add(call);
     const result = await this.#connections!.send({
       method: call.method,
       path: call.path,
@@ -300,6 +318,10 @@
         isMatchingResponse({ ...head, call, headerNames: this.#headers }),
       ...(isIdempotent ? {} : { maxIdleMs: AT_MOST_ONCE_MAX_IDLE_MS }),
     }, signal);
+    this.#exchanges.delete(call);
+    if (result.kind === "failed" && result.sent && !signal.aborted) {
+      void this.#ends.recordBreak(call);
+    }
     if (result.kind === "answer") this.#recordPace(result.headers);
     const outcome = classifyResponse({
       call,
@@ -317,6 +339,26 @@
     return outcome;
   }
 
+  #recordEnd(end: BackendEnd): void {
+    const { backendId, proof, calls } = end;
+    this.#metrics.count("backend_ends_total", { proof });
+    this.#log.warn("backend-ended", {
+      backend: backendId,
+      end: end.id,
+      proof,
+      running: calls.length,
+    });
+    for (const call of calls) {
+      if (!this.#endLines.allows(performance.now())) continue;
+      this.#log.warn("request-ran-at-end", {
+        id: call.id,
+        end: end.id,
+        fingerprint: fingerprintOf(call),
+        request: describeRequest(call),
+      });
+    }
+  }
+
   #recordPace(headers: readonly string[]): void {
     const pace = readPace(headers, this.#headers.load);
     if (pace !== undefined) this.#pace.record(pace, performance.now());
