Refuse a request under which three backend servers have ended

Cause: the sidecar treated each arrival of the request as any other. The lines request-ran-at-end of the failing test show it: one fingerprint at 47 of 47 ends, passed on by all four daemons from the first second to the last, and repeated by them. There was no verdict that could have come late.

Change: the daemon beside a backend server reports its end, with the fingerprints of what ran, in the record that all daemons read (one write for an end, no further calls); calls and responses between daemons carry the evidence as well, for those that do not reach the store. What ran is suspected until it is served. A suspect runs beside no other suspect, is repeated after one end only and never beside an open run; if suspects of earlier ends ran at an end, only they are suspected of it. Three ends, two of them with no other suspect, make a verdict: 503 as not run, for ten minutes. Without two such ends the request is on trial, at one backend server of the fleet at a time.

--- a/src/coordination/quarantine/mod.ts
+++ b/src/coordination/quarantine/mod.ts
@@ -4,3 +4,4 @@
  * @module
  */
 export * from "./quarantine_list.ts";
+export * from "./suspect_list.ts";
--- a/src/protocol/mesh.ts
+++ b/src/protocol/mesh.ts
@@ -1,3 +1,5 @@
+import type { EndReport } from "./end_evidence.ts";
+
 /** Delivery guarantee of a route's requests. */
 export enum RequestKind {
   /** A request may safely run more than once. */
@@ -103,4 +105,6 @@
   readonly bornAtUnixMs: number;
   /** Bandwidth of the instance's link, in Mbit/s; 0 where unknown. */
   readonly linkMbps: number;
+  /** Latest ends of backend processes on the instance, if any. */
+  readonly ends?: readonly EndReport[] | undefined;
 }
--- a/src/protocol/mesh_call.ts
+++ b/src/protocol/mesh_call.ts
@@ -1,4 +1,5 @@
 import type { Buffer } from "node:buffer";
+import type { EndEvidence } from "./end_evidence.ts";
 import type { RequestKind } from "./mesh.ts";
 
 /** A request to one backend server. */
@@ -29,6 +30,8 @@
    * the sender has passed on; absent if it named none.
    */
   readonly namedLimitPerS?: number | undefined;
+  /** Ends of backend processes that the request is suspected of. */
+  readonly evidence?: readonly EndEvidence[] | undefined;
 }
 
 /** The complete response of a backend server. */
@@ -55,6 +58,12 @@
   Shed = "shed",
   /** No connection could be opened. */
   Unreachable = "unreachable",
+  /** The backend process ended while it was running the request. */
+  Ended = "ended",
+  /** Another request that is suspected of such an end is running. */
+  Isolated = "isolated",
+  /** Too many backend processes have ended under the request. */
+  Quarantined = "quarantined",
   /** The connection ended before a complete response. */
   Broken = "broken",
   /** The response does not belong to this request. */
--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -1,3 +1,8 @@
+import {
+  type EndEvidence,
+  formatEvidence,
+  parseEvidence,
+} from "./end_evidence.ts";
 import type { CallOutcome, DestinationLoad, MeshCall } from "./mesh_call.ts";
 import { MeshReason } from "./mesh_call.ts";
 import { RequestKind } from "./mesh.ts";
@@ -65,6 +70,8 @@
   readonly configVersion: number;
   /** Time from receiving the request's head to sending the response, in ms. */
   readonly heldMs: number;
+  /** Ends of backend processes that the request is suspected of. */
+  readonly evidence?: readonly EndEvidence[] | undefined;
 }
 
 /**
@@ -90,7 +97,10 @@
     Math.round(call.remainingMs),
     Math.round(call.objectiveInMs),
     call.configVersion,
-    ...formatLimit(call.namedLimitPerS),
+    ...formatOptional(
+      call.namedLimitPerS,
+      encodeURIComponent(formatEvidence(call.evidence ?? [])),
+    ),
   ].join(SEPARATOR);
 }
 
@@ -131,6 +141,7 @@
     objectiveInMs,
     configVersion,
     ...parseLimit(fields[CALL_FIELDS], "namedLimitPerS"),
+    ...parseEvidenceField(fields[CALL_FIELDS + 1]),
   };
 }
 
@@ -157,7 +168,7 @@
     configVersion,
     Math.round(result.heldMs),
     load.pace.toFixed(2),
-    ...formatLimit(load.limitPerS),
+    ...formatOptional(load.limitPerS, formatEvidence(result.evidence ?? [])),
   ].join(SEPARATOR);
 }
 
@@ -258,9 +269,21 @@
   return isValid ? { description, start, headers } : undefined;
 }
 
-/** Appended only where there is a limit. */
-function formatLimit(limitPerS: number | undefined): readonly string[] {
-  return limitPerS === undefined ? [] : [limitPerS.toFixed(2)];
+/** Formats the last fields, which are left out where they say nothing. */
+function formatOptional(
+  limitPerS: number | undefined,
+  evidence: string,
+): readonly string[] {
+  const limit = limitPerS === undefined ? "" : limitPerS.toFixed(2);
+  if (evidence !== "") return [limit, evidence];
+  return limit === "" ? [] : [limit];
+}
+
+function parseEvidenceField(
+  field: string | undefined,
+): { readonly evidence?: readonly EndEvidence[] } {
+  const evidence = parseEvidence(field);
+  return evidence.length === 0 ? {} : { evidence };
 }
 
 function parseLimit<Name extends string>(
@@ -327,6 +350,7 @@
     },
     configVersion,
     heldMs,
+    ...parseEvidenceField(fields[RESULT_FIELDS + 2]),
   };
 }
 
--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -1,4 +1,3 @@
-import { describeRequest, fingerprintOf } from "../protocol/fingerprint.ts";
 import { type Announcement, RequestKind } from "../protocol/mesh.ts";
 import type {
   CallOutcome,
@@ -18,6 +17,7 @@
 import { LogRateLimiter } from "../transport/observe/log_rate_limiter.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import type { LocalBackend } from "../state/local_backend.ts";
+import { Verdict } from "../coordination/quarantine/suspect_list.ts";
 import {
   type DispatchResult,
   MomentaryPace,
@@ -32,6 +32,7 @@
 } from "./backend_response.ts";
 import { type BackendEnd, BackendEndDetector } from "./backend_end_detector.ts";
 import type { EdgeHeaders } from "./ports.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 
 /** Weight of the newest outcome in the moving average of failures. */
 const FAILURE_WEIGHT = 0.1;
@@ -39,8 +40,8 @@
 const AT_MOST_ONCE_MAX_IDLE_MS = 3_000;
 /** Most log lines about the limit of the backend server in a second. */
 const MAX_LIMIT_LINES_PER_S = 2;
-/** Most log lines about requests that ran at ends in a second. */
-const MAX_END_LINES_PER_S = 40;
+/** Retry-After value for a suspect while another one is running, in ms. */
+const ISOLATION_RETRY_AFTER_MS = 150;
 /** Most log lines about cancelled calls in a second. */
 const MAX_CANCELLED_LINES_PER_S = 50;
 
@@ -66,6 +67,7 @@
 export interface BackendDispatcherOptions {
   readonly backend: LocalBackend;
   readonly headers: EdgeHeaders;
+  readonly quarantine: RequestQuarantine;
   readonly stalls: StallDetector;
   readonly log: EventLog;
   readonly metrics: TextMetrics;
@@ -99,10 +101,12 @@
   readonly #pace = new MomentaryPace();
   readonly #onLeaving: BackendDispatcherOptions["onLeaving"];
   readonly #limitLines: LogRateLimiter;
-  readonly #endLines: LogRateLimiter;
   readonly #ends: BackendEndDetector;
-  /** Calls that were sent to a backend process and have no result. */
-  readonly #exchanges = new Set<MeshCall>();
+  readonly #quarantine: RequestQuarantine;
+  /** The suspect that waits or runs, if any. */
+  #isolatedCall: MeshCall | undefined;
+  /** When calls without a result were sent to a backend process. */
+  readonly #exchanges = new Map<MeshCall, number>();
   /** Monotonic time of the newest response with a limit. */
   #limitNamedAtMs = -Infinity;
   /** Whether this process of the backend server has responded. */
@@ -122,11 +126,13 @@
     this.#metrics = options.metrics;
     this.#onLeaving = options.onLeaving;
     this.#limitLines = new LogRateLimiter(options.log, MAX_LIMIT_LINES_PER_S);
-    this.#endLines = new LogRateLimiter(options.log, MAX_END_LINES_PER_S);
+    this.#quarantine = options.quarantine;
     this.#ends = new BackendEndDetector({
       backend: options.backend,
-      hasOpenExchange: (backendId) =>
-        [...this.#exchanges].some((call) => call.backendId === backendId),
+      hasOpenExchange: (backendId, beforeMs) =>
+        [...this.#exchanges].some(([call, sentAtMs]) =>
+          call.backendId === backendId && sentAtMs < beforeMs
+        ),
       onEnd: (end) => this.#recordEnd(end),
     });
     this.#cancelledLines = new LogRateLimiter(
@@ -198,8 +204,24 @@
    * @returns The outcome; never rejects.
    */
   execute(call: MeshCall, signal: AbortSignal): Promise<CallOutcome> {
-    const refusal = this.#findRefusal(call, signal);
+    const refusal = this.#findRefusal(call, signal) ??
+      this.#findQuarantine(call);
     if (refusal !== undefined) return Promise.resolve(refusal);
+    if (this.#quarantine.judge(call) === undefined) {
+      return this.#enqueue(call, signal);
+    }
+    if (this.#isolatedCall !== undefined) {
+      return Promise.resolve(
+        notRunOutcome(MeshReason.Isolated, ISOLATION_RETRY_AFTER_MS),
+      );
+    }
+    this.#isolatedCall = call;
+    return this.#enqueue(call, signal).finally(() =>
+      this.#isolatedCall = undefined
+    );
+  }
+
+  #enqueue(call: MeshCall, signal: AbortSignal): Promise<CallOutcome> {
     // An earlier process of this daemon has passed the limit on.
     if (!this.#hasResponse && call.namedLimitPerS !== undefined) {
       this.#setLimit(call.namedLimitPerS, performance.now());
@@ -233,6 +255,13 @@
     return undefined;
   }
 
+  #findQuarantine(call: MeshCall): CallOutcome | undefined {
+    const judgement = this.#quarantine.judge(call);
+    return judgement?.verdict === Verdict.Quarantined
+      ? notRunOutcome(MeshReason.Quarantined, judgement.remainingMs)
+      : undefined;
+  }
+
   #awaitSlot(job: Job, signal: AbortSignal): void {
     const onAbort = () => {
       if (!this.#queue.remove(job)) return;
@@ -307,8 +336,11 @@
     if (signal.aborted) return notRunOutcome(MeshReason.Cancelled);
     const remainingMs = Math.floor(call.deadlineMs - performance.now());
     if (remainingMs < 1) return notRunOutcome(MeshReason.Expired);
+    // The verdict may have come while the call was waiting.
+    const refusal = this.#findQuarantine(call);
+    if (refusal !== undefined) return refusal;
     const isIdempotent = call.kind === RequestKind.Idempotent;
-    this.#exchanges.add(call);
+    this.#exchanges.set(call, performance.now());
     const result = await this.#connections!.send({
       method: call.method,
       path: call.path,
@@ -319,9 +351,8 @@
       ...(isIdempotent ? {} : { maxIdleMs: AT_MOST_ONCE_MAX_IDLE_MS }),
     }, signal);
     this.#exchanges.delete(call);
-    if (result.kind === "failed" && result.sent && !signal.aborted) {
-      void this.#ends.recordBreak(call);
-    }
+    const isBroken = result.kind === "failed" && result.sent && !signal.aborted;
+    const hasEnded = isBroken && await this.#ends.recordBreak(call);
     if (result.kind === "answer") this.#recordPace(result.headers);
     const outcome = classifyResponse({
       call,
@@ -335,8 +366,9 @@
         saysLeaving(result.headers, this.#headers.leaving);
       if (isLeaving) this.#onLeaving(call.backendId);
     }
+    if (outcome.kind === "answered") this.#quarantine.recordServed(call);
     this.#logFailure(call, result, outcome);
-    return outcome;
+    return hasEnded ? { kind: "unknown", reason: MeshReason.Ended } : outcome;
   }
 
   #recordEnd(end: BackendEnd): void {
@@ -348,15 +380,7 @@
       proof,
       running: calls.length,
     });
-    for (const call of calls) {
-      if (!this.#endLines.allows(performance.now())) continue;
-      this.#log.warn("request-ran-at-end", {
-        id: call.id,
-        end: end.id,
-        fingerprint: fingerprintOf(call),
-        request: describeRequest(call),
-      });
-    }
+    this.#quarantine.recordEnd(end);
   }
 
   #recordPace(headers: readonly string[]): void {
--- a/src/sidecar/backend_end_detector.ts
+++ b/src/sidecar/backend_end_detector.ts
@@ -38,8 +38,11 @@
 /** Options of a {@linkcode BackendEndDetector}. */
 export interface BackendEndDetectorOptions {
   readonly backend: LocalBackend;
-  /** Whether an exchange with a backend process has no result yet. */
-  readonly hasOpenExchange: (backendId: string) => boolean;
+  /**
+   * Whether an exchange with a backend process that began before a monotonic
+   * time has no result yet.
+   */
+  readonly hasOpenExchange: (backendId: string, beforeMs: number) => boolean;
   readonly onEnd: (end: BackendEnd) => void;
 }
 
@@ -103,6 +106,7 @@
   }
 
   async #checkProcess(process: Announcement): Promise<boolean> {
+    const startedAtMs = performance.now();
     const calls = [...this.#broken];
     const first = await probeListener(process.address, PROBE_TIMEOUT_MS);
     if (first === ListenerState.Accepting) {
@@ -110,6 +114,7 @@
       return this.#broken.size > 0 && await this.#checkProcess(process);
     }
     this.#replaceableUntilMs = performance.now() + REPLACEMENT_WINDOW_MS;
+    if (first === ListenerState.Silent) return false;
     await sleep(PROBE_PAUSE_MS);
     const second = await probeListener(process.address, PROBE_TIMEOUT_MS);
     const { backend, hasOpenExchange } = this.#options;
@@ -117,9 +122,9 @@
       backend.ready.bornAtUnixMs === process.bornAtUnixMs;
     // Reported by its replacement, unless it has left.
     if (!isCurrent) return backend.ready !== undefined;
-    const isRefused = first === ListenerState.Refusing &&
-      second === ListenerState.Refusing;
-    if (!isRefused || hasOpenExchange(process.id)) return false;
+    const isAlive = second !== ListenerState.Refusing ||
+      hasOpenExchange(process.id, startedAtMs);
+    if (isAlive) return false;
     this.#report(EndProof.Refused);
     this.forget();
     return true;
--- a/src/sidecar/backend_lifecycle.ts
+++ b/src/sidecar/backend_lifecycle.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { RecordPublisher } from "./record_publisher.ts";
 import type { BackendDispatcher } from "./backend_dispatcher.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import { probeBackend } from "./probe_backend.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
 
@@ -19,6 +20,7 @@
   readonly dispatcher: BackendDispatcher;
   readonly directory: BackendDirectory;
   readonly publisher: RecordPublisher;
+  readonly quarantine: RequestQuarantine;
   readonly routes: RouteTableHolder;
   /** Lower-case name of the header with the id of the backend process. */
   readonly idHeader: string;
@@ -157,6 +159,11 @@
     if (last !== undefined) this.#publish(BackendState.Draining, last);
   }
 
+  /** Publishes the latest ends of the backend server with its record. */
+  publishEnds(): void {
+    this.#publish(BackendState.Ready);
+  }
+
   /**
    * Whether an announcement may be a late one, from before a drain that an
    * earlier daemon process acknowledged and could not record. A second one
@@ -194,7 +201,8 @@
 
   #publish(state: BackendState, of = this.#options.backend.current): void {
     if (of === undefined) return;
-    const { settings } = this.#options;
+    const { settings, quarantine } = this.#options;
+    const ends = quarantine.reports;
     const isDraining = of.state === BackendState.Draining;
     const record: BackendRecord = {
       id: of.id,
@@ -206,6 +214,7 @@
       state: isDraining ? BackendState.Draining : state,
       bornAtUnixMs: of.bornAtUnixMs,
       linkMbps: settings.linkMbps,
+      ...(ends.length === 0 ? {} : { ends }),
     };
     this.#options.directory.put(record);
     this.#options.publisher.publish(record);
--- a/src/sidecar/backend_lifecycle_test.ts
+++ b/src/sidecar/backend_lifecycle_test.ts
@@ -16,6 +16,7 @@
 import type { BackendDispatcher } from "./backend_dispatcher.ts";
 import { BackendLifecycle } from "./backend_lifecycle.ts";
 import type { RecordPublisher } from "./record_publisher.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
 
 const RECORD: BackendRecord = {
@@ -83,6 +84,7 @@
     } as unknown as BackendDispatcher,
     directory: new BackendDirectory(),
     publisher: { publish: () => {} } as unknown as RecordPublisher,
+    quarantine: { reports: [] } as unknown as RequestQuarantine,
     routes,
     idHeader: "id",
     log,
--- a/src/sidecar/backend_record_codec.ts
+++ b/src/sidecar/backend_record_codec.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import { isAddress } from "../protocol/address.ts";
+import type { EndReport } from "../protocol/end_evidence.ts";
 import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
 
 /** Prefix of the store keys of backend records. */
@@ -12,6 +13,11 @@
 /** Start of the year 2100. */
 const MAX_UNIX_MS = 4_102_444_800_000;
 
+/** Largest number of reported ends, and of suspects of each, that are read. */
+const MAX_ENDS = 16;
+const MAX_FINGERPRINTS = 64;
+const FINGERPRINT_PATTERN = /^[\w-]{1,64}$/;
+
 const STATES = new Set<string>(Object.values(BackendState));
 
 /**
@@ -56,6 +62,7 @@
     const { id, instance, service, domain, peerAddress } = record;
     const { slots, state, bornAtUnixMs, linkMbps } = record;
     // Leaves out unknown fields, whose values may be deeply nested.
+    const ends = readEnds(record.ends);
     return {
       id,
       instance,
@@ -66,6 +73,7 @@
       state,
       bornAtUnixMs,
       linkMbps,
+      ...(ends.length === 0 ? {} : { ends }),
     };
   } catch {
     // Invalid JSON: the caller logs it with its key.
@@ -88,6 +96,21 @@
     STATES.has(record.state);
 }
 
+/** Leaves out what cannot be read: the backend server can be used all the same. */
+function readEnds(value: unknown): EndReport[] {
+  if (!Array.isArray(value)) return [];
+  return value.slice(-MAX_ENDS).flatMap((end: Partial<EndReport> | null) => {
+    const { id, fingerprints, untilUnixMs } = end ?? {};
+    const isReadable = typeof id === "string" && NAME_PATTERN.test(id) &&
+      isIntegerUpTo(untilUnixMs, MAX_UNIX_MS) && Array.isArray(fingerprints) &&
+      fingerprints.length <= MAX_FINGERPRINTS &&
+      fingerprints.every((fingerprint) =>
+        typeof fingerprint === "string" && FINGERPRINT_PATTERN.test(fingerprint)
+      );
+    return isReadable ? [{ id, fingerprints, untilUnixMs }] : [];
+  });
+}
+
 function isIntegerUpTo(value: unknown, max: number): value is number {
   return typeof value === "number" && Number.isInteger(value) && value >= 0 &&
     value <= max;
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -11,6 +11,7 @@
 import { CallStatus } from "../protocol/peer_call.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { BackendDispatcher } from "./backend_dispatcher.ts";
 import { saysLeaving } from "./backend_response.ts";
 import { PeerClient, type SendOptions } from "./peer_client.ts";
@@ -27,6 +28,7 @@
   readonly directory: BackendDirectory;
   readonly routes: RouteTableHolder;
   readonly dispatcher: BackendDispatcher;
+  readonly quarantine: RequestQuarantine;
   readonly log: EventLog;
   readonly metrics: TextMetrics;
   /** Header in which a backend server says that it leaves, in lower case. */
@@ -125,12 +127,14 @@
           },
         },
       );
+    this.#options.quarantine.merge(call, result.evidence, record.instance);
     const nowMs = performance.now();
     stats.recordOutcome(call.route, result.outcome, nowMs);
     if (record.domain !== this.#options.domain) {
       this.#countRemoteBytes(call, result.outcome);
     }
     if (result.outcome.kind === "answered") {
+      if (!isLocal) this.#options.quarantine.recordServed(call);
       this.#recordLeaving(record, result.outcome.answer.headers);
       stats.recordNamedLimit(result.load?.limitPerS);
     }
--- a/src/sidecar/forward_types.ts
+++ b/src/sidecar/forward_types.ts
@@ -5,6 +5,7 @@
 import type { MeshAnswer } from "../protocol/mesh_call.ts";
 import type { Random } from "../protocol/random.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { DestinationPool } from "./destination_pool.ts";
 
 /** A caller's request with its whole body. */
@@ -38,6 +39,7 @@
 export interface ForwardContext {
   readonly destinations: DestinationPool;
   readonly directory: BackendDirectory;
+  readonly quarantine: RequestQuarantine;
   readonly random: Random;
   readonly responseSizes: ResponseSizes;
   readonly domain: string;
--- a/src/sidecar/peer_reply.ts
+++ b/src/sidecar/peer_reply.ts
@@ -1,4 +1,5 @@
 import type { Buffer } from "node:buffer";
+import type { EndEvidence } from "../protocol/end_evidence.ts";
 import type {
   CallOutcome,
   DestinationLoad,
@@ -21,6 +22,8 @@
   readonly configVersion?: number;
   /** Network time of the request and its response, in ms. */
   readonly transitMs?: number;
+  /** Ends of backend processes that the request is suspected of. */
+  readonly evidence?: readonly EndEvidence[] | undefined;
   /** Time that a large body waited for a transfer permit, in ms. */
   readonly permitWaitMs?: number;
 }
@@ -124,10 +127,10 @@
   if (description === undefined) {
     return { outcome: { kind: "unknown", reason: MeshReason.Malformed } };
   }
-  const { outcome, load, configVersion, heldMs } = description;
+  const { outcome, load, configVersion, heldMs, evidence } = description;
   const transitMs = Math.max(0, tookMs - heldMs);
   if (outcome.kind !== "answered") {
-    return { outcome, load, configVersion, transitMs };
+    return { outcome, load, configVersion, transitMs, evidence };
   }
   const headers = withoutConnectionHeaders(reply.headers);
   return {
@@ -139,6 +142,7 @@
     load,
     configVersion,
     transitMs,
+    evidence,
   };
 }
 
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -43,6 +43,7 @@
 import { CallStatusTable, RETENTION_MS } from "./call_status_table.ts";
 import type { GracefulShutdown } from "./graceful_shutdown.ts";
 import type { BackendDispatcher } from "./backend_dispatcher.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import { TransferPermitQueue } from "./transfer_permit_queue.ts";
 import { readBody } from "./read_body.ts";
 
@@ -59,6 +60,7 @@
 /** Options of a {@linkcode PeerServer}. */
 export interface PeerServerOptions {
   readonly dispatcher: BackendDispatcher;
+  readonly quarantine: RequestQuarantine;
   readonly routes: RouteTableHolder;
   readonly log: EventLog;
   readonly metrics: TextMetrics;
@@ -162,6 +164,7 @@
       body: read.body,
       arrivedAtMs,
     });
+    this.#mergeEvidence(call, request.socket.remoteAddress);
     const outcome = await this.#execute(call, {
       mayRun,
       signal: caller.cancel.signal,
@@ -191,6 +194,7 @@
       body: body.length === 0 ? undefined : body,
       arrivedAtMs,
     });
+    this.#mergeEvidence(call, received.peer);
     const mayBeStale = received.isFromFirstRead ||
       this.#options.stalls.hasStalled;
     const outcome = await this.#execute(call, {
@@ -212,6 +216,10 @@
     this.#finishCall(description, received.peer);
   }
 
+  #mergeEvidence(call: MeshCall, peer: string | undefined): void {
+    this.#options.quarantine.merge(call, call.evidence, peer ?? "");
+  }
+
   #finishCall(description: CallDescription, peer: string | undefined): void {
     this.#callStatuses.end(description.id, performance.now());
     this.#options.onPeerVersion(description.configVersion, peer ?? "");
@@ -278,6 +286,7 @@
       load: this.#options.dispatcher.loadFor(exchange.call),
       configVersion: this.#options.routes.version,
       heldMs: performance.now() - exchange.arrivedAtMs,
+      evidence: this.#options.quarantine.evidenceOf(exchange.call),
     });
   }
 
@@ -402,5 +411,6 @@
     deadlineMs: arrivedAtMs + description.remainingMs,
     objectiveAtMs: arrivedAtMs + description.objectiveInMs,
     namedLimitPerS: description.namedLimitPerS,
+    evidence: description.evidence,
   };
 }
--- a/src/sidecar/record_publisher.ts
+++ b/src/sidecar/record_publisher.ts
@@ -43,6 +43,8 @@
   readonly #key: string;
   #desired: Uint8Array | undefined;
   #stored: Uint8Array | undefined;
+  /** Whether the store has reported what an earlier process left there. */
+  #isStoredKnown = false;
   #leaseId: string | undefined;
   #renewAtMs = 0;
   #wake: (() => void) | undefined;
@@ -82,6 +84,8 @@
    */
   handleStoredEntry(entry: StoreEntry | undefined): BackendRecord | undefined {
     this.#stored = entry?.value;
+    if (!this.#isStoredKnown) this.#wake?.();
+    this.#isStoredKnown = true;
     if (this.#leaseId === undefined && hasLease(entry)) {
       this.#leaseId = entry.leaseId;
       this.#renewAtMs = performance.now();
@@ -110,7 +114,7 @@
       await this.#renewLease();
     }
     // An earlier record stays until the backend server has announced itself.
-    if (this.#desired === undefined) return true;
+    if (this.#desired === undefined || !this.#isStoredKnown) return true;
     if (isEqual(this.#stored, this.#desired)) return true;
     return await this.#put(this.#desired);
   }
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -3,8 +3,13 @@
   type DestinationChoice,
   effectiveDeadlineMs,
 } from "../coordination/dispatch/mod.ts";
+import {
+  type Judgement,
+  Verdict,
+} from "../coordination/quarantine/suspect_list.ts";
 import type { WindowedRetryBudget } from "../coordination/retry/windowed_retry_budget.ts";
-import { RequestKind } from "../protocol/mesh.ts";
+import { rendezvous } from "../protocol/hash.ts";
+import { type BackendRecord, RequestKind } from "../protocol/mesh.ts";
 import type {
   CallOutcome,
   MeshAnswer,
@@ -37,6 +42,15 @@
 /** Shortest time behind other requests from which a queue exists, in ms. */
 const MIN_QUEUE_MS = 5;
 
+/** Number of ends up to which a suspect is repeated after another one. */
+const MAX_ENDS_FOR_REPEAT = 1;
+
+/**
+ * Time after which another destination has the trials of a request, in ms, as
+ * the backend server of the former one may be gone for good.
+ */
+const TRIAL_PERIOD_MS = 10_000;
+
 /** One send of the request to a destination. */
 interface Attempt {
   readonly choice: DestinationChoice;
@@ -146,6 +160,10 @@
 
   async #runAttempts(signal: AbortSignal): Promise<ForwardResult> {
     this.#budget.recordRequest(performance.now());
+    const judgement = this.#judge();
+    if (judgement?.verdict === Verdict.Quarantined) {
+      return this.#buildQuarantineRefusal(judgement);
+    }
     this.#tryNextDestination(Retry.Free, signal);
     while (this.#open.size > 0 && !signal.aborted) {
       const { attempt, outcome } = await this.#nextEvent();
@@ -167,9 +185,13 @@
       mode === Retry.None || signal.aborted || this.#sendCount >= MAX_SENDS
     ) return;
     if ([...this.#open].some(({ isSuspected }) => !isSuspected)) return;
+    const judgement = this.#judge();
+    // Two runs of a request that may be fatal could end two backend servers.
+    if (judgement !== undefined && this.#open.size > 0) return;
+    if (judgement?.verdict === Verdict.Quarantined) return;
     const isBudgeted = mode === Retry.Budgeted;
     if (isBudgeted && !this.#hasAttemptLeft()) return;
-    const choice = this.#chooseDestination();
+    const choice = this.#chooseDestination(judgement);
     if (choice === undefined || this.#isQueueTooLong(choice)) return;
     if (isBudgeted && !this.#budget.trySpend(performance.now())) return;
     this.#send(choice, signal);
@@ -195,11 +217,18 @@
     return true;
   }
 
-  #chooseDestination(): DestinationChoice | undefined {
+  /** A request on trial has the same destination at all daemons for a time. */
+  #chooseDestination(
+    judgement: Judgement | undefined,
+  ): DestinationChoice | undefined {
     const { directory, destinations, random, domain, responseSizes } =
       this.#context;
     const { service, route, body, objectiveAtMs } = this.#request;
-    return chooseDestination(directory.readyBackends(service), {
+    const records = directory.readyBackends(service);
+    const candidates = judgement?.verdict === Verdict.OnTrial
+      ? chooseTrialBackend(records, judgement.fingerprint)
+      : records;
+    return chooseDestination(candidates, {
       route: route.name,
       bodyBytes: body?.length ?? 0,
       responseBytes: responseSizes.expectedBytes(route.name),
@@ -273,6 +302,7 @@
       priority: route.priority,
       callerService: this.#context.callerService,
       backendId: choice.record.id,
+      evidence: this.#context.quarantine.evidenceOf(this.#request),
     };
   }
 
@@ -301,7 +331,7 @@
       case "unknown":
         this.#countArrival(attempt);
         this.#hasUnknownOutcome = true;
-        return { kind: "continue", mode: this.#chooseRetry() };
+        return { kind: "continue", mode: this.#chooseRepeat() };
     }
   }
 
@@ -344,6 +374,16 @@
     return this.#isIdempotent() ? Retry.Budgeted : Retry.None;
   }
 
+  /** A request that may have ended a backend server is repeated once. */
+  #chooseRepeat(): Retry {
+    const ends = this.#judge()?.ends ?? 0;
+    return ends > MAX_ENDS_FOR_REPEAT ? Retry.None : this.#chooseRetry();
+  }
+
+  #judge(): Judgement | undefined {
+    return this.#context.quarantine.judge(this.#request);
+  }
+
   #isIdempotent(): boolean {
     return this.#request.route.kind === RequestKind.Idempotent;
   }
@@ -374,6 +414,13 @@
       : this.#buildRefusal(reason);
   }
 
+  #buildQuarantineRefusal(judgement: Judgement): ForwardResult {
+    const { fingerprint, remainingMs } = judgement;
+    const reason = MeshReason.Quarantined;
+    this.#steps.push(`${fingerprint}:not-run:${reason}:0:0`);
+    return { kind: "refused", reason, retryAfterMs: remainingMs };
+  }
+
   #buildTimeoutResult(): ForwardResult {
     return this.#mayHaveRun
       ? { kind: "timed-out" }
@@ -401,3 +448,13 @@
     return { kind: "refused", reason, retryAfterMs };
   }
 }
+
+function chooseTrialBackend(
+  records: readonly BackendRecord[],
+  fingerprint: string,
+): readonly BackendRecord[] {
+  const ids = records.map(({ instance }) => instance);
+  const period = Math.floor(Date.now() / TRIAL_PERIOD_MS);
+  const [chosen] = rendezvous(`${fingerprint}@${period}`, ids, 1);
+  return records.filter(({ instance }) => instance === chosen);
+}
--- a/src/sidecar/request_forwarder_test.ts
+++ b/src/sidecar/request_forwarder_test.ts
@@ -6,6 +6,7 @@
   ResponseSizes,
 } from "../coordination/dispatch/mod.ts";
 import { WindowedRetryBudget } from "../coordination/retry/windowed_retry_budget.ts";
+import type { EndEvidence } from "../protocol/end_evidence.ts";
 import {
   type BackendRecord,
   BackendState,
@@ -21,7 +22,10 @@
 import { RequestForwarder } from "./request_forwarder.ts";
 import type { DestinationPool } from "./destination_pool.ts";
 import type { ForwardContext } from "./forward_types.ts";
+import { EventLog } from "../transport/observe/event_log.ts";
+import { TextMetrics } from "../transport/observe/text_metrics.ts";
 import type { SendOptions } from "./peer_client.ts";
+import { RequestQuarantine } from "./request_quarantine.ts";
 
 interface SentRequest {
   readonly id: string;
@@ -43,7 +47,29 @@
   };
 }
 
-function startForwarding(maxAttempts: number, backendCount: number) {
+const REQUEST = {
+  id: "r",
+  method: "GET",
+  path: "/",
+  headers: [],
+  body: undefined,
+  service: "stock",
+};
+
+/** Evidence of ends, each with other suspects or with none. */
+function endsOf(isLone: readonly boolean[]): EndEvidence[] {
+  return isLone.map((lone, index) => ({
+    id: `end-${index}`,
+    isLone: lone,
+    remainingMs: 60_000,
+  }));
+}
+
+function startForwarding(
+  maxAttempts: number,
+  backendCount: number,
+  evidence: readonly EndEvidence[] = [],
+) {
   const sent: SentRequest[] = [];
   const statsById = new Map<string, DestinationStats>();
   const directory = new BackendDirectory();
@@ -69,9 +95,17 @@
     ratio: 1,
     slack: () => 100,
   });
+  const quarantine = new RequestQuarantine({
+    instance: "a-1",
+    log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
+    metrics: new TextMetrics(),
+    onReport: () => {},
+  });
+  quarantine.merge(REQUEST, evidence, "a-2");
   const context: ForwardContext = {
     destinations,
     directory,
+    quarantine,
     random: new Random(1),
     responseSizes: new ResponseSizes(),
     domain: "a",
@@ -80,12 +114,7 @@
   };
   const nowMs = performance.now();
   const forwarder = new RequestForwarder({
-    id: "r",
-    method: "GET",
-    path: "/",
-    headers: [],
-    body: undefined,
-    service: "stock",
+    ...REQUEST,
     deadlineMs: nowMs + 1_500,
     objectiveAtMs: nowMs + 1_500,
     route: {
@@ -100,7 +129,8 @@
       maxAttempts,
     },
   }, context);
-  return { directory, sent, result: forwarder.run(new AbortController()) };
+  const result = forwarder.run(new AbortController());
+  return { directory, sent, quarantine, result };
 }
 
 // Guards against more arrivals than the route's attempts: an open attempt was
@@ -200,4 +230,58 @@
   assert.equal({ sends: sent.length, kind }, { sends: 2, kind: "refused" });
 });
 
+// Guards against sending a request on under which three servers have ended.
+test("RequestForwarder.run() refuses a quarantined request at once, as not run", async () => {
+  const { sent, result } = startForwarding(3, 3, endsOf([false, true, true]));
+  const ended = await result;
+  assert.is(sent.length, 0);
+  assert.is(ended.kind, "refused");
+  assert.is("reason" in ended && ended.reason, MeshReason.Quarantined);
+});
+
+// Guards against two servers that end at once under a repeat beside a run.
+test("RequestForwarder.run() sends no suspect twice at the same time", async () => {
+  const { sent, result } = startForwarding(3, 3, endsOf([false]));
+  sent[0]!.options.onSuspected(MeshReason.Unreachable);
+  await sleep(10);
+  const sends = sent.length;
+  sent[0]!.end({ kind: "unknown", reason: MeshReason.Broken });
+  await sleep(10);
+  for (const request of sent) {
+    request.end({ kind: "unknown", reason: MeshReason.Broken });
+  }
+  await result;
+  assert.is(sends, 1);
+});
+
+// Guards against repeats by which one request ends several servers.
+test("RequestForwarder.run() repeats a request after one end, and not after two", async () => {
+  const sends: number[] = [];
+  for (const evidence of [endsOf([false]), endsOf([false, true])]) {
+    const { sent, quarantine, result } = startForwarding(3, 3);
+    quarantine.merge(REQUEST, evidence, "a-2");
+    for (let index = 0; index < 3; index++) {
+      sent[index]?.end({ kind: "unknown", reason: MeshReason.Ended });
+      await sleep(10);
+    }
+    await result;
+    sends.push(sent.length);
+  }
+  assert.equal(sends, [3, 1]);
+});
+
+// Guards against a trial on several servers of the fleet at the same time.
+test("RequestForwarder.run() sends a request on trial to one destination only", async () => {
+  const destinations = new Set<string>();
+  const evidence = endsOf([false, false, false]);
+  for (let index = 0; index < 20; index++) {
+    const { sent, result } = startForwarding(3, 3, evidence);
+    sent[0]!.end(notRunOutcome(MeshReason.Isolated, 100));
+    await result;
+    assert.is(sent.length, 1);
+    destinations.add(sent[0]!.id);
+  }
+  assert.ok(destinations.size <= 2, "the period may change in between");
+});
+
 test.run();
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -21,6 +21,7 @@
 import { FeedFollower } from "./feed_follower.ts";
 import { DestinationPool } from "./destination_pool.ts";
 import { IngressServer } from "./ingress_server.ts";
+import { RequestQuarantine } from "./request_quarantine.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { SidecarPorts } from "./ports.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
@@ -57,6 +58,7 @@
   readonly #budgets = new Map<string, WindowedRetryBudget>();
   readonly #stopped = new AbortController();
   readonly #shutdown = new GracefulShutdown();
+  readonly #quarantine: RequestQuarantine;
   readonly #dispatcher: BackendDispatcher;
   readonly #destinations: DestinationPool;
   readonly #ingress: IngressServer;
@@ -89,8 +91,15 @@
     });
     this.#usage = new UsageReport(this.#log, this.#metrics);
     const backend = new LocalBackend();
+    this.#quarantine = new RequestQuarantine({
+      instance: settings.instance,
+      log: this.#log,
+      metrics: this.#metrics,
+      onReport: () => this.#lifecycle.publishEnds(),
+    });
     this.#dispatcher = new BackendDispatcher({
       backend,
+      quarantine: this.#quarantine,
       headers: ports.headers,
       stalls: this.#eventLoop,
       log: this.#log,
@@ -108,6 +117,7 @@
       dispatcher: this.#dispatcher,
       directory: this.#directory,
       publisher: this.#publisher,
+      quarantine: this.#quarantine,
       routes: this.#routes,
       idHeader: ports.headers.backendId,
       log: this.#log,
@@ -118,6 +128,7 @@
       directory: this.#directory,
       routes: this.#routes,
       dispatcher: this.#dispatcher,
+      quarantine: this.#quarantine,
       log: this.#log,
       metrics: this.#metrics,
       leavingHeader: ports.headers.leaving,
@@ -128,6 +139,7 @@
     this.#sync = this.#createSync();
     this.#peerServer = new PeerServer({
       dispatcher: this.#dispatcher,
+      quarantine: this.#quarantine,
       routes: this.#routes,
       shutdown: this.#shutdown,
       stalls: this.#eventLoop,
@@ -225,6 +237,7 @@
     this.#ingress.expireAll();
     await sleep(CLOSE_NOTICE_MS);
     this.#stopped.abort();
+    this.#quarantine.stop();
     this.#eventLoop.stop();
     this.#usage.stop();
     this.#log.info("daemon-stopped", { open: this.#ingress.openRequests });
@@ -234,6 +247,7 @@
   /** Stops at once, as a crash would. */
   kill(): void {
     this.#stopped.abort();
+    this.#quarantine.stop();
     this.#eventLoop.stop();
     this.#usage.stop();
     this.#peerServer.closeChannels();
@@ -296,6 +310,7 @@
       forwarding: {
         destinations: this.#destinations,
         directory: this.#directory,
+        quarantine: this.#quarantine,
         random: new Random(process.pid ^ Date.now()),
         responseSizes: new ResponseSizes(),
         domain,
@@ -311,6 +326,7 @@
       configSource: this.#ports.config,
       routes: this.#routes,
       directory: this.#directory,
+      quarantine: this.#quarantine,
       log: this.#log,
       metrics: this.#metrics,
       localKey: this.#publisher.key,
@@ -325,7 +341,9 @@
       onConfigAdopted: () => this.#ingress.applyLimits(),
       onLocalRecord: (entry) => {
         const record = this.#publisher.handleStoredEntry(entry);
-        if (record !== undefined) this.#lifecycle.recover(record);
+        if (record === undefined) return;
+        this.#quarantine.mergeReports(record.instance, record.ends);
+        this.#lifecycle.recover(record);
       },
       onRemoved: (instance) => this.#destinations.remove(instance),
     });
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import { EXEMPTION_PREFIX } from "../protocol/end_evidence.ts";
 import type { ConfigGap } from "../protocol/mesh.ts";
 import { messageOf } from "../protocol/step_error.ts";
 import type { StoreEntry } from "../protocol/store.ts";
@@ -11,6 +12,7 @@
 import type { PeerClient } from "./peer_client.ts";
 import type { ChangeBatch } from "../protocol/feed.ts";
 import { FeedHistory } from "../state/feed_history.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { FeedFollower } from "./feed_follower.ts";
 import type { MeshConfigSource, MeshStore } from "./ports.ts";
 
@@ -59,6 +61,7 @@
   readonly configSource: MeshConfigSource;
   readonly routes: RouteTableHolder;
   readonly directory: BackendDirectory;
+  readonly quarantine: RequestQuarantine;
   readonly log: EventLog;
   readonly metrics: TextMetrics;
   /** Called after a configuration was adopted. */
@@ -258,6 +261,7 @@
     for (const entry of entries) {
       this.#applyEntry(entry, ConfigOrigin.Listing);
     }
+    this.#replaceExempt(entries);
     this.#view.confirm(performance.now());
     const present = new Set(entries.map((entry) => entry.key));
     for (const { record } of directory.entries) {
@@ -352,6 +356,7 @@
         .map((key) => ({ key })),
     ];
     this.#applyUpdate({ events, revision }, ConfigOrigin.Listing);
+    this.#replaceExempt(entries);
     this.#view.confirm(performance.now());
     const hasChanged = events.some(({ key }) => key === configSource.key);
     // The last write may be an older version that hides a newer one before it.
@@ -373,6 +378,7 @@
     if (entry.key === configSource.key) {
       this.#adoptConfig(entry.value, origin);
     }
+    this.#setExempt(entry.key, true);
     if (!entry.key.startsWith(RECORD_PREFIX)) return;
     if (entry.key === localKey) onLocalRecord(entry);
     else this.#applyRecord(entry);
@@ -384,6 +390,7 @@
       this.#options.log.warn("record-unreadable", { key: entry.key });
       return;
     }
+    this.#options.quarantine.mergeReports(record.instance, record.ends);
     if (this.#options.directory.put(record)) {
       this.#options.log.info("backend-recorded", {
         backend: record.id,
@@ -427,7 +434,21 @@
     }
   }
 
+  #setExempt(key: string, isExempt: boolean): void {
+    if (!key.startsWith(EXEMPTION_PREFIX)) return;
+    const fingerprint = key.slice(EXEMPTION_PREFIX.length);
+    this.#options.quarantine.setExempt(fingerprint, isExempt);
+  }
+
+  #replaceExempt(entries: readonly StoreEntry[]): void {
+    this.#options.quarantine.replaceExempt(
+      entries.filter(({ key }) => key.startsWith(EXEMPTION_PREFIX))
+        .map(({ key }) => key.slice(EXEMPTION_PREFIX.length)),
+    );
+  }
+
   #markMissing(key: string): void {
+    this.#setExempt(key, false);
     if (!key.startsWith(RECORD_PREFIX)) return;
     if (key === this.#options.localKey) {
       this.#options.onLocalRecord(undefined);
--- a/src/sidecar/store_sync_task_test.ts
+++ b/src/sidecar/store_sync_task_test.ts
@@ -9,6 +9,7 @@
 import { RouteTableHolder } from "../state/route_table_holder.ts";
 import { EventLog } from "../transport/observe/event_log.ts";
 import { TextMetrics } from "../transport/observe/text_metrics.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { FeedFollower } from "./feed_follower.ts";
 import type { MeshStore } from "./ports.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
@@ -79,6 +80,7 @@
     configSource: { key: KEY, watchPrefix: "", decode },
     routes,
     directory: new BackendDirectory(),
+    quarantine: { replaceExempt: () => {} } as unknown as RequestQuarantine,
     log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
     metrics: new TextMetrics(),
     localKey: "own",
--- a/tests/platform/local_dispatcher.ts
+++ b/tests/platform/local_dispatcher.ts
@@ -2,6 +2,7 @@
 import { BackendState, RequestKind } from "../../src/protocol/mesh.ts";
 import type { MeshCall } from "../../src/protocol/mesh_call.ts";
 import { BackendDispatcher } from "../../src/sidecar/backend_dispatcher.ts";
+import { RequestQuarantine } from "../../src/sidecar/request_quarantine.ts";
 import { LocalBackend } from "../../src/state/local_backend.ts";
 import { EventLog } from "../../src/transport/observe/event_log.ts";
 import { TextMetrics } from "../../src/transport/observe/text_metrics.ts";
@@ -27,12 +28,20 @@
   };
   const backend = new LocalBackend();
   backend.applyAnnouncement(announcement);
+  const log = new EventLog({ sink: { write: () => {}, close: () => {} } });
+  const metrics = new TextMetrics();
   const dispatcher = new BackendDispatcher({
     backend,
+    quarantine: new RequestQuarantine({
+      instance: "instance-0",
+      log,
+      metrics,
+      onReport: () => {},
+    }),
     headers: EDGE_HEADERS,
     stalls: { hasStalled: false },
-    log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
-    metrics: new TextMetrics(),
+    log,
+    metrics,
     onLeaving: () => {},
   });
   dispatcher.connect(announcement);
