--- a/tests/platform/fatal_load.ts
+++ b/tests/platform/fatal_load.ts
@@ -1,57 +1,67 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { FakeMesh, type MeshOptions } from "../../platform/fakes/mesh.ts";
+import { RunEnd } from "../../platform/fakes/backend.ts";
 
-/** Path of the request under which backend servers end. */
-export const FATAL_PATH = "/stock/fatal";
+/** Prefix of the paths of requests under which backend servers end. */
+const FATAL_PREFIX = "/stock/fatal-";
 /** Time from the end of a backend server to its next process, in ms. */
 const RESTART_MS = 1_500;
 /** Time that requests run, in ms. */
 const WORK_MS = 60;
 /** Pause between two requests of the load, in ms. */
 const PAUSE_MS = 15;
-/** One request in this many is the fatal one. */
+/** One request in this many is a fatal one. */
 const FATAL_EVERY = 7;
 /** Pause between two announcements of a backend server, in ms. */
 const ANNOUNCE_MS = 300;
-/** Time after the third end from which the fatal request is bounded, in ms. */
+/** Number of ends after which a fatal request is bounded. */
+const BOUNDED_ENDS = 3;
+/** Time after the last of these from which it is bounded, in ms. */
 const STABLE_MS = 3_000;
-/** Time after the third end by which others are served again, in ms. */
+/** Time after these ends by which others are served again, in ms. */
 const RECOVERY_MS = 5_000;
+const CALLER_RETRIES = 2;
 
 /** What a load brought about. */
 export interface FatalLoadResult {
   /** Number of backend processes that ended. */
   readonly ends: number;
-  /** Arrivals of the fatal request later than 3 s after the third end. */
-  readonly lateArrivals: number;
-  /** Statuses of the fatal request's last responses. */
+  /**
+   * For each fatal request, its arrivals at backend servers later than 3 s
+   * after the third end under it.
+   */
+  readonly lateArrivals: readonly number[];
+  /** Statuses of the last fatal requests. */
   readonly fatalStatuses: readonly number[];
-  /** Counts of the statuses of other requests, from 5 s after the third end. */
-  readonly otherStatuses: Readonly<Record<number, number>>;
-  /** Paths of other requests that ran at an end and whose retries failed. */
-  readonly unservedPaths: readonly string[];
+  /** Number of other requests whose callers got no 200 after 5 s. */
+  readonly unserved: number;
+  /** Number of other requests that ran at an end. */
+  readonly bystanders: number;
+  /** Statuses other than 200 that these got once the load had ended. */
+  readonly bystanderStatuses: readonly number[];
 }
 
 /** Options of {@linkcode runFatalLoad}. */
 export interface FatalLoadOptions extends MeshOptions {
   readonly size: number;
   readonly forMs: number;
-  /** Number of different fatal requests; none for a control. */
+  /** Number of different fatal requests; 1 by default. */
   readonly fatalCount?: number;
   /** Runs beside the load. */
   readonly disturb?: (mesh: FakeMesh) => Promise<void>;
 }
 
-/** A request of the load and its response. */
+/** A request of a caller, with its retries. */
 interface LoadCall {
   readonly path: string;
   readonly sentAtMs: number;
-  readonly status: number;
+  /** Status of the last response; 0 without one. */
+  status: number;
 }
 
 /**
- * Sends a fatal request beside others to all daemons of a mesh in turn. The
- * path of each other request is new; a caller retries it twice.
+ * Sends fatal requests beside others to all daemons of a mesh in turn. The path
+ * of each other request is new; its caller retries it twice.
  *
  * @param options Size of the mesh, duration and disturbance.
  * @returns What backend servers and callers saw.
@@ -61,92 +71,103 @@
 ): Promise<FatalLoadResult> {
   const { size, forMs, fatalCount = 1, disturb } = options;
   const mesh = await FakeMesh.start(size, options);
-  const endsAtMs: number[] = [];
-  const arrivalsAtMs: number[] = [];
-  const calls: LoadCall[] = [];
-  mesh.instances.forEach(({ backend }, index) => {
+  const endsAtMs = new Map<string, number[]>();
+  for (const [index, { backend }] of mesh.instances.entries()) {
     backend.workMs = WORK_MS;
-    backend.isFatal = (path) => path.startsWith(FATAL_PATH);
-    backend.onEnd = () => {
-      endsAtMs.push(performance.now());
+    backend.isFatal = (path) => path.startsWith(FATAL_PREFIX);
+    backend.onEnd = (path) => {
+      endsAtMs.set(path, [...endsAtMs.get(path) ?? [], performance.now()]);
       setTimeout(() => void mesh.startBackendAgain(index), RESTART_MS);
     };
-  });
-  const heartbeat = setInterval(() => {
-    for (const [index, { backend }] of mesh.instances.entries()) {
-      if (backend.hasEnded) continue;
-      mesh.announce(index, "ready").catch(() => {
-        // The daemon is being restarted.
-      });
-    }
-  }, ANNOUNCE_MS);
+  }
+  const heartbeat = setInterval(() => announceAll(mesh), ANNOUNCE_MS);
+  const calls: LoadCall[] = [];
+  const open: Promise<void>[] = [];
   const startedAtMs = performance.now();
   const disturbance = disturb?.(mesh);
-  const open: Promise<void>[] = [];
   for (let index = 0; performance.now() - startedAtMs < forMs; index++) {
-    const isFatal = fatalCount > 0 && index % FATAL_EVERY === 0;
+    const isFatal = index % FATAL_EVERY === 0;
     const path = isFatal
-      ? FATAL_PATH + index / FATAL_EVERY % fatalCount
+      ? `${FATAL_PREFIX}${index / FATAL_EVERY % fatalCount}`
       : `/stock/${index}`;
-    open.push(callWithRetries(mesh, index, path, isFatal ? 0 : 2, calls));
+    const call = { path, sentAtMs: performance.now(), status: 0 };
+    calls.push(call);
+    open.push(send(mesh, index, call, isFatal ? 0 : CALLER_RETRIES));
     await sleep(PAUSE_MS);
   }
   await Promise.all(open);
   await disturbance;
-  clearInterval(heartbeat);
-  for (const { backend } of mesh.instances) {
-    for (const run of backend.runs) {
-      if (run.path.startsWith(FATAL_PATH)) arrivalsAtMs.push(run.atMs);
-    }
-  }
-  // Until the last process that ended has been started again.
+  // Until all backend servers have been started again.
   await sleep(RESTART_MS + ANNOUNCE_MS);
+  const bystanders = findBystanders(mesh);
+  const bystanderStatuses = await sendOneByOne(mesh, bystanders);
+  clearInterval(heartbeat);
   await mesh.stop();
-  const thirdEndAtMs = endsAtMs[3 * fatalCount - 1] ?? startedAtMs;
-  const others = calls.filter(({ path }) => !path.startsWith(FATAL_PATH));
-  const served = new Set(
-    others.filter(({ status }) => status === 200).map(({ path }) => path),
-  );
+  const thirdEndAtMs = (path: string) =>
+    endsAtMs.get(path)?.[BOUNDED_ENDS - 1] ?? Infinity;
+  const fatalPaths = [...endsAtMs.keys()].sort();
+  const lastThirdEndAtMs = Math.max(...fatalPaths.map(thirdEndAtMs));
+  const isFatal = ({ path }: LoadCall) => path.startsWith(FATAL_PREFIX);
   return {
-    ends: endsAtMs.length,
-    lateArrivals: arrivalsAtMs.filter((atMs) => atMs > thirdEndAtMs + STABLE_MS)
-      .length,
-    fatalStatuses: calls.filter(({ path }) => path.startsWith(FATAL_PATH))
-      .slice(-3 * fatalCount).map(({ status }) => status),
-    otherStatuses: countStatuses(
-      others.filter(({ sentAtMs }) => sentAtMs > thirdEndAtMs + RECOVERY_MS),
+    ends: [...endsAtMs.values()].flat().length,
+    lateArrivals: fatalPaths.map((path) =>
+      mesh.instances.flatMap(({ backend }) => backend.runs).filter((run) =>
+        run.path === path && run.atMs > thirdEndAtMs(path) + STABLE_MS
+      ).length
     ),
-    unservedPaths: [
-      ...new Set(
-        others.filter(({ path, sentAtMs }) =>
-          !served.has(path) && sentAtMs > thirdEndAtMs + RECOVERY_MS
-        ).map(({ path }) => path),
-      ),
-    ],
+    fatalStatuses: calls.filter(isFatal).slice(-3).map(({ status }) => status),
+    unserved: calls.filter((call) =>
+      !isFatal(call) && call.status !== 200 &&
+      call.sentAtMs > lastThirdEndAtMs + RECOVERY_MS
+    ).length,
+    bystanders: bystanders.length,
+    bystanderStatuses: bystanderStatuses.filter((status) => status !== 200),
   };
 }
 
-async function callWithRetries(
+function announceAll(mesh: FakeMesh): void {
+  for (const [index, { backend }] of mesh.instances.entries()) {
+    if (backend.hasEnded) continue;
+    mesh.announce(index, "ready").catch(() => {
+      // The daemon is being restarted.
+    });
+  }
+}
+
+async function send(
   mesh: FakeMesh,
   index: number,
-  path: string,
+  call: LoadCall,
   retries: number,
-  calls: LoadCall[],
 ): Promise<void> {
   for (let attempt = 0; attempt <= retries; attempt++) {
-    const sentAtMs = performance.now();
     const instance = (index + attempt) % mesh.instances.length;
-    const reply = await mesh.call(instance, { path }).catch(() => ({
+    try {
+      call.status = (await mesh.call(instance, { path: call.path })).status;
+    } catch {
       // The daemon is being restarted.
-      status: 0,
-    }));
-    calls.push({ path, sentAtMs, status: reply.status });
-    if (reply.status === 200) return;
+      call.status = 0;
+    }
+    if (call.status === 200) return;
   }
 }
 
-function countStatuses(calls: readonly LoadCall[]): Record<number, number> {
-  const counts: Record<number, number> = {};
-  for (const { status } of calls) counts[status] = (counts[status] ?? 0) + 1;
-  return counts;
+/** Returns the paths of other requests that were running at an end. */
+function findBystanders(mesh: FakeMesh): readonly string[] {
+  const paths = mesh.instances.flatMap(({ backend }) => backend.runs)
+    .filter(({ end }) => end === RunEnd.Cancelled)
+    .map(({ path }) => path);
+  return [...new Set(paths)].filter((path) => !path.startsWith(FATAL_PREFIX));
+}
+
+async function sendOneByOne(
+  mesh: FakeMesh,
+  paths: readonly string[],
+): Promise<number[]> {
+  const statuses: number[] = [];
+  for (const [index, path] of paths.entries()) {
+    const instance = index % mesh.instances.length;
+    statuses.push((await mesh.call(instance, { path })).status);
+  }
+  return statuses;
 }
--- a/tests/platform/fatal_request_test.ts
+++ b/tests/platform/fatal_request_test.ts
@@ -1,6 +1,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { BackendFault } from "../../platform/fakes/backend.ts";
+import { FakeMesh } from "../../platform/fakes/mesh.ts";
 import { type FatalLoadResult, runFatalLoad } from "./fatal_load.ts";
 
 /** Most arrivals later than 3 s after the third end. */
@@ -8,13 +10,15 @@
 const FOR_MS = 9_000;
 
 function assertBounded(result: FatalLoadResult): void {
+  const { ends, lateArrivals, unserved, bystanderStatuses } = result;
   assert.ok(
-    result.lateArrivals <= MAX_LATE_ARRIVALS,
-    `${result.lateArrivals} late arrivals, ${result.ends} ends`,
+    lateArrivals.every((count) => count <= MAX_LATE_ARRIVALS),
+    `${lateArrivals} late arrivals, ${ends} ends`,
   );
-  const { otherStatuses, unservedPaths } = result;
-  assert.equal(Object.keys(otherStatuses), ["200"]);
-  assert.equal(unservedPaths, []);
+  assert.equal({ unserved, bystanderStatuses }, {
+    unserved: 0,
+    bystanderStatuses: [],
+  });
 }
 
 // Guards against sending a request on under which three backend servers have
@@ -23,6 +27,7 @@
   const result = await runFatalLoad({ size: 4, forMs: FOR_MS });
   assertBounded(result);
   assert.equal(result.fatalStatuses, [503, 503, 503]);
+  assert.ok(result.bystanders > 0, "requests ran beside it");
 });
 
 // Guards against a verdict that is lost with the processes that reached it.
@@ -38,4 +43,60 @@
   assertBounded(result);
 });
 
+// Guards against a verdict that only the daemons keep, and not the store.
+test("the refusal outlives a restart of all daemons at once", async () => {
+  const result = await runFatalLoad({
+    size: 4,
+    forMs: FOR_MS,
+    disturb: async (mesh) => {
+      await sleep(FOR_MS / 2);
+      await Promise.all(mesh.instances.map((_, index) => mesh.restart(index)));
+    },
+  });
+  assertBounded(result);
+});
+
+// Guards against evidence that travels by the store alone.
+test("daemons without the store reach the verdict by the calls between them", async () => {
+  const result = await runFatalLoad({
+    size: 4,
+    forMs: FOR_MS,
+    hasStoreProxies: true,
+    disturb: (mesh) => {
+      for (const { storeProxy } of mesh.instances) {
+        storeProxy!.set({ kind: "cut" });
+      }
+      return Promise.resolve();
+    },
+  });
+  assertBounded(result);
+});
+
+// Guards against a count that mixes two requests which are both fatal.
+test("two fatal requests at a time are both refused", async () => {
+  const result = await runFatalLoad({ size: 6, forMs: FOR_MS, fatalCount: 2 });
+  assertBounded(result);
+});
+
+// Guards against taking a reset connection for the end of a backend server.
+test("a request whose connections are reset is never refused as fatal", async () => {
+  const mesh = await FakeMesh.start(3, { domains: 1 });
+  try {
+    const statuses: number[] = [];
+    for (const { backend } of mesh.instances) {
+      backend.fault = BackendFault.Reset;
+    }
+    for (let index = 0; index < 12; index++) {
+      const reply = await mesh.call(index % 3, { path: "/stock/reset" });
+      statuses.push(reply.status);
+    }
+    for (const { backend } of mesh.instances) backend.fault = BackendFault.None;
+    const reply = await mesh.call(0, { path: "/stock/reset" });
+    assert.equal(new Set(statuses), new Set([502]));
+    assert.is(reply.status, 200);
+  } finally {
+    await mesh.stop();
+  }
+});
+
 test.run();
