Soak: draw fatal requests and limits of backend servers

The plan 'protections' sends series of a request under which backend servers end, lets backend servers name limits, and restarts daemons, changes the configuration and resets connections beside them.

--- a/bench/request_cost.ts
+++ b/bench/request_cost.ts
@@ -142,6 +142,7 @@
       ingressPausedAtMs: [],
       status: 0,
       answer: "",
+      retryAfterS: 0,
       error: "",
     };
     await sendAsCaller(request, {
--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -48,6 +48,7 @@
       response.on("end", () => {
         clearTimeout(disconnectTimer);
         request.status = response.statusCode ?? 0;
+        request.retryAfterS = Number(response.headers["retry-after"] ?? 0);
         request.answer = body;
         end();
       });
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -3,6 +3,7 @@
 import type { Fault } from "../fakes/fault_proxy.ts";
 import type { Random } from "../src/protocol/random.ts";
 import type { SoakInstance } from "./instance.ts";
+import type { NamedLimit } from "./protections.ts";
 import {
   type Impairment,
   PlannedKind,
@@ -20,6 +21,11 @@
 const MAX_SLOW_DELAY_MS = 450;
 /** Bandwidth of a slow path: that of the slowest links. */
 const SLOW_BYTES_PER_S = 600_000;
+/** Range of the limits per second that backend servers name. */
+const MIN_LIMIT_PER_S = 3;
+const LIMIT_RANGE = 8;
+/** Time for which a backend server names a limit, in ms. */
+const LIMIT_MS = 10_000;
 /** Time from the start of a crashed daemon to its readiness, in ms. */
 const DAEMON_START_MS = 1_000;
 
@@ -27,6 +33,11 @@
 export enum FaultPlan {
   /** Planned work of operators, slow daemons and slow paths. */
   Planned = "planned",
+  /**
+   * What daemons protect backend servers from, beside restarts of daemons,
+   * changes of the configuration and resets.
+   */
+  Protections = "protections",
   /** Also faults of the store, of backend servers and of one daemon. */
   Mixed = "mixed",
   /** Also faults of the store, of backend servers and of all daemons. */
@@ -40,6 +51,9 @@
   readonly random: Random;
   readonly planned: PlannedWork[];
   readonly impairments: Impairment[];
+  readonly limits: NamedLimit[];
+  /** Sends a series of a request under which backend servers end. */
+  readonly sendFatal: () => void;
   /** Writes the next version of the configuration. */
   readonly changeConfig: () => void;
   /** Drains a backend server and replaces it with a new process. */
@@ -65,6 +79,8 @@
   switch (plan) {
     case FaultPlan.Planned:
       return plannedFaults(instance, context);
+    case FaultPlan.Protections:
+      return protectionFaults(instance, context);
     case FaultPlan.Mixed:
       return {
         ...plannedFaults(instance, context),
@@ -135,6 +151,38 @@
   };
 }
 
+function protectionFaults(
+  instance: SoakInstance,
+  context: FaultContext,
+): Record<string, FaultStarter> {
+  const planned = plannedFaults(instance, context);
+  const resets = backendFaults(instance)["backend-resets"]!;
+  return {
+    "request-fatal": context.sendFatal,
+    "backend-limited": () => {
+      const { backend } = instance;
+      if (backend.limitPerS !== undefined) return;
+      backend.limitPerS = MIN_LIMIT_PER_S + context.random.below(LIMIT_RANGE);
+      const limit = {
+        backendId: backend.id,
+        limitPerS: backend.limitPerS,
+        fromMs: performance.now(),
+        untilMs: Infinity,
+      };
+      context.limits.push(limit);
+      setTimeout(() => {
+        backend.limitPerS = undefined;
+        limit.untilMs = performance.now();
+      }, LIMIT_MS);
+    },
+    "backend-resets": resets,
+    "daemon-restart": planned["daemon-restart"]!,
+    "daemon-restart-series": planned["daemon-restart-series"]!,
+    "config-change": planned["config-change"]!,
+    "backend-replaced": planned["backend-replaced"]!,
+  };
+}
+
 function storeFaults(
   { storeProxy }: SoakInstance,
   { store }: FaultContext,
--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -43,8 +43,17 @@
   readonly nodeArgs?: readonly string[];
   /** Returns the backend server's work on a request in ms; short by default. */
   readonly workMsOf?: (id: string) => number;
+  /** Whether the backend server ends under a request with this path. */
+  readonly isFatal?: (path: string) => boolean;
+  /** Called with the path of a request under which a backend process ended. */
+  readonly onEnd?: (path: string) => void;
+  /** Called with the history of a backend process that ended so. */
+  readonly onRestart?: (history: BackendProcessHistory) => void;
 }
 
+/** Time from the end of a backend process to the next one, in ms. */
+const BACKEND_RESTART_MS = 800;
+
 /** Link bandwidths in the settings of daemons, in Mbit/s. */
 const FAST_MBPS = 1_000;
 const SLOW_MBPS = 7;
@@ -93,6 +102,7 @@
     this.peerProxy = parts.peerProxy;
     this.#settingsFile = join(options.folder, `${this.name}.jsonc`);
     this.#writeSettings();
+    this.#watchBackend();
     this.#daemon = this.#start();
     this.#announceTimer = setInterval(
       () => void this.announce(),
@@ -112,7 +122,6 @@
     const peerProxy = new FaultProxy(ports[1]!);
     await Promise.all([storeProxy.listen(), peerProxy.listen()]);
     const backend = await FakeBackend.start(`i-${options.index}-1`);
-    if (options.workMsOf !== undefined) backend.workMsOf = options.workMsOf;
     return new SoakInstance(options, { ports, backend, storeProxy, peerProxy });
   }
 
@@ -194,6 +203,7 @@
 
   /** Announces the backend server; the next call retries a failed one. */
   async announce(state = "ready"): Promise<boolean> {
+    if (this.backend.hasEnded) return false;
     const isDraining = state === "draining" || this.backend.isDraining;
     const processNumber = this.#processNumber;
     const isAcknowledged = await this.#callControl("instances.heartbeat", {
@@ -219,11 +229,42 @@
     await this.announce("draining");
     await new Promise((resolve) => setTimeout(resolve, drainMs));
     await this.#callControl("instances.leave", { born: this.#processNumber });
+    return await this.#startNextBackend();
+  }
+
+  /** Stops the daemon, the proxies and the backend server. */
+  async end(): Promise<void> {
+    this.#hasEnded = true;
+    clearInterval(this.#announceTimer);
+    this.resume();
+    await this.#daemon.kill();
+    await this.storeProxy.close();
+    await this.peerProxy.close();
+    await this.backend.stop();
+  }
+
+  #watchBackend(): void {
+    const { workMsOf, isFatal, onEnd, onRestart } = this.#options;
+    const { backend } = this;
+    if (workMsOf !== undefined) backend.workMsOf = workMsOf;
+    if (isFatal !== undefined) backend.isFatal = isFatal;
+    backend.onEnd = (path) => {
+      onEnd?.(path);
+      setTimeout(async () => {
+        // One that drains is replaced in any case.
+        if (this.#hasEnded || backend.isDraining) return;
+        onRestart?.(await this.#startNextBackend());
+      }, BACKEND_RESTART_MS);
+    };
+  }
+
+  async #startNextBackend(): Promise<BackendProcessHistory> {
+    const former = this.backend;
     this.#processNumber++;
     this.backend = await FakeBackend.start(
       `i-${this.#options.index}-${this.#processNumber}`,
     );
-    this.backend.workMsOf = former.workMsOf;
+    this.#watchBackend();
     const { id, runs } = former;
     const history = {
       id,
@@ -236,17 +277,6 @@
     return history;
   }
 
-  /** Stops the daemon, the proxies and the backend server. */
-  async end(): Promise<void> {
-    this.#hasEnded = true;
-    clearInterval(this.#announceTimer);
-    this.resume();
-    await this.#daemon.kill();
-    await this.storeProxy.close();
-    await this.peerProxy.close();
-    await this.backend.stop();
-  }
-
   #restart(): void {
     if (this.#hasEnded || !this.#daemon.hasExited) return;
     this.#isPaused = false;
--- a/soak/lost_requests_test.ts
+++ b/soak/lost_requests_test.ts
@@ -32,6 +32,7 @@
   ingressPausedAtMs: [],
   status: 502,
   answer: "",
+  retryAfterS: 0,
   error: "",
 };
 const CANCELLED_RUN: BackendRun = {
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -27,6 +27,13 @@
   type Impairment,
   type PlannedWork,
 } from "./lost_requests.ts";
+import {
+  type BackendEnd,
+  FATAL_PREFIX,
+  findUnprotected,
+  isFatalPath,
+  type NamedLimit,
+} from "./protections.ts";
 import {
   type BackendProcessHistory,
   findViolations,
@@ -39,6 +46,7 @@
 /** Maximum pause between two faults, in ms; faults overlap. */
 const MAX_FAULT_GAP_MS: Readonly<Record<FaultPlan, number>> = {
   [FaultPlan.Planned]: 1_200,
+  [FaultPlan.Protections]: 1_200,
   [FaultPlan.Mixed]: 600,
   [FaultPlan.All]: 600,
 };
@@ -63,6 +71,9 @@
 /** One of this many callers disconnects, after at most this delay in ms. */
 const DISCONNECT_EVERY = 6;
 const MAX_DISCONNECT_DELAY_MS = 400;
+/** Duration of a series of one fatal request, and the pause in it, in ms. */
+const FATAL_SERIES_MS = 8_000;
+const FATAL_PAUSE_MS = 100;
 /** Time within which the daemons of a new fleet must serve, in ms. */
 const START_TIMEOUT_MS = 20_000;
 
@@ -124,10 +135,13 @@
   readonly #faults: string[] = [];
   readonly #planned: PlannedWork[] = [];
   readonly #impairments: Impairment[] = [];
+  readonly #ends: BackendEnd[] = [];
+  readonly #limits: NamedLimit[] = [];
   #store!: KvServer;
   #instances: SoakInstance[] = [];
   #version = 1;
   #nextId = 1;
+  #nextFatal = 1;
   #stalledMs = 0;
 
   constructor(options: SoakOptions) {
@@ -154,6 +168,9 @@
           bundle,
           storePort,
           workMsOf: pickWorkMs,
+          isFatal: isFatalPath,
+          onEnd: (path) => this.#ends.push({ path, atMs: performance.now() }),
+          onRestart: (history) => this.#earlierProcesses.push(history),
         }),
       );
     }
@@ -190,6 +207,12 @@
         impairments: this.#impairments,
       }),
     ];
+    problems.push(...findUnprotected(this.#sent, processes, {
+      ends: this.#ends,
+      limits: this.#limits,
+      planned: this.#planned,
+      graceMs: GRACE_S * 1_000,
+    }));
     for (const { name, peerProxy } of this.#instances) {
       if (peerProxy.accepted === 0) problems.push(`no daemon called ${name}`);
     }
@@ -301,7 +324,11 @@
     void this.#send(instance, request, disconnectAfterMs);
   }
 
-  #createRequest(instance: SoakInstance, isIdempotent: boolean): SentRequest {
+  #createRequest(
+    instance: SoakInstance,
+    isIdempotent: boolean,
+    path?: string,
+  ): SentRequest {
     const number = this.#nextId++;
     const id = `s${this.#options.seed}-${number}`;
     const isLong = number % LONG_BODY_EVERY === 0;
@@ -315,11 +342,12 @@
       sentAtMs: performance.now(),
       disconnectedAtMs: Infinity,
       ingressPausedAtMs: instance.pausedAtMs,
-      path: `/${isIdempotent ? "stock" : "orders"}/${id}`,
+      path: path ?? `/${isIdempotent ? "stock" : "orders"}/${id}`,
       body: isIdempotent ? "" : body,
       isIdempotent,
       status: 0,
       answer: "",
+      retryAfterS: 0,
       error: "",
     };
     this.#sent.set(id, request);
@@ -354,12 +382,25 @@
       random: this.#faultRandom,
       planned: this.#planned,
       impairments: this.#impairments,
+      limits: this.#limits,
       changeConfig: () => this.#writeConfig(),
+      sendFatal: () => this.#sendFatal(),
       replaceBackend: (instance, drainMs) =>
         void this.#replaceBackend(instance, drainMs),
     };
   }
 
+  /** Sends a request under which backend servers end to all daemons in turn. */
+  #sendFatal(): void {
+    const path = `${FATAL_PREFIX}${this.#nextFatal++}`;
+    const untilMs = performance.now() + FATAL_SERIES_MS;
+    const timer = setInterval(() => {
+      if (performance.now() > untilMs) return clearInterval(timer);
+      const instance = this.#random.pick(this.#instances)!;
+      void this.#send(instance, this.#createRequest(instance, true, path));
+    }, FATAL_PAUSE_MS);
+  }
+
   async #replaceBackend(
     instance: SoakInstance,
     lastsMs: number,
--- a/soak/violations.ts
+++ b/soak/violations.ts
@@ -26,6 +26,8 @@
   /** Status; 0 if the connection ended without a response. */
   status: number;
   answer: string;
+  /** Retry-After value of the response, in s; 0 without one. */
+  retryAfterS: number;
   /** Code of the error that ended the connection; empty if there was none. */
   error: string;
 }
--- a/soak/violations_test.ts
+++ b/soak/violations_test.ts
@@ -17,6 +17,7 @@
     ingressPausedAtMs: [],
     status: 200,
     answer: "answer of i-1 to r1",
+    retryAfterS: 0,
     error: "",
     ...fields,
   };
--- a/tests/platform/fatal_load.ts
+++ b/tests/platform/fatal_load.ts
@@ -155,7 +155,7 @@
 /** Returns the paths of other requests that were running at an end. */
 function findBystanders(mesh: FakeMesh): readonly string[] {
   const paths = mesh.instances.flatMap(({ backend }) => backend.runs)
-    .filter(({ end }) => end === RunEnd.Cancelled)
+    .filter(({ end }) => end === RunEnd.BrokenOff)
     .map(({ path }) => path);
   return [...new Set(paths)].filter((path) => !path.startsWith(FATAL_PREFIX));
 }
