--- a/src/coordination/quarantine/quarantine_list_test.ts
+++ b/src/coordination/quarantine/quarantine_list_test.ts
@@ -24,6 +24,16 @@
   assert.is(list.isQuarantined("poison", 1), true);
 });
 
+// Guards against refusing a request that only ran beside the one that is fatal.
+test("isQuarantined() is false for a request that ran beside a fatal one twice", () => {
+  const list = new QuarantineList();
+  crash(list, "one", ["poison", "innocent"]);
+  crash(list, "two", ["poison", "innocent"]);
+  crash(list, "three", ["poison"]);
+  assert.is(list.isQuarantined("poison", 1), true);
+  assert.is(list.isQuarantined("innocent", 1), false);
+});
+
 test("recordSuccess() ends a suspicion", () => {
   const list = new QuarantineList();
   crash(list, "one", ["innocent"]);
--- a/tests/platform/fatal_request_test.ts
+++ b/tests/platform/fatal_request_test.ts
@@ -3,11 +3,16 @@
 import * as assert from "uvu/assert";
 import { BackendFault } from "../../platform/fakes/backend.ts";
 import { FakeMesh } from "../../platform/fakes/mesh.ts";
+import { EXEMPTION_PREFIX } from "../../src/protocol/end_evidence.ts";
+import { fingerprintOf } from "../../src/protocol/fingerprint.ts";
+import { until } from "../../testkit/until.ts";
 import { type FatalLoadResult, runFatalLoad } from "./fatal_load.ts";
 
 /** Most arrivals later than 3 s after the third end. */
 const MAX_LATE_ARRIVALS = 3;
 const FOR_MS = 9_000;
+/** Retry-After value above which a refusal is a verdict, in s. */
+const MIN_VERDICT_WAIT_S = 60;
 
 function assertBounded(result: FatalLoadResult): void {
   const { ends, lateArrivals, unserved, bystanderStatuses } = result;
@@ -78,6 +83,48 @@
   assertBounded(result);
 });
 
+// Guards against a verdict that nobody can lift before it expires.
+test("an operator's exemption has a request served again at all daemons", async () => {
+  const mesh = await FakeMesh.start(4);
+  const path = "/stock/fatal-once";
+  const callAll = async () => {
+    const results: string[] = [];
+    for (const index of mesh.instances.keys()) {
+      const { status, headers } = await mesh.call(index, { path });
+      const isVerdict = Number(headers["retry-after"]) > MIN_VERDICT_WAIT_S;
+      results.push(isVerdict ? `${status} for long` : String(status));
+    }
+    return results;
+  };
+  try {
+    for (const [index, { backend }] of mesh.instances.entries()) {
+      backend.isFatal = (requested) => requested === path;
+      backend.onEnd = () => {
+        setTimeout(() => void mesh.startBackendAgain(index), 300);
+      };
+    }
+    await until(async () => {
+      await sleep(300);
+      return (await callAll()).every((result) => result === "503 for long");
+    }, "all daemons refuse the request");
+    for (const { backend } of mesh.instances) backend.isFatal = () => false;
+    const refused = await callAll();
+    const headers = ["host", "shop.example"];
+    const request = { method: "GET", path, headers, body: undefined };
+    mesh.store.put(EXEMPTION_PREFIX + fingerprintOf(request), "");
+    await sleep(500);
+    await mesh.restart(0);
+    await mesh.announce(0, "ready");
+    await mesh.waitUntilReady();
+    assert.equal({ refused, exempt: await callAll() }, {
+      refused: Array(4).fill("503 for long"),
+      exempt: Array(4).fill("200"),
+    });
+  } finally {
+    await mesh.stop();
+  }
+});
+
 // Guards against taking a reset connection for the end of a backend server.
 test("a request whose connections are reset is never refused as fatal", async () => {
   const mesh = await FakeMesh.start(3, { domains: 1 });
--- a/tests/platform/local_dispatcher.ts
+++ b/tests/platform/local_dispatcher.ts
@@ -10,38 +10,49 @@
 /** Id of the backend process behind the dispatcher. */
 export const BACKEND_ID = "i-1";
 
+const LOG = new EventLog({ sink: { write: () => {}, close: () => {} } });
+
+/** Creates a quarantine without suspects. */
+export function createQuarantine(): RequestQuarantine {
+  return new RequestQuarantine({
+    instance: "instance-0",
+    log: LOG,
+    metrics: new TextMetrics(),
+    onReport: () => {},
+  });
+}
+
 /**
- * Creates a dispatcher that is connected to a backend server with one slot.
+ * Creates a dispatcher that is connected to a backend server.
  *
  * @param address IP address and port of the backend server.
+ * @param quarantine Suspects; none by default.
+ * @param slots Number of slots; one by default.
  * @returns The dispatcher.
  */
-export function createDispatcher(address: string): BackendDispatcher {
+export function createDispatcher(
+  address: string,
+  quarantine = createQuarantine(),
+  slots = 1,
+): BackendDispatcher {
   const announcement = {
     id: BACKEND_ID,
     service: "stock",
     address,
-    slots: 1,
+    slots,
     state: BackendState.Ready,
     sequence: 1,
     bornAtUnixMs: 1,
   };
   const backend = new LocalBackend();
   backend.applyAnnouncement(announcement);
-  const log = new EventLog({ sink: { write: () => {}, close: () => {} } });
-  const metrics = new TextMetrics();
   const dispatcher = new BackendDispatcher({
     backend,
-    quarantine: new RequestQuarantine({
-      instance: "instance-0",
-      log,
-      metrics,
-      onReport: () => {},
-    }),
+    quarantine,
     headers: EDGE_HEADERS,
     stalls: { hasStalled: false },
-    log,
-    metrics,
+    log: LOG,
+    metrics: new TextMetrics(),
     onLeaving: () => {},
   });
   dispatcher.connect(announcement);
