--- a/src/sidecar/request_quarantine.ts
+++ b/src/sidecar/request_quarantine.ts
@@ -50,6 +50,7 @@
   readonly #options: RequestQuarantineOptions;
   readonly #lines: LogRateLimiter;
   readonly #suspects = new SuspectList((change) => this.#logChange(change));
+  readonly #fingerprints = new WeakMap<RequestContent, string>();
   #reports: readonly EndReport[] = [];
   #exempt: ReadonlySet<string> = new Set();
   #expiryTimer: NodeJS.Timeout | undefined;
@@ -80,7 +81,7 @@
   judge(request: RequestContent): Judgement | undefined {
     // Fingerprints are computed only while there are suspects.
     if (this.#suspects.size === 0) return undefined;
-    const fingerprint = fingerprintOf(request);
+    const fingerprint = this.#fingerprintOf(request);
     const judgement = this.#suspects.judge(fingerprint, performance.now());
     return judgement.verdict === Verdict.Clear ? undefined : judgement;
   }
@@ -94,7 +95,7 @@
   evidenceOf(request: RequestContent): readonly EndEvidence[] {
     if (this.#suspects.size === 0) return [];
     return this.#suspects.evidenceOf(
-      fingerprintOf(request),
+      this.#fingerprintOf(request),
       performance.now(),
     );
   }
@@ -112,7 +113,7 @@
     origin: string,
   ): void {
     if (evidence === undefined || evidence.length === 0) return;
-    const fingerprint = fingerprintOf(request);
+    const fingerprint = this.#fingerprintOf(request);
     this.#suspects.merge(fingerprint, evidence, origin, performance.now());
     this.#scheduleExpiry();
   }
@@ -124,7 +125,8 @@
    */
   recordServed(request: RequestContent): void {
     if (this.#suspects.size === 0) return;
-    this.#suspects.recordServed(fingerprintOf(request), performance.now());
+    const fingerprint = this.#fingerprintOf(request);
+    this.#suspects.recordServed(fingerprint, performance.now());
   }
 
   /**
@@ -134,7 +136,7 @@
    */
   recordEnd(end: BackendEnd): void {
     const { instance, log, onReport } = this.#options;
-    const fingerprints = end.calls.map(fingerprintOf);
+    const fingerprints = end.calls.map((call) => this.#fingerprintOf(call));
     for (const [index, call] of end.calls.entries()) {
       if (!this.#lines.allows(performance.now())) continue;
       log.warn("request-ran-at-end", {
@@ -212,6 +214,16 @@
     clearTimeout(this.#expiryTimer);
   }
 
+  /** Bodies may be long, and a request is looked up several times. */
+  #fingerprintOf(request: RequestContent): string {
+    let fingerprint = this.#fingerprints.get(request);
+    if (fingerprint === undefined) {
+      fingerprint = fingerprintOf(request);
+      this.#fingerprints.set(request, fingerprint);
+    }
+    return fingerprint;
+  }
+
   /** Takes over the reports of an earlier process of this daemon. */
   #adoptReports(reports: readonly EndReport[]): void {
     const known = new Set(this.#reports.map(({ id }) => id));
