--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -35,7 +35,7 @@
   Planned = "planned",
   /** Requests under which backend servers end, restarts and resets. */
   Fatal = "fatal",
-  /** Limits that backend servers name, single restarts and resets. */
+  /** Limits that backend servers name; single restarts, freezes and cuts. */
   Limits = "limits",
   /** Also faults of the store, of backend servers and of one daemon. */
   Mixed = "mixed",
@@ -167,12 +167,13 @@
   };
 }
 
-/** Few restarts, as each one excuses all later requests of a daemon. */
+/** Few at a time, as each one excuses the later requests of its daemon. */
 function limitFaults(
   instance: SoakInstance,
   context: FaultContext,
 ): Record<string, FaultStarter> {
   const planned = plannedFaults(instance, context);
+  const daemon = daemonFaults(instance, context);
   return {
     "backend-limited": () => {
       const { backend } = instance;
@@ -192,6 +193,9 @@
     },
     "backend-resets": backendFaults(instance)["backend-resets"]!,
     "daemon-restart": planned["daemon-restart"]!,
+    "daemon-pause": daemon["daemon-pause"]!,
+    "peer-path-cut": daemon["peer-path-cut"]!,
+    "store-path-cut": storeFaults(instance, context)["store-path-cut"]!,
     "config-change": planned["config-change"]!,
   };
 }
--- a/soak/protections.ts
+++ b/soak/protections.ts
@@ -1,4 +1,8 @@
-import { PlannedKind, type PlannedWork } from "./lost_requests.ts";
+import {
+  type Impairment,
+  PlannedKind,
+  type PlannedWork,
+} from "./lost_requests.ts";
 import type { BackendProcessHistory, SentRequest } from "./violations.ts";
 
 /** Prefix of the paths of requests under which backend servers end. */
@@ -38,6 +42,7 @@
   readonly ends: readonly BackendEnd[];
   readonly limits: readonly NamedLimit[];
   readonly planned: readonly PlannedWork[];
+  readonly impairments: readonly Impairment[];
   readonly graceMs: number;
 }
 
@@ -50,8 +55,8 @@
  * Finds fatal requests that were sent on for too long, others that were refused
  * as fatal, and backend servers that got more than the limit they had named.
  *
- * Requests that began at a daemon which had been restarted shortly before are
- * excused.
+ * Requests that began at a daemon which had been restarted, frozen or cut off
+ * shortly before are excused.
  *
  * @param sent Requests by id.
  * @param processes All processes of backend servers.
@@ -82,7 +87,7 @@
     if (thirdEnd === undefined) return [];
     const late = processes.flatMap(({ runs }) => runs).filter((run) =>
       run.path === path && run.atMs > thirdEnd.atMs + STABLE_MS &&
-      !wasRestarted(sent.get(run.id)?.ingress, run.atMs, run.atMs, history)
+      !wasDisturbed(sent.get(run.id)?.ingress, run.atMs, run.atMs, history)
     );
     return late.length > MAX_LATE_ARRIVALS
       ? [`${path} arrived ${late.length} times after ${ends.length} ends`]
@@ -109,7 +114,7 @@
       .flatMap(({ runs }) => runs)
       .filter(({ id, atMs }) =>
         atMs > fromMs + STABLE_MS && atMs < untilMs &&
-        !wasRestarted(sent.get(id)?.ingress, fromMs, atMs, history)
+        !wasDisturbed(sent.get(id)?.ingress, fromMs, atMs, history)
       ).map(({ atMs }) => atMs);
     const counts = times.map((startMs) =>
       times.filter((atMs) =>
@@ -127,15 +132,20 @@
   });
 }
 
-/** Whether a daemon stopped or started between two times. */
-function wasRestarted(
+/** Whether a daemon stopped, started, stood still or was cut off meanwhile. */
+function wasDisturbed(
   instance: string | undefined,
   fromMs: number,
   untilMs: number,
   history: ProtectionHistory,
 ): boolean {
-  return history.planned.some((work) =>
+  const { planned, impairments, graceMs } = history;
+  return planned.some((work) =>
     work.kind === PlannedKind.Stop && work.instance === instance &&
-    work.atMs < untilMs && work.atMs + history.graceMs + STABLE_MS > fromMs
-  );
+    work.atMs < untilMs && work.atMs + graceMs + STABLE_MS > fromMs
+  ) ||
+    impairments.some((impairment) =>
+      impairment.instance === instance && impairment.fromMs < untilMs &&
+      impairment.untilMs + STABLE_MS > fromMs
+    );
 }
--- a/soak/protections_test.ts
+++ b/soak/protections_test.ts
@@ -39,6 +39,7 @@
     planned: stoppedAtMs === undefined
       ? []
       : [{ kind: PlannedKind.Stop, instance: "a", atMs: stoppedAtMs }],
+    impairments: [],
     graceMs: 2_000,
   });
 }
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -212,6 +212,7 @@
       ends: this.#ends,
       limits: this.#limits,
       planned: this.#planned,
+      impairments: this.#impairments,
       graceMs: GRACE_S * 1_000,
     }));
     for (const { name, peerProxy } of this.#instances) {
