Forget broken calls that prove no end

The detector kept calls, with their bodies, of connections that broke while the backend server was silent or still had an open exchange, until its next process. They are now forgotten after the ten seconds in which a replacement may prove the end. Found by reading the diff.

--- a/src/sidecar/backend_end_detector.ts
+++ b/src/sidecar/backend_end_detector.ts
@@ -66,6 +66,7 @@
   #check: Promise<boolean> | undefined;
   /** Monotonic time until which a new process confirms the end. */
   #replaceableUntilMs = -Infinity;
+  #forgetTimer: NodeJS.Timeout | undefined;
 
   /**
    * Creates a detector without broken calls.
@@ -99,8 +100,9 @@
     this.forget();
   }
 
-  /** Forgets the broken calls, since the backend process leaves as planned. */
+  /** Forgets the broken calls: the process leaves, or their end is unproven. */
   forget(): void {
+    clearTimeout(this.#forgetTimer);
     this.#broken.clear();
     this.#replaceableUntilMs = -Infinity;
   }
@@ -113,7 +115,7 @@
       for (const call of calls) this.#broken.delete(call);
       return this.#broken.size > 0 && await this.#checkProcess(process);
     }
-    this.#replaceableUntilMs = performance.now() + REPLACEMENT_WINDOW_MS;
+    this.#awaitReplacement();
     if (first === ListenerState.Silent) return false;
     await sleep(PROBE_PAUSE_MS);
     const second = await probeListener(process.address, PROBE_TIMEOUT_MS);
@@ -130,6 +132,14 @@
     return true;
   }
 
+  /** Keeps the broken calls, and their bodies, no longer than they may count. */
+  #awaitReplacement(): void {
+    this.#replaceableUntilMs = performance.now() + REPLACEMENT_WINDOW_MS;
+    clearTimeout(this.#forgetTimer);
+    this.#forgetTimer = setTimeout(() => this.forget(), REPLACEMENT_WINDOW_MS)
+      .unref();
+  }
+
   #report(proof: EndProof): void {
     const calls = [...this.#broken];
     if (calls.length === 0 || this.#process === undefined) return;
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -42,7 +42,7 @@
 /** Shortest time behind other requests from which a queue exists, in ms. */
 const MIN_QUEUE_MS = 5;
 
-/** Number of ends up to which a suspect is repeated after another one. */
+/** Largest number of ends after which the daemon still repeats a request. */
 const MAX_ENDS_FOR_REPEAT = 1;
 
 /**
@@ -374,7 +374,7 @@
     return this.#isIdempotent() ? Retry.Budgeted : Retry.None;
   }
 
-  /** A request that may have ended a backend server is repeated once. */
+  /** A request is repeated after its first end at a backend server only. */
   #chooseRepeat(): Retry {
     const ends = this.#judge()?.ends ?? 0;
     return ends > MAX_ENDS_FOR_REPEAT ? Retry.None : this.#chooseRetry();
