Test that a verdict costs one write for an end and reaches followers

Ten daemons in one domain, of which two read the store: after a fatal request at one daemon all refuse it within 3 s, with no more calls to the store than ends (polls and renewals aside).

--- a/tests/platform/fatal_request_test.ts
+++ b/tests/platform/fatal_request_test.ts
@@ -83,6 +83,42 @@
   assertBounded(result);
 });
 
+// Guards against a verdict that costs each daemon calls to the store, or comes
+// late to those that only follow its readers.
+test("a verdict reaches ten daemons behind two readers for one write for each end", async () => {
+  const mesh = await FakeMesh.start(10, { domains: 1 });
+  const path = "/stock/fatal-at-one-daemon";
+  const isVerdict = async (index: number) => {
+    const { status, headers } = await mesh.call(index, { path });
+    return status === 503 &&
+      Number(headers["retry-after"]) > MIN_VERDICT_WAIT_S;
+  };
+  const countCalls = () =>
+    [...mesh.store.calls].filter(([call]) =>
+      call !== "/api/kv-watch" && !call.startsWith("/api/kv-keep")
+    ).reduce((sum, [, count]) => sum + count, 0);
+  let ends = 0;
+  try {
+    for (const { backend } of mesh.instances) {
+      backend.isFatal = (requested) => requested === path;
+      backend.onEnd = () => ends++;
+    }
+    await sleep(1_000);
+    const callsBefore = countCalls();
+    await until(() => isVerdict(0), "the daemon refuses the request");
+    const indexes = [...mesh.instances.keys()];
+    await until(
+      async () => (await Promise.all(indexes.map(isVerdict))).every(Boolean),
+      "all daemons refuse the request",
+      3_000,
+    );
+    const calls = countCalls() - callsBefore;
+    assert.ok(ends >= 3 && calls <= ends, `${calls} calls, ${ends} ends`);
+  } finally {
+    await mesh.stop();
+  }
+});
+
 // Guards against a verdict that nobody can lift before it expires.
 test("an operator's exemption has a request served again at all daemons", async () => {
   const mesh = await FakeMesh.start(4);
