--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -33,7 +33,7 @@
 export enum FaultPlan {
   /** Planned work of operators, slow daemons and slow paths. */
   Planned = "planned",
-  /** Requests under which backend servers end, restarts and resets. */
+  /** Requests under which backend servers end; restarts, freezes and cuts. */
   Fatal = "fatal",
   /** Limits that backend servers name; single restarts, freezes and cuts. */
   Limits = "limits",
@@ -157,6 +157,8 @@
   context: FaultContext,
 ): Record<string, FaultStarter> {
   const planned = plannedFaults(instance, context);
+  const daemon = daemonFaults(instance, context);
+  const cutStore = storeFaults(instance, context)["store-path-cut"]!;
   return {
     "request-fatal": context.sendFatal,
     "backend-resets": backendFaults(instance)["backend-resets"]!,
@@ -164,6 +166,15 @@
     "daemon-restart-series": planned["daemon-restart-series"]!,
     "config-change": planned["config-change"]!,
     "backend-replaced": planned["backend-replaced"]!,
+    "daemon-crash": daemon["daemon-crash"]!,
+    "daemon-pause": daemon["daemon-pause"]!,
+    "peer-path-cut": daemon["peer-path-cut"]!,
+    "store-path-cut": (lastsMs) => {
+      const fromMs = performance.now();
+      const untilMs = fromMs + lastsMs;
+      context.impairments.push({ instance: instance.name, fromMs, untilMs });
+      cutStore(lastsMs);
+    },
   };
 }
 
