--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -148,7 +148,7 @@
   let response: CallResponse | undefined;
   let domain = "";
   for (let attempt = 0; attempt < 3; attempt++) {
-    // Excludes paused daemons: calls that hang at one are not measured here.
+    // A call to a paused daemon would hang.
     const running = fleet.instances.filter((instance) => !isPaused(instance));
     const { daemon } = running[(number + attempt * 5) % running.length]!;
     domain = daemon.plan.domain;
