Quarantine by one list in both wings, and nothing that only ran beside

What callers saw in src/daemon: a request that ran beside one that crashes backend servers, at two crashes, was refused for ten minutes (422).

The rule by which the sidecar tells the cause from what ran beside it (an end with one suspect) was missing in src/daemon, which counted crashes only.

Change: QuarantineList maps its messages onto SuspectList, with two crashes, one of them with no other suspect; messages name these (lone_crash_ids). Who saw one call only cannot tell what else ran; the report of the server's daemon adds that. Until it has come, the ingress refuses for 5 s what it has itself sent to two crashes, so that no third server crashes meanwhile.

--- a/src/coordination/quarantine/quarantine_list.ts
+++ b/src/coordination/quarantine/quarantine_list.ts
@@ -4,30 +4,37 @@
   type Quarantine,
   QuarantineSchema,
 } from "../../protocol/gen/sesamepond/v1/fleet_pb.ts";
+import {
+  SuspectList,
+  SUSPICION_MS,
+  Verdict,
+  type VerdictThresholds,
+} from "./suspect_list.ts";
 
-/** Number of crashes after which a fingerprint is quarantined. */
-export const CRASHES_TO_QUARANTINE = 2;
+/** Two crashes, one of them with no other suspect. */
+const THRESHOLDS: VerdictThresholds = { ends: 2, loneEnds: 1 };
 /** Duration of a suspicion or a quarantine, in ms. */
-export const QUARANTINE_MS = 600_000;
+export const QUARANTINE_MS = SUSPICION_MS;
 /** Time for which a served request protects its fingerprint, in ms. */
 const KNOWN_GOOD_MS = 120_000;
-/** Maximum number of suspected fingerprints. */
+/**
+ * Time for which this daemon refuses a request that it has itself sent to two
+ * servers that crashed, in ms: until the reports of these servers' daemons say
+ * what else was in flight.
+ */
+const OWN_REFUSAL_MS = 5_000;
+/** Maximum number of fingerprints whose services are stored. */
 const MAX_SUSPECTS = 10_000;
 /** Maximum number of fingerprints stored as known good. */
 const MAX_KNOWN_GOOD = 20_000;
 
-interface Suspect {
-  readonly service: string;
-  readonly crashIds: readonly string[];
-  readonly untilMs: number;
-}
-
 /**
- * Fingerprints of requests that were in flight when backend servers crashed.
+ * Fingerprints of requests that were in flight when backend servers crashed, as
+ * the daemons of `src/daemon` exchange them.
  *
  * Each request in flight at a crash is a suspect, unless a request with the
  * same fingerprint was served recently: a request that crashes every server is
- * never served. After a second crash the fingerprint is quarantined for a time.
+ * never served. {@linkcode SuspectList} decides from when it is quarantined.
  *
  * Each daemon counts crashes locally and shares only suspicions and their ends,
  * as Abuse Guard does in its fleet mode.
@@ -39,7 +46,17 @@
  * ```
  */
 export class QuarantineList {
-  readonly #suspects = new LRUCache<string, Suspect>({ max: MAX_SUSPECTS });
+  #hasChanged = false;
+  readonly #suspects = new SuspectList(
+    () => this.#hasChanged = true,
+    THRESHOLDS,
+  );
+  readonly #services = new LRUCache<string, string>({ max: MAX_SUSPECTS });
+  /** Ids of the crashes of calls that this daemon has sent. */
+  readonly #ownCrashes = new LRUCache<string, ReadonlySet<string>>({
+    max: MAX_SUSPECTS,
+    ttl: OWN_REFUSAL_MS,
+  });
   readonly #knownGood = new LRUCache<string, true>({
     max: MAX_KNOWN_GOOD,
     ttl: KNOWN_GOOD_MS,
@@ -54,14 +71,19 @@
    * Records that a request was served, which ends a suspicion.
    *
    * @param fingerprint Its fingerprint.
+   * @param nowMs Monotonic time, in ms.
    * @returns The message to the other daemons; `undefined` without a suspicion.
    */
-  recordSuccess(fingerprint: string): Quarantine | undefined {
+  recordSuccess(
+    fingerprint: string,
+    nowMs = performance.now(),
+  ): Quarantine | undefined {
     this.#knownGood.set(fingerprint, true);
-    const suspect = this.#suspects.get(fingerprint);
-    if (suspect === undefined) return undefined;
-    this.#suspects.delete(fingerprint);
-    return create(QuarantineSchema, { fingerprint, service: suspect.service });
+    this.#ownCrashes.delete(fingerprint);
+    if (!this.isSuspect(fingerprint, nowMs)) return undefined;
+    this.#suspects.recordServed(fingerprint, nowMs);
+    const service = this.#services.get(fingerprint) ?? "";
+    return create(QuarantineSchema, { fingerprint, service });
   }
 
   /**
@@ -79,20 +101,45 @@
     },
     nowMs: number,
   ): Quarantine[] {
-    return crash.fingerprints
-      .filter((fingerprint) => !this.#knownGood.has(fingerprint))
-      .map((fingerprint) => {
-        const message = create(QuarantineSchema, {
-          fingerprint,
-          service: crash.service,
-          crashIds: [crash.id],
-          remainingMs: QUARANTINE_MS,
-        });
-        this.merge(message, nowMs);
-        return this.toMessage(fingerprint, nowMs)!;
+    const fingerprints = crash.fingerprints
+      .filter((fingerprint) => !this.#knownGood.has(fingerprint));
+    return this.#suspects
+      .recordEnd({ id: crash.id, fingerprints }, crash.service, nowMs)
+      .flatMap((fingerprint) => {
+        this.#services.set(fingerprint, crash.service);
+        return this.toMessage(fingerprint, nowMs) ?? [];
       });
   }
 
+  /**
+   * Records a crash of which one call in flight is known, and others may not be.
+   *
+   * @param crash Unique id, service and the fingerprint of the call.
+   * @param nowMs Monotonic time, in ms.
+   */
+  recordCrashOf(
+    crash: {
+      readonly id: string;
+      readonly service: string;
+      readonly fingerprint: string;
+    },
+    nowMs: number,
+  ): void {
+    const { id, service, fingerprint } = crash;
+    if (this.#knownGood.has(fingerprint)) return;
+    const ids = this.#ownCrashes.get(fingerprint) ?? [];
+    this.#ownCrashes.set(fingerprint, new Set([...ids, id]));
+    this.merge(
+      create(QuarantineSchema, {
+        fingerprint,
+        service,
+        crashIds: [id],
+        remainingMs: QUARANTINE_MS,
+      }),
+      nowMs,
+    );
+  }
+
   /**
    * Merges a suspicion of another daemon, or its end.
    *
@@ -101,22 +148,21 @@
    * @returns Whether it changed the list.
    */
   merge(message: Quarantine, nowMs: number): boolean {
-    if (message.crashIds.length === 0) {
-      return this.recordSuccess(message.fingerprint) !== undefined;
+    const { fingerprint, service, crashIds, loneCrashIds } = message;
+    if (crashIds.length === 0) {
+      return this.recordSuccess(fingerprint, nowMs) !== undefined;
     }
-    if (this.#knownGood.has(message.fingerprint)) return false;
-    const suspect = this.#unexpiredSuspect(message.fingerprint, nowMs);
-    const crashIds = [
-      ...new Set([...suspect?.crashIds ?? [], ...message.crashIds]),
-    ].slice(0, CRASHES_TO_QUARANTINE);
-    if (crashIds.length === suspect?.crashIds.length) return false;
-    const remainingMs = Math.min(message.remainingMs, QUARANTINE_MS);
-    this.#suspects.set(message.fingerprint, {
-      service: message.service,
-      crashIds,
-      untilMs: nowMs + remainingMs,
-    });
-    return true;
+    if (this.#knownGood.has(fingerprint)) return false;
+    const loneIds = new Set(loneCrashIds);
+    const evidence = crashIds.map((id) => ({
+      id,
+      isLone: loneIds.has(id),
+      remainingMs: message.remainingMs,
+    }));
+    this.#hasChanged = false;
+    this.#suspects.merge(fingerprint, evidence, service, nowMs);
+    if (this.#hasChanged) this.#services.set(fingerprint, service);
+    return this.#hasChanged;
   }
 
   /**
@@ -124,12 +170,15 @@
    *
    * @param fingerprint The fingerprint.
    * @param nowMs Monotonic time, in ms.
-   * @returns Whether it was in flight at two crashes.
+   * @returns Whether it was in flight at two crashes, at one of them alone, or
+   * this daemon has just sent it to two servers that crashed.
    */
   isQuarantined(fingerprint: string, nowMs: number): boolean {
     if (this.#suspects.size === 0) return false;
-    const suspect = this.#unexpiredSuspect(fingerprint, nowMs);
-    return (suspect?.crashIds.length ?? 0) >= CRASHES_TO_QUARANTINE;
+    const ownCrashes = this.#ownCrashes.get(fingerprint)?.size ?? 0;
+    if (ownCrashes >= THRESHOLDS.ends) return true;
+    const { verdict } = this.#suspects.judge(fingerprint, nowMs);
+    return verdict === Verdict.Quarantined;
   }
 
   /**
@@ -140,7 +189,8 @@
    * @returns Whether it is suspected.
    */
   isSuspect(fingerprint: string, nowMs: number): boolean {
-    return this.#unexpiredSuspect(fingerprint, nowMs) !== undefined;
+    if (this.#suspects.size === 0) return false;
+    return this.#suspects.judge(fingerprint, nowMs).verdict !== Verdict.Clear;
   }
 
   /**
@@ -151,12 +201,17 @@
    * @returns The message; `undefined` without a suspicion.
    */
   toMessage(fingerprint: string, nowMs: number): Quarantine | undefined {
-    const suspect = this.#unexpiredSuspect(fingerprint, nowMs);
-    return suspect && create(QuarantineSchema, {
+    const evidence = this.#suspects.evidenceOf(fingerprint, nowMs);
+    if (evidence.length === 0) return undefined;
+    return create(QuarantineSchema, {
       fingerprint,
-      service: suspect.service,
-      crashIds: [...suspect.crashIds],
-      remainingMs: Math.ceil(suspect.untilMs - nowMs),
+      service: this.#services.get(fingerprint) ?? "",
+      crashIds: evidence.map(({ id }) => id),
+      loneCrashIds: evidence.filter(({ isLone }) => isLone)
+        .map(({ id }) => id),
+      remainingMs: Math.ceil(
+        Math.max(...evidence.map(({ remainingMs }) => remainingMs)),
+      ),
     });
   }
 
@@ -167,16 +222,9 @@
    * @returns The messages.
    */
   quarantined(nowMs: number): Quarantine[] {
-    return [...this.#suspects.keys()]
+    this.#suspects.expire(nowMs);
+    return [...this.#services.keys()]
       .filter((fingerprint) => this.isQuarantined(fingerprint, nowMs))
       .flatMap((fingerprint) => this.toMessage(fingerprint, nowMs) ?? []);
   }
-
-  #unexpiredSuspect(fingerprint: string, nowMs: number): Suspect | undefined {
-    const suspect = this.#suspects.get(fingerprint);
-    if (suspect === undefined) return undefined;
-    if (suspect.untilMs > nowMs) return suspect;
-    this.#suspects.delete(fingerprint);
-    return undefined;
-  }
 }
--- a/src/coordination/quarantine/quarantine_list_test.ts
+++ b/src/coordination/quarantine/quarantine_list_test.ts
@@ -34,6 +34,32 @@
   assert.is(list.isQuarantined("innocent", 1), false);
 });
 
+// Guards against a third crash while the report of the second one travels.
+test("recordCrashOf() has a request refused here that was sent to two crashes", () => {
+  const list = new QuarantineList();
+  const crashes = ["one", "one", "two"].map((id) => {
+    list.recordCrashOf({ id, service: "lookup", fingerprint: "poison" }, 0);
+    return list.isQuarantined("poison", 0);
+  });
+  assert.equal(crashes, [false, false, true]);
+  const other = new QuarantineList();
+  other.merge(list.toMessage("poison", 0)!, 0);
+  assert.is(other.isQuarantined("poison", 0), false);
+  list.recordSuccess("poison");
+  assert.is(list.isQuarantined("poison", 0), false);
+});
+
+// Guards against a report that comes second and says more.
+test("merge() learns from the server's daemon that no other request was in flight", () => {
+  const reporter = new QuarantineList();
+  const list = new QuarantineList();
+  for (const id of ["one", "two"]) {
+    list.recordCrashOf({ id, service: "lookup", fingerprint: "f" }, 0);
+    assert.is(list.merge(crash(reporter, id, ["f"])[0]!, 0), true);
+  }
+  assert.equal(list.toMessage("f", 0)!.loneCrashIds, ["one", "two"]);
+});
+
 test("recordSuccess() ends a suspicion", () => {
   const list = new QuarantineList();
   crash(list, "one", ["innocent"]);
--- a/src/coordination/quarantine/suspect_list.ts
+++ b/src/coordination/quarantine/suspect_list.ts
@@ -1,13 +1,18 @@
 import { LRUCache } from "lru-cache";
 import type { EndEvidence } from "../../protocol/end_evidence.ts";
 
-/** Number of ends from which a request is no longer run freely. */
-const ENDS_TO_VERDICT = 3;
-/**
- * Number of these with no other suspect, from which it is refused: a request
- * that happened to run beside the cause has others beside it.
- */
-const LONE_ENDS_TO_VERDICT = 2;
+/** Number of ends at which a verdict is reached. */
+export interface VerdictThresholds {
+  /** From which a request is no longer run freely. */
+  readonly ends: number;
+  /**
+   * From which it is refused, counting those with no other suspect: a request
+   * that happened to run beside the cause has others beside it.
+   */
+  readonly loneEnds: number;
+}
+
+const DEFAULT_THRESHOLDS: VerdictThresholds = { ends: 3, loneEnds: 2 };
 /** Duration of a suspicion, in ms. */
 export const SUSPICION_MS = 600_000;
 /** Time for which a served request is not suspected of an end, in ms. */
@@ -81,8 +86,9 @@
  *
  * At an end, all that ran is suspected, except what was served lately; if
  * suspects of earlier ends ran, only these are. A suspect runs beside no other,
- * so that a further end has only one suspect. A request is refused after three
- * ends, two of them with no other suspect. It is cleared once it is served.
+ * so that a further end has only one suspect. A request is refused after a
+ * number of ends, some of them with no other suspect; by default three and two.
+ * It is cleared once it is served.
  *
  * @example
  * ```ts
@@ -93,6 +99,7 @@
  */
 export class SuspectList {
   readonly #onChange: (change: SuspicionChange) => void;
+  readonly #thresholds: VerdictThresholds;
   readonly #suspects = new LRUCache<string, Suspect>({ max: MAX_SUSPECTS });
   #exempt: ReadonlySet<string> = new Set();
 
@@ -100,9 +107,14 @@
    * Creates an empty list.
    *
    * @param onChange Called with each change, during the call that caused it.
+   * @param thresholds Numbers of ends to a verdict.
    */
-  constructor(onChange: (change: SuspicionChange) => void) {
+  constructor(
+    onChange: (change: SuspicionChange) => void,
+    thresholds = DEFAULT_THRESHOLDS,
+  ) {
     this.#onChange = onChange;
+    this.#thresholds = thresholds;
   }
 
   /** Number of fingerprints that are or were suspected. */
@@ -161,7 +173,9 @@
     for (const { id, isLone, remainingMs } of evidence) {
       const suspect = this.#suspects.get(fingerprint) ??
         { ends: new Map(), clearedIds: new Set(), servedAtMs: -Infinity };
-      if (suspect.ends.has(id)) continue;
+      const known = suspect.ends.get(id);
+      // Who saw one call only cannot tell that others ran as well.
+      if (known !== undefined && (known.isLone || !isLone)) continue;
       const untilMs = nowMs + Math.min(remainingMs, SUSPICION_MS);
       suspect.ends.set(id, { isLone, untilMs });
       this.#suspects.set(fingerprint, suspect);
@@ -202,7 +216,7 @@
     const untilMs = Math.max(nowMs, ...ends.map((end) => end.untilMs));
     return {
       fingerprint,
-      verdict: decideVerdict(ends.length, loneEnds),
+      verdict: this.#decideVerdict(ends.length, loneEnds),
       ends: ends.length,
       remainingMs: untilMs - nowMs,
     };
@@ -269,15 +283,15 @@
     );
   }
 
+  #decideVerdict(ends: number, loneEnds: number): Verdict {
+    if (ends === 0) return Verdict.Clear;
+    if (ends < this.#thresholds.ends) return Verdict.Suspected;
+    return loneEnds < this.#thresholds.loneEnds
+      ? Verdict.OnTrial
+      : Verdict.Quarantined;
+  }
+
   #reportEnded(fingerprint: string, reason: SuspicionEnd): void {
     this.#onChange({ kind: "ended", fingerprint, reason });
   }
 }
-
-function decideVerdict(ends: number, loneEnds: number): Verdict {
-  if (ends === 0) return Verdict.Clear;
-  if (ends < ENDS_TO_VERDICT) return Verdict.Suspected;
-  return loneEnds < LONE_ENDS_TO_VERDICT
-    ? Verdict.OnTrial
-    : Verdict.Quarantined;
-}
--- a/src/daemon/ingress_call.ts
+++ b/src/daemon/ingress_call.ts
@@ -204,10 +204,10 @@
   /** Counts the crash at once, before the destination's report arrives. */
   #recordCrash(attempt: IngressAttempt): void {
     const { member } = attempt.endpoint;
-    this.#context.quarantine.recordCrash({
+    this.#context.quarantine.recordCrashOf({
       id: crashIdOf(member.id, member.readyAtMs),
       service: member.service,
-      fingerprints: [attempt.call.fingerprint],
+      fingerprint: attempt.call.fingerprint,
     }, monotonicMs());
   }
 
