--- a/review/5/main.mjs
+++ b/review/5/main.mjs
@@ -3,7 +3,7 @@
 import { configuration, finish, Mesh, route, sleep } from "../lib/mesh.mjs";
 import { Connection } from "../lib/connection.mjs";
 
-const TIMEOUT_MS = 1500;
+const TIMEOUT_MS = 800;
 /** Time after the route's time-out in which an answer must come, in ms. */
 const SLACK_MS = 500;
 const CONSUMERS = 12;
