--- a/review/1/main.mjs
+++ b/review/1/main.mjs
@@ -6,15 +6,15 @@
 const SLOTS = 4;
 /** Work on a request, in ms. */
 const WORK_MS = 500;
-/** Consumers of each kind: a few more than the service has slots. */
-const CONSUMERS = 18;
+/** Consumers of each kind: together they ask for half as much again as the slots. */
+const CONSUMERS = 60;
 /** Time from one request of a consumer to its next one, in ms. */
 const PERIOD_MS = 1600;
 /** Time limit of a consumer, and longest time that the route allows, in ms. */
 const LIMIT_MS = 1500;
-/** Time after the disruption from which requests count; StableS is 3 s. */
-const SETTLED_MS = 10_000;
-const MEASURED_MS = 30_000;
+/** Time before and after the disruption, in ms. All requests count. */
+const BEFORE_MS = 3000;
+const AFTER_MS = 37_000;
 
 const mesh = new Mesh(new URL("record.txt", import.meta.url).pathname);
 
@@ -33,17 +33,13 @@
   );
   const [first, second, ...stock] = mesh.instances;
   const tally = { stock: [0, 0], page: [0, 0] };
-  let isCounting = false;
   let isOver = false;
   let last = 0;
 
   async function consume(kind, entry) {
     while (!isOver) {
       const sentAtMs = performance.now();
-      // At first there is always one more to run, as in a busy hour.
-      const periodMs = isCounting ? PERIOD_MS : 0;
       const id = `${kind}-${++last}`;
-      const counts = isCounting;
       const answer = await send(entry, {
         id,
         host: "shop.example",
@@ -51,11 +47,9 @@
         deadlineMs: LIMIT_MS,
       });
       mesh.record(`${id} at ${entry.name}: ${answer.status || "no answer"}`);
-      if (counts) {
-        tally[kind][0]++;
-        if (answer.status === 200) tally[kind][1]++;
-      }
-      await sleep(Math.max(0, sentAtMs + periodMs - performance.now()));
+      tally[kind][0]++;
+      if (answer.status === 200) tally[kind][1]++;
+      await sleep(Math.max(0, sentAtMs + PERIOD_MS - performance.now()));
     }
   }
 
@@ -63,9 +57,9 @@
   for (let n = 0; n < CONSUMERS; n++) {
     consumers.push(consume("stock", n % 2 === 0 ? first : second));
     consumers.push(consume("page", n % 2 === 0 ? first : second));
-    await sleep(20);
+    await sleep(PERIOD_MS / CONSUMERS);
   }
-  await sleep(4000);
+  await sleep(BEFORE_MS);
   if (process.env.TROUBLE !== "0") {
     let count = 0;
     for (const { peerProxy, upstreamProxy } of mesh.instances) {
@@ -73,17 +67,17 @@
     }
     mesh.record(`${count} open connections go silent; new ones work`);
   }
-  await sleep(SETTLED_MS);
-  isCounting = true;
-  await sleep(PERIOD_MS);
+  // What was open at that moment has ended by then.
+  await sleep(2 * LIMIT_MS);
   const runsBefore = stock.map(({ upstream }) => upstream.runs.length);
-  mesh.record("requests count from here on");
-  await sleep(MEASURED_MS);
+  await sleep(AFTER_MS);
   isOver = true;
   await Promise.all(consumers);
 
   const runs = stock.map(({ upstream }, index) => upstream.runs.length - runsBefore[index]);
-  mesh.record(`runs at the upstreams of stock since then: ${runs.join(", ")}`);
+  mesh.record(
+    `runs at the upstreams of stock in the last ${AFTER_MS / 1000} s: ${runs.join(", ")}`,
+  );
   for (const [kind, [asked, served]] of Object.entries(tally)) {
     mesh.record(`${kind}: ${asked} asked, ${served} served`);
   }
