Take no announcement from before a restart without a health check

Cause: an announcement was held back only once a record had been read from the store. Without the store the first announcement started the backend server (log: backend-started sequence=9, no backend-recovered).

Now no announcement of the first 5 s of a process counts without a passed health check, whether the store can be read or not. One that arrives later was sent after the start, and so after any ack of an earlier process. Without a configuration the usual health path is checked, so a daemon that restarts while the store is down goes on serving.

--- a/src/sidecar/backend_lifecycle.ts
+++ b/src/sidecar/backend_lifecycle.ts
@@ -25,14 +25,18 @@
   /** Lower-case name of the header with the id of the backend process. */
   readonly idHeader: string;
   readonly log: EventLog;
+  /** Monotonic time at which this daemon process started. */
+  readonly startedAtMs: number;
 }
 
-/** A recorded backend process that has not shown yet that it accepts requests. */
-interface UnprovenBackend {
-  readonly id: string;
-  /** Sequence of its first ready announcement; `undefined` before it. */
-  firstSequence: number | undefined;
-}
+/**
+ * Longest time by which an announcement may be late, in ms. One that arrives
+ * later than this after the start of the daemon was sent after that start, and
+ * so after any leave that an earlier daemon process acknowledged.
+ */
+const MAX_ANNOUNCEMENT_DELAY_MS = 5_000;
+/** Path of the health check until a configuration names one. */
+const DEFAULT_HEALTH_PATH = "/health";
 
 /**
  * Tracks the state of the local backend server, and updates its dispatcher, the
@@ -45,9 +49,12 @@
  */
 export class BackendLifecycle {
   readonly #options: BackendLifecycleOptions;
+  /** Monotonic time from which announcements are not from before the start. */
+  readonly #currentFromMs: number;
   #hasRecovered = false;
-  /** Backend process that an earlier daemon process may have drained. */
-  #unproven: UnprovenBackend | undefined;
+  /** Newest announcement that may be older than this daemon process. */
+  #unproven: Announcement | undefined;
+  #isProbing = false;
 
   /**
    * Creates a lifecycle before any announcement.
@@ -56,6 +63,7 @@
    */
   constructor(options: BackendLifecycleOptions) {
     this.#options = options;
+    this.#currentFromMs = options.startedAtMs + MAX_ANNOUNCEMENT_DELAY_MS;
   }
 
   /**
@@ -64,51 +72,33 @@
    * @param record The stored record.
    */
   recover(record: BackendRecord): void {
-    if (this.#hasRecovered || this.#options.backend.current !== undefined) {
-      return;
-    }
+    if (this.#hasRecovered) return;
     this.#hasRecovered = true;
+    const { backend, settings } = this.#options;
     switch (record.state) {
       case BackendState.Draining:
-        this.#options.backend.restoreDrained(record.id, record.bornAtUnixMs);
+        backend.restoreDrained(record.id, record.bornAtUnixMs);
+        this.#drainRecorded(record);
         return;
       case BackendState.Ready:
-        void this.#recoverReady(record);
+        if (backend.isKnown) return;
+        this.#hold({
+          id: record.id,
+          service: record.service,
+          address: settings.backendAddress,
+          slots: record.slots,
+          state: BackendState.Ready,
+          sequence: 0,
+          bornAtUnixMs: record.bornAtUnixMs,
+        });
     }
   }
 
-  /**
-   * Probes the backend server, since an earlier daemon process may have
-   * acknowledged a drain that it could not record.
-   */
-  async #recoverReady(record: BackendRecord): Promise<void> {
-    const table = this.#options.routes.current;
-    const service = table?.config.services.find(({ name }) =>
-      name === record.service
-    );
-    if (service === undefined) return;
-    this.#unproven = { id: record.id, firstSequence: undefined };
-    const takesWork = await probeBackend({
-      address: this.#options.settings.backendAddress,
-      healthPath: service.healthPath,
-      backendId: record.id,
-      idHeader: this.#options.idHeader,
-    });
-    this.#options.log.info("backend-recovered", {
-      backend: record.id,
-      takesWork,
-    });
-    if (!takesWork || this.#options.backend.isKnown) return;
-    this.#unproven = undefined;
-    this.handleAnnouncement({
-      id: record.id,
-      service: record.service,
-      address: this.#options.settings.backendAddress,
-      slots: record.slots,
-      state: BackendState.Ready,
-      sequence: 0,
-      bornAtUnixMs: record.bornAtUnixMs,
-    });
+  /** Drains a backend server that was taken for ready before it was recovered. */
+  #drainRecorded(record: BackendRecord): void {
+    const ready = this.#options.backend.ready;
+    if (ready?.bornAtUnixMs !== record.bornAtUnixMs) return;
+    this.handleLeavingResponse(record.id);
   }
 
   /**
@@ -117,7 +107,16 @@
    * @param announcement The announcement.
    */
   handleAnnouncement(announcement: Announcement): void {
-    if (this.#mayBeOutdated(announcement)) return;
+    if (this.#mayBeOutdated(announcement)) {
+      this.#logBackend("backend-unproven", announcement);
+      this.#hold(announcement);
+      return;
+    }
+    this.#apply(announcement);
+  }
+
+  #apply(announcement: Announcement): void {
+    this.#unproven = undefined;
     const change = this.#options.backend.applyAnnouncement(announcement);
     switch (change.kind) {
       case "unchanged":
@@ -165,23 +164,56 @@
   }
 
   /**
-   * Whether an announcement may be a late one, from before a drain that an
-   * earlier daemon process acknowledged and could not record. A second one
-   * shows that the backend server goes on to announce itself as ready.
+   * Whether an announcement may have been sent before a leave that an earlier
+   * daemon process acknowledged. Nothing else may show that: the store may be
+   * out of reach, or have been when the earlier process should have recorded it.
    */
   #mayBeOutdated(announcement: Announcement): boolean {
-    const unproven = this.#unproven;
-    const isUnproven = unproven?.id === announcement.id &&
-      !this.#options.backend.isKnown &&
-      announcement.state === BackendState.Ready;
-    if (!isUnproven) return false;
-    const { firstSequence } = unproven;
-    unproven.firstSequence ??= announcement.sequence;
-    if (firstSequence !== undefined && announcement.sequence > firstSequence) {
-      return false;
+    return !this.#options.backend.isKnown &&
+      announcement.state === BackendState.Ready &&
+      performance.now() < this.#currentFromMs;
+  }
+
+  /** Keeps an announcement until a health check shows whether it still holds. */
+  #hold(announcement: Announcement): void {
+    const held = this.#unproven;
+    if (held === undefined || isLater(announcement, held)) {
+      this.#unproven = announcement;
     }
-    this.#logBackend("backend-unproven", announcement);
-    return true;
+    void this.checkUnproven();
+  }
+
+  /**
+   * Checks the health of a backend server whose announcement may be outdated.
+   * Each further announcement and configuration repeats a check that failed.
+   */
+  async checkUnproven(): Promise<void> {
+    const { settings, backend, idHeader, log } = this.#options;
+    const checked = this.#unproven;
+    const healthPath = checked && this.#healthPathOf(checked.service);
+    if (checked === undefined || healthPath === undefined) return;
+    if (this.#isProbing) return;
+    this.#isProbing = true;
+    const takesWork = await probeBackend({
+      address: settings.backendAddress,
+      healthPath,
+      backendId: checked.id,
+      idHeader,
+    });
+    this.#isProbing = false;
+    log.info("backend-recovered", { backend: checked.id, takesWork });
+    const proven = this.#unproven;
+    const isSame = proven?.id === checked.id &&
+      proven.bornAtUnixMs === checked.bornAtUnixMs;
+    if (isSame && takesWork && !backend.isKnown) this.#apply(proven);
+  }
+
+  /** Returns the path; `undefined` if the configuration lacks the service. */
+  #healthPathOf(service: string): string | undefined {
+    const { current } = this.#options.routes;
+    if (current === undefined) return DEFAULT_HEALTH_PATH;
+    return current.config.services.find(({ name }) => name === service)
+      ?.healthPath;
   }
 
   #logBackend(event: string, announcement: Announcement): void {
@@ -220,3 +252,10 @@
     this.#options.publisher.publish(record);
   }
 }
+
+/** Whether an announcement was sent after another one. */
+function isLater(next: Announcement, known: Announcement): boolean {
+  return next.bornAtUnixMs === known.bornAtUnixMs
+    ? next.sequence > known.sequence
+    : next.bornAtUnixMs > known.bornAtUnixMs;
+}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -121,6 +121,7 @@
       routes: this.#routes,
       idHeader: ports.headers.backendId,
       log: this.#log,
+      startedAtMs: performance.now(),
     });
     this.#destinations = new DestinationPool({
       instance: settings.instance,
@@ -338,7 +339,10 @@
           this.#destinations.pollFeed(record, afterRevision, mayWait),
         log: this.#log,
       }),
-      onConfigAdopted: () => this.#ingress.applyLimits(),
+      onConfigAdopted: () => {
+        this.#ingress.applyLimits();
+        void this.#lifecycle.checkUnproven();
+      },
       onLocalRecord: (entry) => {
         const record = this.#publisher.handleStoredEntry(entry);
         if (record === undefined) return;
