Let no input of odd structure end a daemon

The same class was found at the control and ready address (a target that is no URL), at the address for other daemons (malformed escapes, nested start lines of frames, statuses out of range), and in the answers of the store, in src/daemon too. Input is checked by its type first, and each server and each task on the store has a last guard that logs, counts and goes on.

--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -135,6 +135,16 @@
     return this.#ports[1]!;
   }
 
+  /** Port at which its daemon answers readiness checks. */
+  get readyPort(): number {
+    return this.#ports[2]!;
+  }
+
+  /** Port at which its daemon takes the calls of the backend server. */
+  get controlPort(): number {
+    return this.#ports[3]!;
+  }
+
   /** Output of the daemon across restarts. */
   get output(): string {
     return this.#earlierOutput + this.#daemon.output;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -93,6 +93,7 @@
       destination: this.#requests.destination,
       auth: connections.auth,
       loop: connections.loop,
+      log: connections.log,
       onSender: (sender) => this.#recentSenders.set(sender, true),
     });
     this.#controlServer = this.#createControlServer();
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -28,6 +28,7 @@
   listen,
   stopAccepting,
 } from "../transport/http/listen.ts";
+import { guardHandler } from "../transport/http/guard_handler.ts";
 import { RequestBody } from "../transport/http/request_body.ts";
 import type { EventLoopMonitor } from "../transport/observe/event_loop_monitor.ts";
 import { ResponseWriter } from "./response_writer.ts";
@@ -98,7 +99,11 @@
         maxHeaderSize: options.maxHeaderBytes,
         noDelay: true,
       },
-      (request, response) => void this.#serve(request, response),
+      guardHandler((...exchange) => this.#serve(...exchange), {
+        server: "ingress",
+        status: 502,
+        log: options.context.log,
+      }),
     );
     this.#callerWatch = new DisconnectDetector(this.#server, options.loop);
     options.loop.observe("ingress", this.#server);
--- a/src/daemon/peer_forwarder_test.ts
+++ b/src/daemon/peer_forwarder_test.ts
@@ -20,12 +20,12 @@
 const auth = new PeerAuth([{ id: "k1", secret: "test-secret-0123456789" }]);
 
 const senders: string[] = [];
+const log = new EventLog({ level: "none", file: "/dev/null" });
 const server = new PeerServer({
   destination: { admission: { load: LOAD } } as Destination,
   auth,
-  loop: new EventLoopMonitor({
-    log: new EventLog({ level: "none", file: "/dev/null" }),
-  }),
+  loop: new EventLoopMonitor({ log }),
+  log,
   onSender: (id) => senders.push(id),
 });
 const token = () => auth.token("asker", Date.now());
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -29,6 +29,8 @@
   listen,
   stopAccepting,
 } from "../transport/http/listen.ts";
+import { guardHandler } from "../transport/http/guard_handler.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
 import type { EventLoopMonitor } from "../transport/observe/event_loop_monitor.ts";
 import { ResponseWriter } from "./response_writer.ts";
 import { monotonicMs } from "./clocks.ts";
@@ -48,6 +50,7 @@
   /** Authenticates the peers. */
   readonly auth: PeerAuth;
   readonly loop: EventLoopMonitor;
+  readonly log: EventLog;
   /** Called with the member id of each call's sender. */
   readonly onSender: (id: string) => void;
 }
@@ -81,7 +84,11 @@
         headersTimeout: IDLE_TIMEOUT_MS,
         noDelay: true,
       },
-      (request, response) => void this.#serve(request, response),
+      guardHandler((...exchange) => this.#serve(...exchange), {
+        server: "peers",
+        status: 400,
+        log: options.log,
+      }),
     );
     this.#callerWatch = new DisconnectDetector(this.#server, options.loop);
     options.loop.observe("peers", this.#server);
--- a/src/daemon/peer_server_test.ts
+++ b/src/daemon/peer_server_test.ts
@@ -15,13 +15,13 @@
 // Guards against calls with an unknown outcome: a daemon whose event loop had
 // been blocked stopped and reset the connections that it had not accepted yet.
 test("close() answers the calls that wait in the accept queue", async () => {
+  const log = new EventLog({ level: "none", file: "/dev/null" });
   const auth = new PeerAuth([{ id: "k1", secret: "test-secret-0123456789" }]);
   const server = new PeerServer({
     destination: { admission: { load: LOAD } } as Destination,
     auth,
-    loop: new EventLoopMonitor({
-      log: new EventLog({ level: "none", file: "/dev/null" }),
-    }),
+    loop: new EventLoopMonitor({ log }),
+    log,
     onSender: () => {},
   });
   const port = await server.listen(HOST, 0);
--- a/src/protocol/feed.ts
+++ b/src/protocol/feed.ts
@@ -12,6 +12,9 @@
 /** The gzip level that uses the least CPU time. */
 export const COMPRESSION_LEVEL = 1;
 
+/** Largest decompressed batch, in bytes. */
+const MAX_FEED_BYTES = 32 * 1024 * 1024;
+
 /** A change of one key in the store. */
 export interface StoreChange {
   readonly key: string;
@@ -145,10 +148,13 @@
  */
 export function decodeFeed(bytes: Uint8Array): ChangeBatch | undefined {
   try {
-    const { revision, changes } = JSON.parse(gunzipSync(bytes).toString()) as {
+    const text = gunzipSync(bytes, { maxOutputLength: MAX_FEED_BYTES })
+      .toString();
+    const { revision, changes } = JSON.parse(text) as {
       readonly revision: number;
       readonly changes: readonly WireChange[];
     };
+    if (!Number.isSafeInteger(revision)) return undefined;
     return { revision, events: changes.map(decodeChange) };
   } catch {
     // Truncated or not a batch: the caller logs it with the peer's address.
@@ -158,6 +164,7 @@
 
 function decodeChange(change: WireChange): StoreChange {
   const { key, value, modRevision, leaseId } = change;
+  if (typeof key !== "string") throw new TypeError("key is not a string");
   if (value === undefined) return { key };
   return {
     key,
--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -16,6 +16,8 @@
 export const STATUS_PATH = "/.sesamepond/status/";
 /** Path prefix at which a daemon grants transfer permits for large bodies. */
 export const TRANSFER_PERMIT_PATH = "/.sesamepond/place/";
+/** Precedes the age of the request whose status is queried, in ms. */
+const AGE_MS_QUERY = "?ageMs=";
 /** Precedes the longest time that a sender waits for a permit, in ms. */
 const USEFUL_MS_QUERY = "?usefulMs=";
 /** Path at which a daemon serves its newest configuration. */
@@ -172,6 +174,46 @@
   ].join(SEPARATOR);
 }
 
+/**
+ * Formats the target of a status query.
+ *
+ * @param id Id of the request in question.
+ * @param ageMs Time since it was sent, in ms.
+ * @returns Path and query.
+ *
+ * @example
+ * ```ts
+ * formatStatusTarget("a", 500);
+ * ```
+ */
+export function formatStatusTarget(id: string, ageMs: number): string {
+  return `${STATUS_PATH}${encodeURIComponent(id)}${AGE_MS_QUERY}${
+    Math.ceil(ageMs)
+  }`;
+}
+
+/**
+ * Parses the target of a status query.
+ *
+ * @param target The target, which starts with {@linkcode STATUS_PATH}.
+ * @returns The id and the age, which is 0 if it is missing; `undefined` where
+ * one of them cannot be read.
+ *
+ * @example
+ * ```ts
+ * parseStatusTarget(formatStatusTarget("a", 500)); // { id: "a", ageMs: 500 }
+ * ```
+ */
+export function parseStatusTarget(
+  target: string,
+): { readonly id: string; readonly ageMs: number } | undefined {
+  const [encodedId, ageText] = target.slice(STATUS_PATH.length)
+    .split(AGE_MS_QUERY);
+  const id = decodeField(encodedId!);
+  const ageMs = Number(ageText ?? 0);
+  return id === undefined || Number.isNaN(ageMs) ? undefined : { id, ageMs };
+}
+
 /**
  * Formats the target of a request for a transfer permit.
  *
@@ -197,7 +239,8 @@
  * Parses the target of a request for a transfer permit.
  *
  * @param target The target, which starts with {@linkcode TRANSFER_PERMIT_PATH}.
- * @returns The id and the longest wait, which is `Infinity` if it is missing.
+ * @returns The id and the longest wait, which is `Infinity` if it is missing;
+ * `undefined` where the id cannot be read.
  *
  * @example
  * ```ts
@@ -206,15 +249,13 @@
  */
 export function parseTransferPermitTarget(
   target: string,
-): { readonly id: string; readonly maxWaitMs: number } {
-  const [id, maxWaitText] = target.slice(TRANSFER_PERMIT_PATH.length).split(
-    USEFUL_MS_QUERY,
-  );
+): { readonly id: string; readonly maxWaitMs: number } | undefined {
+  const [encodedId, maxWaitText] = target.slice(TRANSFER_PERMIT_PATH.length)
+    .split(USEFUL_MS_QUERY);
+  const id = decodeField(encodedId!);
+  if (id === undefined) return undefined;
   const maxWaitMs = Number(maxWaitText ?? Infinity);
-  return {
-    id: decodeURIComponent(id!),
-    maxWaitMs: Number.isNaN(maxWaitMs) ? Infinity : maxWaitMs,
-  };
+  return { id, maxWaitMs: Number.isNaN(maxWaitMs) ? Infinity : maxWaitMs };
 }
 
 /** Head of a frame with a request or a response. */
@@ -264,6 +305,9 @@
   if (!Array.isArray(parts) || parts.length !== 3) return undefined;
   const [description, start, headers] = parts;
   const isValid = typeof description === "string" && Array.isArray(start) &&
+    start.every((part) =>
+      typeof part === "string" || typeof part === "number"
+    ) &&
     Array.isArray(headers) && headers.length % 2 === 0 &&
     headers.every((field) => typeof field === "string");
   return isValid ? { description, start, headers } : undefined;
@@ -379,10 +423,15 @@
 function decodeFields(value: string): string[] | undefined {
   const fields = value.split(SEPARATOR);
   if (!value.includes("%")) return fields;
+  const decoded = fields.map(decodeField);
+  return decoded.every((field) => field !== undefined) ? decoded : undefined;
+}
+
+function decodeField(text: string): string | undefined {
   try {
-    return fields.map(decodeURIComponent);
+    return decodeURIComponent(text);
   } catch {
-    // A malformed escape: no daemon wrote the header.
+    // A malformed escape: no daemon wrote it.
     return undefined;
   }
 }
--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -13,6 +13,7 @@
   LifoConnectionPool,
   type PoolResult,
 } from "../transport/http/lifo_connection_pool.ts";
+import { messageOf } from "../protocol/step_error.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import { LogRateLimiter } from "../transport/observe/log_rate_limiter.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
@@ -312,7 +313,16 @@
   async #run(job: Job, signal: AbortSignal): Promise<void> {
     const startedAtMs = performance.now();
     this.#metrics.observe("queue_wait_ms", startedAtMs - job.arrivedAtMs);
-    const outcome = await this.#send(job.call, signal, startedAtMs);
+    const outcome = await this.#send(job.call, signal, startedAtMs)
+      .catch((error: unknown): CallOutcome => {
+        this.#exchanges.delete(job.call);
+        this.#log.error("backend-send-failed", {
+          id: job.call.id,
+          peer: this.#address,
+          reason: messageOf(error),
+        });
+        return { kind: "unknown", reason: MeshReason.Other };
+      });
     const isServed = outcome.kind === "answered" && outcome.answer.status < 500;
     this.#queue.finish(job, isServed ? outcome.serviceMs : undefined);
     this.#updateFailureShare(outcome, signal);
--- a/src/sidecar/control_server.ts
+++ b/src/sidecar/control_server.ts
@@ -2,6 +2,8 @@
 import type { ControlDecoder } from "./ports.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { Announcement } from "../protocol/mesh.ts";
+import { guardHandler } from "../transport/http/guard_handler.ts";
+import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { readBody } from "./read_body.ts";
 
 /** Largest request body, in bytes. */
@@ -19,6 +21,7 @@
   readonly decoder: ControlDecoder;
   readonly events: ControlHandler;
   readonly log: EventLog;
+  readonly metrics: TextMetrics;
 }
 
 /**
@@ -33,15 +36,18 @@
  * ```
  */
 export function createControlServer(options: ControlServerOptions): Server {
-  return createServer({ requestTimeout: 0 }, (request, response) => {
-    void handleRequest(request, options).then((status) => {
+  const { log, metrics } = options;
+  return createServer(
+    { requestTimeout: 0 },
+    guardHandler(async (request, response) => {
+      const status = await handleRequest(request, options);
       const body = status === 200 ? "{}" : "";
       response.writeHead(status, {
         "content-type": "application/json",
         "content-length": body.length,
       }).end(body);
-    });
-  });
+    }, { server: "control", status: 400, log, metrics }),
+  );
 }
 
 async function handleRequest(
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -7,8 +7,13 @@
 } from "../coordination/dispatch/mod.ts";
 import type { FeedPollResult } from "../protocol/feed.ts";
 import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
-import type { CallOutcome, MeshCall } from "../protocol/mesh_call.ts";
+import {
+  type CallOutcome,
+  type MeshCall,
+  MeshReason,
+} from "../protocol/mesh_call.ts";
 import { CallStatus } from "../protocol/peer_call.ts";
+import { messageOf } from "../protocol/step_error.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
@@ -109,6 +114,23 @@
     record: BackendRecord,
     call: MeshCall,
     options: Omit<SendOptions, "configVersion">,
+  ): Promise<PeerResult["outcome"]> {
+    try {
+      return await this.#execute(record, call, options);
+    } catch (error) {
+      this.#options.log.error("request-send-failed", {
+        id: call.id,
+        instance: record.instance,
+        reason: messageOf(error),
+      });
+      return { kind: "unknown", reason: MeshReason.Other };
+    }
+  }
+
+  async #execute(
+    record: BackendRecord,
+    call: MeshCall,
+    options: Omit<SendOptions, "configVersion">,
   ): Promise<PeerResult["outcome"]> {
     const { stats, client } = this.#findOrCreate(record);
     stats.recordSend(call.route);
--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -26,6 +26,7 @@
   ForwardResult,
 } from "./forward_types.ts";
 import type { EdgeHeaders } from "./ports.ts";
+import { guardHandler } from "../transport/http/guard_handler.ts";
 import { readBody } from "./read_body.ts";
 import { RequestLog } from "./request_log.ts";
 
@@ -43,6 +44,8 @@
 const MAX_CONFIG_AGE_MS = 2_000;
 /** Retry-After value if it is not known whether a route exists, in ms. */
 const UNCONFIRMED_RETRY_AFTER_MS = 500;
+/** Status of a response that does not say whether the request has run. */
+const BAD_GATEWAY_STATUS = 502;
 /** Most log lines about requests without a route in a second. */
 const MAX_UNKNOWN_LINES_PER_S = 20;
 
@@ -111,10 +114,18 @@
       HEADER_RESULT,
       "content-length",
     ]);
-    this.server = createServer({
-      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
-      requestTimeout: 0,
-    }, (request, response) => void this.#handle(request, response));
+    this.server = createServer(
+      {
+        keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+        requestTimeout: 0,
+      },
+      guardHandler((...exchange) => this.#handle(...exchange), {
+        server: "ingress",
+        status: BAD_GATEWAY_STATUS,
+        log: options.log,
+        metrics: options.metrics,
+      }),
+    );
     this.#callers = new DisconnectDetector(this.server, options.stalls);
   }
 
@@ -287,7 +298,7 @@
           retryAfterMs: result.retryAfterMs,
         });
       case "failed":
-        return this.#reject(response, id, { status: 502 });
+        return this.#reject(response, id, { status: BAD_GATEWAY_STATUS });
       case "timed-out":
         return this.#reject(response, id, { status: 504 });
     }
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -16,9 +16,9 @@
   CallStatus,
   CONFIG_PATH,
   formatCall,
+  formatStatusTarget,
   formatTransferPermitTarget,
   HEADER_CALL,
-  STATUS_PATH,
 } from "../protocol/peer_call.ts";
 import { CallChannel } from "../transport/channel/mod.ts";
 import {
@@ -42,6 +42,8 @@
 const MAX_CHANNEL_BODY_BYTES = 16 * 1024;
 /** A configuration in full would not cross a slow link in time. */
 const ACCEPT_COMPRESSED = ["accept-encoding", "gzip"];
+/** Largest decompressed configuration, in bytes. */
+const MAX_CONFIG_BYTES = 16 * 1024 * 1024;
 /** Shared abort reason: the default one captures a stack trace each time. */
 const ABANDONED = new Error("the request was abandoned");
 
@@ -294,9 +296,7 @@
     id: string,
     ageMs: number,
   ): Promise<Pick<StatusReport, "status" | "wasSent">> {
-    const result = await this.#query(
-      `${STATUS_PATH}${encodeURIComponent(id)}?ageMs=${Math.ceil(ageMs)}`,
-    );
+    const result = await this.#query(formatStatusTarget(id, ageMs));
     if (result.kind === "failed") {
       return { status: undefined, wasSent: result.sent };
     }
@@ -333,9 +333,11 @@
     index % 2 === 0 && field.toLowerCase() === "content-encoding"
   );
   try {
-    return isCompressed ? gunzipSync(body) : body;
+    return isCompressed
+      ? gunzipSync(body, { maxOutputLength: MAX_CONFIG_BYTES })
+      : body;
   } catch {
-    // Truncated: the configuration also comes from the store.
+    // Truncated or too large: the configuration also comes from the store.
     return undefined;
   }
 }
--- a/src/sidecar/peer_reply.ts
+++ b/src/sidecar/peer_reply.ts
@@ -15,6 +15,10 @@
 } from "../protocol/peer_call.ts";
 import type { CallChannel } from "../transport/channel/mod.ts";
 
+/** Range of the statuses of final responses. */
+const MIN_STATUS = 200;
+const MAX_STATUS = 999;
+
 /** Outcome of a request with the metadata of the reply. */
 export interface PeerResult {
   readonly outcome: CallOutcome;
@@ -87,10 +91,14 @@
   const result = await channel.send({ head, body: call.body }, signal);
   if (result.kind === "failed") return result;
   const replyHead = parseFrameHead(result.head);
+  const status = replyHead?.start[0];
+  const isValid = typeof status === "number" && Number.isInteger(status) &&
+    status >= MIN_STATUS && status <= MAX_STATUS;
   return {
     kind: "answer",
-    description: replyHead && parseResult(replyHead.description),
-    status: Number(replyHead?.start[0]),
+    // Without a description, the reply counts as malformed.
+    description: isValid ? parseResult(replyHead!.description) : undefined,
+    status: isValid ? status : 0,
     headers: replyHead?.headers ?? [],
     body: result.body,
   };
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -26,6 +26,7 @@
   HEADER_RESULT,
   parseCall,
   parseFrameHead,
+  parseStatusTarget,
   parseTransferPermitTarget,
   STATUS_PATH,
   TRANSFER_PERMIT_PATH,
@@ -45,6 +46,8 @@
 import type { BackendDispatcher } from "./backend_dispatcher.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import { TransferPermitQueue } from "./transfer_permit_queue.ts";
+import { messageOf } from "../protocol/step_error.ts";
+import { guardHandler } from "../transport/http/guard_handler.ts";
 import { readBody } from "./read_body.ts";
 
 /** Keep-alive timeout for connections of other daemons, in ms. */
@@ -53,6 +56,8 @@
 const MAX_BODY_BYTES = 256 * 1024 * 1024;
 /** HTTP status of a reply to a daemon without a backend server's response. */
 const NO_RESPONSE_STATUS = 503;
+/** HTTP status of a reply to a query that cannot be read. */
+const BAD_REQUEST_STATUS = 400;
 /** Upper bound of the time from process start to the first request, in ms. */
 const START_MARGIN_MS = 200;
 const SENDER_HEADERS = new Set([HEADER_CALL, "content-length"]);
@@ -106,14 +111,22 @@
    */
   constructor(options: PeerServerOptions) {
     this.#options = options;
-    this.server = createServer({
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      requestTimeout: 0,
-    }, (request, response) => void this.#handleRequest(request, response));
+    this.server = createServer(
+      {
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        requestTimeout: 0,
+      },
+      guardHandler((...exchange) => this.#handleRequest(...exchange), {
+        server: "peers",
+        status: BAD_REQUEST_STATUS,
+        log: options.log,
+        metrics: options.metrics,
+      }),
+    );
     this.#callers = new DisconnectDetector(this.server, options.stalls);
     this.#channels = new ChannelServer(
       this.server,
-      (call) => void this.#handleChannelCall(call),
+      (call) => this.#startChannelCall(call),
     );
   }
 
@@ -135,7 +148,7 @@
       this.#options.log.warn("peer-call-unreadable", {
         peer: request.socket.remoteAddress,
       });
-      response.writeHead(400).end();
+      this.#rejectQuery(response);
       return;
     }
     // Registered before its body is read, as a large body takes time to arrive.
@@ -174,6 +187,19 @@
     this.#finishCall(description, request.socket.remoteAddress);
   }
 
+  #startChannelCall(received: ReceivedCall): void {
+    this.#handleChannelCall(received).catch((error: unknown) => {
+      const { log, metrics } = this.#options;
+      metrics.count("handler_failures_total", { server: "peers" });
+      log.error("handler-failed", {
+        server: "peers",
+        peer: received.peer,
+        reason: messageOf(error),
+      });
+      received.answer("");
+    });
+  }
+
   async #handleChannelCall(received: ReceivedCall): Promise<void> {
     const head = parseFrameHead(received.head);
     const description = head && parseCall(head.description);
@@ -290,15 +316,21 @@
     });
   }
 
-  #handleQuery(request: IncomingMessage, response: ServerResponse): void {
+  async #handleQuery(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     const target = request.url ?? "";
     if (target === CONFIG_PATH) {
       this.#handleConfigQuery(request, response);
     } else if (target.startsWith(STATUS_PATH)) {
-      const [id, ageMs] = target.slice(STATUS_PATH.length).split("?ageMs=");
-      response.writeHead(200).end(this.#queryStatus(id!, Number(ageMs ?? 0)));
+      const query = parseStatusTarget(target);
+      if (query === undefined) return this.#rejectQuery(response);
+      response.writeHead(200).end(this.#queryStatus(query.id, query.ageMs));
     } else if (target.startsWith(TRANSFER_PERMIT_PATH)) {
-      const { id, maxWaitMs } = parseTransferPermitTarget(target);
+      const query = parseTransferPermitTarget(target);
+      if (query === undefined) return this.#rejectQuery(response);
+      const { id, maxWaitMs } = query;
       response.once("close", () => {
         if (!response.writableFinished) this.#transferPermits.release(id);
       });
@@ -308,23 +340,24 @@
           response.writeHead(NO_RESPONSE_STATUS).end(String(Math.ceil(waitMs))),
       });
     } else if (target.startsWith(FEED_PATH)) {
-      void this.#handleFeedQuery(target, response);
+      await this.#handleFeedQuery(target, response);
     } else {
       response.writeHead(404).end();
     }
   }
 
+  #rejectQuery(response: ServerResponse): void {
+    response.writeHead(BAD_REQUEST_STATUS, { "content-length": 0 }).end();
+  }
+
   /**
    * Looks up the status of a request. An unknown request counts as ended if it
    * is older than this process, as an earlier daemon process may have executed
    * it, or older than the retention time, as its entry may have been removed.
    */
-  #queryStatus(encodedId: string, ageMs: number): CallStatus {
+  #queryStatus(id: string, ageMs: number): CallStatus {
     const nowMs = performance.now();
-    const status = this.#callStatuses.query(
-      decodeURIComponent(encodedId),
-      nowMs,
-    );
+    const status = this.#callStatuses.query(id, nowMs);
     const mayHaveEnded = ageMs + START_MARGIN_MS >= nowMs ||
       ageMs >= RETENTION_MS;
     const reportedStatus = status === CallStatus.Unknown && mayHaveEnded
--- a/src/sidecar/record_publisher.ts
+++ b/src/sidecar/record_publisher.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { Buffer } from "node:buffer";
 import type { BackendRecord } from "../protocol/mesh.ts";
+import { messageOf } from "../protocol/step_error.ts";
 import type { StoreEntry } from "../protocol/store.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import {
@@ -102,7 +103,12 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const isReconciled = await this.#reconcile();
+      const isReconciled = await this.#reconcile().catch((error: unknown) => {
+        this.#options.log.error("record-write-failed", {
+          reason: messageOf(error),
+        });
+        return false;
+      });
       await this.#sleepUntilWoken(
         isReconciled ? this.#computeRenewalDelayMs() : RETRY_DELAY_MS,
       );
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -357,6 +357,7 @@
     return createControlServer({
       decoder: this.#ports.control,
       log: this.#log,
+      metrics: this.#metrics,
       events: {
         handleAnnouncement: (announcement) =>
           this.#lifecycle.handleAnnouncement(announcement),
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -186,9 +186,19 @@
   async run(signal: AbortSignal): Promise<void> {
     let revision: number | undefined;
     while (!signal.aborted) {
-      revision = revision === undefined
-        ? await this.#list()
-        : await this.#poll(revision);
+      try {
+        revision = revision === undefined
+          ? await this.#list()
+          : await this.#poll(revision);
+      } catch (error) {
+        // No content of the store may end the process.
+        this.#options.log.error("store-sync-failed", {
+          afterRevision: revision,
+          reason: messageOf(error),
+        });
+        revision = undefined;
+        await this.#backOff(messageOf(error));
+      }
     }
     clearTimeout(this.#sweepTimer);
   }
@@ -204,15 +214,23 @@
     version: number,
     client: PeerClient | undefined,
   ): Promise<void> {
-    const { routes, log } = this.#options;
+    const { routes } = this.#options;
     const isBehind = () => version > routes.version;
     if (!isBehind() || this.#isRefreshing) return;
     this.#isRefreshing = true;
-    await sleep(PEER_VERSION_GRACE_MS);
-    if (!isBehind()) {
+    try {
+      await sleep(PEER_VERSION_GRACE_MS);
+      if (isBehind()) await this.#fetchPeerVersion(version, client);
+    } finally {
       this.#isRefreshing = false;
-      return;
     }
+  }
+
+  async #fetchPeerVersion(
+    version: number,
+    client: PeerClient | undefined,
+  ): Promise<void> {
+    const { routes, log } = this.#options;
     log.info("config-behind-peer", {
       version,
       known: routes.version,
@@ -221,8 +239,7 @@
     // Compressed, so it also crosses a slow link that the store's copy fills.
     const bytes = await client?.fetchConfig();
     if (bytes !== undefined) this.#adoptConfig(bytes, ConfigOrigin.Peer);
-    if (isBehind()) await this.#readKey();
-    this.#isRefreshing = false;
+    if (version > routes.version) await this.#readKey();
   }
 
   /** Reads the key of the configuration; concurrent calls share one read. */
--- a/src/transport/store/etcd_store.ts
+++ b/src/transport/store/etcd_store.ts
@@ -101,40 +101,46 @@
   commit(
     transaction: StoreTransaction,
   ): ResultAsync<TransactionResult, StepError> {
-    return this.#call<EtcdTxnResponse>(
+    return this.#call(
       "store-commit",
       "/v3/kv/txn",
       encodeTransaction(transaction),
-    ).map((response) => ({
-      succeeded: response.succeeded === true,
-      revision: Number(response.header?.revision ?? 0),
-      entries: response.succeeded === true ? [] : entriesOf(response),
-    }));
+      (response: EtcdTxnResponse) => ({
+        succeeded: response.succeeded === true,
+        revision: Number(response.header?.revision ?? 0),
+        entries: response.succeeded === true ? [] : entriesOf(response),
+      }),
+    );
   }
 
   grantLease(ttlS: number): ResultAsync<string, StepError> {
-    return this.#call<{ ID?: string }>(
+    return this.#call(
       "store-grant-lease",
       "/v3/lease/grant",
       { TTL: String(ttlS), ID: "0" },
-    ).andThen((response) =>
-      response.ID === undefined
-        ? err(this.#malformed("store-grant-lease"))
-        : ok(response.ID)
+      ({ ID }: { ID?: string }) => {
+        if (typeof ID === "string") return ID;
+        throw this.#malformed("store-grant-lease");
+      },
     );
   }
 
   renewLease(leaseId: string): ResultAsync<number, StepError> {
-    return this.#call<{ result?: { TTL?: string } }>(
+    return this.#call(
       "store-renew-lease",
       "/v3/lease/keepalive",
       { ID: leaseId },
-    ).map((response) => Number(response.result?.TTL ?? 0));
+      ({ result }: { result?: { TTL?: string } }) => Number(result?.TTL ?? 0),
+    );
   }
 
   revokeLease(leaseId: string): ResultAsync<void, StepError> {
-    return this.#call("store-revoke-lease", "/v3/lease/revoke", { ID: leaseId })
-      .map(() => undefined);
+    return this.#call(
+      "store-revoke-lease",
+      "/v3/lease/revoke",
+      { ID: leaseId },
+      () => undefined,
+    );
   }
 
   async *watch(key: string, options: WatchOptions): AsyncIterable<WatchEvent> {
@@ -157,11 +163,15 @@
   }
 
   #read(body: unknown): ResultAsync<RangeResult, StepError> {
-    return this.#call<EtcdRangeResponse>("store-read", "/v3/kv/range", body)
-      .map((response) => ({
+    return this.#call(
+      "store-read",
+      "/v3/kv/range",
+      body,
+      (response: EtcdRangeResponse) => ({
         entries: (response.kvs ?? []).map(toEntry),
         revision: Number(response.header?.revision ?? 0),
-      }));
+      }),
+    );
   }
 
   *#watchEvents(line: string): Iterable<WatchEvent> {
@@ -185,25 +195,28 @@
     }
   }
 
-  #call<T>(
+  #call<R, T>(
     step: string,
     path: string,
     body: unknown,
+    decode: (response: R) => T,
   ): ResultAsync<T, StepError> {
-    return new ResultAsync(this.#exchange<T>(step, path, body));
+    return new ResultAsync(this.#exchange(step, path, body, decode));
   }
 
-  async #exchange<T>(
+  /** A response of any shape leads to a value or to an error. */
+  async #exchange<R, T>(
     step: string,
     path: string,
     body: unknown,
+    decode: (response: R) => T,
   ): Promise<Result<T, StepError>> {
     const peer = this.#endpoint();
     const signal = AbortSignal.timeout(this.#timeoutMs);
     try {
       const response = await this.#send(step, path, body, { signal });
       const text = await readText(response.body);
-      if (response.statusCode === 200) return ok(JSON.parse(text) as T);
+      if (response.statusCode === 200) return ok(decode(JSON.parse(text)));
       return err(statusError(step, peer, response.statusCode, text));
     } catch (error) {
       this.#endpointIndex++;
