Give a running request a deadline at its destination

Cause: only the sender of a request watched its deadline. The answer, and the cancellation over the sender's channel, were both lost. The daemons went on to refuse with all slots taken and idle backend servers.

An exchange is given up 0.3 s after its request's deadline. Of the same class: a body that never comes at the ingress (408), between daemons (not run), at the control address and in src/daemon; a wait for a transfer permit; an answer that drips; the status of a request whose handling fails.

--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -145,6 +145,11 @@
     return this.#ports[3]!;
   }
 
+  /** Port at which its daemon serves its metrics. */
+  get metricsPort(): number {
+    return this.#ports[4]!;
+  }
+
   /** Output of the daemon across restarts. */
   get output(): string {
     return this.#earlierOutput + this.#daemon.output;
--- a/src/coordination/dispatch/transfer_limiter.ts
+++ b/src/coordination/dispatch/transfer_limiter.ts
@@ -40,6 +40,12 @@
   /** The expected wait is longer than the sender's maximum wait. */
   | { readonly kind: "refuse"; readonly waitMs: number };
 
+interface WaitingRequest {
+  readonly id: string;
+  /** Monotonic time until which the sender waits for a permit. */
+  readonly deadlineMs: number;
+}
+
 /** A request for a transfer permit. */
 export interface PermitRequest {
   /** Id of the request whose body is to be sent. */
@@ -63,7 +69,7 @@
 export class TransferLimiter {
   /** Monotonic expiry times of the granted permits, by request id. */
   readonly #expiresAtMs = new Map<string, number>();
-  #waiting: string[] = [];
+  #waiting: WaitingRequest[] = [];
   #averageHoldMs = INITIAL_HOLD_MS;
 
   /** Number of requests that wait for a permit. */
@@ -81,7 +87,8 @@
   requestPermit(request: PermitRequest, nowMs: number): PermitDecision {
     const rounds = Math.ceil((this.#waiting.length + 1) / MAX_TRANSFERS);
     const waitMs = rounds * this.#averageHoldMs;
-    this.#waiting.push(request.id);
+    const deadlineMs = nowMs + request.maxWaitMs;
+    this.#waiting.push({ id: request.id, deadlineMs });
     if (this.grantFree(nowMs).includes(request.id)) return { kind: "admit" };
     if (waitMs <= request.maxWaitMs) return { kind: "wait" };
     this.#waiting.pop();
@@ -103,10 +110,27 @@
       this.#averageHoldMs += (heldMs - this.#averageHoldMs) * HOLD_WEIGHT;
     }
     this.#expiresAtMs.delete(id);
-    this.#waiting = this.#waiting.filter((waitingId) => waitingId !== id);
+    this.#waiting = this.#waiting.filter((waiting) => waiting.id !== id);
     return this.grantFree(nowMs);
   }
 
+  /**
+   * Removes the requests whose senders no longer wait. A sender whose
+   * connection went silent never says so.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns Their ids.
+   */
+  removeExpired(nowMs: number): readonly string[] {
+    const expired = this.#waiting.filter((waiting) =>
+      waiting.deadlineMs <= nowMs
+    );
+    this.#waiting = this.#waiting.filter((waiting) =>
+      waiting.deadlineMs > nowMs
+    );
+    return expired.map(({ id }) => id);
+  }
+
   /**
    * Grants free and expired permits to waiting requests.
    *
@@ -117,10 +141,9 @@
     for (const [id, expiresAtMs] of this.#expiresAtMs) {
       if (expiresAtMs <= nowMs) this.#expiresAtMs.delete(id);
     }
-    const granted = this.#waiting.splice(
-      0,
-      MAX_TRANSFERS - this.#expiresAtMs.size,
-    );
+    const granted = this.#waiting
+      .splice(0, MAX_TRANSFERS - this.#expiresAtMs.size)
+      .map(({ id }) => id);
     for (const id of granted) this.#expiresAtMs.set(id, nowMs + PERMIT_TTL_MS);
     return granted;
   }
--- a/src/coordination/dispatch/transfer_limiter_test.ts
+++ b/src/coordination/dispatch/transfer_limiter_test.ts
@@ -82,4 +82,18 @@
   });
 });
 
+// The class of review 1: only the close of its connection removed a request that
+// waited for a permit, and a silent connection never closes.
+test("removeExpired() removes the requests whose senders no longer wait", () => {
+  const limiter = new TransferLimiter();
+  for (const id of ["a", "b"]) decide(limiter, id);
+  for (const id of ["c", "d"]) decide(limiter, id, 500);
+  decide(limiter, "e");
+  assert.equal({
+    early: limiter.removeExpired(499),
+    late: limiter.removeExpired(500),
+    granted: limiter.release("a", 501),
+  }, { early: [], late: ["c", "d"], granted: ["e"] });
+});
+
 test.run();
--- a/src/daemon/ingress_call_test.ts
+++ b/src/daemon/ingress_call_test.ts
@@ -100,7 +100,7 @@
   /** Sends an order; returns the status, outcome and reason of its response. */
   async order(budget = new RetryBudget()): Promise<string> {
     const request = new IncomingMessage(new Socket());
-    const result = await RequestBody.read(request, 0);
+    const result = await RequestBody.read(request, 0, Infinity);
     assert.is(result.kind, "body");
     const response = new RecordedResponse();
     const log = new EventLog({ level: "none", file: "/dev/null" });
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -204,7 +204,11 @@
   ): Promise<void> {
     const { head, requestId, writer, onFinished } = parts;
     const { route, caller, parent } = head;
-    const result = await RequestBody.read(request, route.service.maxBodyBytes);
+    const result = await RequestBody.read(
+      request,
+      route.service.maxBodyBytes,
+      head.deadlineMs,
+    );
     if (result.kind === "refused") {
       onFinished();
       return this.#refuse(request, parts, notRun(result.reason));
--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -37,6 +37,11 @@
 
 /** Weight of the newest outcome in the moving average of failures. */
 const FAILURE_WEIGHT = 0.1;
+/**
+ * Time after its deadline at which a running request is given up, in ms. The
+ * daemon that sent it cancels it before, unless its messages are lost.
+ */
+const RUN_MARGIN_MS = 300;
 /** Longest idle time of a connection for an at-most-once request, in ms. */
 const AT_MOST_ONCE_MAX_IDLE_MS = 3_000;
 /** Most log lines about the limit of the backend server in a second. */
@@ -356,12 +361,14 @@
       path: call.path,
       headers: this.#buildHeaders(call, remainingMs),
       body: call.body,
+      deadlineMs: call.deadlineMs + RUN_MARGIN_MS,
       accepts: (head) =>
         isMatchingResponse({ ...head, call, headerNames: this.#headers }),
       ...(isIdempotent ? {} : { maxIdleMs: AT_MOST_ONCE_MAX_IDLE_MS }),
     }, signal);
     this.#exchanges.delete(call);
-    const isBroken = result.kind === "failed" && result.sent && !signal.aborted;
+    const isBroken = result.kind === "failed" && result.sent &&
+      !result.hasExpired && !signal.aborted;
     const hasEnded = isBroken && await this.#ends.recordBreak(call);
     if (result.kind === "answer") this.#recordPace(result.headers);
     const outcome = classifyResponse({
--- a/src/sidecar/backend_response.ts
+++ b/src/sidecar/backend_response.ts
@@ -70,9 +70,9 @@
 ): CallOutcome {
   const { call, result, headerNames, serviceMs } = options;
   if (result.kind === "failed") {
-    return result.sent
-      ? { kind: "unknown", reason: MeshReason.Broken }
-      : notRunOutcome(MeshReason.Unreachable);
+    if (!result.sent) return notRunOutcome(MeshReason.Unreachable);
+    const reason = result.hasExpired ? MeshReason.TimedOut : MeshReason.Broken;
+    return { kind: "unknown", reason };
   }
   const { status, headers, isFirst, body } = result;
   const head = { call, status, headers, isFirst, headerNames };
--- a/src/sidecar/control_server.ts
+++ b/src/sidecar/control_server.ts
@@ -4,10 +4,12 @@
 import type { Announcement } from "../protocol/mesh.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
-import { readBody } from "./read_body.ts";
+import { readBody } from "../transport/http/read_body.ts";
 
 /** Largest request body, in bytes. */
 const MAX_BODY_BYTES = 16 * 1024;
+/** Time within which a request body has to come, in ms. */
+const BODY_TIMEOUT_MS = 5_000;
 
 /** Receives the decoded calls. */
 export interface ControlHandler {
@@ -55,7 +57,8 @@
   options: ControlServerOptions,
 ): Promise<number> {
   const { decoder, events, log } = options;
-  const read = await readBody(request, MAX_BODY_BYTES);
+  const deadlineMs = performance.now() + BODY_TIMEOUT_MS;
+  const read = await readBody(request, MAX_BODY_BYTES, deadlineMs);
   if (read.kind !== "whole") return 400;
   const body = read.body?.toString() ?? "";
   const call = decoder.decode(
--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -27,7 +27,7 @@
 } from "./forward_types.ts";
 import type { EdgeHeaders } from "./ports.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
-import { readBody } from "./read_body.ts";
+import { readBody } from "../transport/http/read_body.ts";
 import { RequestLog } from "./request_log.ts";
 
 /** Retry-After value before a configuration is known, in ms. */
@@ -46,6 +46,8 @@
 const UNCONFIRMED_RETRY_AFTER_MS = 500;
 /** Status of a response that does not say whether the request has run. */
 const BAD_GATEWAY_STATUS = 502;
+/** Status of a response to a request that did not come in full, or run. */
+const REQUEST_TIMEOUT_STATUS = 408;
 /** Most log lines about requests without a route in a second. */
 const MAX_UNKNOWN_LINES_PER_S = 20;
 
@@ -190,8 +192,17 @@
           : { status: 503, retryAfterMs: UNCONFIRMED_RETRY_AFTER_MS },
       );
     }
-    const read = await readBody(request, table.config.limits.maxBodyBytes);
+    const times = this.#computeDeadlines(request, route, arrivedAtMs);
+    const read = await readBody(
+      request,
+      table.config.limits.maxBodyBytes,
+      times.deadlineMs,
+    );
     if (read.kind === "broken") return;
+    if (read.kind === "late") {
+      response.shouldKeepAlive = false;
+      return this.#reject(response, id, { status: REQUEST_TIMEOUT_STATUS });
+    }
     if (read.kind === "too-large") {
       response.shouldKeepAlive = false;
       return this.#reject(response, id, { status: 413 });
@@ -200,7 +211,16 @@
       return this.#requestLog.recordAbandoned(id, arrivedAtMs);
     }
     await this.#forward(
-      { request, response, caller, route, id, arrivedAtMs, body: read.body },
+      {
+        request,
+        response,
+        caller,
+        route,
+        id,
+        arrivedAtMs,
+        times,
+        body: read.body,
+      },
     );
   }
 
@@ -212,11 +232,12 @@
       readonly route: MeshRoute;
       readonly id: string;
       readonly arrivedAtMs: number;
+      readonly times: Pick<ForwardRequest, "deadlineMs" | "objectiveAtMs">;
       readonly body: ForwardRequest["body"];
     },
   ): Promise<void> {
-    const { request, response, caller, route, id, arrivedAtMs, body } = parts;
-    const times = this.#computeDeadlines(request, route, arrivedAtMs);
+    const { request, response, caller, route, id, arrivedAtMs, times, body } =
+      parts;
     // The body may have come long after the head.
     const nowMs = performance.now();
     if (!this.#options.shutdown.admits(times.deadlineMs, nowMs)) {
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -22,6 +22,7 @@
   CONFIG_PATH,
   formatFrameHead,
   formatResult,
+  type FrameHead,
   HEADER_CALL,
   HEADER_RESULT,
   parseCall,
@@ -34,6 +35,7 @@
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import { ChannelServer, type ReceivedCall } from "../transport/channel/mod.ts";
 import {
+  type CallerRequest,
   DisconnectDetector,
   type StallDetector,
   waitForNextPoll,
@@ -48,7 +50,7 @@
 import { TransferPermitQueue } from "./transfer_permit_queue.ts";
 import { messageOf } from "../protocol/step_error.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
-import { readBody } from "./read_body.ts";
+import { readBody } from "../transport/http/read_body.ts";
 
 /** Keep-alive timeout for connections of other daemons, in ms. */
 const KEEP_ALIVE_MS = 60_000;
@@ -158,10 +160,38 @@
     const arrivedAtMs = performance.now();
     const mayRun = this.#callStatuses.open(id, arrivedAtMs);
     this.#options.metrics.count("peer_calls_total");
-    const read = await readBody(request, MAX_BODY_BYTES);
-    this.#transferPermits.release(id);
-    if (read.kind !== "whole") {
+    try {
+      await this.#serveRequest(request, response, {
+        description,
+        caller,
+        mayRun,
+        arrivedAtMs,
+      });
+    } finally {
       this.#callStatuses.end(id, performance.now());
+    }
+    this.#reportVersion(description, request.socket.remoteAddress);
+  }
+
+  async #serveRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrival: {
+      readonly description: CallDescription;
+      readonly caller: CallerRequest;
+      readonly mayRun: boolean;
+      readonly arrivedAtMs: number;
+    },
+  ): Promise<void> {
+    const { description, caller, mayRun, arrivedAtMs } = arrival;
+    const read = await readBody(
+      request,
+      MAX_BODY_BYTES,
+      arrivedAtMs + description.remainingMs,
+    );
+    this.#transferPermits.release(description.id);
+    const isLate = read.kind === "late";
+    if (read.kind !== "whole" && !isLate) {
       response.destroy();
       return;
     }
@@ -174,9 +204,15 @@
         ...endToEndHeaders(request.rawHeaders, SENDER_HEADERS),
       ],
       description,
-      body: read.body,
+      body: isLate ? undefined : read.body,
       arrivedAtMs,
     });
+    if (isLate) {
+      // The rest of the body may still come, or never.
+      response.shouldKeepAlive = false;
+      const outcome = notRunOutcome(MeshReason.Expired);
+      return this.#respond({ call, outcome, arrivedAtMs }, response);
+    }
     this.#mergeEvidence(call, request.socket.remoteAddress);
     const outcome = await this.#execute(call, {
       mayRun,
@@ -184,7 +220,6 @@
       readPendingClose: caller.isConnected,
     });
     this.#respond({ call, outcome, arrivedAtMs }, response);
-    this.#finishCall(description, request.socket.remoteAddress);
   }
 
   #startChannelCall(received: ReceivedCall): void {
@@ -210,12 +245,35 @@
     const arrivedAtMs = performance.now();
     const mayRun = this.#callStatuses.open(description.id, arrivedAtMs);
     this.#options.metrics.count("peer_calls_total");
-    const [method, path] = head!.start;
+    try {
+      await this.#serveChannelCall(received, {
+        head: head!,
+        description,
+        mayRun,
+        arrivedAtMs,
+      });
+    } finally {
+      this.#callStatuses.end(description.id, performance.now());
+    }
+    this.#reportVersion(description, received.peer);
+  }
+
+  async #serveChannelCall(
+    received: ReceivedCall,
+    arrival: {
+      readonly head: FrameHead;
+      readonly description: CallDescription;
+      readonly mayRun: boolean;
+      readonly arrivedAtMs: number;
+    },
+  ): Promise<void> {
+    const { head, description, mayRun, arrivedAtMs } = arrival;
+    const [method, path] = head.start;
     const { body } = received;
     const call = buildCall({
       method: String(method),
       path: String(path),
-      headers: head!.headers,
+      headers: head.headers,
       description,
       body: body.length === 0 ? undefined : body,
       arrivedAtMs,
@@ -239,15 +297,13 @@
       }),
       response?.body,
     );
-    this.#finishCall(description, received.peer);
   }
 
   #mergeEvidence(call: MeshCall, peer: string | undefined): void {
     this.#options.quarantine.merge(call, call.evidence, peer ?? "");
   }
 
-  #finishCall(description: CallDescription, peer: string | undefined): void {
-    this.#callStatuses.end(description.id, performance.now());
+  #reportVersion(description: CallDescription, peer: string | undefined): void {
     this.#options.onPeerVersion(description.configVersion, peer ?? "");
   }
 
--- a/src/sidecar/probe_backend.ts
+++ b/src/sidecar/probe_backend.ts
@@ -31,7 +31,7 @@
     path: options.healthPath,
     headers: [],
     body: undefined,
-    silenceTimeoutMs: PROBE_TIMEOUT_MS,
+    deadlineMs: performance.now() + PROBE_TIMEOUT_MS,
   });
   connections.close();
   if (result.kind === "failed" || result.status !== 200) return false;
--- a/src/sidecar/transfer_permit_queue.ts
+++ b/src/sidecar/transfer_permit_queue.ts
@@ -29,7 +29,7 @@
  */
 export class TransferPermitQueue {
   readonly #limiter = new TransferLimiter();
-  readonly #pendingGrants = new Map<string, () => void>();
+  readonly #pending = new Map<string, TransferPermitHandlers>();
   #check: NodeJS.Timeout | undefined;
 
   /**
@@ -46,16 +46,22 @@
       case "refuse":
         return handlers.refuse(decision.waitMs);
       case "wait":
-        this.#enqueue(request.id, handlers.admit);
+        this.#enqueue(request.id, handlers);
     }
   }
 
-  #enqueue(id: string, admit: () => void): void {
-    this.#pendingGrants.set(id, admit);
-    this.#check ??= setInterval(
-      () => this.#grantAll(this.#limiter.grantFree(performance.now())),
-      EXPIRY_CHECK_MS,
-    );
+  #enqueue(id: string, handlers: TransferPermitHandlers): void {
+    this.#pending.set(id, handlers);
+    this.#check ??= setInterval(() => this.#expire(), EXPIRY_CHECK_MS);
+  }
+
+  #expire(): void {
+    const nowMs = performance.now();
+    for (const id of this.#limiter.removeExpired(nowMs)) {
+      this.#pending.get(id)?.refuse(0);
+      this.#pending.delete(id);
+    }
+    this.#grantAll(this.#limiter.grantFree(nowMs));
   }
 
   /**
@@ -64,16 +70,16 @@
    * @param id Id of the request.
    */
   release(id: string): void {
-    this.#pendingGrants.delete(id);
+    this.#pending.delete(id);
     this.#grantAll(this.#limiter.release(id, performance.now()));
   }
 
   #grantAll(ids: readonly string[]): void {
     for (const id of ids) {
-      this.#pendingGrants.get(id)?.();
-      this.#pendingGrants.delete(id);
+      this.#pending.get(id)?.admit();
+      this.#pending.delete(id);
     }
-    if (this.#pendingGrants.size > 0) return;
+    if (this.#pending.size > 0) return;
     clearInterval(this.#check);
     this.#check = undefined;
   }
--- a/src/transport/http/lifo_connection_pool.ts
+++ b/src/transport/http/lifo_connection_pool.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
+import { timerDelayMs } from "../../protocol/limits.ts";
 import { messageOf } from "../../protocol/step_error.ts";
 import { waitForNextPoll } from "./disconnect_detector.ts";
 import { ResponseMemory } from "./response_memory.ts";
@@ -18,6 +19,11 @@
 const MAX_FRAMING_PER_BODY_BYTE = 8;
 /** Idle timeout of a connection unless the peer names one, in ms. */
 const KEEP_ALIVE_MS = 8_000;
+/**
+ * Longest duration of an exchange beyond its silence timeout, in ms, as a peer
+ * may send a byte now and then for ever.
+ */
+const MAX_DRIP_MS = 30_000;
 /** Margin subtracted from the idle timeout that the peer names, in ms. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 
@@ -39,6 +45,12 @@
    * response that comes steadily over a slow link has no limit.
    */
   readonly silenceTimeoutMs?: number;
+  /**
+   * Monotonic time at which the exchange is given up, however much of the
+   * response has come. If omitted, it is some time after the silence timeout,
+   * or there is none.
+   */
+  readonly deadlineMs?: number;
   /** Checks whether a response belongs to this request. */
   readonly accepts?: (head: PoolResponseHead) => boolean;
 }
@@ -67,6 +79,8 @@
     readonly kind: "failed";
     /** Whether the request may have reached the peer. */
     readonly sent: boolean;
+    /** Whether the deadline of the request ended it. */
+    readonly hasExpired: boolean;
     readonly message: string;
   };
 
@@ -216,6 +230,7 @@
   return {
     kind: "failed",
     sent: true,
+    hasExpired: false,
     message: "connection was reset during a response without a length",
   };
 }
@@ -229,6 +244,11 @@
   return result.isMismatched;
 }
 
+function defaultDeadlineMs(request: PoolRequest): number | undefined {
+  return request.silenceTimeoutMs &&
+    performance.now() + request.silenceTimeoutMs + MAX_DRIP_MS;
+}
+
 function exchange(
   connection: Connection,
   request: PoolRequest,
@@ -240,6 +260,7 @@
       signal,
       accepts: request.accepts,
       silenceTimeoutMs: request.silenceTimeoutMs,
+      deadlineMs: request.deadlineMs ?? defaultDeadlineMs(request),
       initialReadBytes: connection.socket?.bytesRead ?? 0,
       isFirst: !connection.isReused,
     });
@@ -264,6 +285,7 @@
   readonly signal: AbortSignal | undefined;
   readonly accepts: PoolRequest["accepts"];
   readonly silenceTimeoutMs: number | undefined;
+  readonly deadlineMs: number | undefined;
   /** Bytes that were read from the connection before this exchange. */
   readonly initialReadBytes: number;
   readonly isFirst: boolean;
@@ -282,6 +304,8 @@
   #disconnect: ((reason: Error) => void) | undefined;
   #head: PoolResponseHead | undefined;
   readonly #timer: NodeJS.Timeout | undefined;
+  readonly #deadlineTimer: NodeJS.Timeout | undefined;
+  #hasExpired = false;
   #chunks: Buffer[] = [];
   #isDone = false;
 
@@ -294,6 +318,12 @@
         options.silenceTimeoutMs,
       );
     }
+    if (options.deadlineMs !== undefined) {
+      this.#deadlineTimer = setTimeout(
+        () => void this.#passDeadline(),
+        timerDelayMs(options.deadlineMs),
+      );
+    }
   }
 
   /**
@@ -351,7 +381,12 @@
 
   fail(error: unknown): void {
     const sent = this.#disconnect !== undefined;
-    this.#finish({ kind: "failed", sent, message: messageOf(error) });
+    this.#finish({
+      kind: "failed",
+      sent,
+      hasExpired: this.#hasExpired,
+      message: messageOf(error),
+    });
   }
 
   #succeed(body: Buffer, isMismatched = false): void {
@@ -374,10 +409,19 @@
     );
   }
 
+  /** After a stall, the timer fires before the response is read. */
+  async #passDeadline(): Promise<void> {
+    await waitForNextPoll();
+    if (this.#isDone) return;
+    this.#hasExpired = true;
+    this.#abort("the deadline has passed");
+  }
+
   #finish(result: PoolResult): void {
     if (this.#isDone) return;
     this.#isDone = true;
     clearTimeout(this.#timer);
+    clearTimeout(this.#deadlineTimer);
     RESPONSE_MEMORY.free(this);
     this.#chunks = [];
     this.#options.signal?.removeEventListener("abort", this.#onAbort);
--- a/src/sidecar/read_body.ts
+++ b/src/transport/http/read_body.ts
@@ -1,10 +1,13 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import { timerDelayMs } from "../../protocol/limits.ts";
 
 /** A request's body, or the reason why it is incomplete. */
 export type BodyRead =
   | { readonly kind: "whole"; readonly body: Buffer | undefined }
   | { readonly kind: "too-large" }
+  /** The deadline passed before the whole body had come. */
+  | { readonly kind: "late" }
   | { readonly kind: "broken" };
 
 /**
@@ -12,16 +15,18 @@
  *
  * @param request The request.
  * @param maxBytes Largest accepted body, in bytes.
+ * @param deadlineMs Monotonic time until which the body has to come.
  * @returns The body, `undefined` if the request has none; never rejects.
  *
  * @example
  * ```ts ignore
- * const read = await readBody(request, 1024 * 1024);
+ * const read = await readBody(request, 1024 * 1024, deadlineMs);
  * ```
  */
 export function readBody(
   request: IncomingMessage,
   maxBytes: number,
+  deadlineMs: number,
 ): Promise<BodyRead> {
   const { "content-length": length, "transfer-encoding": coding } =
     request.headers;
@@ -31,17 +36,30 @@
   }
   if (Number(length) > maxBytes) return Promise.resolve({ kind: "too-large" });
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    let chunks: Buffer[] = [];
     let sizeBytes = 0;
-    request.on("data", (chunk: Buffer) => {
+    const onData = (chunk: Buffer) => {
       sizeBytes += chunk.length;
-      if (sizeBytes > maxBytes) resolve({ kind: "too-large" });
+      if (sizeBytes > maxBytes) settle({ kind: "too-large" });
       else chunks.push(chunk);
-    });
+    };
+    const settle = (result: BodyRead) => {
+      clearTimeout(timer);
+      // What still comes is read and dropped.
+      request.off("data", onData);
+      request.resume();
+      chunks = [];
+      resolve(result);
+    };
+    const timer = setTimeout(
+      () => settle({ kind: "late" }),
+      timerDelayMs(deadlineMs),
+    );
+    request.on("data", onData);
     request.on("end", () => {
-      resolve({ kind: "whole", body: Buffer.concat(chunks) });
+      settle({ kind: "whole", body: Buffer.concat(chunks) });
     });
-    request.on("error", () => resolve({ kind: "broken" }));
-    request.on("close", () => resolve({ kind: "broken" }));
+    request.on("error", () => settle({ kind: "broken" }));
+    request.on("close", () => settle({ kind: "broken" }));
   });
 }
--- a/src/transport/http/request_body.ts
+++ b/src/transport/http/request_body.ts
@@ -3,6 +3,7 @@
 import { Buffer } from "node:buffer";
 import type { CallBody } from "../../protocol/call.ts";
 import { Reason } from "../../protocol/outcome.ts";
+import { readBody } from "./read_body.ts";
 
 /** Largest body that is buffered before the call is sent, in bytes. */
 export const MAX_BUFFERED_BYTES = 64 * 1024;
@@ -22,7 +23,7 @@
  *
  * @example
  * ```ts ignore
- * const result = await RequestBody.read(request, 1024 * 1024);
+ * const result = await RequestBody.read(request, 1024 * 1024, deadlineMs);
  * ```
  */
 export class RequestBody {
@@ -48,11 +49,13 @@
    *
    * @param request The request.
    * @param maxBytes Largest body that is accepted, in bytes.
+   * @param deadlineMs Monotonic time until which a short body has to come.
    * @returns The body; a short one is already buffered.
    */
   static async read(
     request: IncomingMessage,
     maxBytes: number,
+    deadlineMs: number,
   ): Promise<BodyResult> {
     const length = request.headers["content-length"];
     const isChunked = request.headers["transfer-encoding"] !== undefined;
@@ -66,10 +69,19 @@
     if (lengthBytes > MAX_BUFFERED_BYTES) {
       return toResult(new RequestBody(undefined, request, maxBytes));
     }
-    const buffered = await readAll(request);
-    return buffered === undefined
-      ? { kind: "refused", reason: Reason.BodyCutShort }
-      : toResult(new RequestBody(buffered, undefined, maxBytes));
+    const read = await readBody(request, MAX_BUFFERED_BYTES, deadlineMs);
+    switch (read.kind) {
+      case "whole":
+        return toResult(
+          new RequestBody(read.body ?? new Uint8Array(), undefined, maxBytes),
+        );
+      case "too-large":
+        return { kind: "refused", reason: Reason.BodyTooLarge };
+      case "late":
+        return { kind: "refused", reason: Reason.DeadlineExceeded };
+      case "broken":
+        return { kind: "refused", reason: Reason.BodyCutShort };
+    }
   }
 
   /** The whole body if it is short, else `undefined`. */
@@ -128,15 +140,3 @@
 function toResult(body: RequestBody): BodyResult {
   return { kind: "body", body };
 }
-
-async function readAll(
-  request: IncomingMessage,
-): Promise<Uint8Array | undefined> {
-  const chunks: Buffer[] = [];
-  try {
-    for await (const chunk of request) chunks.push(chunk as Buffer);
-  } catch {
-    return undefined;
-  }
-  return request.complete ? Buffer.concat(chunks) : undefined;
-}
