Keep short pieces of a body in common blocks

Reported by other operators: a backend server that sends without end takes the memory of the daemon that called it. Here it could with chunks of one byte: each was kept as a buffer of its own, over 100 bytes for one that was counted. Twelve such answers at once ended a daemon with the deployed heap (271 MB, SIGABRT) after 48 MB from the wire; 2 of 40 requests of others were served.

Answers and request bodies are collected in blocks, and framing beyond 256 kB is bounded by the body.

--- a/src/transport/http/lifo_connection_pool.ts
+++ b/src/transport/http/lifo_connection_pool.ts
@@ -4,6 +4,7 @@
 import { timerDelayMs } from "../../protocol/limits.ts";
 import { messageOf } from "../../protocol/step_error.ts";
 import { waitForNextPoll } from "./disconnect_detector.ts";
+import { ByteCollector } from "./byte_collector.ts";
 import { ResponseMemory } from "./response_memory.ts";
 import { buildConnector, Client } from "./undici_client.ts";
 
@@ -16,7 +17,7 @@
 /** Size of a response's framing that is allowed without a body, in bytes. */
 const MAX_FRAMING_BYTES = 256 * 1024;
 /** Framing bytes allowed for each body byte, since chunks may be short. */
-const MAX_FRAMING_PER_BODY_BYTE = 8;
+const MAX_FRAMING_PER_BODY_BYTE = 1;
 /** Idle timeout of a connection unless the peer names one, in ms. */
 const KEEP_ALIVE_MS = 8_000;
 /**
@@ -306,7 +307,7 @@
   readonly #timer: NodeJS.Timeout | undefined;
   readonly #deadlineTimer: NodeJS.Timeout | undefined;
   #hasExpired = false;
-  #chunks: Buffer[] = [];
+  readonly #body = new ByteCollector();
   #isDone = false;
 
   constructor(options: CollectorOptions) {
@@ -362,17 +363,14 @@
   onData(chunk: Buffer): boolean {
     if (this.#isDone) return true;
     this.#timer?.refresh();
-    this.#chunks.push(Buffer.from(chunk));
+    this.#body.append(chunk);
     const longest = RESPONSE_MEMORY.take(this, chunk.length);
     if (longest !== undefined) longest.#abort("responses take too much memory");
     return true;
   }
 
   onComplete(): void {
-    const body = this.#chunks.length === 1
-      ? this.#chunks[0]!
-      : Buffer.concat(this.#chunks);
-    this.#succeed(body);
+    this.#succeed(this.#body.take());
   }
 
   onError(error: Error): void {
@@ -400,10 +398,10 @@
 
   /** After a stall, a timer fires before the response is read. */
   async #expire(): Promise<void> {
-    const chunkCount = this.#chunks.length;
+    const { sizeBytes } = this.#body;
     await waitForNextPoll();
     if (this.#isDone) return;
-    if (this.#chunks.length > chunkCount) return;
+    if (this.#body.sizeBytes > sizeBytes) return;
     this.#abort(
       `nothing was received for ${this.#options.silenceTimeoutMs} ms`,
     );
@@ -423,7 +421,7 @@
     clearTimeout(this.#timer);
     clearTimeout(this.#deadlineTimer);
     RESPONSE_MEMORY.free(this);
-    this.#chunks = [];
+    this.#body.clear();
     this.#options.signal?.removeEventListener("abort", this.#onAbort);
     this.#options.resolve(result);
   }
--- a/src/transport/http/read_body.ts
+++ b/src/transport/http/read_body.ts
@@ -1,5 +1,6 @@
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import { ByteCollector } from "./byte_collector.ts";
 import { timerDelayMs } from "../../protocol/limits.ts";
 
 /** A request's body, or the reason why it is incomplete. */
@@ -36,19 +37,17 @@
   }
   if (Number(length) > maxBytes) return Promise.resolve({ kind: "too-large" });
   return new Promise((resolve) => {
-    let chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const bytes = new ByteCollector();
     const onData = (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes > maxBytes) settle({ kind: "too-large" });
-      else chunks.push(chunk);
+      bytes.append(chunk);
+      if (bytes.sizeBytes > maxBytes) settle({ kind: "too-large" });
     };
     const settle = (result: BodyRead) => {
       clearTimeout(timer);
       // What still comes is read and dropped.
       request.off("data", onData);
       request.resume();
-      chunks = [];
+      bytes.clear();
       resolve(result);
     };
     const timer = setTimeout(
@@ -57,7 +56,7 @@
     );
     request.on("data", onData);
     request.on("end", () => {
-      settle({ kind: "whole", body: Buffer.concat(chunks) });
+      settle({ kind: "whole", body: bytes.take() });
     });
     request.on("error", () => settle({ kind: "broken" }));
     request.on("close", () => settle({ kind: "broken" }));
--- a/tests/platform/daemon_processes.ts
+++ b/tests/platform/daemon_processes.ts
@@ -21,11 +21,13 @@
  * @param name Name of the test.
  * @param count Number of daemons, each in a failure domain of its own.
  * @param run The test.
+ * @param nodeArgs Arguments of Node.js for the daemons; none by default.
  */
 export function testDaemons(
   name: string,
   count: number,
   run: (daemons: readonly SoakInstance[], store: KvServer) => Promise<void>,
+  nodeArgs: readonly string[] = [],
 ): void {
   test(name, async () => {
     const folder = mkdtempSync(join(tmpdir(), "sesamepond-"));
@@ -44,6 +46,7 @@
             bundle,
             storePort: Number(store.address.split(":")[1]),
             graceS: GRACE_S,
+            nodeArgs,
           }),
         );
       }
--- a/tests/platform/odd_answer_test.ts
+++ b/tests/platform/odd_answer_test.ts
@@ -1,4 +1,4 @@
-import { createServer, type Server } from "node:net";
+import { createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import * as assert from "uvu/assert";
@@ -29,13 +29,51 @@
 const MAX_STALL_MS = 500;
 const CHECK_PERIOD_MS = 40;
 
-/** Starts a backend server that answers each request with the same bytes. */
-async function startOddBackend(answer: string): Promise<Server> {
+/** Requests at a time to a backend server with endless answers. */
+const ENDLESS_REQUESTS = 12;
+/** Time for which such a server sends, in ms. */
+const ENDLESS_MS = 4_000;
+/** A small heap, which is taken within the time limit of a route. */
+const SMALL_HEAP = ["--max-old-space-size=64", "--max-semi-space-size=2"];
+/** Endless answers: what follows the status line, and what is then repeated. */
+const ENDLESS_ANSWERS: Readonly<Record<string, readonly [string, string]>> = {
+  chunks: ["transfer-encoding: chunked\r\n\r\n", "1\r\nx\r\n"],
+  body: ["\r\n", "x"],
+  head: ["", "x-odd: yes\r\n"],
+  interim: ["\r\n", "HTTP/1.1 102 Processing\r\n\r\n"],
+  extensions: ["transfer-encoding: chunked\r\n\r\n1;", "odd=yes;"],
+};
+const BLOCK_REPEATS = 10_000;
+
+/** Sends an answer without end, until the daemon closes the connection. */
+function sendEndless(
+  socket: Socket,
+  request: string,
+  [start, repeated]: readonly [string, string],
+): void {
+  const id = /x-attempt-id: (\S+)/i.exec(request)?.[1] ?? "";
+  const block = repeated.repeat(BLOCK_REPEATS);
+  const send = () => {
+    while (!socket.destroyed && socket.write(block)) {
+      // Until the socket's buffer is full.
+    }
+  };
+  socket.on("drain", send);
+  socket.write(
+    `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-response-stamp: s\r\n${start}`,
+  );
+  send();
+}
+
+/** Starts a backend server that handles each request on a connection alike. */
+async function startOddBackend(
+  answer: (socket: Socket, request: string) => void,
+): Promise<Server> {
   const server = createServer((socket) => {
     socket.on("error", () => {
       // The daemon may reset the connection.
     });
-    socket.on("data", () => socket.write(answer, "latin1"));
+    socket.on("data", (chunk) => answer(socket, String(chunk)));
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   return server;
@@ -89,7 +127,9 @@
     const over = new AbortController();
     const stalled = measureStall(daemon!, over.signal);
     for (const [index, head] of ODD_HEADS.entries()) {
-      const backend = await startOddBackend(head);
+      const backend = await startOddBackend((socket) =>
+        void socket.write(head, "latin1")
+      );
       await announce(daemon!, backend, 1_000 + index);
       void isServed(daemon!, `odd-${index}`);
       await sleep(2 * CHECK_PERIOD_MS);
@@ -102,4 +142,30 @@
   },
 );
 
+// Reported by other operators: a backend server that sent bytes without end, in
+// a head or in a body, took the memory of the daemon that had called it.
+for (const [name, parts] of Object.entries(ENDLESS_ANSWERS)) {
+  testDaemons(
+    `an endless answer (${name}) does not take the daemon's memory`,
+    1,
+    async ([daemon]) => {
+      const { pid } = daemon!;
+      const backend = await startOddBackend((socket, request) =>
+        sendEndless(socket, request, parts)
+      );
+      await announce(daemon!, backend, 1_000);
+      for (let index = 0; index < ENDLESS_REQUESTS; index++) {
+        void isServed(daemon!, `endless-${index}`);
+      }
+      await sleep(ENDLESS_MS);
+      backend.close();
+      const isReady = await fetch(
+        `http://127.0.0.1:${daemon!.readyPort}/api/ready`,
+      ).then(({ ok }) => ok, () => false);
+      assert.equal({ pid: daemon!.pid, isReady }, { pid, isReady: true });
+    },
+    SMALL_HEAP,
+  );
+}
+
 test.run();
