Answer what was read before a stopping daemon ends

Cause: the daemon ended the requests that it had passed on, and not those that still waited for a fresher view of the configuration or for their bodies. They are refused with 503 now, as is what still comes on open connections.

Both new cases of stopping_test (store silent, store slow) failed before: three of three requests got nothing.

--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -91,6 +91,9 @@
   readonly #maxTimeoutMs = new Map<string, number>();
   readonly #callers: DisconnectDetector;
   readonly #forwarders = new Set<RequestForwarder>();
+  /** Ids of the requests that are not passed on yet, by their responses. */
+  readonly #unsent = new Map<ServerResponse, string>();
+  #hasExpired = false;
   #isKeepAliveDisabled = false;
   #openRequests = 0;
   #lastRequestAtMs = 0;
@@ -146,9 +149,16 @@
     this.#isKeepAliveDisabled = true;
   }
 
-  /** Ends all open requests as if their deadlines had passed. */
+  /**
+   * Ends all open requests as if their deadlines had passed, and refuses those
+   * that are not passed on yet, and all that still come.
+   */
   expireAll(): void {
+    this.#hasExpired = true;
     for (const forwarder of this.#forwarders) forwarder.expire();
+    for (const [response, id] of this.#unsent) {
+      this.#rejectStopping(response, id);
+    }
   }
 
   /** Applies the limits of the current configuration to the HTTP server. */
@@ -167,15 +177,18 @@
     const caller = this.#callers.watch(request);
     this.#lastRequestAtMs = arrivedAtMs;
     this.#openRequests++;
+    const id = this.#readHeader(request, this.#options.headers.requestId);
+    this.#unsent.set(response, id);
     response.once("close", () => {
       this.#openRequests--;
+      this.#unsent.delete(response);
       caller.done();
     });
-    const id = this.#readHeader(request, this.#options.headers.requestId);
+    if (this.#hasExpired) return this.#rejectStopping(response, id);
     const path = request.url ?? "/";
     const host = request.headers.host ?? "";
     const { isCurrent, table, route } = await this.#findRoute(host, path);
-    if (response.destroyed) return;
+    if (isAnswered(response)) return;
     if (table === undefined) {
       return this.#reject(response, id, {
         status: 503,
@@ -198,7 +211,7 @@
       table.config.limits.maxBodyBytes,
       times.deadlineMs,
     );
-    if (read.kind === "broken") return;
+    if (read.kind === "broken" || isAnswered(response)) return;
     if (read.kind === "late") {
       response.shouldKeepAlive = false;
       return this.#reject(response, id, { status: REQUEST_TIMEOUT_STATUS });
@@ -210,6 +223,8 @@
     if (!await caller.isConnected()) {
       return this.#requestLog.recordAbandoned(id, arrivedAtMs);
     }
+    if (isAnswered(response)) return;
+    this.#unsent.delete(response);
     await this.#forward(
       {
         request,
@@ -241,10 +256,7 @@
     // The body may have come long after the head.
     const nowMs = performance.now();
     if (!this.#options.shutdown.admits(times.deadlineMs, nowMs)) {
-      return this.#reject(response, id, {
-        status: 503,
-        retryAfterMs: SHUTDOWN_RETRY_AFTER_MS,
-      });
+      return this.#rejectStopping(response, id);
     }
     const { random } = this.#options.forwarding;
     const routeTarget = chooseTarget(route.targets, random.fraction());
@@ -325,7 +337,15 @@
     }
   }
 
+  #rejectStopping(response: ServerResponse, id: string): void {
+    this.#reject(response, id, {
+      status: 503,
+      retryAfterMs: SHUTDOWN_RETRY_AFTER_MS,
+    });
+  }
+
   #reject(response: ServerResponse, id: string, reply: LocalReply): void {
+    this.#unsent.delete(response);
     if (this.#isKeepAliveDisabled) response.shouldKeepAlive = false;
     const headers = ["content-length", "0"];
     if (id !== "") headers.push(this.#options.headers.requestId, id);
@@ -381,3 +401,8 @@
     return typeof value === "string" ? value : "";
   }
 }
+
+/** Whether a request needs no response any more. */
+function isAnswered(response: ServerResponse): boolean {
+  return response.destroyed || response.headersSent;
+}
--- a/tests/platform/stopping_test.ts
+++ b/tests/platform/stopping_test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { StoreFault } from "../../platform/fakes/kv_server.ts";
 import {
   CONFIG_KEY,
   sampleConfig,
@@ -185,4 +186,46 @@
   },
 );
 
+/** Time from SIGTERM to the last requests, shortly before the exit, in ms. */
+const LAST_MS = 5_400;
+/** Delay of the answers of a slow store, in ms. */
+const SLOW_STORE_MS = 1_500;
+
+// Found by hunts: a request whose route had to be confirmed by the store, and one
+// whose body was still coming, were cut off without an answer at the end.
+for (const storeState of ["silent", "slow"]) {
+  testDaemons(
+    `a stopping daemon answers what it has read and not passed on (store ${storeState})`,
+    1,
+    async ([daemon], store) => {
+      const sockets = [];
+      for (let count = 0; count < 3; count++) {
+        sockets.push(await openConnection(daemon!.ingressPort));
+      }
+      const stopped = daemon!.restart();
+      const busy = setInterval(
+        () => void isServed(daemon!, "busy"),
+        BUSY_PERIOD_MS,
+      );
+      if (storeState === "silent") store.fault = StoreFault.Silent;
+      else daemon!.storeProxy.set({ kind: "delay", delayMs: SLOW_STORE_MS });
+      await sleep(LAST_MS);
+      const unfinished = formatCallerRequest("unfinished")
+        .replace("\r\n\r\n", "\r\ncontent-length: 100\r\n\r\npart");
+      const answers = await Promise.all([
+        fetchStatusLine(sockets[0]!, formatCallerRequest("a", "/nowhere/1")),
+        fetchStatusLine(sockets[1]!, formatCallerRequest("b", "/nowhere/2")),
+        fetchStatusLine(sockets[2]!, unfinished),
+      ]);
+      clearInterval(busy);
+      store.fault = StoreFault.None;
+      await stopped;
+      assert.equal(
+        answers,
+        answers.map(() => "HTTP/1.1 503 Service Unavailable"),
+      );
+    },
+  );
+}
+
 test.run();
