Log what tells the waits after the store's return apart

Adds store-call-failed (call, tookMs, awayMs), awayMs and answeredForMs of store-regained, newest of config-adopted and config-behind-peer, and store_answered_unnoticed_ms. No decision changes.

--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -5,6 +5,7 @@
 import type { StoreEntry } from "../protocol/store.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
+import { StoreContact } from "../state/store_contact.ts";
 import { ViewAge } from "../state/view_age.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
@@ -89,7 +90,9 @@
   readonly #history = new FeedHistory();
   #isPollingStore = false;
   #backoffMs = MIN_BACKOFF_MS;
-  #isConnected = false;
+  readonly #contact = new StoreContact(performance.now());
+  /** Newest version that another daemon has named. */
+  #newestPeerVersion = 0;
   #hasListed = false;
   #isRefreshing = false;
   readonly #loggedGaps = new Set<string>();
@@ -166,14 +169,14 @@
     waitMs: number,
   ): Promise<ChangeBatch | undefined> {
     const present = this.#history.since(afterRevision);
-    if (!this.#isPollingStore || !this.#isConnected) return undefined;
+    if (!this.#isPollingStore || !this.#contact.isConnected) return undefined;
     if (present === undefined || present.events.length > 0) return present;
     const currentForMs = MAX_READER_AGE_MS - this.viewAgeMs();
     if (currentForMs <= 0) return undefined;
     await this.#history.waitForChange(Math.min(waitMs, currentForMs));
     const update = this.#history.since(afterRevision);
     const hasChanged = update !== undefined && update.events.length > 0;
-    const isCurrent = this.#isConnected &&
+    const isCurrent = this.#contact.isConnected &&
       (hasChanged || this.viewAgeMs() < MAX_READER_AGE_MS);
     return isCurrent ? update : undefined;
   }
@@ -215,6 +218,7 @@
     client: PeerClient | undefined,
   ): Promise<void> {
     const { routes } = this.#options;
+    this.#newestPeerVersion = Math.max(this.#newestPeerVersion, version);
     const isBehind = () => version > routes.version;
     if (!isBehind() || this.#isRefreshing) return;
     this.#isRefreshing = true;
@@ -234,6 +238,7 @@
     log.info("config-behind-peer", {
       version,
       known: routes.version,
+      newest: this.#newestPeerVersion,
       viewAgeMs: Math.round(this.viewAgeMs()),
     });
     // Compressed, so it also crosses a slow link that the store's copy fills.
@@ -254,7 +259,7 @@
     const { store, configSource } = this.#options;
     const sentAtMs = performance.now();
     const listed = await store.list(configSource.key);
-    this.#countCall("read", listed.isOk());
+    this.#countCall("read", sentAtMs, listed.isOk());
     if (listed.isErr()) return false;
     for (const entry of listed.value.entries) {
       this.#applyEntry(entry, ConfigOrigin.KeyRead);
@@ -265,8 +270,9 @@
 
   async #list(): Promise<number | undefined> {
     const { store, configSource, directory } = this.#options;
+    const sentAtMs = performance.now();
     const listed = await store.list(configSource.watchPrefix);
-    this.#countCall("list", listed.isOk());
+    this.#countCall("list", sentAtMs, listed.isOk());
     if (listed.isErr()) {
       await this.#backOff(listed.error.message);
       return undefined;
@@ -310,12 +316,13 @@
 
   async #pollStore(afterRevision: number): Promise<number | undefined> {
     const { store, configSource } = this.#options;
+    const sentAtMs = performance.now();
     const polled = await store.poll({
       prefix: configSource.watchPrefix,
       afterRevision,
       waitMs: this.#choosePollWaitMs(),
     });
-    this.#countCall("poll", polled.isOk());
+    this.#countCall("poll", sentAtMs, polled.isOk());
     if (polled.isErr()) {
       await this.#backOff(polled.error.message);
       return afterRevision;
@@ -354,8 +361,9 @@
   async #catchUp(afterRevision: number): Promise<number> {
     const { store, configSource, directory, localKey, routes } = this.#options;
     const versionBefore = routes.version;
+    const sentAtMs = performance.now();
     const listed = await store.list(configSource.watchPrefix);
-    this.#countCall("list", listed.isOk());
+    this.#countCall("list", sentAtMs, listed.isOk());
     if (listed.isErr()) {
       await this.#backOff(listed.error.message);
       return afterRevision;
@@ -428,6 +436,7 @@
         version: config.version,
         routes: config.routes.length,
         origin,
+        newest: Math.max(config.version, this.#newestPeerVersion),
         viewAgeMs: Math.round(this.viewAgeMs()),
       });
       this.#logGaps(config.gaps);
@@ -488,11 +497,11 @@
     const { directory, log, onRemoved } = this.#options;
     for (const { record, missingSinceMs } of [...directory.entries]) {
       if (missingSinceMs === 0) continue;
-      if (!this.#isConnected) {
+      if (!this.#contact.isConnected) {
         directory.put(record);
         directory.markMissing(record.instance, nowMs);
       }
-      if (!this.#isConnected || nowMs - missingSinceMs < MISSING_GRACE_MS) {
+      if (!this.#contact.isConnected || nowMs - missingSinceMs < MISSING_GRACE_MS) {
         this.#scheduleSweep();
         continue;
       }
@@ -506,23 +515,36 @@
     }
   }
 
-  #countCall(call: string, isOk: boolean): void {
+  #countCall(call: string, sentAtMs: number, isOk: boolean): void {
     const result = isOk ? "ok" : "failed";
-    this.#options.metrics.count("store_calls_total", { call, result });
+    const nowMs = performance.now();
+    const { log, metrics } = this.#options;
+    metrics.count("store_calls_total", { call, result });
+    if (isOk) return this.#contact.recordAnswer(nowMs);
+    log.info("store-call-failed", {
+      call,
+      tookMs: Math.round(nowMs - sentAtMs),
+      awayMs: Math.round(this.#contact.awayMs(nowMs)),
+    });
   }
 
   #markConnected(): void {
     this.#backoffMs = MIN_BACKOFF_MS;
-    if (this.#isConnected) return;
-    this.#isConnected = true;
-    this.#options.log.info("store-regained");
+    const returned = this.#contact.regain(performance.now());
+    if (returned === undefined) return;
+    const { log, metrics } = this.#options;
+    metrics.observe("store_answered_unnoticed_ms", returned.answeredForMs);
+    log.info("store-regained", {
+      awayMs: Math.round(returned.awayMs),
+      answeredForMs: Math.round(returned.answeredForMs),
+    });
   }
 
   async #backOff(reason: string): Promise<void> {
-    if (this.#isConnected || this.#backoffMs === MIN_BACKOFF_MS) {
+    if (this.#contact.isConnected || this.#backoffMs === MIN_BACKOFF_MS) {
       this.#options.log.warn("store-lost", { reason });
     }
-    this.#isConnected = false;
+    this.#contact.lose();
     await sleep(this.#backoffMs * (0.5 + Math.random()));
     this.#backoffMs = Math.min(MAX_BACKOFF_MS, this.#backoffMs * 2);
   }
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -14,4 +14,5 @@
 export * from "./resource_set.ts";
 export * from "./route_table.ts";
 export * from "./route_table_holder.ts";
+export * from "./store_contact.ts";
 export * from "./view_age.ts";
