--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -501,7 +501,9 @@
         directory.put(record);
         directory.markMissing(record.instance, nowMs);
       }
-      if (!this.#contact.isConnected || nowMs - missingSinceMs < MISSING_GRACE_MS) {
+      if (
+        !this.#contact.isConnected || nowMs - missingSinceMs < MISSING_GRACE_MS
+      ) {
         this.#scheduleSweep();
         continue;
       }
--- /dev/null
+++ b/tests/platform/return_cases.ts
@@ -0,0 +1,80 @@
+import process from "node:process";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ReturnFleet, type ReturnResult, StoreReturn } from "./return_fleet.ts";
+
+/**
+ * Time after its return from which the store counts as stable, in ms. Versions
+ * that it accepted a second after the return or earlier are in force by then.
+ */
+const STABLE_MS = 3_000;
+/**
+ * Reads that the store may get in a second while it is away, from a fleet of
+ * any size in three failure domains, and once besides.
+ */
+const MAX_READS_PER_S = 24;
+const MAX_FIRST_READS = 30;
+const MS_PER_S = 1_000;
+
+/**
+ * Absences in ms: the first loses polls that go on waiting, the others end soon
+ * after the polls that were sent at the end of those.
+ */
+const ABSENCES_MS = [300, 4_600, 8_300];
+
+async function measureAll(
+  fleet: ReturnFleet,
+  how: StoreReturn,
+  absencesMs: readonly number[],
+): Promise<void> {
+  const late: string[] = [];
+  for (const awayMs of absencesMs) {
+    const result = await fleet.measure(how, awayMs);
+    late.push(...findFaults(how, awayMs, result));
+  }
+  assert.equal(late, []);
+}
+
+function findFaults(
+  how: StoreReturn,
+  awayMs: number,
+  result: ReturnResult,
+): string[] {
+  const faults: string[] = [];
+  const { lastMs, lastInstance, readsWhileAway } = result;
+  if (process.env.PRINT_RETURNS !== undefined) {
+    console.log(how, awayMs, JSON.stringify(result));
+  }
+  if (lastMs > STABLE_MS) {
+    faults.push(`${how}, away ${awayMs} ms: ${lastMs} ms at ${lastInstance}`);
+  }
+  const maxReads = MAX_FIRST_READS + MAX_READS_PER_S * awayMs / MS_PER_S;
+  if (readsWhileAway > maxReads) {
+    faults.push(`${how}, away ${awayMs} ms: ${readsWhileAway} reads`);
+  }
+  return faults;
+}
+
+/**
+ * Defines a test for each way in which the store returns.
+ *
+ * @param size Number of daemons of the fleet.
+ * @param absencesMs Times for which the store is away, in ms.
+ */
+export function testReturns(
+  size: number,
+  absencesMs: readonly number[] = ABSENCES_MS,
+): void {
+  for (const how of Object.values(StoreReturn)) {
+    // Guards against versions that are late at daemons which go on waiting for
+    // calls that they sent before the store returned.
+    test(`the newest version is in force at ${size} daemons as the store counts as stable: ${how}`, async () => {
+      const fleet = await ReturnFleet.start(size);
+      try {
+        await measureAll(fleet, how, absencesMs);
+      } finally {
+        await fleet.stop();
+      }
+    });
+  }
+}
