Look for a lost store at a steady rate while earlier calls are pending

Callers were served by an old version 2.2 s after a newer one was confirmed (users' record, CONFIG). Cause: a poll that was sent into the store's silence was waited for to its end, 3 s and 1 s of margin, although the store answered other calls; all daemons had lost it at the same moment, so none was ahead.

A poll that is silent for 0.3 s beyond its hold is doubted. From then on nothing is waited for alone: a few daemons of each failure domain probe the store, each probe beside the earlier ones (3.5 a second and domain, whatever its size, at a tenth of a read's price), and all lost daemons hold a poll at those few, which answer as soon as one of them has listed the store. Readers that have lost it say so, and followers no longer turn to the store one by one. Polls are held for 2 s instead of 3 s, so that a lost one is noticed before the store counts as stable.

A daemon that is cut off alone now learns versions from the others, so it may deny a route. The test of denials cuts the whole domain off instead: nobody in it can know then, as was meant; a new test takes the former case. The reader test counts one poll more, as the second reader is asked at once after the first.

--- a/src/coordination/readers/choose_readers.ts
+++ b/src/coordination/readers/choose_readers.ts
@@ -6,10 +6,33 @@
 const MIN_DOMAIN_SIZE = 8;
 
 /**
- * Chooses the daemons that watch the store for their failure domain: those with
- * the fastest links, as a reader sends each configuration change to the others.
- * The choice depends on the records only, so that daemons with the same records
- * choose the same readers without coordination.
+ * Ranks the daemons of a failure domain by their fitness to read the store for
+ * others: those with the fastest links first, as a reader sends each
+ * configuration change to the others. The order depends on the records only, so
+ * that daemons with the same records agree on it without coordination.
+ *
+ * @param records Records of the fleet.
+ * @param domain The failure domain.
+ * @returns The ready daemons, best first.
+ *
+ * @example
+ * ```ts ignore
+ * const [best] = rankMembers(records, "tt-north-a");
+ * ```
+ */
+export function rankMembers(
+  records: Iterable<BackendRecord>,
+  domain: string,
+): readonly BackendRecord[] {
+  return [...records].filter((record) =>
+    record.domain === domain && record.state === BackendState.Ready
+  ).sort((a, b) =>
+    b.linkMbps - a.linkMbps || (a.instance < b.instance ? -1 : 1)
+  );
+}
+
+/**
+ * Chooses the daemons that watch the store for their failure domain.
  *
  * @param records Records of the fleet.
  * @param domain The failure domain.
@@ -24,11 +47,7 @@
   records: Iterable<BackendRecord>,
   domain: string,
 ): readonly BackendRecord[] {
-  const members = [...records].filter((record) =>
-    record.domain === domain && record.state === BackendState.Ready
-  );
+  const members = rankMembers(records, domain);
   if (members.length < MIN_DOMAIN_SIZE) return [];
-  return members.sort((a, b) =>
-    b.linkMbps - a.linkMbps || (a.instance < b.instance ? -1 : 1)
-  ).slice(0, READERS_PER_DOMAIN);
+  return members.slice(0, READERS_PER_DOMAIN);
 }
--- a/src/coordination/readers/mod.ts
+++ b/src/coordination/readers/mod.ts
@@ -4,3 +4,4 @@
  * @module
  */
 export * from "./choose_readers.ts";
+export * from "./plan_recovery.ts";
--- a/src/protocol/feed.ts
+++ b/src/protocol/feed.ts
@@ -9,6 +9,8 @@
  * is not part of the body, which serves several polls.
  */
 export const HEADER_VIEW_AGE = "x-sesamepond-view-age";
+/** Header of a refusal by a daemon that reads the store and has lost it. */
+export const HEADER_STORE_AWAY = "x-sesamepond-store-away";
 /** The gzip level that uses the least CPU time. */
 export const COMPRESSION_LEVEL = 1;
 
@@ -29,6 +31,12 @@
   readonly revision: number;
 }
 
+/** What a daemon that reads the store answers to a poll. */
+export type FeedAnswer =
+  | { readonly kind: "changes"; readonly batch: ChangeBatch }
+  | { readonly kind: "away" }
+  | { readonly kind: "refused" };
+
 /** Result of polling a daemon for store changes. */
 export type FeedPollResult =
   | {
@@ -37,7 +45,9 @@
     /** Age of the daemon's view when it responded, in ms. */
     readonly viewAgeMs: number;
   }
-  /** The daemon does not read the store, or cannot reach it. */
+  /** The daemon reads the store, and its view is too old. */
+  | { readonly kind: "away" }
+  /** The daemon does not read the store, or its history starts later. */
   | { readonly kind: "refused" }
   /** The daemon did not respond. */
   | { readonly kind: "failed" };
@@ -49,46 +59,55 @@
   readonly leaseId?: string;
 }
 
+/** A long poll for store changes. */
+export interface FeedPoll {
+  /** Newest revision that the polling daemon has seen. */
+  readonly afterRevision: number;
+  /** Longest time that the polled daemon waits for a change, in ms. */
+  readonly waitMs: number;
+  /**
+   * Whether a daemon that has lost the store holds the poll too, until it has
+   * regained it.
+   */
+  readonly waitsForStore: boolean;
+}
+
 /**
  * Formats the target of a long poll for store changes.
  *
- * @param afterRevision Newest revision that the polling daemon has seen.
- * @param waitMs Longest time that the polled daemon waits for a change, in ms.
+ * @param poll The poll.
  * @returns Path and query.
  *
  * @example
  * ```ts
- * formatFeedTarget(7, 700); // "/.sesamepond/feed?after=7&waitMs=700"
+ * formatFeedTarget({ afterRevision: 7, waitMs: 700, waitsForStore: false });
+ * // "/.sesamepond/feed?after=7&waitMs=700"
  * ```
  */
-export function formatFeedTarget(
-  afterRevision: number,
-  waitMs: number,
-): string {
-  return `${FEED_PATH}?after=${afterRevision}&waitMs=${waitMs}`;
+export function formatFeedTarget(poll: FeedPoll): string {
+  const { afterRevision, waitMs, waitsForStore } = poll;
+  const target = `${FEED_PATH}?after=${afterRevision}&waitMs=${waitMs}`;
+  return waitsForStore ? `${target}&waitsForStore=1` : target;
 }
 
 /**
  * Parses the target of a long poll for store changes.
  *
  * @param target Path and query.
- * @returns The parameters; `undefined` where one is missing or malformed.
+ * @returns The poll; `undefined` where a part is missing or malformed.
  *
  * @example
  * ```ts
  * parseFeedTarget("/.sesamepond/feed?after=7&waitMs=700");
  * ```
  */
-export function parseFeedTarget(
-  target: string,
-):
-  | { readonly afterRevision: number; readonly waitMs: number }
-  | undefined {
+export function parseFeedTarget(target: string): FeedPoll | undefined {
   const query = new URLSearchParams(target.slice(FEED_PATH.length + 1));
   const afterRevision = Number(query.get("after") ?? NaN);
   const waitMs = Number(query.get("waitMs") ?? NaN);
   const isValid = Number.isSafeInteger(afterRevision) && waitMs >= 0;
-  return isValid ? { afterRevision, waitMs } : undefined;
+  const waitsForStore = query.get("waitsForStore") === "1";
+  return isValid ? { afterRevision, waitMs, waitsForStore } : undefined;
 }
 
 /**
@@ -111,6 +130,23 @@
   return index >= 0 && ageMs >= 0 ? ageMs : 0;
 }
 
+/**
+ * Returns whether the refusing daemon has lost the store.
+ *
+ * @param headers Alternating names and values.
+ * @returns Whether it says so.
+ *
+ * @example
+ * ```ts
+ * isStoreAway(["x-sesamepond-store-away", "1"]); // true
+ * ```
+ */
+export function isStoreAway(headers: readonly string[]): boolean {
+  return headers.some((name, position) =>
+    position % 2 === 0 && name.toLowerCase() === HEADER_STORE_AWAY
+  );
+}
+
 /**
  * Encodes a batch, compressed, as configurations are long and repetitive.
  *
--- a/src/protocol/feed_test.ts
+++ b/src/protocol/feed_test.ts
@@ -47,13 +47,13 @@
 
 test("parseFeedTarget() accepts only what formatFeedTarget() returns", () => {
   const targets = [
-    formatFeedTarget(7, 700),
+    formatFeedTarget({ afterRevision: 7, waitMs: 700, waitsForStore: true }),
     "/.sesamepond/feed",
     "/.sesamepond/feed?after=x&waitMs=1",
     "/.sesamepond/feed?after=7&waitMs=-1",
   ];
   assert.equal(targets.map(parseFeedTarget), [
-    { afterRevision: 7, waitMs: 700 },
+    { afterRevision: 7, waitMs: 700, waitsForStore: true },
     undefined,
     undefined,
     undefined,
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -5,7 +5,7 @@
   DestinationStats,
   ServiceTimes,
 } from "../coordination/dispatch/mod.ts";
-import type { FeedPollResult } from "../protocol/feed.ts";
+import type { FeedPoll, FeedPollResult } from "../protocol/feed.ts";
 import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
 import {
   type CallOutcome,
@@ -96,10 +96,10 @@
    */
   pollFeed(
     record: BackendRecord,
-    afterRevision: number,
-    mayWait: boolean,
+    poll: FeedPoll,
+    signal?: AbortSignal,
   ): Promise<FeedPollResult> {
-    return this.#findOrCreate(record).client.pollFeed(afterRevision, mayWait);
+    return this.#findOrCreate(record).client.pollFeed(poll, signal);
   }
 
   /**
--- a/src/sidecar/feed_follower.ts
+++ b/src/sidecar/feed_follower.ts
@@ -1,5 +1,9 @@
 import { chooseReaders } from "../coordination/readers/mod.ts";
-import type { ChangeBatch, FeedPollResult } from "../protocol/feed.ts";
+import type {
+  ChangeBatch,
+  FeedPoll,
+  FeedPollResult,
+} from "../protocol/feed.ts";
 import { hash32 } from "../protocol/hash.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
@@ -12,6 +16,8 @@
  * ms: daemons learn the records that make one a reader at different times.
  */
 const REFUSED_PAUSE_MS = 1_000;
+/** Time for which a reader may hold a poll, in ms. */
+const HOLD_MS = 600;
 
 /** Changes from a reader. */
 export interface FollowedBatch extends ChangeBatch {
@@ -19,6 +25,14 @@
   readonly viewAgeMs: number;
 }
 
+/** What a poll says about where changes come from. */
+export type FollowResult =
+  | { readonly kind: "changes"; readonly batch: FollowedBatch }
+  /** This daemon is to read the store itself. */
+  | { readonly kind: "none" }
+  /** The readers respond, and have lost the store. */
+  | { readonly kind: "away" };
+
 /** Options of a {@linkcode FeedFollower}. */
 export interface FeedFollowerOptions {
   readonly instance: string;
@@ -27,13 +41,18 @@
   /** Polls the daemon of a record for changes after a revision. */
   readonly pollFeed: (
     record: BackendRecord,
-    afterRevision: number,
-    /** Whether the daemon may hold the poll until there is a change. */
-    mayWait: boolean,
+    poll: FeedPoll,
   ) => Promise<FeedPollResult>;
   readonly log: EventLog;
 }
 
+/** Time for which a reader is not polled. */
+interface Pause {
+  readonly untilMs: number;
+  /** Whether the reader responded and had lost the store. */
+  readonly isAway: boolean;
+}
+
 /**
  * Polls the readers of the local failure domain for changes in the store. As
  * long as they respond, only they call the store, and large configurations
@@ -41,13 +60,13 @@
  *
  * @example
  * ```ts ignore
- * const update = await follower.poll(revision);
- * if (update === undefined) await store.poll(options);
+ * const result = await follower.poll(revision);
+ * if (result.kind === "none") await store.poll(options);
  * ```
  */
 export class FeedFollower {
   readonly #options: FeedFollowerOptions;
-  readonly #pausedUntilMs = new Map<string, number>();
+  readonly #paused = new Map<string, Pause>();
   #reader = "";
   #isReader = false;
   /** Whether the last poll failed, so that the view may be behind. */
@@ -71,18 +90,20 @@
    * Waits for changes from a reader.
    *
    * @param afterRevision Newest revision that was seen.
-   * @returns The changes; `undefined` if the store itself has to be read, since
-   * this daemon is a reader or no reader responds.
+   * @returns The changes, or why there are none.
    */
-  async poll(afterRevision: number): Promise<FollowedBatch | undefined> {
+  async poll(afterRevision: number): Promise<FollowResult> {
     const reader = this.#chooseReader();
     this.#setReader(reader?.instance ?? "");
-    if (reader === undefined) return undefined;
+    if (reader === undefined) return this.#judgeAbsence();
     const sentAtMs = performance.now();
     const result = await this.#options.pollFeed(
       reader,
-      afterRevision,
-      !this.#hasFailed,
+      {
+        afterRevision,
+        waitMs: this.#hasFailed ? 0 : HOLD_MS,
+        waitsForStore: false,
+      },
     );
     this.#hasFailed = result.kind !== "changes";
     if (result.kind !== "changes") {
@@ -93,29 +114,63 @@
       });
     }
     switch (result.kind) {
-      case "changes":
-        return { ...result.batch, viewAgeMs: result.viewAgeMs };
+      case "changes": {
+        const { batch, viewAgeMs } = result;
+        this.resume(reader.instance);
+        return { kind: "changes", batch: { ...batch, viewAgeMs } };
+      }
+      case "away":
+        this.#pause(reader, REFUSED_PAUSE_MS, true);
+        break;
       case "refused":
-        return this.#pause(reader, REFUSED_PAUSE_MS);
+        this.#pause(reader, REFUSED_PAUSE_MS, false);
+        break;
       case "failed":
-        return this.#pause(reader, FAILED_PAUSE_MS);
+        this.#pause(reader, FAILED_PAUSE_MS, false);
+        break;
     }
+    // The other reader is asked without a wait.
+    return await this.poll(afterRevision);
+  }
+
+  /**
+   * Ends the pause of a reader that has sent changes.
+   *
+   * @param instance The reader.
+   */
+  resume(instance: string): void {
+    this.#paused.delete(instance);
+  }
+
+  #pause(reader: BackendRecord, pauseMs: number, isAway: boolean): void {
+    const untilMs = performance.now() + pauseMs;
+    this.#paused.set(reader.instance, { untilMs, isAway });
   }
 
-  #pause(reader: BackendRecord, pauseMs: number): undefined {
-    this.#pausedUntilMs.set(reader.instance, performance.now() + pauseMs);
+  /** Says why no reader can be asked. */
+  #judgeAbsence(): FollowResult {
+    const isAway = !this.#isReader &&
+      this.#listReaders().some(({ instance }) =>
+        this.#paused.get(instance)?.isAway === true
+      );
+    return { kind: isAway ? "away" : "none" };
+  }
+
+  #listReaders(): readonly BackendRecord[] {
+    const { domain, directory } = this.#options;
+    const records = [...directory.entries].map(({ record }) => record);
+    return chooseReaders(records, domain);
   }
 
   /** Returns a reader that is not paused; none if this daemon is a reader. */
   #chooseReader(): BackendRecord | undefined {
-    const { instance, domain, directory } = this.#options;
-    const records = [...directory.entries].map(({ record }) => record);
-    const readers = chooseReaders(records, domain);
+    const { instance } = this.#options;
+    const readers = this.#listReaders();
     this.#isReader = readers.some((other) => other.instance === instance);
     if (this.#isReader) return undefined;
     const nowMs = performance.now();
     const available = readers.filter((other) =>
-      (this.#pausedUntilMs.get(other.instance) ?? 0) <= nowMs
+      (this.#paused.get(other.instance)?.untilMs ?? 0) <= nowMs
     );
     // A hash of its name spreads the followers over the readers.
     return available[hash32(instance) % available.length];
--- a/src/sidecar/feed_follower_test.ts
+++ b/src/sidecar/feed_follower_test.ts
@@ -43,7 +43,10 @@
   });
   const revisions: (number | undefined)[] = [];
   for (let index = 0; index < count; index++) {
-    revisions.push((await follower.poll(1))?.revision);
+    const result = await follower.poll(1);
+    revisions.push(
+      result.kind === "changes" ? result.batch.revision : undefined,
+    );
     if (pauseMs > 0) await sleep(pauseMs);
   }
   return { asked: new Set(asked).size, polls: asked.length, revisions };
@@ -68,7 +71,7 @@
 test("FeedFollower.poll() soon asks a reader again that did not read the store yet", async () => {
   const { polls } = await poll({ kind: "refused" }, 3, 600);
   const { polls: failedPolls } = await poll({ kind: "failed" }, 3, 600);
-  assert.equal({ polls, failedPolls }, { polls: 3, failedPolls: 2 });
+  assert.equal({ polls, failedPolls }, { polls: 4, failedPolls: 2 });
 });
 
 test.run();
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -5,8 +5,10 @@
 } from "../coordination/dispatch/mod.ts";
 import {
   decodeFeed,
+  type FeedPoll,
   type FeedPollResult,
   formatFeedTarget,
+  isStoreAway,
   readViewAgeMs,
 } from "../protocol/feed.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
@@ -47,8 +49,6 @@
 /** Shared abort reason: the default one captures a stack trace each time. */
 const ABANDONED = new Error("the request was abandoned");
 
-/** Time for which another daemon may hold a poll of its feed, in ms. */
-const FEED_WAIT_MS = 600;
 /** Time beyond that wait after which a poll counts as failed, in ms. */
 const FEED_MARGIN_MS = 500;
 
@@ -195,24 +195,25 @@
   /**
    * Polls for the changes that the daemon has read from the store.
    *
-   * @param afterRevision Newest revision that was seen.
-   * @param mayWait Whether the daemon may hold the poll until there is a change.
+   * @param poll Where to go on, and for how long the daemon may hold the poll.
+   * @param signal Gives the poll up.
    * @returns The changes, or why there are none; never rejects.
    */
   async pollFeed(
-    afterRevision: number,
-    mayWait: boolean,
+    poll: FeedPoll,
+    signal?: AbortSignal,
   ): Promise<FeedPollResult> {
-    const waitMs = mayWait ? FEED_WAIT_MS : 0;
     const result = await this.#connections.send({
       method: "GET",
-      path: formatFeedTarget(afterRevision, waitMs),
+      path: formatFeedTarget(poll),
       headers: [],
       body: undefined,
-      silenceTimeoutMs: waitMs + FEED_MARGIN_MS,
-    });
+      silenceTimeoutMs: poll.waitMs + FEED_MARGIN_MS,
+    }, signal);
     if (result.kind === "failed") return { kind: "failed" };
-    if (result.status !== 200) return { kind: "refused" };
+    if (result.status !== 200) {
+      return { kind: isStoreAway(result.headers) ? "away" : "refused" };
+    }
     const batch = decodeFeed(result.body);
     return batch === undefined ? { kind: "failed" } : {
       kind: "changes",
--- a/src/sidecar/peer_client_test.ts
+++ b/src/sidecar/peer_client_test.ts
@@ -12,6 +12,7 @@
 
 /** Longer than the time limit of a feed poll, in ms. */
 const STALL_MS = 1_500;
+const FEED_POLL = { afterRevision: 1, waitMs: 600, waitsForStore: false };
 /** Worker that serves a body and posts its port. */
 const SERVER_SOURCE = `
   const { createServer } = require("node:http");
@@ -50,8 +51,8 @@
   );
   const client = clientOf(port);
   // Opens the connection.
-  await client.pollFeed(1, true);
-  const poll = client.pollFeed(1, true);
+  await client.pollFeed(FEED_POLL);
+  const poll = client.pollFeed(FEED_POLL);
   // The request leaves before the stall.
   await new Promise((resolve) => setImmediate(resolve));
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STALL_MS);
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -11,6 +11,9 @@
   COMPRESSION_LEVEL,
   encodeFeed,
   FEED_PATH,
+  type FeedAnswer,
+  type FeedPoll,
+  HEADER_STORE_AWAY,
   HEADER_VIEW_AGE,
   parseFeedTarget,
 } from "../protocol/feed.ts";
@@ -75,11 +78,8 @@
   readonly stalls: StallDetector;
   /** Called with the configuration version that another daemon reports. */
   readonly onPeerVersion: (version: number, host: string) => void;
-  /** Waits for store changes after a revision; `undefined` if not possible. */
-  readonly waitForUpdate: (
-    afterRevision: number,
-    waitMs: number,
-  ) => Promise<ChangeBatch | undefined>;
+  /** Waits for store changes after a revision. */
+  readonly waitForUpdate: (poll: FeedPoll) => Promise<FeedAnswer>;
   /** Age of this daemon's view of the store, in ms. */
   readonly viewAgeMs: () => number;
 }
@@ -451,13 +451,17 @@
     response: ServerResponse,
   ): Promise<void> {
     const query = parseFeedTarget(target);
-    const update = query &&
-      await this.#options.waitForUpdate(query.afterRevision, query.waitMs);
-    if (update === undefined) {
-      response.writeHead(NO_RESPONSE_STATUS, { "content-length": 0 }).end();
+    const answer: FeedAnswer = query === undefined
+      ? { kind: "refused" }
+      : await this.#options.waitForUpdate(query);
+    if (answer.kind !== "changes") {
+      response.writeHead(NO_RESPONSE_STATUS, {
+        "content-length": 0,
+        ...(answer.kind === "away" ? { [HEADER_STORE_AWAY]: 1 } : {}),
+      }).end();
       return;
     }
-    const body = this.#encodeUpdate(update);
+    const body = this.#encodeUpdate(answer.batch);
     response.writeHead(200, {
       "content-length": body.length,
       [HEADER_VIEW_AGE]: Math.round(this.#options.viewAgeMs()),
--- a/src/sidecar/ports.ts
+++ b/src/sidecar/ports.ts
@@ -19,12 +19,27 @@
   readonly prefix: string;
   readonly afterRevision: number;
   readonly waitMs: number;
+  /** Gives the poll up. */
+  readonly signal?: AbortSignal;
+}
+
+/** Limits of a listing. */
+export interface ListOptions {
+  /** Longest time without a byte of the response, in ms. */
+  readonly silenceTimeoutMs?: number;
+  /** Gives the listing up. */
+  readonly signal?: AbortSignal;
 }
 
 /** The key-value store for the durable and shared state of the fleet. */
 export interface MeshStore {
-  list(prefix: string): ResultAsync<RangeResult, StepError>;
+  list(
+    prefix: string,
+    options?: ListOptions,
+  ): ResultAsync<RangeResult, StepError>;
   poll(options: PollOptions): ResultAsync<PollResult, StepError>;
+  /** Finds out at the lowest price whether the store answers at all. */
+  probe(signal: AbortSignal): ResultAsync<void, StepError>;
   commit(
     transaction: StoreTransaction,
   ): ResultAsync<TransactionResult, StepError>;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -25,6 +25,7 @@
 import { PeerServer } from "./peer_server.ts";
 import type { SidecarPorts } from "./ports.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
+import { StoreRecovery } from "./store_recovery.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
 /** Share of the fleet-wide retry ratio that one daemon uses. */
@@ -148,8 +149,7 @@
       metrics: this.#metrics,
       onPeerVersion: (version) =>
         void this.#sync.handlePeerVersion(version, undefined),
-      waitForUpdate: (afterRevision, waitMs) =>
-        this.#sync.waitForUpdate(afterRevision, waitMs),
+      waitForUpdate: (poll) => this.#sync.waitForUpdate(poll),
       viewAgeMs: () => this.#sync.viewAgeMs(),
     });
     const { readyAddress, controlAddress } = settings;
@@ -335,10 +335,18 @@
         instance: this.#settings.instance,
         domain: this.#settings.domain,
         directory: this.#directory,
-        pollFeed: (record, afterRevision, mayWait) =>
-          this.#destinations.pollFeed(record, afterRevision, mayWait),
+        pollFeed: (record, poll) => this.#destinations.pollFeed(record, poll),
         log: this.#log,
       }),
+      recovery: new StoreRecovery({
+        store: this.#ports.store,
+        prefix: this.#ports.config.watchPrefix,
+        instance: this.#settings.instance,
+        domain: this.#settings.domain,
+        directory: this.#directory,
+        pollFeed: (...args) => this.#destinations.pollFeed(...args),
+        onCall: (...args) => this.#sync.countCall(...args),
+      }),
       onConfigAdopted: () => {
         this.#ingress.applyLimits();
         void this.#lifecycle.checkUnproven();
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -11,14 +11,26 @@
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { decodeRecord, RECORD_PREFIX } from "./backend_record_codec.ts";
 import type { PeerClient } from "./peer_client.ts";
-import type { ChangeBatch } from "../protocol/feed.ts";
+import type { Result } from "neverthrow";
+import type { ChangeBatch, FeedAnswer, FeedPoll } from "../protocol/feed.ts";
+import type { StepError } from "../protocol/step_error.ts";
+import type { RangeResult } from "../protocol/store.ts";
 import { FeedHistory } from "../state/feed_history.ts";
+import { waitForNextPoll } from "../transport/http/disconnect_detector.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
-import type { FeedFollower } from "./feed_follower.ts";
-import type { MeshConfigSource, MeshStore } from "./ports.ts";
+import type { FeedFollower, FollowedBatch } from "./feed_follower.ts";
+import type { MeshConfigSource, MeshStore, PollResult } from "./ports.ts";
+import type { RecoveryStart, StoreRecovery } from "./store_recovery.ts";
 
-/** Longest time for which the store may hold a poll, in ms. */
-const POLL_WAIT_MS = 3_000;
+/**
+ * Longest time for which the store may hold a poll, in ms. A poll that is lost
+ * is noticed after it.
+ */
+const POLL_WAIT_MS = 2_000;
+/** Silence beyond a poll's wait after which the store is doubted, in ms. */
+const DOUBT_MS = 300;
+/** Time for which a doubted store is not yet taken for lost, in ms. */
+const LOSS_DELAY_MS = 700;
 /**
  * The same for a reader: each poll that ends shows its followers that the view
  * is current.
@@ -38,9 +50,8 @@
 const PEER_VERSION_GRACE_MS = COALESCE_MS + 200;
 /** Longest time for which a request waits for a read of the key, in ms. */
 const CONFIRM_TIMEOUT_MS = 600;
-/** Shortest and longest backoff after a failed call, in ms. */
-const MIN_BACKOFF_MS = 100;
-const MAX_BACKOFF_MS = 800;
+/** Mean pause after an internal failure, in ms. */
+const FAILURE_PAUSE_MS = 400;
 /** Time for which a backend server without a record is still used, in ms. */
 const MISSING_GRACE_MS = 3_000;
 /** Pause between two checks for missing records, in ms. */
@@ -56,6 +67,13 @@
   Peer = "peer",
 }
 
+/** Why the state of the store is not known. */
+interface StoreDoubt extends Omit<RecoveryStart, "isCurrent"> {
+  readonly reason: string;
+  /** Whether a call has failed, and not only taken long. */
+  readonly isFailure: boolean;
+}
+
 /** Options of a {@linkcode StoreSyncTask}. */
 export interface StoreSyncOptions {
   readonly store: MeshStore;
@@ -72,6 +90,8 @@
   readonly localKey: string;
   /** Polls the readers of the failure domain. */
   readonly follower: FeedFollower;
+  /** Waits for a store that does not answer. */
+  readonly recovery: Pick<StoreRecovery, "run">;
   /** Called once an instance has been removed from the directory. */
   readonly onRemoved: (instance: string) => void;
 }
@@ -88,8 +108,12 @@
 export class StoreSyncTask {
   readonly #options: StoreSyncOptions;
   readonly #history = new FeedHistory();
+  /** Whether it reads the store, and not another daemon's feed. */
   #isPollingStore = false;
-  #backoffMs = MIN_BACKOFF_MS;
+  #isRecovering = false;
+  /** Ends the wait for the current poll. */
+  #doubt: (() => void) | undefined;
+  readonly #regainWaiters = new Set<() => void>();
   readonly #contact = new StoreContact(performance.now());
   /** Newest version that another daemon has named. */
   #newestPeerVersion = 0;
@@ -146,39 +170,51 @@
   async confirmConfig(): Promise<boolean> {
     const timeout = new AbortController();
     const isRead = await Promise.race([
-      this.#readKey(),
-      sleep(CONFIRM_TIMEOUT_MS, false, { signal: timeout.signal })
+      // A call to a lost store would only be one more that is waited for.
+      this.#isRecovering
+        ? this.#waitForRegain().then(() => false)
+        : this.#readKey(),
+      sleep(CONFIRM_TIMEOUT_MS, undefined, { signal: timeout.signal })
+        .then(() => this.#doubt?.())
         // Aborted, as the read has ended.
-        .catch(() => false),
+        .catch(() => {}),
     ]);
     timeout.abort();
-    return isRead;
+    return isRead === true;
   }
 
   /**
    * Waits for changes that this daemon reads from the store.
    *
-   * @param afterRevision Newest revision that the follower has seen.
-   * @param waitMs Longest time to wait, in ms.
-   * @returns The changes; `undefined` if this daemon does not read the store
-   * itself, its view is too old to say that there are none, or its history does
-   * not reach back far enough.
+   * @param poll Where the follower goes on, and how long it waits.
+   * @returns The changes, or why this daemon cannot say that there are none.
    */
-  async waitForUpdate(
-    afterRevision: number,
-    waitMs: number,
-  ): Promise<ChangeBatch | undefined> {
-    const present = this.#history.since(afterRevision);
-    if (!this.#isPollingStore || !this.#contact.isConnected) return undefined;
-    if (present === undefined || present.events.length > 0) return present;
-    const currentForMs = MAX_READER_AGE_MS - this.viewAgeMs();
-    if (currentForMs <= 0) return undefined;
-    await this.#history.waitForChange(Math.min(waitMs, currentForMs));
-    const update = this.#history.since(afterRevision);
-    const hasChanged = update !== undefined && update.events.length > 0;
-    const isCurrent = this.#contact.isConnected &&
-      (hasChanged || this.viewAgeMs() < MAX_READER_AGE_MS);
-    return isCurrent ? update : undefined;
+  async waitForUpdate(poll: FeedPoll): Promise<FeedAnswer> {
+    const { afterRevision, waitMs, waitsForStore } = poll;
+    const deadlineMs = performance.now() + waitMs;
+    for (;;) {
+      if (!this.#isPollingStore && !this.#isRecovering) {
+        return { kind: "refused" };
+      }
+      const batch = this.#history.since(afterRevision);
+      const nowMs = performance.now();
+      const isCurrent = this.#contact.isConnected &&
+        this.viewAgeMs() < MAX_READER_AGE_MS;
+      if (isCurrent && batch === undefined) return { kind: "refused" };
+      const hasChanged = batch !== undefined && batch.events.length > 0;
+      if (isCurrent && (hasChanged || nowMs >= deadlineMs)) {
+        return { kind: "changes", batch: batch! };
+      }
+      if (!isCurrent && (!waitsForStore || nowMs >= deadlineMs)) {
+        return { kind: "away" };
+      }
+      const currentForMs = isCurrent
+        ? MAX_READER_AGE_MS - this.viewAgeMs()
+        : Infinity;
+      await this.#history.waitForChange(
+        Math.max(1, Math.min(deadlineMs - nowMs, currentForMs)),
+      );
+    }
   }
 
   /**
@@ -191,8 +227,8 @@
     while (!signal.aborted) {
       try {
         revision = revision === undefined
-          ? await this.#list()
-          : await this.#poll(revision);
+          ? await this.#list(signal)
+          : await this.#poll(revision, signal);
       } catch (error) {
         // No content of the store may end the process.
         this.#options.log.error("store-sync-failed", {
@@ -200,7 +236,8 @@
           reason: messageOf(error),
         });
         revision = undefined;
-        await this.#backOff(messageOf(error));
+        this.#contact.lose();
+        await sleep(FAILURE_PAUSE_MS * (0.5 + Math.random()));
       }
     }
     clearTimeout(this.#sweepTimer);
@@ -259,7 +296,7 @@
     const { store, configSource } = this.#options;
     const sentAtMs = performance.now();
     const listed = await store.list(configSource.key);
-    this.#countCall("read", sentAtMs, listed.isOk());
+    this.countCall("read", sentAtMs, listed.isOk());
     if (listed.isErr()) return false;
     for (const entry of listed.value.entries) {
       this.#applyEntry(entry, ConfigOrigin.KeyRead);
@@ -268,24 +305,26 @@
     return true;
   }
 
-  async #list(): Promise<number | undefined> {
-    const { store, configSource, directory } = this.#options;
+  async #list(signal: AbortSignal): Promise<number | undefined> {
+    const { store, configSource } = this.#options;
     const sentAtMs = performance.now();
     const listed = await store.list(configSource.watchPrefix);
-    this.#countCall("list", sentAtMs, listed.isOk());
-    if (listed.isErr()) {
-      await this.#backOff(listed.error.message);
-      return undefined;
-    }
-    this.#markConnected();
+    this.countCall("list", sentAtMs, listed.isOk());
+    return listed.isOk()
+      ? await this.#applyFirstListing(listed.value)
+      : await this.#recoverFrom(listed.error, undefined, signal);
+  }
+
+  async #applyFirstListing(range: RangeResult): Promise<number> {
+    const { configSource, directory } = this.#options;
+    const { entries, revision } = range;
     this.#hasListed = true;
-    const { entries, revision } = listed.value;
     this.#history.reset(revision);
     for (const entry of entries) {
       this.#applyEntry(entry, ConfigOrigin.Listing);
     }
     this.#replaceExempt(entries);
-    this.#view.confirm(performance.now());
+    this.#markConnected(0);
     const present = new Set(entries.map((entry) => entry.key));
     for (const { record } of directory.entries) {
       const key = RECORD_PREFIX + record.instance;
@@ -298,53 +337,174 @@
     return revision;
   }
 
-  async #poll(afterRevision: number): Promise<number | undefined> {
-    const update = await this.#options.follower.poll(afterRevision);
-    const wasFollower = !this.#isPollingStore;
-    this.#isPollingStore = update === undefined;
-    if (update === undefined) {
-      const isBehind = wasFollower && this.viewAgeMs() > MAX_READER_AGE_MS;
-      return isBehind
-        ? await this.#catchUp(afterRevision)
-        : await this.#pollStore(afterRevision);
+  async #poll(
+    afterRevision: number,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
+    const followed = await this.#options.follower.poll(afterRevision);
+    const wasReading = this.#isPollingStore;
+    this.#isPollingStore = followed.kind === "none" ||
+      followed.kind === "away" && wasReading;
+    switch (followed.kind) {
+      case "changes":
+        return this.#applyFollowed(followed.batch);
+      case "away": {
+        // One that took over from the readers goes on until they are back.
+        if (wasReading) return await this.#pollStore(afterRevision, signal);
+        return await this.#recover({
+          afterRevision,
+          reason: "the readers have lost the store",
+          isFailure: false,
+        }, signal);
+      }
+      case "none": {
+        const isBehind = !wasReading && this.viewAgeMs() > MAX_READER_AGE_MS;
+        return isBehind
+          ? await this.#catchUp(afterRevision, signal)
+          : await this.#pollStore(afterRevision, signal);
+      }
     }
-    this.#markConnected();
-    this.#applyUpdate(update, ConfigOrigin.Reader);
-    this.#view.confirm(performance.now() - update.viewAgeMs);
-    return update.revision;
   }
 
-  async #pollStore(afterRevision: number): Promise<number | undefined> {
+  #applyFollowed(batch: FollowedBatch): number {
+    this.#applyUpdate(batch, ConfigOrigin.Reader);
+    this.#markConnected(batch.viewAgeMs);
+    return batch.revision;
+  }
+
+  async #pollStore(
+    afterRevision: number,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
     const { store, configSource } = this.#options;
     const sentAtMs = performance.now();
-    const polled = await store.poll({
+    const waitMs = this.#choosePollWaitMs();
+    const givenUp = new AbortController();
+    const pending = Promise.resolve(store.poll({
       prefix: configSource.watchPrefix,
       afterRevision,
-      waitMs: this.#choosePollWaitMs(),
-    });
-    this.#countCall("poll", sentAtMs, polled.isOk());
-    if (polled.isErr()) {
-      await this.#backOff(polled.error.message);
-      return afterRevision;
+      waitMs,
+      signal: givenUp.signal,
+    }));
+    const polled = await this.#doubtAfter(pending, waitMs + DOUBT_MS);
+    if (polled === undefined) {
+      const revision = await this.#recover({
+        afterRevision,
+        pending,
+        reason: `no answer to a poll of ${waitMs} ms`,
+        isFailure: false,
+      }, signal);
+      givenUp.abort();
+      return revision;
     }
-    this.#markConnected();
-    const result = polled.value;
+    this.countCall("poll", sentAtMs, polled.isOk());
+    return polled.isOk()
+      ? await this.#applyPolled(polled.value, signal)
+      : await this.#recoverFrom(polled.error, afterRevision, signal);
+  }
+
+  /**
+   * Returns the result of a poll; `undefined` if it takes longer than a store
+   * that responds would let it.
+   */
+  async #doubtAfter(
+    pending: Promise<Result<PollResult, StepError>>,
+    doubtMs: number,
+  ): Promise<Result<PollResult, StepError> | undefined> {
+    let timer: NodeJS.Timeout | undefined;
+    const doubted = new Promise<undefined>((resolve) => {
+      // After a stall, the timer fires before the response is read.
+      const doubt = () => void waitForNextPoll().then(() => resolve(undefined));
+      this.#doubt = doubt;
+      timer = setTimeout(doubt, doubtMs);
+    });
+    const polled = await Promise.race([pending, doubted]);
+    clearTimeout(timer);
+    this.#doubt = undefined;
+    return polled;
+  }
+
+  async #applyPolled(
+    result: PollResult,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
+    const { configSource, log } = this.#options;
     if (result.kind === "compacted") {
-      this.#options.log.warn("store-history-lost", { afterRevision });
+      log.warn("store-history-lost", { afterRevision: this.#history.revision });
       return undefined;
     }
     this.#applyUpdate(result, ConfigOrigin.Poll);
-    this.#view.confirm(performance.now());
+    this.#markConnected(0);
     if (result.events.length === 0) return result.revision;
     await sleep(COALESCE_MS);
     const versions = result.events.filter(({ key }) =>
       key === configSource.key
     );
     return versions.length > 1
-      ? await this.#catchUp(result.revision)
+      ? await this.#catchUp(result.revision, signal)
       : result.revision;
   }
 
+  /**
+   * Waits until the store or another daemon tells the current state.
+   *
+   * @returns The revision from which to go on; `undefined` if nothing is known.
+   */
+  async #recover(
+    doubt: StoreDoubt,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
+    const { reason, isFailure, ...start } = doubt;
+    const doubtedAtMs = performance.now();
+    const lose = () => {
+      if (this.#contact.isConnected) {
+        this.#options.log.warn("store-lost", { reason });
+      }
+      this.#contact.lose();
+      this.#history.wake();
+    };
+    const timer = setTimeout(lose, isFailure ? 0 : LOSS_DELAY_MS);
+    this.#isRecovering = true;
+    const recovery = await this.#options.recovery.run({
+      ...start,
+      isCurrent: this.viewAgeMs() < MAX_READER_AGE_MS,
+    }, signal);
+    clearTimeout(timer);
+    this.#isRecovering = false;
+    this.#options.log.info("store-recovery", {
+      by: recovery.kind,
+      ...(recovery.kind === "followed" ? { source: recovery.source } : {}),
+      tookMs: Math.round(performance.now() - doubtedAtMs),
+    });
+    switch (recovery.kind) {
+      case "polled":
+        return await this.#applyPolled(recovery.result, signal);
+      case "listed":
+        this.#isPollingStore = true;
+        return start.afterRevision === undefined
+          ? await this.#applyFirstListing(recovery.range)
+          : this.#applyListing(recovery.range, start.afterRevision);
+      case "followed":
+        this.#options.follower.resume(recovery.source);
+        return this.#applyFollowed(recovery.batch);
+      case "stopped":
+        return start.afterRevision;
+    }
+  }
+
+  #recoverFrom(
+    error: StepError,
+    afterRevision: number | undefined,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
+    const reason = error.message;
+    return this.#recover({ afterRevision, reason, isFailure: true }, signal);
+  }
+
+  #waitForRegain(): Promise<void> {
+    return new Promise((resolve) => this.#regainWaiters.add(resolve));
+  }
+
   #choosePollWaitMs(): number {
     if (!this.#options.follower.isReader) return POLL_WAIT_MS;
     return Math.max(
@@ -358,18 +518,23 @@
    * the last one in full, so a slow link falls further behind with each poll of
    * a series.
    */
-  async #catchUp(afterRevision: number): Promise<number> {
-    const { store, configSource, directory, localKey, routes } = this.#options;
-    const versionBefore = routes.version;
+  async #catchUp(
+    afterRevision: number,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
+    const { store, configSource } = this.#options;
     const sentAtMs = performance.now();
     const listed = await store.list(configSource.watchPrefix);
-    this.#countCall("list", sentAtMs, listed.isOk());
-    if (listed.isErr()) {
-      await this.#backOff(listed.error.message);
-      return afterRevision;
-    }
-    this.#markConnected();
-    const { entries, revision } = listed.value;
+    this.countCall("list", sentAtMs, listed.isOk());
+    return listed.isOk()
+      ? this.#applyListing(listed.value, afterRevision)
+      : await this.#recoverFrom(listed.error, afterRevision, signal);
+  }
+
+  #applyListing(range: RangeResult, afterRevision: number): number {
+    const { configSource, directory, localKey, routes } = this.#options;
+    const versionBefore = routes.version;
+    const { entries, revision } = range;
     const present = new Set(entries.map(({ key }) => key));
     const known = [...directory.entries].map(({ record }) =>
       RECORD_PREFIX + record.instance
@@ -382,7 +547,7 @@
     ];
     this.#applyUpdate({ events, revision }, ConfigOrigin.Listing);
     this.#replaceExempt(entries);
-    this.#view.confirm(performance.now());
+    this.#markConnected(0);
     const hasChanged = events.some(({ key }) => key === configSource.key);
     // The last write may be an older version that hides a newer one before it.
     return hasChanged && routes.version === versionBefore
@@ -517,7 +682,8 @@
     }
   }
 
-  #countCall(call: string, sentAtMs: number, isOk: boolean): void {
+  /** Counts a call of the store. */
+  countCall(call: string, sentAtMs: number, isOk: boolean): void {
     const result = isOk ? "ok" : "failed";
     const nowMs = performance.now();
     const { log, metrics } = this.#options;
@@ -530,9 +696,14 @@
     });
   }
 
-  #markConnected(): void {
-    this.#backoffMs = MIN_BACKOFF_MS;
-    const returned = this.#contact.regain(performance.now());
+  /** Records that the view was complete some time ago. */
+  #markConnected(viewAgeMs: number): void {
+    const nowMs = performance.now();
+    this.#view.confirm(nowMs - viewAgeMs);
+    const returned = this.#contact.regain(nowMs);
+    this.#history.wake();
+    for (const resolve of this.#regainWaiters) resolve();
+    this.#regainWaiters.clear();
     if (returned === undefined) return;
     const { log, metrics } = this.#options;
     metrics.observe("store_answered_unnoticed_ms", returned.answeredForMs);
@@ -541,13 +712,4 @@
       answeredForMs: Math.round(returned.answeredForMs),
     });
   }
-
-  async #backOff(reason: string): Promise<void> {
-    if (this.#contact.isConnected || this.#backoffMs === MIN_BACKOFF_MS) {
-      this.#options.log.warn("store-lost", { reason });
-    }
-    this.#contact.lose();
-    await sleep(this.#backoffMs * (0.5 + Math.random()));
-    this.#backoffMs = Math.min(MAX_BACKOFF_MS, this.#backoffMs * 2);
-  }
 }
--- a/src/sidecar/store_sync_task_test.ts
+++ b/src/sidecar/store_sync_task_test.ts
@@ -10,7 +10,7 @@
 import { EventLog } from "../transport/observe/event_log.ts";
 import { TextMetrics } from "../transport/observe/text_metrics.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
-import type { FeedFollower } from "./feed_follower.ts";
+import type { FeedFollower, FollowResult } from "./feed_follower.ts";
 import type { MeshStore } from "./ports.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
@@ -46,7 +46,8 @@
 async function runSync(
   listed: (StoreEntry | undefined)[],
   runMs = RUN_MS,
-  pollReader: () => Promise<undefined> = () => Promise.resolve(undefined),
+  pollReader: () => Promise<FollowResult> = () =>
+    Promise.resolve({ kind: "none" }),
 ): Promise<{ calls: string[]; adopted: number[] }> {
   const calls: string[] = [];
   const routes = new RouteTableHolder();
@@ -85,6 +86,7 @@
     metrics: new TextMetrics(),
     localKey: "own",
     follower: { poll: pollReader } as unknown as FeedFollower,
+    recovery: { run: () => Promise.resolve({ kind: "stopped" }) },
     onConfigAdopted: () => adopted.push(routes.version),
     onLocalRecord: () => {},
     onRemoved: () => {},
@@ -112,7 +114,7 @@
   let reads = 0;
   const failSlowly = async () => {
     if (reads++ === 0) await sleep(FAILED_MS);
-    return undefined;
+    return { kind: "none" } as const;
   };
   const { calls, adopted } = await runSync(
     [configEntryAt(1), configEntryAt(9)],
--- a/src/state/feed_history.ts
+++ b/src/state/feed_history.ts
@@ -71,11 +71,19 @@
     return { events, revision: Math.max(revision, this.#revision) };
   }
 
+  /**
+   * Ends the waits for a change, as the view has been confirmed or lost.
+   */
+  wake(): void {
+    this.#notifyWaiters();
+  }
+
   /**
    * Waits for the next change.
    *
    * @param waitMs Maximum time to wait, in ms.
-   * @returns A promise that resolves at the next change or after `waitMs`.
+   * @returns A promise that resolves at the next change, when woken, or after
+   * `waitMs`.
    */
   waitForChange(waitMs: number): Promise<void> {
     return new Promise((resolve) => {
--- a/tests/platform/readers_test.ts
+++ b/tests/platform/readers_test.ts
@@ -106,16 +106,18 @@
 
 // Guards against 404 for a route that a newer version may have: a daemon that
 // was cut off from the store spoke for a version that it could not know.
-test("a daemon that is cut off from the store serves its routes and denies none", () =>
+test("a daemon in a domain that is cut off from the store serves its routes and denies none", () =>
   withMesh(async (mesh) => {
-    const { storeProxy } = mesh.instances[0]!;
+    const setFaults = (kind: "silence" | "none") => {
+      for (const { storeProxy } of mesh.instances) storeProxy!.set({ kind });
+    };
     const statusOf = async (path: string) =>
       (await mesh.call(0, { path })).status;
     const before = await statusOf("/missing/1");
-    storeProxy!.set({ kind: "silence" });
+    setFaults("silence");
     await sleep(APPLY_MS + 1_000);
     const during = [await statusOf("/missing/1"), await statusOf("/stock/1")];
-    storeProxy!.set({ kind: "none" });
+    setFaults("none");
     await until(
       async () => (await statusOf("/missing/1")) === 404,
       "the daemon knows the newest version again",
@@ -123,6 +125,17 @@
     assert.equal({ before, during }, { before: 404, during: [503, 200] });
   }));
 
+// Guards against a daemon that knows less than those around it.
+test("a daemon that is cut off from the store alone learns versions from others", () =>
+  withMesh(async (mesh) => {
+    mesh.instances[0]!.storeProxy!.set({ kind: "silence" });
+    await sleep(APPLY_MS + 1_000);
+    addRoute(mesh, 5);
+    await waitForAddedRoute(mesh);
+    const { status } = await mesh.call(0, { path: "/missing/1" });
+    assert.is(status, 404);
+  }));
+
 test("followers read the store themselves when it recovers", () =>
   withMesh(async (mesh) => {
     mesh.store.fault = StoreFault.Busy;
