List the store in place of polling where a version takes long to come

Five versions that come 0.24 s apart crossed a link of 4.9 Mbit/s one by one, as each poll transfers all since the last one in full (0.65 s each): a daemon that had regained the store had the newest one 3.4 to 4.0 s after its return. A daemon whose link takes over 0.2 s for a version lists the store after each one until a listing brings none; a listing transfers the newest only.

--- a/src/coordination/readers/mod.ts
+++ b/src/coordination/readers/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from "./choose_readers.ts";
 export * from "./plan_recovery.ts";
+export * from "./read_cost.ts";
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -331,6 +331,7 @@
       log: this.#log,
       metrics: this.#metrics,
       localKey: this.#publisher.key,
+      linkMbps: this.#settings.linkMbps,
       follower: new FeedFollower({
         instance: this.#settings.instance,
         domain: this.#settings.domain,
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -12,7 +12,13 @@
 import { decodeRecord, RECORD_PREFIX } from "./backend_record_codec.ts";
 import type { PeerClient } from "./peer_client.ts";
 import type { Result } from "neverthrow";
-import type { ChangeBatch, FeedAnswer, FeedPoll } from "../protocol/feed.ts";
+import { isSlowRead } from "../coordination/readers/mod.ts";
+import type {
+  ChangeBatch,
+  FeedAnswer,
+  FeedPoll,
+  StoreChange,
+} from "../protocol/feed.ts";
 import type { StepError } from "../protocol/step_error.ts";
 import type { RangeResult } from "../protocol/store.ts";
 import { FeedHistory } from "../state/feed_history.ts";
@@ -88,6 +94,8 @@
   /** Called with the entry of the local record; `undefined` if missing. */
   readonly onLocalRecord: (entry: StoreEntry | undefined) => void;
   readonly localKey: string;
+  /** Bandwidth of this daemon's link, in Mbit/s; 0 if unknown. */
+  readonly linkMbps: number;
   /** Polls the readers of the failure domain. */
   readonly follower: FeedFollower;
   /** Waits for a store that does not answer. */
@@ -440,7 +448,7 @@
     const versions = result.events.filter(({ key }) =>
       key === configSource.key
     );
-    return versions.length > 1
+    return versions.length > 1 || this.#hasReadSlowly(result.events)
       ? await this.#catchUp(result.revision, signal)
       : result.revision;
   }
@@ -483,7 +491,11 @@
         this.#isPollingStore = true;
         return start.afterRevision === undefined
           ? await this.#applyFirstListing(recovery.range)
-          : this.#applyListing(recovery.range, start.afterRevision);
+          : await this.#applyListing(
+            recovery.range,
+            start.afterRevision,
+            signal,
+          );
       case "followed":
         this.#options.follower.resume(recovery.source);
         return this.#applyFollowed(recovery.batch);
@@ -527,11 +539,24 @@
     const listed = await store.list(configSource.watchPrefix);
     this.countCall("list", sentAtMs, listed.isOk());
     return listed.isOk()
-      ? this.#applyListing(listed.value, afterRevision)
+      ? await this.#applyListing(listed.value, afterRevision, signal)
       : await this.#recoverFrom(listed.error, afterRevision, signal);
   }
 
-  #applyListing(range: RangeResult, afterRevision: number): number {
+  /** Whether a version among these has taken long to come. */
+  #hasReadSlowly(events: readonly StoreChange[]): boolean {
+    const { configSource, linkMbps } = this.#options;
+    return events.some(({ key, entry }) =>
+      key === configSource.key && entry !== undefined &&
+      isSlowRead(entry.value.length, linkMbps)
+    );
+  }
+
+  async #applyListing(
+    range: RangeResult,
+    afterRevision: number,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
     const { configSource, directory, localKey, routes } = this.#options;
     const versionBefore = routes.version;
     const { entries, revision } = range;
@@ -550,9 +575,11 @@
     this.#markConnected(0);
     const hasChanged = events.some(({ key }) => key === configSource.key);
     // The last write may be an older version that hides a newer one before it.
-    return hasChanged && routes.version === versionBefore
-      ? afterRevision
-      : revision;
+    if (hasChanged && routes.version === versionBefore) return afterRevision;
+    if (!this.#hasReadSlowly(events)) return revision;
+    // A series may go on: a poll would bring all of its versions since then.
+    await sleep(COALESCE_MS);
+    return await this.#catchUp(revision, signal);
   }
 
   #applyUpdate(update: ChangeBatch, origin: ConfigOrigin): void {
--- a/src/sidecar/store_sync_task_test.ts
+++ b/src/sidecar/store_sync_task_test.ts
@@ -85,6 +85,7 @@
     log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
     metrics: new TextMetrics(),
     localKey: "own",
+    linkMbps: 0,
     follower: { poll: pollReader } as unknown as FeedFollower,
     recovery: { run: () => Promise.resolve({ kind: "stopped" }) },
     onConfigAdopted: () => adopted.push(routes.version),
