Serve followers on after the store has dropped its history

After a poll was answered that the history is gone, a reader listed the store and forgot what it had recorded.

A listing in place of a lost history is compared with what is known, and the difference is recorded, so that followers go on. The history holds the whole state from the first listing on, so that a follower from before it gets all entries in place of a refusal. While the store is lost, daemons that do not respond are left out of the plan, so that the next ones step in.

--- a/src/protocol/feed.ts
+++ b/src/protocol/feed.ts
@@ -27,6 +27,8 @@
 /** Store changes after a revision, in order. */
 export interface ChangeBatch {
   readonly events: readonly StoreChange[];
+  /** Whether the events are all entries of the store; others are deleted. */
+  readonly isComplete: boolean;
   /** Revision after which the next batch starts. */
   readonly revision: number;
 }
@@ -47,7 +49,7 @@
   }
   /** The daemon reads the store, and its view is too old. */
   | { readonly kind: "away" }
-  /** The daemon does not read the store, or its history starts later. */
+  /** The daemon does not read the store. */
   | { readonly kind: "refused" }
   /** The daemon did not respond. */
   | { readonly kind: "failed" };
@@ -155,7 +157,7 @@
  *
  * @example
  * ```ts
- * decodeFeed(encodeFeed({ events: [], revision: 7 })); // { events: [], revision: 7 }
+ * encodeFeed({ events: [], revision: 7, isComplete: false });
  * ```
  */
 export function encodeFeed(batch: ChangeBatch): Buffer {
@@ -167,7 +169,8 @@
     const text = Buffer.from(value).toString("latin1");
     return { key, value: text, modRevision, leaseId };
   });
-  const message = JSON.stringify({ revision: batch.revision, changes });
+  const { revision, isComplete } = batch;
+  const message = JSON.stringify({ revision, isComplete, changes });
   return gzipSync(message, { level: COMPRESSION_LEVEL });
 }
 
@@ -186,12 +189,17 @@
   try {
     const text = gunzipSync(bytes, { maxOutputLength: MAX_FEED_BYTES })
       .toString();
-    const { revision, changes } = JSON.parse(text) as {
+    const { revision, changes, isComplete } = JSON.parse(text) as {
       readonly revision: number;
+      readonly isComplete?: unknown;
       readonly changes: readonly WireChange[];
     };
     if (!Number.isSafeInteger(revision)) return undefined;
-    return { revision, events: changes.map(decodeChange) };
+    return {
+      revision,
+      isComplete: isComplete === true,
+      events: changes.map(decodeChange),
+    };
   } catch {
     // Truncated or not a batch: the caller logs it with the peer's address.
     return undefined;
--- a/src/protocol/feed_test.ts
+++ b/src/protocol/feed_test.ts
@@ -12,6 +12,7 @@
   const value = Buffer.from([0, 127, 128, 255, 123, 34]);
   const batch = {
     revision: 9,
+    isComplete: true,
     events: [
       {
         key: "config",
@@ -24,7 +25,11 @@
 });
 
 test("decodeFeed() returns undefined for truncated bytes", () => {
-  const bytes = encodeFeed({ revision: 9, events: [{ key: "gone" }] });
+  const bytes = encodeFeed({
+    isComplete: false,
+    revision: 9,
+    events: [{ key: "gone" }],
+  });
   const cuts = [0, 1, 10, bytes.length - 1].map((length) =>
     decodeFeed(bytes.subarray(0, length))
   );
@@ -41,7 +46,11 @@
   }));
   const value = Buffer.from(JSON.stringify(routes));
   const entry = { key: "config", value, modRevision: 1, leaseId: "0" };
-  const bytes = encodeFeed({ revision: 1, events: [{ key: "config", entry }] });
+  const bytes = encodeFeed({
+    isComplete: false,
+    revision: 1,
+    events: [{ key: "config", entry }],
+  });
   assert.ok(bytes.length < value.length / 5);
 });
 
--- a/src/sidecar/feed_follower_test.ts
+++ b/src/sidecar/feed_follower_test.ts
@@ -53,7 +53,7 @@
 }
 
 test("FeedFollower.poll() stays with a reader that has changes", async () => {
-  const batch = { events: [], revision: 7 };
+  const batch = { events: [], revision: 7, isComplete: false };
   assert.equal(await poll({ kind: "changes", batch, viewAgeMs: 0 }, 3), {
     asked: 1,
     polls: 3,
--- a/src/sidecar/peer_client_test.ts
+++ b/src/sidecar/peer_client_test.ts
@@ -41,7 +41,7 @@
 // Guards against readers that are given up although they responded: after a
 // stall the time limit fired before the response was read.
 test("PeerClient.pollFeed() reads a response that came during a stall", async () => {
-  const batch = { events: [], revision: 7 };
+  const batch = { events: [], revision: 7, isComplete: false };
   const worker = new Worker(SERVER_SOURCE, {
     eval: true,
     workerData: encodeFeed(batch),
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -472,6 +472,7 @@
   #encodeUpdate(update: ChangeBatch): Buffer {
     const cached = this.#cachedFeed;
     const isSame = cached?.update.revision === update.revision &&
+      cached.update.isComplete === update.isComplete &&
       cached.update.events.length === update.events.length;
     if (isSame) return cached.body;
     const body = encodeFeed(update);
--- a/src/sidecar/store_recovery.ts
+++ b/src/sidecar/store_recovery.ts
@@ -1,6 +1,9 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Result } from "neverthrow";
-import { planRecovery } from "../coordination/readers/mod.ts";
+import {
+  planRecovery,
+  type RecoveryPlan,
+} from "../coordination/readers/mod.ts";
 import type { FeedPoll, FeedPollResult } from "../protocol/feed.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
 import type { StepError } from "../protocol/step_error.ts";
@@ -15,6 +18,10 @@
 const REFUSED_PAUSE_MS = 200;
 /** The same for one that does not respond, in ms. */
 const FAILED_PAUSE_MS = 1_000;
+/** Time for which such a daemon is not planned with, in ms. */
+const FAILED_TTL_MS = 3_000;
+/** Longest time until the plan is made again, in ms. */
+const REPLAN_MS = 500;
 /** Pause between two polls of a daemon that has lost the store, in ms. */
 const AWAY_PAUSE_MS = 20;
 /** Multiple of a probe's time for which a listing may be silent. */
@@ -78,6 +85,7 @@
  */
 export class StoreRecovery {
   readonly #options: StoreRecoveryOptions;
+  readonly #failedUntilMs = new Map<string, number>();
 
   /**
    * Creates a recovery that has not started.
@@ -106,17 +114,20 @@
         if (polled.isOk()) resolve({ kind: "polled", result: polled.value });
       });
       void this.#probe(ended.signal, resolve);
-      for (const source of this.#plan().sources) {
-        void this.#follow(source, start, ended.signal, resolve);
-      }
+      void this.#followSources(start, ended.signal, resolve);
     });
     ended.abort();
     return recovery;
   }
 
-  #plan() {
+  /** Plans without daemons that do not respond, so that others step in. */
+  #plan(): RecoveryPlan {
     const { directory, instance, domain } = this.#options;
-    const records = [...directory.entries].map(({ record }) => record);
+    const nowMs = performance.now();
+    const records = [...directory.entries].map(({ record }) => record)
+      .filter((record) =>
+        (this.#failedUntilMs.get(record.instance) ?? 0) <= nowMs
+      );
     return planRecovery(records, instance, domain);
   }
 
@@ -124,12 +135,22 @@
     signal: AbortSignal,
     resolve: (recovery: Recovery) => void,
   ): Promise<void> {
-    let delayMs = this.#plan().firstProbeMs;
-    while (await pause(delayMs, signal)) {
+    const startedAtMs = performance.now();
+    let probedAtMs: number | undefined;
+    while (!signal.aborted) {
+      const { firstProbeMs, probePeriodMs } = this.#plan();
+      const dueAtMs = probedAtMs === undefined
+        ? startedAtMs + firstProbeMs
+        : probedAtMs + probePeriodMs;
+      const delayMs = dueAtMs - performance.now();
+      if (delayMs > 0) {
+        await pause(Math.min(delayMs, REPLAN_MS), signal);
+        continue;
+      }
+      probedAtMs = performance.now();
       void this.#probeOnce(signal).then((range) => {
         if (range !== undefined) resolve({ kind: "listed", range });
       });
-      delayMs = this.#plan().probePeriodMs;
     }
   }
 
@@ -152,6 +173,21 @@
     return listed.unwrapOr(undefined);
   }
 
+  async #followSources(
+    start: RecoveryStart,
+    signal: AbortSignal,
+    resolve: (recovery: Recovery) => void,
+  ): Promise<void> {
+    const followed = new Set<string>();
+    do {
+      for (const source of this.#plan().sources) {
+        if (followed.has(source.instance)) continue;
+        followed.add(source.instance);
+        void this.#follow(source, start, signal, resolve);
+      }
+    } while (await pause(REPLAN_MS, signal));
+  }
+
   async #follow(
     source: BackendRecord,
     start: RecoveryStart,
@@ -173,6 +209,10 @@
         const batch = { ...polled.batch, viewAgeMs: polled.viewAgeMs };
         return resolve({ kind: "followed", source: source.instance, batch });
       }
+      if (polled.kind === "failed") {
+        const untilMs = performance.now() + FAILED_TTL_MS;
+        this.#failedUntilMs.set(source.instance, untilMs);
+      }
       waitMs = holdMs;
       pauseMs = pauseAfter(polled.kind);
     }
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -208,10 +208,11 @@
       const nowMs = performance.now();
       const isCurrent = this.#contact.isConnected &&
         this.viewAgeMs() < MAX_READER_AGE_MS;
-      if (isCurrent && batch === undefined) return { kind: "refused" };
-      const hasChanged = batch !== undefined && batch.events.length > 0;
-      if (isCurrent && (hasChanged || nowMs >= deadlineMs)) {
-        return { kind: "changes", batch: batch! };
+      if (isCurrent && batch !== undefined) {
+        const hasChanged = batch.events.length > 0;
+        if (hasChanged || nowMs >= deadlineMs) {
+          return { kind: "changes", batch };
+        }
       }
       if (!isCurrent && (!waitsForStore || nowMs >= deadlineMs)) {
         return { kind: "away" };
@@ -327,11 +328,11 @@
     const { configSource, directory } = this.#options;
     const { entries, revision } = range;
     this.#hasListed = true;
-    this.#history.reset(revision);
+    this.#history.reset(entries, revision);
     for (const entry of entries) {
       this.#applyEntry(entry, ConfigOrigin.Listing);
     }
-    this.#replaceExempt(entries);
+    this.#replaceExempt(entries.map(({ key }) => key));
     this.#markConnected(0);
     const present = new Set(entries.map((entry) => entry.key));
     for (const { record } of directory.entries) {
@@ -374,8 +375,24 @@
     }
   }
 
+  /** Adds the deletion of each key that a complete state lacks. */
+  #compareState(batch: ChangeBatch): ChangeBatch {
+    const { directory, localKey } = this.#options;
+    const present = new Set(batch.events.map(({ key }) => key));
+    const known = [...directory.entries].map(({ record }) =>
+      RECORD_PREFIX + record.instance
+    );
+    const missing = [...new Set([...known, localKey])]
+      .filter((key) => !present.has(key)).map((key) => ({ key }));
+    this.#replaceExempt(batch.events.map(({ key }) => key));
+    return { ...batch, events: [...batch.events, ...missing] };
+  }
+
   #applyFollowed(batch: FollowedBatch): number {
-    this.#applyUpdate(batch, ConfigOrigin.Reader);
+    this.#applyUpdate(
+      batch.isComplete ? this.#compareState(batch) : batch,
+      ConfigOrigin.Reader,
+    );
     this.#markConnected(batch.viewAgeMs);
     return batch.revision;
   }
@@ -407,7 +424,7 @@
     }
     this.countCall("poll", sentAtMs, polled.isOk());
     return polled.isOk()
-      ? await this.#applyPolled(polled.value, signal)
+      ? await this.#applyPolled(polled.value, afterRevision, signal)
       : await this.#recoverFrom(polled.error, afterRevision, signal);
   }
 
@@ -434,12 +451,13 @@
 
   async #applyPolled(
     result: PollResult,
+    afterRevision: number,
     signal: AbortSignal,
   ): Promise<number | undefined> {
     const { configSource, log } = this.#options;
     if (result.kind === "compacted") {
-      log.warn("store-history-lost", { afterRevision: this.#history.revision });
-      return undefined;
+      log.warn("store-history-lost", { afterRevision });
+      return await this.#catchUp(afterRevision, signal, false);
     }
     this.#applyUpdate(result, ConfigOrigin.Poll);
     this.#markConnected(0);
@@ -486,14 +504,18 @@
     });
     switch (recovery.kind) {
       case "polled":
-        return await this.#applyPolled(recovery.result, signal);
+        return await this.#applyPolled(
+          recovery.result,
+          start.afterRevision ?? 0,
+          signal,
+        );
       case "listed":
         this.#isPollingStore = true;
         return start.afterRevision === undefined
           ? await this.#applyFirstListing(recovery.range)
           : await this.#applyListing(
             recovery.range,
-            start.afterRevision,
+            { afterRevision: start.afterRevision, hasHistory: true },
             signal,
           );
       case "followed":
@@ -533,13 +555,18 @@
   async #catchUp(
     afterRevision: number,
     signal: AbortSignal,
+    hasHistory = true,
   ): Promise<number | undefined> {
     const { store, configSource } = this.#options;
     const sentAtMs = performance.now();
     const listed = await store.list(configSource.watchPrefix);
     this.countCall("list", sentAtMs, listed.isOk());
     return listed.isOk()
-      ? await this.#applyListing(listed.value, afterRevision, signal)
+      ? await this.#applyListing(
+        listed.value,
+        { afterRevision, hasHistory },
+        signal,
+      )
       : await this.#recoverFrom(listed.error, afterRevision, signal);
   }
 
@@ -554,28 +581,34 @@
 
   async #applyListing(
     range: RangeResult,
-    afterRevision: number,
+    from: {
+      readonly afterRevision: number;
+      /** Whether the store can still tell the changes since then. */
+      readonly hasHistory: boolean;
+    },
     signal: AbortSignal,
   ): Promise<number | undefined> {
-    const { configSource, directory, localKey, routes } = this.#options;
+    const { configSource, routes } = this.#options;
+    const { afterRevision, hasHistory } = from;
     const versionBefore = routes.version;
     const { entries, revision } = range;
-    const present = new Set(entries.map(({ key }) => key));
-    const known = [...directory.entries].map(({ record }) =>
-      RECORD_PREFIX + record.instance
+    const state = this.#compareState({
+      events: entries.map((entry) => ({ key: entry.key, entry })),
+      revision,
+      isComplete: true,
+    });
+    const events = state.events.filter(({ entry }) =>
+      entry === undefined || entry.modRevision > afterRevision
+    );
+    this.#applyUpdate(
+      { events, revision, isComplete: false },
+      ConfigOrigin.Listing,
     );
-    const events = [
-      ...entries.filter((entry) => entry.modRevision > afterRevision)
-        .map((entry) => ({ key: entry.key, entry })),
-      ...[...new Set([...known, localKey])].filter((key) => !present.has(key))
-        .map((key) => ({ key })),
-    ];
-    this.#applyUpdate({ events, revision }, ConfigOrigin.Listing);
-    this.#replaceExempt(entries);
     this.#markConnected(0);
     const hasChanged = events.some(({ key }) => key === configSource.key);
     // The last write may be an older version that hides a newer one before it.
-    if (hasChanged && routes.version === versionBefore) return afterRevision;
+    const mayBeHidden = hasChanged && routes.version === versionBefore;
+    if (mayBeHidden && hasHistory) return afterRevision;
     if (!this.#hasReadSlowly(events)) return revision;
     // A series may go on: a poll would bring all of its versions since then.
     await sleep(COALESCE_MS);
@@ -658,10 +691,10 @@
     this.#options.quarantine.setExempt(fingerprint, isExempt);
   }
 
-  #replaceExempt(entries: readonly StoreEntry[]): void {
+  #replaceExempt(keys: readonly string[]): void {
     this.#options.quarantine.replaceExempt(
-      entries.filter(({ key }) => key.startsWith(EXEMPTION_PREFIX))
-        .map(({ key }) => key.slice(EXEMPTION_PREFIX.length)),
+      keys.filter((key) => key.startsWith(EXEMPTION_PREFIX))
+        .map((key) => key.slice(EXEMPTION_PREFIX.length)),
     );
   }
 
--- a/src/state/feed_history.ts
+++ b/src/state/feed_history.ts
@@ -1,4 +1,5 @@
 import type { ChangeBatch, StoreChange } from "../protocol/feed.ts";
+import type { StoreEntry } from "../protocol/store.ts";
 
 interface RevisedChange {
   readonly change: StoreChange;
@@ -6,15 +7,16 @@
 }
 
 /**
- * Holds the latest change of each key that this daemon read from the store, for
- * daemons that read from it instead of the store.
+ * Holds the state of the store and the latest change of each key that this
+ * daemon read, for daemons that read from it instead of the store.
  *
  * @example
  * ```ts
  * const history = new FeedHistory();
- * history.reset(7);
+ * history.reset([], 7);
  * history.record([{ key: "a" }], 9);
- * history.since(7); // { events: [{ key: "a" }], revision: 9 }
+ * history.since(7);
+ * // { events: [{ key: "a" }], revision: 9, isComplete: false }
  * ```
  */
 export class FeedHistory {
@@ -29,12 +31,19 @@
   }
 
   /**
-   * Clears the history after a full read of the store.
+   * Starts the history after a full read of the store.
    *
+   * @param entries All entries of the store.
    * @param revision Store revision of the read.
    */
-  reset(revision: number): void {
+  reset(entries: readonly StoreEntry[], revision: number): void {
     this.#changes.clear();
+    for (const entry of entries) {
+      this.#changes.set(entry.key, {
+        change: { key: entry.key, entry },
+        revision,
+      });
+    }
     this.#startRevision = revision;
     this.#revision = revision;
     this.#notifyWaiters();
@@ -60,15 +69,24 @@
    * Returns the changes after a revision.
    *
    * @param revision The revision.
-   * @returns The latest change of each key; `undefined` if the history starts
-   * after the revision.
+   * @returns The latest change of each key, or all entries if the history starts
+   * after the revision; `undefined` before the first read.
    */
   since(revision: number): ChangeBatch | undefined {
-    if (revision < this.#startRevision) return undefined;
+    if (this.#revision === 0) return undefined;
+    const isComplete = revision < this.#startRevision;
     const events = [...this.#changes.values()]
-      .filter((entry) => entry.revision > revision)
+      .filter((entry) =>
+        isComplete
+          ? entry.change.entry !== undefined
+          : entry.revision > revision
+      )
       .map((entry) => entry.change);
-    return { events, revision: Math.max(revision, this.#revision) };
+    return {
+      events,
+      revision: Math.max(revision, this.#revision),
+      isComplete,
+    };
   }
 
   /**
