Have daemons on slow links follow faster ones in small domains too

In a domain of under eight daemons each polled the store, whatever its link. A daemon now follows the best two of its domain if their links are four times as fast, as the compressed feed brings only the newest version. Where nobody is faster, the store is listed for a second after each version that takes long, whichever way it came.

Sites with equal links are not affected.

--- a/src/coordination/readers/choose_readers_test.ts
+++ b/src/coordination/readers/choose_readers_test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { type BackendRecord, BackendState } from "../../protocol/mesh.ts";
-import { chooseReaders } from "./choose_readers.ts";
+import { chooseFollowed, chooseReaders } from "./choose_readers.ts";
 
 function record(fields: Partial<BackendRecord>): BackendRecord {
   return {
@@ -53,4 +53,28 @@
   assert.equal(chooseReaders(membersOf(7), "a"), []);
 });
 
+// Guards against daemons on slow links that transfer each version in full.
+test("chooseFollowed() has daemons of a small domain follow those with far faster links", () => {
+  const members = [
+    record({ instance: "a-1", linkMbps: 7 }),
+    record({ instance: "a-2", linkMbps: 1_000 }),
+    record({ instance: "a-3", linkMbps: 20 }),
+    record({ instance: "a-4", linkMbps: 600 }),
+    record({ instance: "a-5", linkMbps: 900 }),
+  ];
+  const followed = members.map(({ instance }) =>
+    namesOf(chooseFollowed(members, instance, "a"))
+  );
+  const both = ["a-2", "a-5"];
+  assert.equal(followed, [both, [], both, [], []]);
+});
+
+test("chooseFollowed() has all but the readers of a large domain follow them", () => {
+  const members = membersOf(9);
+  const followed = ["a-1", "a-5"].map((instance) =>
+    namesOf(chooseFollowed(members, instance, "a"))
+  );
+  assert.equal(followed, [[], ["a-1", "a-2"]]);
+});
+
 test.run();
--- a/src/sidecar/feed_follower.ts
+++ b/src/sidecar/feed_follower.ts
@@ -1,4 +1,4 @@
-import { chooseReaders } from "../coordination/readers/mod.ts";
+import { chooseFollowed, chooseReaders } from "../coordination/readers/mod.ts";
 import type {
   ChangeBatch,
   FeedPoll,
@@ -149,27 +149,26 @@
 
   /** Says why no reader can be asked. */
   #judgeAbsence(): FollowResult {
-    const isAway = !this.#isReader &&
-      this.#listReaders().some(({ instance }) =>
-        this.#paused.get(instance)?.isAway === true
-      );
+    const isAway = this.#listFollowed().some(({ instance }) =>
+      this.#paused.get(instance)?.isAway === true
+    );
     return { kind: isAway ? "away" : "none" };
   }
 
-  #listReaders(): readonly BackendRecord[] {
-    const { domain, directory } = this.#options;
+  /** Lists the readers to follow; none if this daemon is one itself. */
+  #listFollowed(): readonly BackendRecord[] {
+    const { instance, domain, directory } = this.#options;
     const records = [...directory.entries].map(({ record }) => record);
-    return chooseReaders(records, domain);
+    const readers = chooseReaders(records, domain);
+    this.#isReader = readers.some((other) => other.instance === instance);
+    return chooseFollowed(records, instance, domain);
   }
 
-  /** Returns a reader that is not paused; none if this daemon is a reader. */
+  /** Returns a reader that is not paused. */
   #chooseReader(): BackendRecord | undefined {
     const { instance } = this.#options;
-    const readers = this.#listReaders();
-    this.#isReader = readers.some((other) => other.instance === instance);
-    if (this.#isReader) return undefined;
     const nowMs = performance.now();
-    const available = readers.filter((other) =>
+    const available = this.#listFollowed().filter((other) =>
       (this.#paused.get(other.instance)?.untilMs ?? 0) <= nowMs
     );
     // A hash of its name spreads the followers over the readers.
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -13,12 +13,7 @@
 import type { PeerClient } from "./peer_client.ts";
 import type { Result } from "neverthrow";
 import { isSlowRead } from "../coordination/readers/mod.ts";
-import type {
-  ChangeBatch,
-  FeedAnswer,
-  FeedPoll,
-  StoreChange,
-} from "../protocol/feed.ts";
+import type { ChangeBatch, FeedAnswer, FeedPoll } from "../protocol/feed.ts";
 import type { StepError } from "../protocol/step_error.ts";
 import type { RangeResult } from "../protocol/store.ts";
 import { FeedHistory } from "../state/feed_history.ts";
@@ -47,6 +42,8 @@
 const MAX_READER_AGE_MS = 1_500;
 /** Pause after a poll with events, so that a series needs few calls, in ms. */
 const COALESCE_MS = 500;
+/** Time after a version within which another one is likely, in ms. */
+const SERIES_MS = 1_000;
 /**
  * Pause before the first poll of a store without a configuration, in ms. A new
  * fleet's daemons record their backend servers then; one poll brings them all.
@@ -121,6 +118,8 @@
   #isRecovering = false;
   /** Ends the wait for the current poll. */
   #doubt: (() => void) | undefined;
+  /** When a version was adopted that takes long to come from the store. */
+  #slowVersionAtMs = -Infinity;
   readonly #regainWaiters = new Set<() => void>();
   readonly #contact = new StoreContact(performance.now());
   /** Newest version that another daemon has named. */
@@ -367,6 +366,10 @@
         }, signal);
       }
       case "none": {
+        if (this.#isInSlowSeries()) {
+          await sleep(COALESCE_MS);
+          return await this.#catchUp(afterRevision, signal);
+        }
         const isBehind = !wasReading && this.viewAgeMs() > MAX_READER_AGE_MS;
         return isBehind
           ? await this.#catchUp(afterRevision, signal)
@@ -375,6 +378,14 @@
     }
   }
 
+  /**
+   * Whether a version that takes long to come was adopted just now: a poll would
+   * bring all that have followed it.
+   */
+  #isInSlowSeries(): boolean {
+    return performance.now() - this.#slowVersionAtMs < SERIES_MS;
+  }
+
   /** Adds the deletion of each key that a complete state lacks. */
   #compareState(batch: ChangeBatch): ChangeBatch {
     const { directory, localKey } = this.#options;
@@ -466,7 +477,7 @@
     const versions = result.events.filter(({ key }) =>
       key === configSource.key
     );
-    return versions.length > 1 || this.#hasReadSlowly(result.events)
+    return versions.length > 1
       ? await this.#catchUp(result.revision, signal)
       : result.revision;
   }
@@ -513,11 +524,10 @@
         this.#isPollingStore = true;
         return start.afterRevision === undefined
           ? await this.#applyFirstListing(recovery.range)
-          : await this.#applyListing(
-            recovery.range,
-            { afterRevision: start.afterRevision, hasHistory: true },
-            signal,
-          );
+          : this.#applyListing(recovery.range, {
+            afterRevision: start.afterRevision,
+            hasHistory: true,
+          });
       case "followed":
         this.#options.follower.resume(recovery.source);
         return this.#applyFollowed(recovery.batch);
@@ -562,32 +572,18 @@
     const listed = await store.list(configSource.watchPrefix);
     this.countCall("list", sentAtMs, listed.isOk());
     return listed.isOk()
-      ? await this.#applyListing(
-        listed.value,
-        { afterRevision, hasHistory },
-        signal,
-      )
+      ? this.#applyListing(listed.value, { afterRevision, hasHistory })
       : await this.#recoverFrom(listed.error, afterRevision, signal);
   }
 
-  /** Whether a version among these has taken long to come. */
-  #hasReadSlowly(events: readonly StoreChange[]): boolean {
-    const { configSource, linkMbps } = this.#options;
-    return events.some(({ key, entry }) =>
-      key === configSource.key && entry !== undefined &&
-      isSlowRead(entry.value.length, linkMbps)
-    );
-  }
-
-  async #applyListing(
+  #applyListing(
     range: RangeResult,
     from: {
       readonly afterRevision: number;
       /** Whether the store can still tell the changes since then. */
       readonly hasHistory: boolean;
     },
-    signal: AbortSignal,
-  ): Promise<number | undefined> {
+  ): number {
     const { configSource, routes } = this.#options;
     const { afterRevision, hasHistory } = from;
     const versionBefore = routes.version;
@@ -609,10 +605,7 @@
     // The last write may be an older version that hides a newer one before it.
     const mayBeHidden = hasChanged && routes.version === versionBefore;
     if (mayBeHidden && hasHistory) return afterRevision;
-    if (!this.#hasReadSlowly(events)) return revision;
-    // A series may go on: a poll would bring all of its versions since then.
-    await sleep(COALESCE_MS);
-    return await this.#catchUp(revision, signal);
+    return revision;
   }
 
   #applyUpdate(update: ChangeBatch, origin: ConfigOrigin): void {
@@ -657,6 +650,9 @@
     try {
       const config = configSource.decode(bytes);
       if (!routes.adopt(config, bytes)) return;
+      if (isSlowRead(bytes.length, this.#options.linkMbps)) {
+        this.#slowVersionAtMs = performance.now();
+      }
       log.info("config-adopted", {
         version: config.version,
         routes: config.routes.length,
--- a/tests/platform/return_fleet.ts
+++ b/tests/platform/return_fleet.ts
@@ -55,8 +55,13 @@
 const VERSION_GAP_MS = 240;
 /** Reads in a second of a store that returns with few. */
 const FEW_READS_PER_S = 20;
-/** Time for daemons to poll again after a change, in ms. */
-const SETTLE_MS = 1_500;
+/** Time for daemons to take what came before, in ms. */
+const REST_MS = 1_500;
+/**
+ * Time after a change within which all daemons have just polled again, in ms:
+ * polls that are lost then are waited for the longest.
+ */
+const REPOLL_MS = 700;
 const START_TIMEOUT_MS = 120_000;
 const MAX_OUTPUT_LENGTH = 8_000;
 /** Time after the return for which adoptions are awaited, in ms. */
@@ -135,9 +140,10 @@
    * @param awayMs Time for which it is away, in ms.
    */
   async measure(how: StoreReturn, awayMs: number): Promise<ReturnResult> {
+    await sleep(REST_MS);
     // Ends all polls, so that those of the daemons are in step.
     this.store.put("sesamepond/nothing", String(this.#version));
-    await sleep(SETTLE_MS);
+    await sleep(REPOLL_MS);
     const readsBefore = this.store.reads;
     this.#takeAway(how);
     await sleep(awayMs);
