Go on to the newest version that other daemons have named

The way around a poll that does not deliver handled one version at a time: it paused 0.7 s, fetched the version that had started it, and forgot those that were named meanwhile. It now fetches from whoever named the newest version until that one is in force, without the pause and without a read of the store while the store is lost.

The new test failed on the former code (adopted 1, 5 in place of 1, 5, 9).

--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -124,6 +124,8 @@
   readonly #contact = new StoreContact(performance.now());
   /** Newest version that another daemon has named. */
   #newestPeerVersion = 0;
+  /** Client of that daemon, if there is one. */
+  #newestPeer: PeerClient | undefined;
   #hasListed = false;
   #isRefreshing = false;
   readonly #loggedGaps = new Set<string>();
@@ -252,8 +254,8 @@
   }
 
   /**
-   * Fetches a configuration version that another daemon has, from that daemon or
-   * from the store, unless the poll delivers it soon.
+   * Fetches the newest configuration version that other daemons have named, from
+   * the one that named it or from the store, unless the poll delivers it soon.
    *
    * @param version The version of the other daemon.
    * @param client Client of the other daemon, if there is one.
@@ -263,13 +265,25 @@
     client: PeerClient | undefined,
   ): Promise<void> {
     const { routes } = this.#options;
-    this.#newestPeerVersion = Math.max(this.#newestPeerVersion, version);
-    const isBehind = () => version > routes.version;
+    const isNewer = version > this.#newestPeerVersion;
+    const adds = version === this.#newestPeerVersion &&
+      this.#newestPeer === undefined;
+    if (isNewer || adds) {
+      this.#newestPeerVersion = version;
+      this.#newestPeer = client;
+    }
+    const isBehind = () => this.#newestPeerVersion > routes.version;
     if (!isBehind() || this.#isRefreshing) return;
     this.#isRefreshing = true;
     try {
-      await sleep(PEER_VERSION_GRACE_MS);
-      if (isBehind()) await this.#fetchPeerVersion(version, client);
+      // A store that is away delivers nothing.
+      if (!this.#isRecovering) await sleep(PEER_VERSION_GRACE_MS);
+      let fetched = 0;
+      // Others may name a newer version during the fetch.
+      while (isBehind() && this.#newestPeerVersion > fetched) {
+        fetched = this.#newestPeerVersion;
+        await this.#fetchPeerVersion(fetched, this.#newestPeer);
+      }
     } finally {
       this.#isRefreshing = false;
     }
@@ -283,13 +297,12 @@
     log.info("config-behind-peer", {
       version,
       known: routes.version,
-      newest: this.#newestPeerVersion,
       viewAgeMs: Math.round(this.viewAgeMs()),
     });
     // Compressed, so it also crosses a slow link that the store's copy fills.
     const bytes = await client?.fetchConfig();
     if (bytes !== undefined) this.#adoptConfig(bytes, ConfigOrigin.Peer);
-    if (version > routes.version) await this.#readKey();
+    if (version > routes.version && !this.#isRecovering) await this.#readKey();
   }
 
   /** Reads the key of the configuration; concurrent calls share one read. */
--- a/src/sidecar/store_sync_task_test.ts
+++ b/src/sidecar/store_sync_task_test.ts
@@ -10,6 +10,7 @@
 import { EventLog } from "../transport/observe/event_log.ts";
 import { TextMetrics } from "../transport/observe/text_metrics.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
+import type { PeerClient } from "./peer_client.ts";
 import type { FeedFollower, FollowResult } from "./feed_follower.ts";
 import type { MeshStore } from "./ports.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
@@ -48,6 +49,7 @@
   runMs = RUN_MS,
   pollReader: () => Promise<FollowResult> = () =>
     Promise.resolve({ kind: "none" }),
+  onStarted: (task: StoreSyncTask) => void = () => {},
 ): Promise<{ calls: string[]; adopted: number[] }> {
   const calls: string[] = [];
   const routes = new RouteTableHolder();
@@ -94,6 +96,7 @@
   });
   const stopped = new AbortController();
   const running = task.run(stopped.signal);
+  onStarted(task);
   await sleep(runMs);
   stopped.abort();
   await running;
@@ -145,4 +148,26 @@
   assert.equal(calls, ["list"]);
 });
 
+// Guards against versions that are late by the way around: one that was named
+// while an older one was fetched was forgotten.
+test("StoreSyncTask.handlePeerVersion() goes on to the newest version that was named", async () => {
+  const clientOf = (version: number, tookMs: number) => ({
+    fetchConfig: async () => {
+      await sleep(tookMs);
+      return Buffer.from(String(version));
+    },
+  } as unknown as PeerClient);
+  const { adopted } = await runSync(
+    [configEntryAt(1)],
+    1_500,
+    () => sleep(1_500, { kind: "none" } as const),
+    (task) => {
+      void task.handlePeerVersion(5, clientOf(5, 300));
+      // During the fetch of the former, which begins after 700 ms.
+      setTimeout(() => void task.handlePeerVersion(9, clientOf(9, 0)), 800);
+    },
+  );
+  assert.equal(adopted, [1, 5, 9]);
+});
+
 test.run();
