--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -37,6 +37,8 @@
   readonly folder: string;
   readonly bundle: string;
   readonly storePort: number;
+  /** Bandwidth that its settings name, in Mbit/s; by its index by default. */
+  readonly linkMbps?: number;
   /** Grace period of the daemon, in s; {@linkcode GRACE_S} by default. */
   readonly graceS?: number;
   /** Arguments of Node.js for the daemon; none by default. */
@@ -313,7 +315,8 @@
       JSON.stringify({
         instance: this.name,
         domain: this.#options.domain,
-        linkMbps: this.#options.index % 2 === 0 ? FAST_MBPS : SLOW_MBPS,
+        linkMbps: this.#options.linkMbps ??
+          (this.#options.index % 2 === 0 ? FAST_MBPS : SLOW_MBPS),
         service: "stock",
         backendAddress: this.backend.address,
         ingressAddress: formatAddress(0),
--- a/tests/platform/return_cases.ts
+++ b/tests/platform/return_cases.ts
@@ -1,7 +1,12 @@
 import process from "node:process";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { ReturnFleet, type ReturnResult, StoreReturn } from "./return_fleet.ts";
+import {
+  ReturnFleet,
+  type ReturnFleetOptions,
+  type ReturnResult,
+  StoreReturn,
+} from "./return_fleet.ts";
 
 /**
  * Time after its return from which the store counts as stable, in ms. Versions
@@ -62,20 +67,21 @@
 /**
  * Defines a test for each way in which the store returns.
  *
- * @param size Number of daemons of the fleet.
+ * @param options Size and links of the fleet.
  * @param absencesMs Times for which the store is away, in ms.
  */
 export function testReturns(
-  size: number,
+  options: ReturnFleetOptions,
   absencesMs: readonly number[] = ABSENCES_MS,
 ): void {
+  const links = options.hasSlowLinks ? "slow and fast" : "fast";
   const narrowed = process.env.STORE_RETURNS?.split(",");
   for (const how of Object.values(StoreReturn)) {
     if (narrowed?.includes(how) === false) continue;
     // Guards against versions that are late at daemons which go on waiting for
     // calls that they sent before the store returned.
-    test(`the newest version is in force at ${size} daemons as the store counts as stable: ${how}`, async () => {
-      const fleet = await ReturnFleet.start(size);
+    test(`the newest version is in force at ${options.size} daemons on ${links} links as the store counts as stable: ${how}`, async () => {
+      const fleet = await ReturnFleet.start(options);
       try {
         await measureAll(fleet, how, absencesMs);
       } finally {
--- a/tests/platform/return_fleet.ts
+++ b/tests/platform/return_fleet.ts
@@ -62,6 +62,8 @@
  * polls that are lost then are waited for the longest.
  */
 const REPOLL_MS = 700;
+/** Bandwidth of a link that is not slow, in Mbit/s. */
+const FAST_MBPS = 1_000;
 const START_TIMEOUT_MS = 120_000;
 const MAX_OUTPUT_LENGTH = 8_000;
 /** Time after the return for which adoptions are awaited, in ms. */
@@ -69,7 +71,15 @@
 const NODE_ARGS = ["--max-semi-space-size=2", "--max-old-space-size=120"];
 const ADOPTED = /time=(\S+) .*event=config-adopted .*version=(\d+) /g;
 
-/** Daemons as processes, half of them on slow links, and their store. */
+/** Size and links of a {@linkcode ReturnFleet}. */
+export interface ReturnFleetOptions {
+  /** Number of daemons, in three failure domains. */
+  readonly size: number;
+  /** Whether every second daemon has a slow link. */
+  readonly hasSlowLinks: boolean;
+}
+
+/** Daemons as processes, and their store. */
 export class ReturnFleet {
   readonly store: KvServer;
   readonly #folder: string;
@@ -84,16 +94,17 @@
   /**
    * Starts daemons and waits until they know each other.
    *
-   * @param size Number of daemons, in three failure domains.
+   * @param options Size and links.
    * @returns The fleet.
    */
-  static async start(size: number): Promise<ReturnFleet> {
+  static async start(options: ReturnFleetOptions): Promise<ReturnFleet> {
     const fleet = new ReturnFleet(await KvServer.start());
-    await fleet.#start(size);
+    await fleet.#start(options);
     return fleet;
   }
 
-  async #start(size: number): Promise<void> {
+  async #start(options: ReturnFleetOptions): Promise<void> {
+    const { size, hasSlowLinks } = options;
     const bundle = join(this.#folder, "sesamepond.cjs");
     spawnSync(process.execPath, ["scripts/build_platform.mjs", bundle]);
     this.#putVersion();
@@ -106,6 +117,7 @@
           bundle,
           storePort: Number(this.store.address.split(":")[1]),
           nodeArgs: NODE_ARGS,
+          ...(hasSlowLinks ? {} : { linkMbps: FAST_MBPS }),
         }),
       );
     }
@@ -121,7 +133,7 @@
     );
     for (const [index, { storeProxy, peerProxy }] of this.#daemons.entries()) {
       // SoakInstance gives the daemons with odd indexes slow links.
-      if (index % 2 === 0) continue;
+      if (!hasSlowLinks || index % 2 === 0) continue;
       const fault = {
         kind: "slow",
         delayMs: 1,
