Do not poll again for a version that a listing repeats

A daemon that had the newest version from another daemon listed the store after its return, saw no newer version, and polled from before the listing, in case an older write hid one: each version since then crossed its link again. It does so only if the listed configuration is another one than it has.

The new test failed before (fourth call: poll after 3). Requests without a route that wait for the store share one wait.

--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { setTimeout as sleep } from "node:timers/promises";
 import { EXEMPTION_PREFIX } from "../protocol/end_evidence.ts";
 import type { ConfigGap } from "../protocol/mesh.ts";
@@ -120,7 +121,9 @@
   #doubt: (() => void) | undefined;
   /** When a version was adopted that takes long to come from the store. */
   #slowVersionAtMs = -Infinity;
-  readonly #regainWaiters = new Set<() => void>();
+  /** Resolves once a store that is lost has been regained. */
+  #regained: Promise<void> | undefined;
+  #resolveRegained: (() => void) | undefined;
   readonly #contact = new StoreContact(performance.now());
   /** Newest version that another daemon has named. */
   #newestPeerVersion = 0;
@@ -481,6 +484,7 @@
     const { configSource, log } = this.#options;
     if (result.kind === "compacted") {
       log.warn("store-history-lost", { afterRevision });
+      // Compared with what is known, so that followers can go on.
       return await this.#catchUp(afterRevision, signal, false);
     }
     this.#applyUpdate(result, ConfigOrigin.Poll);
@@ -559,7 +563,10 @@
   }
 
   #waitForRegain(): Promise<void> {
-    return new Promise((resolve) => this.#regainWaiters.add(resolve));
+    this.#regained ??= new Promise((resolve) => {
+      this.#resolveRegained = resolve;
+    });
+    return this.#regained;
   }
 
   #choosePollWaitMs(): number {
@@ -614,11 +621,11 @@
       ConfigOrigin.Listing,
     );
     this.#markConnected(0);
-    const hasChanged = events.some(({ key }) => key === configSource.key);
+    const config = events.find(({ key }) => key === configSource.key)?.entry;
     // The last write may be an older version that hides a newer one before it.
-    const mayBeHidden = hasChanged && routes.version === versionBefore;
-    if (mayBeHidden && hasHistory) return afterRevision;
-    return revision;
+    const mayHide = config !== undefined && routes.version === versionBefore &&
+      Buffer.compare(config.value, routes.encodedConfig) !== 0;
+    return mayHide && hasHistory ? afterRevision : revision;
   }
 
   #applyUpdate(update: ChangeBatch, origin: ConfigOrigin): void {
@@ -771,8 +778,8 @@
     this.#view.confirm(nowMs - viewAgeMs);
     const returned = this.#contact.regain(nowMs);
     this.#history.wake();
-    for (const resolve of this.#regainWaiters) resolve();
-    this.#regainWaiters.clear();
+    this.#resolveRegained?.();
+    this.#regained = undefined;
     if (returned === undefined) return;
     const { log, metrics } = this.#options;
     metrics.observe("store_answered_unnoticed_ms", returned.answeredForMs);
--- a/src/sidecar/store_sync_task_test.ts
+++ b/src/sidecar/store_sync_task_test.ts
@@ -141,6 +141,16 @@
   });
 });
 
+// Guards against all versions of a series being transferred again by a daemon
+// that already has the newest one from another daemon.
+test("StoreSyncTask.run() does not poll again for the version that it lists", async () => {
+  const { calls } = await runSync([configEntryAt(1), {
+    ...configEntryAt(3),
+    modRevision: 9,
+  }]);
+  assert.equal(calls, ["list", "poll after 1", "list", "poll after 9"]);
+});
+
 // Pattern: a whole fleet starts for the first time, and each record ended the
 // polls of all its daemons.
 test("StoreSyncTask.run() polls later where the store has no configuration", async () => {
