Date a view by when a late answer was true, not by when it came

Since late answers of the store are taken, a listing of 3 s counted as a view of this moment, so that a route which the store had accepted 3 s before could have been denied. A listing dates the view by when it was sent, and the late answer of a doubted poll by the end of its hold, or by its sending if it brings changes.

--- a/src/sidecar/store_recovery.ts
+++ b/src/sidecar/store_recovery.ts
@@ -12,7 +12,7 @@
 import type { FollowedBatch } from "./feed_follower.ts";
 import type { MeshStore, PollResult } from "./ports.ts";
 
-/** Oldest view of another daemon that is taken, in ms. */
+/** Oldest view of another daemon that is taken without changes, in ms. */
 const MAX_SOURCE_AGE_MS = 1_500;
 /** Pause before a daemon that does not read the store is asked again, in ms. */
 const REFUSED_PAUSE_MS = 200;
@@ -33,7 +33,12 @@
 export type Recovery =
   /** The store answered the poll that had been doubted. */
   | { readonly kind: "polled"; readonly result: PollResult }
-  | { readonly kind: "listed"; readonly range: RangeResult }
+  | {
+    readonly kind: "listed";
+    readonly range: RangeResult;
+    /** Monotonic time at which the listing was sent, in ms. */
+    readonly sentAtMs: number;
+  }
   | {
     readonly kind: "followed";
     readonly source: string;
@@ -148,14 +153,16 @@
         continue;
       }
       probedAtMs = performance.now();
-      void this.#probeOnce(signal).then((range) => {
-        if (range !== undefined) resolve({ kind: "listed", range });
+      void this.#probeOnce(signal).then((listed) => {
+        if (listed !== undefined) resolve({ kind: "listed", ...listed });
       });
     }
   }
 
   /** Lists the store if it answers a probe. */
-  async #probeOnce(signal: AbortSignal): Promise<RangeResult | undefined> {
+  async #probeOnce(
+    signal: AbortSignal,
+  ): Promise<{ range: RangeResult; sentAtMs: number } | undefined> {
     const { store, prefix, onCall } = this.#options;
     const probedAtMs = performance.now();
     const probed = await store.probe(signal);
@@ -170,7 +177,9 @@
     const listed = await store.list(prefix, { silenceTimeoutMs, signal });
     if (signal.aborted) return undefined;
     onCall("list", listedAtMs, listed.isOk());
-    return listed.unwrapOr(undefined);
+    return listed.isOk()
+      ? { range: listed.value, sentAtMs: listedAtMs }
+      : undefined;
   }
 
   async #followSources(
@@ -203,9 +212,10 @@
     while (await pause(pauseMs, signal)) {
       const poll = { afterRevision, waitMs, waitsForStore: true };
       const polled = await pollFeed(source, poll, signal);
-      const isCurrent = polled.kind === "changes" &&
-        polled.viewAgeMs <= MAX_SOURCE_AGE_MS;
-      if (isCurrent) {
+      const isUseful = polled.kind === "changes" &&
+        (polled.viewAgeMs <= MAX_SOURCE_AGE_MS ||
+          polled.batch.events.length > 0);
+      if (isUseful) {
         const batch = { ...polled.batch, viewAgeMs: polled.viewAgeMs };
         return resolve({ kind: "followed", source: source.instance, batch });
       }
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -76,6 +76,9 @@
   readonly reason: string;
   /** Whether a call has failed, and not only taken long. */
   readonly isFailure: boolean;
+  /** Monotonic times at which a pending poll was sent and its hold ends. */
+  readonly sentAtMs?: number;
+  readonly heldUntilMs?: number;
 }
 
 /** Options of a {@linkcode StoreSyncTask}. */
@@ -212,9 +215,10 @@
       const nowMs = performance.now();
       const isCurrent = this.#contact.isConnected &&
         this.viewAgeMs() < MAX_READER_AGE_MS;
-      if (isCurrent && batch !== undefined) {
+      if (batch !== undefined) {
+        // Changes are worth having, however old the view is.
         const hasChanged = batch.events.length > 0;
-        if (hasChanged || nowMs >= deadlineMs) {
+        if (hasChanged || isCurrent && nowMs >= deadlineMs) {
           return { kind: "changes", batch };
         }
       }
@@ -335,11 +339,14 @@
     const listed = await store.list(configSource.watchPrefix);
     this.countCall("list", sentAtMs, listed.isOk());
     return listed.isOk()
-      ? await this.#applyFirstListing(listed.value)
+      ? await this.#applyFirstListing(listed.value, sentAtMs)
       : await this.#recoverFrom(listed.error, undefined, signal);
   }
 
-  async #applyFirstListing(range: RangeResult): Promise<number> {
+  async #applyFirstListing(
+    range: RangeResult,
+    sentAtMs: number,
+  ): Promise<number> {
     const { configSource, directory } = this.#options;
     const { entries, revision } = range;
     this.#hasListed = true;
@@ -348,7 +355,7 @@
       this.#applyEntry(entry, ConfigOrigin.Listing);
     }
     this.#replaceExempt(entries.map(({ key }) => key));
-    this.#markConnected(0);
+    this.#markConnected(sentAtMs);
     const present = new Set(entries.map((entry) => entry.key));
     for (const { record } of directory.entries) {
       const key = RECORD_PREFIX + record.instance;
@@ -420,7 +427,7 @@
       batch.isComplete ? this.#compareState(batch) : batch,
       ConfigOrigin.Reader,
     );
-    this.#markConnected(batch.viewAgeMs);
+    this.#markConnected(performance.now() - batch.viewAgeMs);
     return batch.revision;
   }
 
@@ -443,6 +450,8 @@
       const revision = await this.#recover({
         afterRevision,
         pending,
+        sentAtMs,
+        heldUntilMs: sentAtMs + waitMs,
         reason: `no answer to a poll of ${waitMs} ms`,
         isFailure: false,
       }, signal);
@@ -451,7 +460,10 @@
     }
     this.countCall("poll", sentAtMs, polled.isOk());
     return polled.isOk()
-      ? await this.#applyPolled(polled.value, afterRevision, signal)
+      ? await this.#applyPolled(polled.value, {
+        afterRevision,
+        atMs: performance.now(),
+      }, signal)
       : await this.#recoverFrom(polled.error, afterRevision, signal);
   }
 
@@ -478,17 +490,22 @@
 
   async #applyPolled(
     result: PollResult,
-    afterRevision: number,
+    poll: {
+      readonly afterRevision: number;
+      /** Monotonic time at which the result was true, in ms. */
+      readonly atMs: number;
+    },
     signal: AbortSignal,
   ): Promise<number | undefined> {
     const { configSource, log } = this.#options;
+    const { afterRevision, atMs } = poll;
     if (result.kind === "compacted") {
       log.warn("store-history-lost", { afterRevision });
       // Compared with what is known, so that followers can go on.
       return await this.#catchUp(afterRevision, signal, false);
     }
     this.#applyUpdate(result, ConfigOrigin.Poll);
-    this.#markConnected(0);
+    this.#markConnected(atMs);
     if (result.events.length === 0) return result.revision;
     await sleep(COALESCE_MS);
     const versions = result.events.filter(({ key }) =>
@@ -508,7 +525,7 @@
     doubt: StoreDoubt,
     signal: AbortSignal,
   ): Promise<number | undefined> {
-    const { reason, isFailure, ...start } = doubt;
+    const { reason, isFailure, sentAtMs, heldUntilMs, ...start } = doubt;
     const doubtedAtMs = performance.now();
     const lose = () => {
       if (this.#contact.isConnected) {
@@ -531,19 +548,24 @@
       tookMs: Math.round(performance.now() - doubtedAtMs),
     });
     switch (recovery.kind) {
-      case "polled":
-        return await this.#applyPolled(
-          recovery.result,
-          start.afterRevision ?? 0,
-          signal,
-        );
+      case "polled": {
+        const { result } = recovery;
+        const isUnchanged = result.kind === "events" &&
+          result.events.length === 0;
+        return await this.#applyPolled(result, {
+          afterRevision: start.afterRevision ?? 0,
+          // A late answer says what was true before its way back.
+          atMs: (isUnchanged ? heldUntilMs : sentAtMs) ?? doubtedAtMs,
+        }, signal);
+      }
       case "listed":
         this.#isPollingStore = true;
         return start.afterRevision === undefined
-          ? await this.#applyFirstListing(recovery.range)
+          ? await this.#applyFirstListing(recovery.range, recovery.sentAtMs)
           : this.#applyListing(recovery.range, {
             afterRevision: start.afterRevision,
             hasHistory: true,
+            sentAtMs: recovery.sentAtMs,
           });
       case "followed":
         this.#options.follower.resume(recovery.source);
@@ -592,7 +614,11 @@
     const listed = await store.list(configSource.watchPrefix);
     this.countCall("list", sentAtMs, listed.isOk());
     return listed.isOk()
-      ? this.#applyListing(listed.value, { afterRevision, hasHistory })
+      ? this.#applyListing(listed.value, {
+        afterRevision,
+        hasHistory,
+        sentAtMs,
+      })
       : await this.#recoverFrom(listed.error, afterRevision, signal);
   }
 
@@ -602,10 +628,12 @@
       readonly afterRevision: number;
       /** Whether the store can still tell the changes since then. */
       readonly hasHistory: boolean;
+      /** Monotonic time at which the listing was sent, in ms. */
+      readonly sentAtMs: number;
     },
   ): number {
     const { configSource, routes } = this.#options;
-    const { afterRevision, hasHistory } = from;
+    const { afterRevision, hasHistory, sentAtMs } = from;
     const versionBefore = routes.version;
     const { entries, revision } = range;
     const state = this.#compareState({
@@ -620,7 +648,7 @@
       { events, revision, isComplete: false },
       ConfigOrigin.Listing,
     );
-    this.#markConnected(0);
+    this.#markConnected(sentAtMs);
     const config = events.find(({ key }) => key === configSource.key)?.entry;
     // The last write may be an older version that hides a newer one before it.
     const mayHide = config !== undefined && routes.version === versionBefore &&
@@ -772,10 +800,10 @@
     });
   }
 
-  /** Records that the view was complete some time ago. */
-  #markConnected(viewAgeMs: number): void {
+  /** Records a monotonic time at which the view was complete, in ms. */
+  #markConnected(completeAtMs: number): void {
     const nowMs = performance.now();
-    this.#view.confirm(nowMs - viewAgeMs);
+    this.#view.confirm(completeAtMs);
     const returned = this.#contact.regain(nowMs);
     this.#history.wake();
     this.#resolveRegained?.();
