Identify organisations by their keys at the ingress

A configuration with tenants was adopted without them: their keys were passed on to the backend servers, requests with unknown keys ran, and X-Tenant was what the caller had sent.

Keys are decoded with the configuration and checked beside the route, by the same rule: a request is denied by a configuration that is known to be current only. The organisation, its priority and whether the request is a call of a running one travel with the call between daemons.

--- a/src/protocol/mesh.ts
+++ b/src/protocol/mesh.ts
@@ -34,6 +34,20 @@
   readonly priority: number;
   /** Largest number of backend servers that one request is sent to. */
   readonly maxAttempts: number;
+  /** Whether its requests need no key of an organisation. */
+  readonly isPublic?: boolean;
+}
+
+/** An organisation whose callers identify themselves by a key. */
+export interface MeshOrganisation {
+  readonly name: string;
+  readonly keys: readonly string[];
+  /** Rank of its requests, before that of the route; 0 is the most urgent. */
+  readonly priority: number;
+  /** Requests per second over all daemons together; 0 if unlimited. */
+  readonly limitPerS: number;
+  /** Requests beyond the limit per second in a burst. */
+  readonly burst: number;
 }
 
 /** A service that is the target of routes. */
@@ -67,6 +81,8 @@
   readonly routes: readonly MeshRoute[];
   readonly services: readonly MeshService[];
   readonly limits: RequestLimits;
+  /** Absent if requests carry no keys. */
+  readonly organisations?: readonly MeshOrganisation[];
 }
 
 /** Whether a backend server accepts requests. */
--- a/src/protocol/mesh_call.ts
+++ b/src/protocol/mesh_call.ts
@@ -32,6 +32,12 @@
   readonly namedLimitPerS?: number | undefined;
   /** Ends of backend processes that the request is suspected of. */
   readonly evidence?: readonly EndEvidence[] | undefined;
+  /** Organisation of the caller, if it has one. */
+  readonly organisation?: string | undefined;
+  /** Rank of the organisation; 0 is the most urgent. */
+  readonly organisationPriority?: number | undefined;
+  /** Whether a running request probably waits for it. */
+  readonly isSubcall?: boolean | undefined;
 }
 
 /** The complete response of a backend server. */
--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -46,6 +46,8 @@
 const KINDS_BY_CODE = new Map(
   Object.values(RequestKind).map((kind) => [KIND_CODES[kind], kind]),
 );
+/** Marks a request that a running request waits for. */
+const SUBCALL_FLAG = "s";
 const REASONS = new Set<string>(Object.values(MeshReason));
 
 /** Description of a request, with times relative to when it is sent. */
@@ -99,13 +101,24 @@
     Math.round(call.remainingMs),
     Math.round(call.objectiveInMs),
     call.configVersion,
-    ...formatOptional(
-      call.namedLimitPerS,
-      encodeURIComponent(formatEvidence(call.evidence ?? [])),
-    ),
+    ...formatCallOptions(call),
   ].join(SEPARATOR);
 }
 
+/** Formats the last fields, of which those at the end may be absent. */
+function formatCallOptions(call: CallDescription): readonly string[] {
+  const evidence = encodeURIComponent(formatEvidence(call.evidence ?? []));
+  const isLong = call.organisation !== undefined || call.isSubcall === true;
+  if (!isLong) return formatOptional(call.namedLimitPerS, evidence);
+  return [
+    call.namedLimitPerS?.toFixed(2) ?? "",
+    evidence,
+    encodeURIComponent(call.organisation ?? ""),
+    String(call.organisationPriority ?? ""),
+    call.isSubcall === true ? SUBCALL_FLAG : "",
+  ];
+}
+
 /**
  * Parses the description of a request.
  *
@@ -144,9 +157,22 @@
     configVersion,
     ...parseLimit(fields[CALL_FIELDS], "namedLimitPerS"),
     ...parseEvidenceField(fields[CALL_FIELDS + 1]),
+    ...parseOrganisation(fields[CALL_FIELDS + 2], fields[CALL_FIELDS + 3]),
+    ...(fields[CALL_FIELDS + 4] === SUBCALL_FLAG ? { isSubcall: true } : {}),
   };
 }
 
+function parseOrganisation(
+  name: string | undefined,
+  priorityText: string | undefined,
+): Pick<MeshCall, "organisation" | "organisationPriority"> {
+  if (name === undefined || name === "") return {};
+  const priority = Number(priorityText || NaN);
+  return Number.isFinite(priority)
+    ? { organisation: name, organisationPriority: priority }
+    : { organisation: name };
+}
+
 /**
  * Formats the description of an outcome.
  *
--- a/src/protocol/peer_call_test.ts
+++ b/src/protocol/peer_call_test.ts
@@ -37,6 +37,16 @@
   assert.equal(parseCall(formatCall(CALL)), CALL);
 });
 
+test("the organisation and the kind of caller go to the destination", () => {
+  const calls: CallDescription[] = [
+    { ...CALL, organisation: "a;b", organisationPriority: 0 },
+    { ...CALL, organisation: "pub" },
+    { ...CALL, isSubcall: true },
+    { ...CALL, namedLimitPerS: 2, organisation: "pub", isSubcall: true },
+  ];
+  assert.equal(calls.map((call) => parseCall(formatCall(call))), calls);
+});
+
 test("parseResult() reverses formatResult()", () => {
   const outcomes: ResultDescription["outcome"][] = [
     { kind: "answered", serviceMs: 31 },
--- a/src/sidecar/backend_response_test.ts
+++ b/src/sidecar/backend_response_test.ts
@@ -27,6 +27,8 @@
   timeoutMs: "timeout",
   callerService: "caller",
   expectedBackend: "expected",
+  organisationKey: "key",
+  organisation: "organisation",
   answerProof: "proof",
   notRun: "not-run",
   backendId: "backend",
--- a/src/sidecar/forward_types.ts
+++ b/src/sidecar/forward_types.ts
@@ -19,6 +19,12 @@
   readonly service: string;
   readonly deadlineMs: number;
   readonly objectiveAtMs: number;
+  /** Organisation of the caller, if it has one. */
+  readonly organisation?: string;
+  /** Rank of the organisation; 0 is the most urgent. */
+  readonly organisationPriority?: number;
+  /** Whether a running request probably waits for it. */
+  readonly isSubcall?: boolean;
 }
 
 /** The result of forwarding a request, for its caller. */
--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -5,9 +5,8 @@
   type ServerResponse,
 } from "node:http";
 import { chooseTarget } from "../coordination/dispatch/mod.ts";
-import type { MeshRoute } from "../protocol/mesh.ts";
+import type { MeshOrganisation, MeshRoute } from "../protocol/mesh.ts";
 import { HEADER_CALL, HEADER_RESULT } from "../protocol/peer_call.ts";
-import type { RouteTable } from "../state/route_table.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import {
   type CallerRequest,
@@ -17,7 +16,6 @@
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
-import { LogRateLimiter } from "../transport/observe/log_rate_limiter.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import type { GracefulShutdown } from "./graceful_shutdown.ts";
 import type {
@@ -28,28 +26,19 @@
 import type { EdgeHeaders } from "./ports.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
 import { readBody } from "../transport/http/read_body.ts";
+import { RequestAuthorizer } from "./request_authorizer.ts";
+import { RequestDeadlines } from "./request_deadlines.ts";
 import { RequestLog } from "./request_log.ts";
 
-/** Retry-After value before a configuration is known, in ms. */
-const NO_CONFIG_RETRY_AFTER_MS = 300;
 /** Retry-After value during shutdown, in ms: other daemons serve at once. */
 const SHUTDOWN_RETRY_AFTER_MS = 50;
 /** Keep-alive timeout before a configuration is known, in ms. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
-/**
- * Age of the configuration up to which it decides that a route does not exist,
- * in ms.
- */
-const MAX_CONFIG_AGE_MS = 2_000;
-/** Retry-After value if it is not known whether a route exists, in ms. */
-const UNCONFIRMED_RETRY_AFTER_MS = 500;
 /** Status of a response that does not say whether the request has run. */
 const BAD_GATEWAY_STATUS = 502;
 /** Status of a response to a request that did not come in full, or run. */
 const REQUEST_TIMEOUT_STATUS = 408;
-/** Most log lines about requests without a route in a second. */
-const MAX_UNKNOWN_LINES_PER_S = 20;
 
 /** Options of an {@linkcode IngressServer}. */
 export interface IngressServerOptions {
@@ -85,10 +74,11 @@
   readonly server: Server;
   readonly #options: IngressServerOptions;
   readonly #requestLog: RequestLog;
-  readonly #unknownLines: LogRateLimiter;
+  readonly #authorizer: RequestAuthorizer;
+  readonly #deadlines = new RequestDeadlines();
   readonly #droppedHeaders: ReadonlySet<string>;
-  /** Longest timeout that callers have set, by the name of the route. */
-  readonly #maxTimeoutMs = new Map<string, number>();
+  /** The same where the configuration names organisations. */
+  readonly #droppedWithOrganisations: ReadonlySet<string>;
   readonly #callers: DisconnectDetector;
   readonly #forwarders = new Set<RequestForwarder>();
   /** Ids of the requests that are not passed on yet, by their responses. */
@@ -106,11 +96,9 @@
   constructor(options: IngressServerOptions) {
     this.#options = options;
     this.#requestLog = new RequestLog(options);
-    this.#unknownLines = new LogRateLimiter(
-      options.log,
-      MAX_UNKNOWN_LINES_PER_S,
-    );
-    const { timeoutMs, callerService, expectedBackend } = options.headers;
+    this.#authorizer = new RequestAuthorizer(options);
+    const { headers } = options;
+    const { timeoutMs, callerService, expectedBackend } = headers;
     this.#droppedHeaders = new Set([
       timeoutMs,
       callerService,
@@ -119,6 +107,11 @@
       HEADER_RESULT,
       "content-length",
     ]);
+    this.#droppedWithOrganisations = new Set([
+      ...this.#droppedHeaders,
+      headers.organisationKey,
+      headers.organisation,
+    ]);
     this.server = createServer(
       {
         keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
@@ -187,28 +180,25 @@
     if (this.#hasExpired) return this.#rejectStopping(response, id);
     const path = request.url ?? "/";
     const host = request.headers.host ?? "";
-    const { isCurrent, table, route } = await this.#findRoute(host, path);
+    const authorization = await this.#authorizer.authorize({
+      id,
+      host,
+      path,
+      key: this.#readHeader(request, this.#options.headers.organisationKey),
+    });
     if (isAnswered(response)) return;
-    if (table === undefined) {
-      return this.#reject(response, id, {
-        status: 503,
-        retryAfterMs: NO_CONFIG_RETRY_AFTER_MS,
-      });
+    if (authorization.kind === "denied") {
+      return this.#reject(response, id, authorization);
     }
-    if (route === undefined) {
-      this.#logUnknownRoute(id, table.config.version, isCurrent);
-      return this.#reject(
-        response,
-        id,
-        isCurrent
-          ? { status: 404 }
-          : { status: 503, retryAfterMs: UNCONFIRMED_RETRY_AFTER_MS },
-      );
-    }
-    const times = this.#computeDeadlines(request, route, arrivedAtMs);
+    const { config, route, organisation } = authorization;
+    const times = this.#deadlines.compute(
+      route,
+      this.#readHeader(request, this.#options.headers.timeoutMs),
+      arrivedAtMs,
+    );
     const read = await readBody(
       request,
-      table.config.limits.maxBodyBytes,
+      config.limits.maxBodyBytes,
       times.deadlineMs,
     );
     if (read.kind === "broken" || isAnswered(response)) return;
@@ -231,6 +221,8 @@
         response,
         caller,
         route,
+        organisation,
+        hasOrganisations: config.organisations !== undefined,
         id,
         arrivedAtMs,
         times,
@@ -245,6 +237,8 @@
       readonly response: ServerResponse;
       readonly caller: CallerRequest;
       readonly route: MeshRoute;
+      readonly organisation: MeshOrganisation | undefined;
+      readonly hasOrganisations: boolean;
       readonly id: string;
       readonly arrivedAtMs: number;
       readonly times: Pick<ForwardRequest, "deadlineMs" | "objectiveAtMs">;
@@ -263,8 +257,17 @@
     if (routeTarget === undefined) {
       return this.#reject(response, id, { status: 503 });
     }
-    const headers = endToEndHeaders(request.rawHeaders, this.#droppedHeaders);
+    const { organisation } = parts;
+    const headers = endToEndHeaders(
+      request.rawHeaders,
+      parts.hasOrganisations
+        ? this.#droppedWithOrganisations
+        : this.#droppedHeaders,
+    );
     headers.push("host", request.headers.host ?? "");
+    if (organisation !== undefined) {
+      headers.push(this.#options.headers.organisation, organisation.name);
+    }
     const forwarder = new RequestForwarder({
       id,
       method: request.method ?? "GET",
@@ -274,6 +277,15 @@
       route,
       service: routeTarget.service,
       ...times,
+      ...(organisation === undefined ? {} : {
+        organisation: organisation.name,
+        organisationPriority: organisation.priority,
+      }),
+      // Callers of public routes have no key; mostly they are running requests.
+      ...(parts.hasOrganisations && route.isPublic === true &&
+          organisation === undefined
+        ? { isSubcall: true }
+        : {}),
     }, this.#options.forwarding);
     this.#forwarders.add(forwarder);
     const result = await forwarder.run(caller.cancel);
@@ -282,36 +294,6 @@
     this.#requestLog.recordEnd({ id, route, forwarder, result, arrivedAtMs });
   }
 
-  /**
-   * A caller that retries sets a shorter timeout than on its first attempt. The
-   * difference to the longest timeout of the route counts as time that it has
-   * already waited, which brings the objective forward.
-   */
-  #computeDeadlines(
-    request: IncomingMessage,
-    route: MeshRoute,
-    arrivedAtMs: number,
-  ): Pick<ForwardRequest, "deadlineMs" | "objectiveAtMs"> {
-    const header = this.#readHeader(request, this.#options.headers.timeoutMs);
-    const requestedMs = Number(header);
-    const hasTimeout = header !== "" && Number.isFinite(requestedMs) &&
-      requestedMs > 0;
-    const timeoutMs = Math.min(
-      hasTimeout ? requestedMs : route.timeoutMs,
-      route.timeoutMs,
-    );
-    const maxTimeoutMs = Math.max(
-      timeoutMs,
-      this.#maxTimeoutMs.get(route.name) ?? 0,
-    );
-    this.#maxTimeoutMs.set(route.name, maxTimeoutMs);
-    const spentMs = maxTimeoutMs - timeoutMs;
-    return {
-      deadlineMs: arrivedAtMs + timeoutMs,
-      objectiveAtMs: arrivedAtMs + route.objectiveMs - spentMs,
-    };
-  }
-
   #respond(response: ServerResponse, id: string, result: ForwardResult): void {
     if (response.destroyed) return;
     if (this.#isKeepAliveDisabled) response.shouldKeepAlive = false;
@@ -355,47 +337,6 @@
     response.writeHead(reply.status, headers).end();
   }
 
-  /** A missing route is a claim about the newest configuration. */
-  async #findRoute(
-    host: string,
-    path: string,
-  ): Promise<{
-    readonly table: RouteTable | undefined;
-    readonly route: MeshRoute | undefined;
-    /** Whether the table is new enough to decide that there is no route. */
-    readonly isCurrent: boolean;
-  }> {
-    const { routes, configAgeMs, confirmConfig } = this.#options;
-    const table = routes.current;
-    const route = table?.find(host, path);
-    const isCurrent = configAgeMs() <= MAX_CONFIG_AGE_MS;
-    if (table === undefined || route !== undefined || isCurrent) {
-      return { table, route, isCurrent };
-    }
-    const isConfirmed = await confirmConfig();
-    return {
-      table: routes.current,
-      route: routes.current?.find(host, path),
-      isCurrent: isConfirmed || configAgeMs() <= MAX_CONFIG_AGE_MS,
-    };
-  }
-
-  #logUnknownRoute(
-    id: string,
-    configVersion: number,
-    isCurrent: boolean,
-  ): void {
-    const { log, metrics, configAgeMs } = this.#options;
-    metrics.count("routes_unknown_total");
-    if (!this.#unknownLines.allows(performance.now())) return;
-    log.info("route-unknown", {
-      id,
-      configVersion,
-      configAgeMs: Math.round(configAgeMs()),
-      isCurrent,
-    });
-  }
-
   #readHeader(request: IncomingMessage, name: string): string {
     const value = request.headers[name];
     return typeof value === "string" ? value : "";
--- a/src/sidecar/ports.ts
+++ b/src/sidecar/ports.ts
@@ -64,6 +64,10 @@
   readonly timeoutMs: string;
   readonly callerService: string;
   readonly expectedBackend: string;
+  /** Carries the key of the caller's organisation. */
+  readonly organisationKey: string;
+  /** Names the caller's organisation to the backend server. */
+  readonly organisation: string;
   /** Present only in responses that the backend server itself generated. */
   readonly answerProof: string;
   /** Marks a response to a request that the backend server did not run. */
--- a/src/state/route_table.ts
+++ b/src/state/route_table.ts
@@ -1,4 +1,5 @@
 import type { MeshConfig, MeshRoute } from "../protocol/mesh.ts";
+import { OrganisationTable } from "./organisation_table.ts";
 
 /** Routes of one host. */
 interface HostRoutes {
@@ -17,6 +18,8 @@
  */
 export class RouteTable {
   readonly config: MeshConfig;
+  /** `undefined` if requests carry no keys. */
+  readonly organisations: OrganisationTable | undefined;
   readonly #byHost = new Map<string, HostRoutes>();
 
   /**
@@ -26,6 +29,8 @@
    */
   constructor(config: MeshConfig) {
     this.config = config;
+    this.organisations = config.organisations &&
+      new OrganisationTable(config.organisations);
     for (const route of config.routes) {
       const host = route.host.toLowerCase();
       const routes = this.#byHost.get(host) ??
--- a/tests/platform/config_codec_test.ts
+++ b/tests/platform/config_codec_test.ts
@@ -156,4 +156,28 @@
   ]);
 });
 
+test("decodeConfig() decodes organisations, and gives no key to two", () => {
+  const Tenants = [
+    { Name: "a", ApiKeys: ["k1", "k2"], Priority: 0, PerS: 5, Burst: 10 },
+    { Name: "b", ApiKeys: ["k2", "k3"], PerS: -1 },
+    { Name: "c" },
+  ];
+  const raw = { ...sampleConfig(1), Tenants };
+  const config = decodeConfig(encode(raw));
+  assert.equal({ organisations: config.organisations, gaps: config.gaps }, {
+    organisations: [
+      { name: "a", keys: ["k1", "k2"], priority: 0, limitPerS: 5, burst: 10 },
+      { name: "b", keys: ["k3"], priority: 1, limitPerS: 0, burst: 0 },
+    ],
+    gaps: [
+      { subject: "b", reason: "a key is also held by tenant a" },
+      {
+        subject: "b",
+        reason: "PerS is not a non-negative number; 0 holds",
+      },
+      { subject: "c", reason: "the tenant has no name or no keys" },
+    ],
+  });
+});
+
 test.run();
