--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -506,5 +506,8 @@
     objectiveAtMs: arrivedAtMs + description.objectiveInMs,
     namedLimitPerS: description.namedLimitPerS,
     evidence: description.evidence,
+    organisation: description.organisation,
+    organisationPriority: description.organisationPriority,
+    isSubcall: description.isSubcall,
   };
 }
