Send large responses over slow links in paced pieces

The destination daemon sends responses of 20 ms of link time or more one after the other, at 0.9 of the bandwidth, and refuses requests whose response could not be sent in time before they run. Such responses leave the shared channel.

--- /dev/null
+++ b/src/coordination/dispatch/link_schedule.ts
@@ -0,0 +1,235 @@
+import { ResponseSizes } from "./response_sizes.ts";
+import { ServiceTimes } from "./service_times.ts";
+import { needsTransferPermit } from "./transfer_limiter.ts";
+
+/**
+ * Share of the bandwidth for large responses, so that the link's own queue
+ * stays short and small responses pass at once.
+ */
+const LARGE_RESPONSE_SHARE = 0.9;
+/** Size of the pieces in which a large response is sent, in bytes. */
+const PIECE_BYTES = 16 * 1024;
+/** Lag of a timer behind the plan that is caught up with, in ms. */
+const MAX_LAG_MS = 20;
+const BYTES_PER_MBPS_MS = 125;
+
+/** A large response that waits for the link or is being sent. */
+export interface Transfer {
+  readonly bytes: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Monotonic time until which it meets its latency objective. */
+  readonly objectiveAtMs: number;
+}
+
+/** Expected use of the link by a request that has no response yet. */
+export interface LinkReservation {
+  readonly bytes: number;
+  readonly priority: number;
+}
+
+/** A piece of a response that may be sent now. */
+export interface TransferPiece<T extends Transfer> {
+  readonly transfer: T;
+  readonly start: number;
+  readonly end: number;
+}
+
+/**
+ * Plans the large responses that one instance sends over a slow link.
+ *
+ * They are sent one after the other, in pieces at a little less than the
+ * bandwidth: a link that is full of whole responses would make each small
+ * response, and each new connection, wait behind all of them. More urgent
+ * responses go first, then those with the earlier objective.
+ *
+ * @example
+ * ```ts
+ * const link = new LinkSchedule<Transfer>(12);
+ * link.record("media", { bytes: 90_000, serviceMs: 200 });
+ * link.isLong("media"); // true
+ * ```
+ */
+export class LinkSchedule<T extends Transfer> {
+  readonly #sizes = new ResponseSizes();
+  readonly #serviceTimes = new ServiceTimes();
+  readonly #linkMbps: number;
+  readonly #bytesPerMs: number;
+  readonly #reservations = new Set<LinkReservation>();
+  #waiting: T[] = [];
+  #current: { readonly transfer: T; sentBytes: number } | undefined;
+  /** Monotonic time from which the next piece may be sent. */
+  #nextPieceAtMs = -Infinity;
+
+  /**
+   * Creates a plan without responses.
+   *
+   * @param linkMbps Bandwidth of the link, in Mbit/s; 0 if unknown.
+   */
+  constructor(linkMbps: number) {
+    this.#linkMbps = linkMbps;
+    this.#bytesPerMs = linkMbps * BYTES_PER_MBPS_MS * LARGE_RESPONSE_SHARE;
+  }
+
+  /** Number of responses that wait or are being sent. */
+  get pending(): number {
+    return this.#waiting.length + (this.#current === undefined ? 0 : 1);
+  }
+
+  /**
+   * Records a served request.
+   *
+   * @param route Name of its route.
+   * @param response Size of its response in bytes, and its service time in ms.
+   */
+  record(
+    route: string,
+    response: { readonly bytes: number; readonly serviceMs: number },
+  ): void {
+    this.#sizes.record(route, response.bytes);
+    this.#serviceTimes.record(route, response.serviceMs);
+  }
+
+  /**
+   * Returns whether a response of a size has to be planned.
+   *
+   * @param bytes The size, in bytes.
+   * @returns Whether it occupies the link for long.
+   */
+  isLarge(bytes: number): boolean {
+    return needsTransferPermit(bytes, this.#linkMbps);
+  }
+
+  /**
+   * Returns whether the responses of a route have to be planned.
+   *
+   * @param route Name of the route.
+   * @returns Whether they occupy the link for long on average.
+   */
+  isLong(route: string): boolean {
+    return this.isLarge(this.#sizes.expectedBytes(route));
+  }
+
+  /**
+   * Returns how long the response of a request that starts now would wait for
+   * the link, and how long it would take to send.
+   *
+   * @param route Name of the route.
+   * @param priority Rank of the request.
+   * @returns Both times, in ms; 0 for a route with short responses.
+   */
+  estimate(
+    route: string,
+    priority: number,
+  ): { readonly waitMs: number; readonly transferMs: number } {
+    if (!this.isLong(route)) return { waitMs: 0, transferMs: 0 };
+    let bytes = 0;
+    for (const reservation of this.#reservations) {
+      if (reservation.priority <= priority) bytes += reservation.bytes;
+    }
+    for (const transfer of this.#waiting) {
+      if (transfer.priority <= priority) bytes += transfer.bytes;
+    }
+    if (this.#current !== undefined) {
+      bytes += this.#current.transfer.bytes - this.#current.sentBytes;
+    }
+    return {
+      // The link sends other responses while the request runs.
+      waitMs: Math.max(
+        0,
+        bytes / this.#bytesPerMs - this.#serviceTimes.expectedMs(route),
+      ),
+      transferMs: this.#sizes.expectedBytes(route) / this.#bytesPerMs,
+    };
+  }
+
+  /**
+   * Reserves the link for the response of a request that starts.
+   *
+   * @param route Name of its route.
+   * @param priority Its rank.
+   * @returns The reservation; `undefined` for a route with short responses.
+   */
+  reserve(route: string, priority: number): LinkReservation | undefined {
+    if (!this.isLong(route)) return undefined;
+    const bytes = this.#sizes.expectedBytes(route);
+    const reservation = { bytes, priority };
+    this.#reservations.add(reservation);
+    return reservation;
+  }
+
+  /**
+   * Ends a reservation, as the request has ended.
+   *
+   * @param reservation The reservation, if there was one.
+   */
+  release(reservation: LinkReservation | undefined): void {
+    if (reservation !== undefined) this.#reservations.delete(reservation);
+  }
+
+  /**
+   * Adds a large response.
+   *
+   * @param transfer The response.
+   */
+  add(transfer: T): void {
+    this.#waiting.push(transfer);
+  }
+
+  /**
+   * Removes a response whose receiver has left.
+   *
+   * @param transfer The response.
+   */
+  remove(transfer: T): void {
+    this.#waiting = this.#waiting.filter((other) => other !== transfer);
+    if (this.#current?.transfer === transfer) this.#current = undefined;
+  }
+
+  /**
+   * Takes the next piece that may be sent.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns The piece; `undefined` if there is none now.
+   */
+  takePiece(nowMs: number): TransferPiece<T> | undefined {
+    if (nowMs < this.#nextPieceAtMs) return undefined;
+    this.#current ??= this.#startNext();
+    if (this.#current === undefined) return undefined;
+    const { transfer, sentBytes } = this.#current;
+    const end = Math.min(transfer.bytes, sentBytes + PIECE_BYTES);
+    if (end === transfer.bytes) this.#current = undefined;
+    else this.#current.sentBytes = end;
+    const hasLagged = nowMs - this.#nextPieceAtMs > MAX_LAG_MS;
+    const plannedAtMs = hasLagged ? nowMs : this.#nextPieceAtMs;
+    this.#nextPieceAtMs = plannedAtMs + (end - sentBytes) / this.#bytesPerMs;
+    return { transfer, start: sentBytes, end };
+  }
+
+  /**
+   * Returns when the next piece may be sent.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns The time from now, in ms; `undefined` if no response is left.
+   */
+  nextPieceMs(nowMs: number): number | undefined {
+    if (this.pending === 0) return undefined;
+    return Math.max(0, this.#nextPieceAtMs - nowMs);
+  }
+
+  #startNext(): { readonly transfer: T; sentBytes: number } | undefined {
+    let next = this.#waiting[0];
+    if (next === undefined) return undefined;
+    for (const transfer of this.#waiting) {
+      if (isBefore(transfer, next)) next = transfer;
+    }
+    const transfer = next;
+    this.#waiting = this.#waiting.filter((other) => other !== transfer);
+    return { transfer, sentBytes: 0 };
+  }
+}
+
+function isBefore(a: Transfer, b: Transfer): boolean {
+  if (a.priority !== b.priority) return a.priority < b.priority;
+  return a.objectiveAtMs < b.objectiveAtMs;
+}
--- /dev/null
+++ b/src/coordination/dispatch/link_schedule_test.ts
@@ -0,0 +1,94 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { LinkSchedule, type Transfer } from "./link_schedule.ts";
+
+const LINK_MBPS = 12;
+
+interface Named extends Transfer {
+  readonly name: string;
+}
+
+function transfer(name: string, options: Partial<Transfer> = {}): Named {
+  return { name, bytes: 90_000, priority: 2, objectiveAtMs: 2_000, ...options };
+}
+
+/** Sends until nothing is left; returns the end of each transfer, in ms. */
+function sendAll(link: LinkSchedule<Named>): Record<string, number> {
+  const ends: Record<string, number> = {};
+  let nowMs = 0;
+  for (;;) {
+    const delayMs = link.nextPieceMs(nowMs);
+    if (delayMs === undefined) return ends;
+    nowMs += Math.ceil(delayMs);
+    const piece = link.takePiece(nowMs);
+    if (piece !== undefined && piece.end === piece.transfer.bytes) {
+      ends[piece.transfer.name] = nowMs;
+    }
+  }
+}
+
+// Load: 2.5 times the downloads of 90 kB at links of 12 Mbit/s. All at once
+// kept the link's own queue full for seconds, and small responses behind it.
+test("LinkSchedule sends large responses one by one, below the bandwidth", () => {
+  const link = new LinkSchedule<Named>(LINK_MBPS);
+  for (const name of ["a", "b", "c"]) link.add(transfer(name));
+  const ends = sendAll(link);
+  assert.equal(Object.keys(ends), ["a", "b", "c"]);
+  // 270 kB take 180 ms at 12 Mbit/s.
+  assert.ok(ends.c! >= 180 && ends.c! <= 240, `took ${ends.c} ms`);
+});
+
+test("LinkSchedule sends urgent responses first, then by objective", () => {
+  const link = new LinkSchedule<Named>(LINK_MBPS);
+  link.add(transfer("late", { objectiveAtMs: 3_000 }));
+  link.add(transfer("early", { objectiveAtMs: 1_000 }));
+  link.add(transfer("urgent", { priority: 0, objectiveAtMs: 9_000 }));
+  assert.equal(Object.keys(sendAll(link)), ["urgent", "early", "late"]);
+});
+
+test("LinkSchedule drops a response whose receiver has left", () => {
+  const link = new LinkSchedule<Named>(LINK_MBPS);
+  const [gone, next] = [transfer("gone"), transfer("next")];
+  link.add(gone);
+  link.add(next);
+  link.takePiece(0);
+  link.remove(gone);
+  assert.equal(Object.keys(sendAll(link)), ["next"]);
+});
+
+// Load: more downloads than the link carries, which ran first and then waited.
+test("estimate() counts responses of running requests of the same rank", () => {
+  const link = new LinkSchedule<Named>(LINK_MBPS);
+  assert.equal(link.estimate("media", 2), { waitMs: 0, transferMs: 0 });
+  link.record("media", { bytes: 135_000, serviceMs: 200 });
+  link.record("index", { bytes: 400, serviceMs: 70 });
+  const reservations = Array.from(
+    { length: 10 },
+    () => link.reserve("media", 2),
+  );
+  const estimates = [
+    link.estimate("media", 2),
+    link.estimate("media", 0),
+    link.estimate("index", 0),
+  ];
+  for (const reservation of reservations) link.release(reservation);
+  const round = (value: { waitMs: number; transferMs: number }) => [
+    Math.round(value.waitMs),
+    Math.round(value.transferMs),
+  ];
+  assert.equal([...estimates, link.estimate("media", 2)].map(round), [
+    [800, 100],
+    [0, 100],
+    [0, 0],
+    [0, 100],
+  ]);
+});
+
+test("LinkSchedule plans nothing where the bandwidth is unknown or large", () => {
+  assert.equal(
+    [0, 1_000].map((linkMbps) => new LinkSchedule(linkMbps).isLarge(500_000)),
+    [false, false],
+  );
+});
+
+test.run();
--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -15,3 +15,4 @@
 export * from "./start_limiter.ts";
 export * from "./work_queue.ts";
 export * from "./response_sizes.ts";
+export * from "./link_schedule.ts";
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -66,6 +66,8 @@
   readonly configVersion: number;
   /** Expected time until the response, in ms. */
   readonly expectedMs: number;
+  /** Expected size of the response, in bytes. */
+  readonly responseBytes?: number;
   /** Called repeatedly while it is suspected lost; it is not aborted then. */
   readonly onSuspected: (reason: MeshReason) => void;
 }
@@ -134,7 +136,7 @@
   }
 
   async #exchange(call: MeshCall, options: SendOptions): Promise<PeerResult> {
-    const channel = this.#openChannel(call);
+    const channel = this.#openChannel(call, options.responseBytes ?? 0);
     const abandoned = new AbortController();
     const onAbort = () => abandoned.abort(ABANDONED);
     options.signal.addEventListener("abort", onAbort);
@@ -229,9 +231,10 @@
     this.#queryConnections.close();
   }
 
-  /** Returns the channel; none for a large body, which would block it. */
-  #openChannel(call: MeshCall): CallChannel | undefined {
+  /** Returns the channel; none for large bodies, which would block it. */
+  #openChannel(call: MeshCall, responseBytes: number): CallChannel | undefined {
     if ((call.body?.length ?? 0) > MAX_CHANNEL_BODY_BYTES) return undefined;
+    if (needsTransferPermit(responseBytes, this.#linkMbps)) return undefined;
     if (this.#channel?.isUsable !== true) {
       this.#channel = new CallChannel(this.#address);
     }
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -27,7 +27,6 @@
   formatResult,
   type FrameHead,
   HEADER_CALL,
-  HEADER_RESULT,
   parseCall,
   parseFrameHead,
   parseStatusTarget,
@@ -49,6 +48,7 @@
 import { CallStatusTable, RETENTION_MS } from "./call_status_table.ts";
 import type { GracefulShutdown } from "./graceful_shutdown.ts";
 import type { BackendDispatcher } from "./backend_dispatcher.ts";
+import { PeerResponseWriter } from "./peer_response_writer.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import { TransferPermitQueue } from "./transfer_permit_queue.ts";
 import { messageOf } from "../protocol/step_error.ts";
@@ -76,6 +76,8 @@
   readonly metrics: TextMetrics;
   readonly shutdown: GracefulShutdown;
   readonly stalls: StallDetector;
+  /** Bandwidth of the instance's link, in Mbit/s; 0 if unknown. */
+  readonly linkMbps: number;
   /** Called with the configuration version that another daemon reports. */
   readonly onPeerVersion: (version: number, host: string) => void;
   /** Waits for store changes after a revision. */
@@ -99,6 +101,7 @@
   readonly #callers: DisconnectDetector;
   readonly #callStatuses = new CallStatusTable();
   readonly #transferPermits = new TransferPermitQueue();
+  readonly #responses: PeerResponseWriter;
   #compressedConfig:
     | { readonly version: number; readonly body: Buffer }
     | undefined;
@@ -113,6 +116,7 @@
    */
   constructor(options: PeerServerOptions) {
     this.#options = options;
+    this.#responses = new PeerResponseWriter(options);
     this.server = createServer(
       {
         keepAliveTimeout: KEEP_ALIVE_MS,
@@ -323,7 +327,12 @@
       return notRunOutcome(MeshReason.Leaving);
     }
     await arrival.readPendingClose();
-    return await dispatcher.execute(call, arrival.signal);
+    const refusal = this.#responses.findRefusal(call);
+    if (refusal !== undefined) return refusal;
+    const reservation = this.#responses.reserve(call);
+    const outcome = await dispatcher.execute(call, arrival.signal);
+    this.#responses.release(call, reservation, outcome);
+    return outcome;
   }
 
   #respond(
@@ -334,26 +343,10 @@
     },
     response: ServerResponse,
   ): void {
-    const { outcome } = exchange;
-    const result = this.#formatResult(exchange);
-    if (outcome.kind !== "answered") {
-      response.writeHead(NO_RESPONSE_STATUS, [
-        HEADER_RESULT,
-        result,
-        "content-length",
-        "0",
-      ]).end();
-      return;
-    }
-    const { status, headers, body } = outcome.answer;
-    response.sendDate = false;
-    response.writeHead(status, [
-      ...headers,
-      HEADER_RESULT,
-      result,
-      "content-length",
-      String(body.length),
-    ]).end(body);
+    this.#responses.write(response, {
+      ...exchange,
+      description: this.#formatResult(exchange),
+    });
   }
 
   #formatResult(
@@ -365,7 +358,10 @@
   ): string {
     return formatResult({
       outcome: exchange.outcome,
-      load: this.#options.dispatcher.loadFor(exchange.call),
+      load: this.#responses.withLinkWait(
+        exchange.call,
+        this.#options.dispatcher.loadFor(exchange.call),
+      ),
       configVersion: this.#options.routes.version,
       heldMs: performance.now() - exchange.arrivedAtMs,
       evidence: this.#options.quarantine.evidenceOf(exchange.call),
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -254,6 +254,9 @@
       {
         signal,
         expectedMs: choice.waitMs + choice.serviceMs,
+        responseBytes: this.#context.responseSizes.expectedBytes(
+          this.#request.route.name,
+        ),
         onSuspected: (reason) => {
           if (!attempt.isSuspected) {
             this.#recordStep(choice, `doubted:${reason}`, startedAtMs);
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -140,6 +140,7 @@
     this.#ingress = this.#createIngress();
     this.#sync = this.#createSync();
     this.#peerServer = new PeerServer({
+      linkMbps: settings.linkMbps,
       dispatcher: this.#dispatcher,
       quarantine: this.#quarantine,
       routes: this.#routes,
