Decide about quotas of organisations across the fleet

Limits of organisations were decoded and not applied. The decision modules: an account for each organisation at one daemon (token bucket with grants in advance), leases that decide whether a daemon's share of a limit is at the account or at the daemon, and the daemon's fixed share, issued by the wall clock.

--- /dev/null
+++ b/src/coordination/quota/account_book.ts
@@ -0,0 +1,94 @@
+import {
+  AccountGroup,
+  type GroupConditions,
+  type QuotaReply,
+  type QuotaReport,
+} from "./account_group.ts";
+import type { FleetView } from "./fleet_view.ts";
+import type { QuotaPlan } from "./quota_plan.ts";
+
+/**
+ * The groups whose accounts one daemon holds.
+ *
+ * @example
+ * ```ts ignore
+ * book.update(view, plans, false, nowMs);
+ * const reply = book.serve(report, nowMs);
+ * ```
+ */
+export class AccountBook {
+  readonly #instance: string;
+  readonly #process: string;
+  readonly #groups = new Map<string, AccountGroup>();
+  #groupCount = 0;
+
+  /**
+   * Creates a book without groups.
+   *
+   * @param instance Name of this instance.
+   * @param process Id of this process, different from those before it.
+   */
+  constructor(instance: string, process: string) {
+    this.#instance = instance;
+    this.#process = process;
+  }
+
+  /** Groups whose accounts this daemon holds. */
+  get groups(): ReadonlyMap<string, AccountGroup> {
+    return this.#groups;
+  }
+
+  /**
+   * Adopts the assignment of accounts, limits and facts about the fleet.
+   *
+   * @param view The view of the fleet.
+   * @param plans Plans of all organisations with a limit, by name.
+   * @param isOutdated Whether the view of the store is old.
+   * @param nowMs Monotonic time, in ms.
+   */
+  update(
+    view: FleetView,
+    plans: ReadonlyMap<string, QuotaPlan>,
+    isOutdated: boolean,
+    nowMs: number,
+  ): void {
+    const mine = view.groups.filter((group) =>
+      view.accountOf(group) === this.#instance
+    );
+    for (const group of this.#groups.keys()) {
+      if (!mine.includes(group)) this.#groups.delete(group);
+    }
+    if (mine.length === 0) return;
+    const plansByGroup = new Map<string, Map<string, QuotaPlan>>(
+      mine.map((group) => [group, new Map()]),
+    );
+    for (const [organisation, plan] of plans) {
+      plansByGroup.get(view.groupOf(organisation))?.set(organisation, plan);
+    }
+    const conditions: GroupConditions = {
+      fleetSize: view.size,
+      leaseMs: view.leaseMs,
+      isOutdated,
+    };
+    for (const [name, groupPlans] of plansByGroup) {
+      let group = this.#groups.get(name);
+      if (group === undefined) {
+        group = new AccountGroup(`${this.#process}.${++this.#groupCount}`);
+        this.#groups.set(name, group);
+      }
+      group.update(groupPlans, conditions, nowMs);
+    }
+  }
+
+  /**
+   * Serves a daemon.
+   *
+   * @param report What it sent.
+   * @param nowMs Monotonic time, in ms.
+   * @returns The answer.
+   */
+  serve(report: QuotaReport, nowMs: number): QuotaReply {
+    return this.#groups.get(report.group)?.serve(report, nowMs) ??
+      { kind: "not-account" };
+  }
+}
--- a/src/protocol/hash.ts
+++ b/src/protocol/hash.ts
@@ -48,6 +48,35 @@
     .map(({ id }) => id);
 }
 
+/**
+ * Selects the candidate that {@linkcode rendezvous} ranks first, in one pass.
+ *
+ * @param key The key, such as the name of a role.
+ * @param ids Ids of the candidates.
+ * @returns The candidate; `undefined` if there are none.
+ *
+ * @example
+ * ```ts
+ * rendezvousWinner("bridge", ["a"]); // "a"
+ * ```
+ */
+export function rendezvousWinner(
+  key: string,
+  ids: readonly string[],
+): string | undefined {
+  const seed = hash32(key);
+  let winner: string | undefined;
+  let best = -1;
+  for (const id of ids) {
+    const weight = mixBits(seed ^ getCachedHash(id));
+    if (weight < best) continue;
+    if (weight === best && winner !== undefined && winner < id) continue;
+    best = weight;
+    winner = id;
+  }
+  return winner;
+}
+
 /** Returns the cached hash of an id, as hashing texts dominates the cost. */
 function getCachedHash(id: string): number {
   let hash = hashCache.get(id);
