Refuse requests beyond an organisation's limit with 429

The limits were decided about by pure modules only. The ingress asks QuotaTask before it forwards a request; daemons report and grant tokens in frames of the multiplexed channel whose head an earlier daemon answers as unreadable.

--- a/src/coordination/quota/account_book.ts
+++ b/src/coordination/quota/account_book.ts
@@ -1,9 +1,5 @@
-import {
-  AccountGroup,
-  type GroupConditions,
-  type QuotaReply,
-  type QuotaReport,
-} from "./account_group.ts";
+import type { QuotaReply, QuotaReport } from "../../protocol/quota_message.ts";
+import { AccountGroup, type GroupConditions } from "./account_group.ts";
 import type { FleetView } from "./fleet_view.ts";
 import type { QuotaPlan } from "./quota_plan.ts";
 
--- a/src/coordination/quota/account_group.ts
+++ b/src/coordination/quota/account_group.ts
@@ -1,8 +1,9 @@
-import {
-  QuotaAccount,
-  type TokenDemand,
-  type TokenGrant,
-} from "./quota_account.ts";
+import type {
+  QuotaReply,
+  QuotaReport,
+  TokenGrant,
+} from "../../protocol/quota_message.ts";
+import { QuotaAccount } from "./quota_account.ts";
 import type { QuotaPlan } from "./quota_plan.ts";
 
 /**
@@ -12,39 +13,6 @@
 const LEASE_MARGIN_MS = 100;
 const SWEEP_PERIOD_MS = 50;
 
-/** What a daemon sends to the account daemon of a group. */
-export interface QuotaReport {
-  readonly group: string;
-  /** Name of the sender's instance. */
-  readonly sender: string;
-  /** Process of the account daemon whose answer it heard last. */
-  readonly epoch: string;
-  /** Time stamp of that answer; 0 if the sender asks for no lease. */
-  readonly stampMs: number;
-  /** Length of the lease that the answer named. */
-  readonly leaseMs: number;
-  /** Ends the sender's lease. */
-  readonly releases: boolean;
-  readonly demands: readonly TokenDemand[];
-}
-
-/** What the account daemon answers. */
-export type QuotaReply =
-  | {
-    readonly kind: "served";
-    readonly epoch: string;
-    /** Time of the answer by the account daemon's monotonic clock. */
-    readonly stampMs: number;
-    /** Length of the lease that the sender may claim. */
-    readonly leaseMs: number;
-    /** Whether the sender holds a lease now. */
-    readonly isLeased: boolean;
-    /** Organisations that the account daemon does not know are left out. */
-    readonly grants: readonly TokenGrant[];
-  }
-  /** By its directory, another daemon holds the group's accounts. */
-  | { readonly kind: "not-account" };
-
 /** Facts about the fleet that determine the shares. */
 export interface GroupConditions {
   /** Instances of the fleet. */
--- a/src/coordination/quota/account_links.ts
+++ b/src/coordination/quota/account_links.ts
@@ -1,4 +1,4 @@
-import type { QuotaReply } from "./account_group.ts";
+import type { QuotaAnswer } from "../../protocol/quota_message.ts";
 import type { FleetView } from "./fleet_view.ts";
 
 /** Time for which an account that did not answer is not asked, in ms. */
@@ -56,7 +56,7 @@
    * @param nowMs Monotonic time, in ms.
    */
   recordReply(
-    reply: Extract<QuotaReply, { kind: "served" }>,
+    reply: QuotaAnswer,
     nowMs: number,
   ): void {
     const isLate = reply.epoch === this.epoch && reply.stampMs < this.stampMs;
--- a/src/coordination/quota/quota_account.ts
+++ b/src/coordination/quota/quota_account.ts
@@ -1,3 +1,4 @@
+import type { TokenDemand, TokenGrant } from "../../protocol/quota_message.ts";
 import { type QuotaPlan, TOKEN_TTL_MS } from "./quota_plan.ts";
 
 /** Time for which tokens in advance are meant to last, in ms. */
@@ -11,35 +12,6 @@
 
 const MS_PER_S = 1_000;
 
-/** What a daemon needs of an organisation's tokens. */
-export interface TokenDemand {
-  readonly organisation: string;
-  /** Requests that wait for a token. */
-  readonly waiting: number;
-  /** Requests per second at the daemon. */
-  readonly demandPerS: number;
-  /** Newest grant in advance that it has received; 0 if none. */
-  readonly grantId: number;
-  /** Tokens of this and of earlier grants that it still holds. */
-  readonly held: number;
-  /** Tokens of these grants that it gives back and no longer holds. */
-  readonly returned: number;
-}
-
-/** What an account gives to a daemon. */
-export interface TokenGrant {
-  readonly organisation: string;
-  /** Tokens for requests that wait; void for those that no longer do. */
-  readonly granted: number;
-  /** Tokens in advance, which expire. */
-  readonly advance: number;
-  /** Id of the grant in advance; 0 if there is none. */
-  readonly grantId: number;
-  /** Time for which the account has nothing for the daemon; 0 if it has. */
-  readonly emptyMs: number;
-  readonly level: number;
-}
-
 interface Grant {
   readonly id: number;
   readonly expiresAtMs: number;
--- a/src/coordination/quota/quota_account_test.ts
+++ b/src/coordination/quota/quota_account_test.ts
@@ -1,12 +1,12 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { TokenDemand } from "../../protocol/quota_message.ts";
 import {
   maxInWindow,
   planQuota,
   QuotaAccount,
   type QuotaBounds,
-  type TokenDemand,
 } from "./mod.ts";
 
 const BOUNDS: QuotaBounds = { windowMs: 5_000, over: 0.1, slack: 20 };
--- a/src/coordination/quota/quota_plan.ts
+++ b/src/coordination/quota/quota_plan.ts
@@ -19,6 +19,13 @@
   readonly slack: number;
 }
 
+/** Bounds that hold where the operator sets none. */
+export const DEFAULT_QUOTA_BOUNDS: QuotaBounds = {
+  windowMs: 5_000,
+  over: 0.1,
+  slack: 20,
+};
+
 /** The limit of one organisation over all daemons. */
 export interface QuotaLimit {
   /** Requests per second. */
--- a/src/coordination/quota/quota_schedules_test.ts
+++ b/src/coordination/quota/quota_schedules_test.ts
@@ -75,6 +75,7 @@
       bounds,
       durationMs,
       maxNoticeMs: random.below(1_000),
+      maxClockErrorMs: random.below(200),
       flaw,
       requests: times.map((atMs) => ({
         atMs,
--- a/src/coordination/quota/token_holder.ts
+++ b/src/coordination/quota/token_holder.ts
@@ -1,10 +1,13 @@
-import type { QuotaReply, QuotaReport } from "./account_group.ts";
+import type {
+  QuotaAnswer,
+  QuotaReport,
+  TokenDemand,
+} from "../../protocol/quota_message.ts";
 import {
   type AccountFailure,
   type AccountLink,
   AccountLinks,
 } from "./account_links.ts";
-import type { TokenDemand } from "./quota_account.ts";
 import type { FleetView } from "./fleet_view.ts";
 import { TokenStore } from "./token_store.ts";
 import { BRIDGE_HOLD_MS, type QuotaPlan } from "./quota_plan.ts";
@@ -314,7 +317,7 @@
   applyReply(
     link: AccountLink,
     report: QuotaReport,
-    reply: Extract<QuotaReply, { kind: "served" }>,
+    reply: QuotaAnswer,
     times: { readonly sentAtMs: number; readonly nowMs: number },
   ): void {
     link.recordReply(reply, times.nowMs);
--- a/src/coordination/quota/token_store.ts
+++ b/src/coordination/quota/token_store.ts
@@ -1,4 +1,4 @@
-import type { TokenDemand, TokenGrant } from "./quota_account.ts";
+import type { TokenDemand, TokenGrant } from "../../protocol/quota_message.ts";
 import { type QuotaPlan, TOKEN_TTL_MS } from "./quota_plan.ts";
 import { ShareSchedule } from "./share_schedule.ts";
 
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -13,6 +13,7 @@
   MeshReason,
 } from "../protocol/mesh_call.ts";
 import { CallStatus } from "../protocol/peer_call.ts";
+import type { QuotaReport } from "../protocol/quota_message.ts";
 import { messageOf } from "../protocol/step_error.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
@@ -21,6 +22,7 @@
 import { saysLeaving } from "./backend_response.ts";
 import { PeerClient, type SendOptions } from "./peer_client.ts";
 import type { PeerResult } from "./peer_reply.ts";
+import type { QuotaExchange } from "./quota_task.ts";
 import type { StatusReport } from "./status_poller.ts";
 
 /** Most log lines about suspected requests in a second. */
@@ -102,6 +104,20 @@
     return this.#findOrCreate(record).client.pollFeed(poll, signal);
   }
 
+  /**
+   * Sends a message to the daemon of a backend server as an account daemon.
+   *
+   * @param record The backend server.
+   * @param report The message.
+   * @returns The answer, or why there is none; never rejects.
+   */
+  sendQuotaReport(
+    record: BackendRecord,
+    report: QuotaReport,
+  ): Promise<QuotaExchange> {
+    return this.#findOrCreate(record).client.sendQuotaReport(report);
+  }
+
   /**
    * Executes a request on a backend server.
    *
--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -26,6 +26,7 @@
 import type { EdgeHeaders } from "./ports.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
 import { readBody } from "../transport/http/read_body.ts";
+import type { QuotaTask } from "./quota_task.ts";
 import { RequestAuthorizer } from "./request_authorizer.ts";
 import { RequestDeadlines } from "./request_deadlines.ts";
 import { RequestLog } from "./request_log.ts";
@@ -39,6 +40,8 @@
 const BAD_GATEWAY_STATUS = 502;
 /** Status of a response to a request that did not come in full, or run. */
 const REQUEST_TIMEOUT_STATUS = 408;
+/** Status of a request beyond the limit of its organisation. */
+const TOO_MANY_REQUESTS_STATUS = 429;
 
 /** Options of an {@linkcode IngressServer}. */
 export interface IngressServerOptions {
@@ -53,6 +56,8 @@
   readonly configAgeMs: () => number;
   /** Reads the newest configuration; returns whether it is in force now. */
   readonly confirmConfig: () => Promise<boolean>;
+  /** Keeps the limits of organisations. */
+  readonly quotas: QuotaTask;
 }
 
 /** A response that this daemon generates itself. */
@@ -214,7 +219,6 @@
       return this.#requestLog.recordAbandoned(id, arrivedAtMs);
     }
     if (isAnswered(response)) return;
-    this.#unsent.delete(response);
     await this.#forward(
       {
         request,
@@ -258,6 +262,18 @@
       return this.#reject(response, id, { status: 503 });
     }
     const { organisation } = parts;
+    if (organisation !== undefined) {
+      const decision = await this.#options.quotas.admit(id, organisation);
+      // The caller may have left, or the process may have to end.
+      if (isAnswered(response)) return;
+      if (decision.kind === "refused") {
+        return this.#reject(response, id, {
+          status: TOO_MANY_REQUESTS_STATUS,
+          retryAfterMs: decision.retryAfterMs,
+        });
+      }
+    }
+    this.#unsent.delete(response);
     const headers = endToEndHeaders(
       request.rawHeaders,
       parts.hasOrganisations
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -22,6 +22,12 @@
   formatTransferPermitTarget,
   HEADER_CALL,
 } from "../protocol/peer_call.ts";
+import {
+  formatQuotaReport,
+  parseQuotaReply,
+  type QuotaReport,
+} from "../protocol/quota_message.ts";
+import { AccountFailure } from "../coordination/quota/mod.ts";
 import { CallChannel } from "../transport/channel/mod.ts";
 import {
   LifoConnectionPool,
@@ -34,10 +40,13 @@
   sendOverChannel,
   toPeerResult,
 } from "./peer_reply.ts";
+import type { QuotaExchange } from "./quota_task.ts";
 import { StatusPoller, type StatusReport } from "./status_poller.ts";
 
 /** Timeout of a status query, in ms. */
 const QUERY_TIMEOUT_MS = 400;
+/** Time after which the answer of an account daemon is no longer useful, in ms. */
+const QUOTA_TIMEOUT_MS = 1_000;
 /** Longest idle time of a connection for queries, in ms. */
 const QUERY_MAX_IDLE_MS = 2_000;
 /** Largest body that is sent over the multiplexed channel, in bytes. */
@@ -133,8 +142,39 @@
     return { ...await this.#exchange(call, options), permitWaitMs };
   }
 
+  /**
+   * Sends a message to the daemon as an account daemon.
+   *
+   * @param report The message.
+   * @returns The answer, or why there is none; never rejects.
+   */
+  async sendQuotaReport(report: QuotaReport): Promise<QuotaExchange> {
+    const channel = this.#openChannel();
+    const abandoned = new AbortController();
+    const timer = setTimeout(() => {
+      abandoned.abort(ABANDONED);
+      // Without an answer, the channel may be dead.
+      void this.#isAlive(channel);
+    }, QUOTA_TIMEOUT_MS);
+    const head = formatQuotaReport(report);
+    const result = await channel.send(
+      { head, body: undefined },
+      abandoned.signal,
+    );
+    clearTimeout(timer);
+    if (result.kind === "failed") {
+      return { kind: "failed", reason: AccountFailure.Unreachable };
+    }
+    const reply = parseQuotaReply(result.head);
+    return reply === undefined
+      ? { kind: "failed", reason: AccountFailure.Unreadable }
+      : { kind: "reply", reply };
+  }
+
   async #exchange(call: MeshCall, options: SendOptions): Promise<PeerResult> {
-    const channel = this.#openChannel(call);
+    const isLarge = (call.body?.length ?? 0) > MAX_CHANNEL_BODY_BYTES;
+    // A large body would block the channel.
+    const channel = isLarge ? undefined : this.#openChannel();
     const abandoned = new AbortController();
     const onAbort = () => abandoned.abort(ABANDONED);
     options.signal.addEventListener("abort", onAbort);
@@ -229,9 +269,7 @@
     this.#queryConnections.close();
   }
 
-  /** Returns the channel; none for a large body, which would block it. */
-  #openChannel(call: MeshCall): CallChannel | undefined {
-    if ((call.body?.length ?? 0) > MAX_CHANNEL_BODY_BYTES) return undefined;
+  #openChannel(): CallChannel {
     if (this.#channel?.isUsable !== true) {
       this.#channel = new CallChannel(this.#address);
     }
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -35,6 +35,13 @@
   STATUS_PATH,
   TRANSFER_PERMIT_PATH,
 } from "../protocol/peer_call.ts";
+import {
+  formatQuotaReply,
+  isQuotaHead,
+  parseQuotaReport,
+  type QuotaReply,
+  type QuotaReport,
+} from "../protocol/quota_message.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import { ChannelServer, type ReceivedCall } from "../transport/channel/mod.ts";
 import {
@@ -82,6 +89,8 @@
   readonly waitForUpdate: (poll: FeedPoll) => Promise<FeedAnswer>;
   /** Age of this daemon's view of the store, in ms. */
   readonly viewAgeMs: () => number;
+  /** Serves a message to this daemon as an account daemon. */
+  readonly serveQuota: (report: QuotaReport) => QuotaReply;
 }
 
 /**
@@ -236,6 +245,7 @@
   }
 
   async #handleChannelCall(received: ReceivedCall): Promise<void> {
+    if (isQuotaHead(received.head)) return this.#answerQuota(received);
     const head = parseFrameHead(received.head);
     const description = head && parseCall(head.description);
     if (description === undefined) {
@@ -258,6 +268,15 @@
     this.#reportVersion(description, received.peer);
   }
 
+  #answerQuota(received: ReceivedCall): void {
+    const report = parseQuotaReport(received.head);
+    if (report === undefined) {
+      this.#options.log.warn("peer-call-unreadable", { peer: received.peer });
+      return received.answer("");
+    }
+    received.answer(formatQuotaReply(this.#options.serveQuota(report)));
+  }
+
   async #serveChannelCall(
     received: ReceivedCall,
     arrival: {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from "node:http";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
+import { DEFAULT_QUOTA_BOUNDS } from "../coordination/quota/mod.ts";
 import { ResponseSizes } from "../coordination/dispatch/mod.ts";
 import { WindowedRetryBudget } from "../coordination/retry/windowed_retry_budget.ts";
 import { Random } from "../protocol/random.ts";
@@ -21,6 +22,7 @@
 import { FeedFollower } from "./feed_follower.ts";
 import { DestinationPool } from "./destination_pool.ts";
 import { IngressServer } from "./ingress_server.ts";
+import { QuotaTask } from "./quota_task.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { SidecarPorts } from "./ports.ts";
@@ -62,6 +64,7 @@
   readonly #quarantine: RequestQuarantine;
   readonly #dispatcher: BackendDispatcher;
   readonly #destinations: DestinationPool;
+  readonly #quotas: QuotaTask;
   readonly #ingress: IngressServer;
   readonly #peerServer: PeerServer;
   readonly #controlServers: Server[];
@@ -137,6 +140,7 @@
       onPeerVersion: (version, client) =>
         void this.#sync.handlePeerVersion(version, client),
     });
+    this.#quotas = this.#createQuotas();
     this.#ingress = this.#createIngress();
     this.#sync = this.#createSync();
     this.#peerServer = new PeerServer({
@@ -151,6 +155,7 @@
         void this.#sync.handlePeerVersion(version, undefined),
       waitForUpdate: (poll) => this.#sync.waitForUpdate(poll),
       viewAgeMs: () => this.#sync.viewAgeMs(),
+      serveQuota: (report) => this.#quotas.serve(report),
     });
     const { readyAddress, controlAddress } = settings;
     this.#controlServers = [...new Set([readyAddress, controlAddress])].map(
@@ -186,6 +191,7 @@
     this.#eventLoop.observe("peers", this.#peerServer.server);
     this.#eventLoop.start();
     this.#usage.start();
+    this.#quotas.start();
     void this.#sync.run(this.#stopped.signal);
     void this.#publisher.run(this.#stopped.signal);
   }
@@ -241,6 +247,7 @@
     this.#quarantine.stop();
     this.#eventLoop.stop();
     this.#usage.stop();
+    this.#quotas.stop();
     this.#log.info("daemon-stopped", { open: this.#ingress.openRequests });
     this.#log.close();
   }
@@ -251,6 +258,7 @@
     this.#quarantine.stop();
     this.#eventLoop.stop();
     this.#usage.stop();
+    this.#quotas.stop();
     this.#peerServer.closeChannels();
     const servers = [
       this.#ingress.server,
@@ -297,6 +305,25 @@
     );
   }
 
+  #createQuotas(): QuotaTask {
+    const { instance, quotaWindowMs, quotaOver, quotaSlack } = this.#settings;
+    return new QuotaTask({
+      instance,
+      bounds: {
+        windowMs: quotaWindowMs ?? DEFAULT_QUOTA_BOUNDS.windowMs,
+        over: quotaOver ?? DEFAULT_QUOTA_BOUNDS.over,
+        slack: quotaSlack ?? DEFAULT_QUOTA_BOUNDS.slack,
+      },
+      directory: this.#directory,
+      routes: this.#routes,
+      log: this.#log,
+      metrics: this.#metrics,
+      isDirectoryKnown: () => this.#sync.hasListed,
+      viewAgeMs: () => this.#sync.viewAgeMs(),
+      send: (...args) => this.#destinations.sendQuotaReport(...args),
+    });
+  }
+
   #createIngress(): IngressServer {
     const { domain, service } = this.#settings;
     return new IngressServer({
@@ -308,6 +335,7 @@
       metrics: this.#metrics,
       configAgeMs: () => this.#sync.configAgeMs(),
       confirmConfig: () => this.#sync.confirmConfig(),
+      quotas: this.#quotas,
       forwarding: {
         destinations: this.#destinations,
         directory: this.#directory,
--- a/src/sidecar/sidecar_settings.ts
+++ b/src/sidecar/sidecar_settings.ts
@@ -29,4 +29,10 @@
   /** Additional retries allowed in a window, fleet-wide. */
   readonly retrySlack: number;
   readonly retryWindowMs: number;
+  /** Length of the windows in which quotas hold, in ms. @default {5_000} */
+  readonly quotaWindowMs?: number;
+  /** Share of a window's quota that may run beyond it. @default {0.1} */
+  readonly quotaOver?: number;
+  /** Requests that may run beyond it in a window. @default {20} */
+  readonly quotaSlack?: number;
 }
--- a/testkit/quota_model.ts
+++ b/testkit/quota_model.ts
@@ -9,10 +9,9 @@
   type QuotaBounds,
   type QuotaLimit,
   type QuotaPlan,
-  type QuotaReply,
-  type QuotaReport,
   TokenHolder,
 } from "../src/coordination/quota/mod.ts";
+import type { QuotaReply, QuotaReport } from "../src/protocol/quota_message.ts";
 import type { Random } from "../src/protocol/random.ts";
 
 /** Period of a daemon's regular work, in ms. */
@@ -21,6 +20,8 @@
 const WAIT_MS = 50;
 /** Time at which daemons start, in ms; it must not be 0. */
 const START_MS = 1;
+/** What the wall clocks are ahead of the monotonic one, in ms. */
+const WALL_OFFSET_MS = 1e9;
 
 /** Faults in the rules themselves, to show that a check notices them. */
 export enum QuotaFlaw {
@@ -68,6 +69,8 @@
     readonly daemon: number;
     readonly isMember: boolean;
   }[];
+  /** Largest error of a daemon's wall clock, in ms; 0 by default. */
+  readonly maxClockErrorMs?: number;
   readonly flaw?: QuotaFlaw;
 }
 
@@ -189,8 +192,13 @@
 
   #createProcess(index: number, generation: number, startedAtMs: number) {
     const { instance } = this.#plan.members[index]!;
+    const maxErrorMs = this.#plan.maxClockErrorMs ?? 0;
     return {
-      holder: new TokenHolder({ instance, startedAtMs, wallOffsetMs: 1e9 }),
+      holder: new TokenHolder({
+        instance,
+        startedAtMs,
+        wallOffsetMs: WALL_OFFSET_MS + this.#random.below(maxErrorMs + 1),
+      }),
       book: new AccountBook(instance, `${instance}.${generation}`),
       tracker: new FleetTracker(instance),
       generation,
