--- a/src/coordination/dispatch/link_schedule.ts
+++ b/src/coordination/dispatch/link_schedule.ts
@@ -113,17 +113,17 @@
 
   /**
    * Returns how long the response of a request that starts now would wait for
-   * the link, and how long it would take to send.
+   * the link after its work, and when it would have been sent.
    *
    * @param route Name of the route.
    * @param priority Rank of the request.
-   * @returns Both times, in ms; 0 for a route with short responses.
+   * @returns Both times from now, in ms; 0 for a route with short responses.
    */
   estimate(
     route: string,
     priority: number,
-  ): { readonly waitMs: number; readonly transferMs: number } {
-    if (!this.isLong(route)) return { waitMs: 0, transferMs: 0 };
+  ): { readonly waitMs: number; readonly sentMs: number } {
+    if (!this.isLong(route)) return { waitMs: 0, sentMs: 0 };
     let bytes = 0;
     for (const reservation of this.#reservations) {
       if (reservation.priority <= priority) bytes += reservation.bytes;
@@ -134,14 +134,11 @@
     if (this.#current !== undefined) {
       bytes += this.#current.transfer.bytes - this.#current.sentBytes;
     }
-    return {
-      // The link sends other responses while the request runs.
-      waitMs: Math.max(
-        0,
-        bytes / this.#bytesPerMs - this.#serviceTimes.expectedMs(route),
-      ),
-      transferMs: this.#sizes.expectedBytes(route) / this.#bytesPerMs,
-    };
+    // The link sends other responses while the request runs.
+    const serviceMs = this.#serviceTimes.expectedMs(route);
+    const waitMs = Math.max(0, bytes / this.#bytesPerMs - serviceMs);
+    const transferMs = this.#sizes.expectedBytes(route) / this.#bytesPerMs;
+    return { waitMs, sentMs: serviceMs + waitMs + transferMs };
   }
 
   /**
--- a/src/coordination/dispatch/link_schedule_test.ts
+++ b/src/coordination/dispatch/link_schedule_test.ts
@@ -61,7 +61,7 @@
 // Load: more downloads than the link carries, which ran first and then waited.
 test("estimate() counts responses of running requests of the same rank", () => {
   const link = new LinkSchedule<Named>(LINK_MBPS);
-  assert.equal(link.estimate("media", 2), { waitMs: 0, transferMs: 0 });
+  assert.equal(link.estimate("media", 2), { waitMs: 0, sentMs: 0 });
   link.record("media", { bytes: 135_000, serviceMs: 200 });
   link.record("index", { bytes: 400, serviceMs: 70 });
   const reservations = Array.from(
@@ -74,15 +74,15 @@
     link.estimate("index", 0),
   ];
   for (const reservation of reservations) link.release(reservation);
-  const round = (value: { waitMs: number; transferMs: number }) => [
+  const round = (value: { waitMs: number; sentMs: number }) => [
     Math.round(value.waitMs),
-    Math.round(value.transferMs),
+    Math.round(value.sentMs),
   ];
   assert.equal([...estimates, link.estimate("media", 2)].map(round), [
-    [1086, 129],
-    [0, 129],
+    [1086, 1414],
+    [0, 329],
     [0, 0],
-    [0, 129],
+    [0, 329],
   ]);
 });
 
--- a/src/sidecar/peer_response_writer.ts
+++ b/src/sidecar/peer_response_writer.ts
@@ -74,17 +74,14 @@
    * @returns The refusal; `undefined` if the link has room.
    */
   findRefusal(call: MeshCall): CallOutcome | undefined {
-    const { waitMs, transferMs } = this.#link.estimate(
+    const { waitMs, sentMs } = this.#link.estimate(
       call.route,
       call.priority,
     );
     if (waitMs === 0) return undefined;
     const nowMs = performance.now();
-    const latestMs = effectiveDeadlineMs(
-      { ...call, arrivedAtMs: nowMs },
-      false,
-    );
-    if (nowMs + waitMs + transferMs <= latestMs) return undefined;
+    const latestMs = latestSentMs(call, nowMs);
+    if (nowMs + sentMs <= latestMs) return undefined;
     const { log, metrics } = this.#options;
     metrics.count("link_refusals_total");
     if (this.#refusedLines.allows(nowMs)) {
@@ -92,7 +89,7 @@
         id: call.id,
         route: call.route,
         waitMs: Math.round(waitMs),
-        transferMs: Math.round(transferMs),
+        sentMs: Math.round(sentMs),
         leftMs: Math.round(latestMs - nowMs),
       });
     }
@@ -221,3 +218,13 @@
     }, Math.ceil(delayMs));
   }
 }
+
+/**
+ * A queue that makes responses miss their objective carries no more of them
+ * than a shorter one.
+ */
+function latestSentMs(call: MeshCall, nowMs: number): number {
+  return call.objectiveAtMs > nowMs
+    ? call.objectiveAtMs
+    : effectiveDeadlineMs({ ...call, arrivedAtMs: nowMs }, false);
+}
