Order the queue of the backend server by fair shares of organisations

An organisation at 8.5 times its usual traffic got the requests of all others refused: served in time were 8 in 100 requests of the worst tenth of the organisations, 28 in 100 of all.

A request now counts the work of its organisation (expected service time accepted within about a second) in its sort key, and a request that is accepted displaces waiting ones that are too late by that. An organisation of which fewer than a quarter as many requests are accepted as of all is owed some, which count as those of an organisation of the highest rank without work. Reports of load state the wait of an organisation without work, as the receiver uses them for all.

Without organisations the order is as recorded.

--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -9,6 +9,7 @@
 export * from "./destination_stats.ts";
 export * from "./decaying_average.ts";
 export * from "./effective_deadline.ts";
+export * from "./fair_share.ts";
 export * from "./momentary_pace.ts";
 export * from "./service_times.ts";
 export * from "./choose_target.ts";
--- a/src/coordination/dispatch/work_queue.ts
+++ b/src/coordination/dispatch/work_queue.ts
@@ -1,4 +1,9 @@
 import { effectiveDeadlineMs } from "./effective_deadline.ts";
+import {
+  type FairPosition,
+  type FairRequest,
+  FairShares,
+} from "./fair_share.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { StartLimiter } from "./start_limiter.ts";
 
@@ -15,7 +20,7 @@
 const MAX_RETRY_AFTER_MS = 2_000;
 
 /** A request for a slot, with monotonic times. */
-export interface WorkItem {
+export interface WorkItem extends FairRequest {
   readonly route: string;
   /** 0 is the most urgent. */
   readonly priority: number;
@@ -26,10 +31,25 @@
 
 const EMPTY_RESULT: DispatchResult<never> = { started: [], expired: [] };
 
+/** A waiting request. */
+interface Waiting<T> {
+  readonly item: T;
+  readonly acceptedAtMs: number;
+  /** Service time that was expected when it was accepted. */
+  readonly serviceMs: number;
+  readonly position: FairPosition;
+}
+
 /** Result of offering a request to a {@linkcode WorkQueue}. */
-export type OfferResult =
+export type OfferResult<T = unknown> =
   | { readonly kind: "start" }
   | { readonly kind: "wait" }
+  /** It waits, and other requests that are too late by that are refused. */
+  | {
+    readonly kind: "displace";
+    readonly displaced: readonly T[];
+    readonly retryAfterMs: number;
+  }
   | { readonly kind: "refuse"; readonly retryAfterMs: number };
 
 /** Requests that start now, and requests that can no longer finish in time. */
@@ -58,7 +78,8 @@
   /** Limits the starts per second; there is no limit at first. */
   readonly starts = new StartLimiter();
   #slots: number;
-  #waiting: T[] = [];
+  #waiting: Waiting<T>[] = [];
+  readonly #shares = new FairShares();
   #running = 0;
   readonly #runningByPriority = new Map<number, number>();
 
@@ -97,21 +118,30 @@
    * @param nowMs Monotonic time, in ms.
    * @returns Whether it starts, waits or is refused.
    */
-  offer(item: T, nowMs: number): OfferResult {
+  offer(item: T, nowMs: number): OfferResult<T> {
+    const { organisation } = item;
     const serviceMs = this.serviceTimes.expectedMs(item.route);
+    if (organisation !== undefined) {
+      this.#shares.recordOffer(organisation, nowMs);
+    }
     const hasFreeSlot = this.#waiting.length === 0 &&
       this.#running < this.#slots;
     if (hasFreeSlot && nowMs >= item.deadlineMs) return this.#refusal(0);
     if (hasFreeSlot && this.starts.tryStart(nowMs)) {
+      this.#recordAccepted(this.#toWaiting(item, serviceMs, nowMs));
       this.#start(item);
       return { kind: "start" };
     }
-    const waitMs = this.#estimateWaitMs(item, nowMs);
+    const entry = this.#toWaiting(item, serviceMs, nowMs);
+    const waitMs = this.#estimateWaitMs(entry, nowMs);
     if (nowMs + waitMs + serviceMs > this.effectiveDeadlineMs(item)) {
       return this.#refusal(waitMs);
     }
-    this.#waiting.push(item);
-    return { kind: "wait" };
+    this.#waiting.push(entry);
+    this.#recordAccepted(entry);
+    return organisation === undefined
+      ? { kind: "wait" }
+      : this.#displaceBehind(entry, nowMs);
   }
 
   /**
@@ -134,16 +164,19 @@
    * @returns Whether it was waiting.
    */
   remove(item: T): boolean {
-    const index = this.#waiting.indexOf(item);
-    if (index >= 0) this.#waiting.splice(index, 1);
-    return index >= 0;
+    const index = this.#waiting.findIndex((one) => one.item === item);
+    if (index < 0) return false;
+    const [entry] = this.#waiting.splice(index, 1);
+    this.#recordWithdrawn(entry!);
+    return true;
   }
 
   /** Removes all waiting requests and returns them. */
   removeAll(): T[] {
     const waiting = this.#waiting;
     this.#waiting = [];
-    return waiting;
+    for (const entry of waiting) this.#recordWithdrawn(entry);
+    return waiting.map(({ item }) => item);
   }
 
   /**
@@ -154,19 +187,19 @@
    */
   dispatch(nowMs: number): DispatchResult<T> {
     if (this.#waiting.length === 0) return EMPTY_RESULT;
-    const expired = this.#waiting.filter((item) =>
-      this.#isTooLate(item, nowMs)
-    );
+    const expired = this.#waiting
+      .filter(({ item }) => this.#isTooLate(item, nowMs))
+      .map(({ item }) => item);
     for (const item of expired) this.remove(item);
     const started: T[] = [];
     while (
       this.#running < this.#slots && this.#waiting.length > 0 &&
       this.starts.tryStart(nowMs)
     ) {
-      const item = this.#nextItem(nowMs);
-      this.remove(item);
-      this.#start(item);
-      started.push(item);
+      const entry = this.#nextEntry(nowMs);
+      this.#waiting.splice(this.#waiting.indexOf(entry), 1);
+      this.#start(entry.item);
+      started.push(entry.item);
     }
     return { started, expired };
   }
@@ -191,7 +224,12 @@
   expectedWaitMs(item: WorkItem, nowMs: number): number {
     const isFree = this.#waiting.length === 0 &&
       this.#running < this.#slots && this.starts.waitMs(nowMs) === 0;
-    return isFree ? 0 : this.#estimateWaitMs(item, nowMs);
+    if (isFree) return 0;
+    const serviceMs = this.serviceTimes.expectedMs(item.route);
+    return this.#estimateWaitMs(
+      this.#toWaiting(item, serviceMs, nowMs),
+      nowMs,
+    );
   }
 
   /**
@@ -206,23 +244,59 @@
     return isHeld ? this.starts.waitMs(nowMs) : undefined;
   }
 
-  #refusal(waitMs: number): OfferResult {
-    const retryAfterMs = Math.min(
-      MAX_RETRY_AFTER_MS,
-      Math.max(MIN_RETRY_AFTER_MS, waitMs),
-    );
-    return { kind: "refuse", retryAfterMs };
+  #refusal(waitMs: number): OfferResult<T> {
+    return { kind: "refuse", retryAfterMs: boundRetryAfterMs(waitMs) };
+  }
+
+  #toWaiting<I extends WorkItem>(
+    item: I,
+    serviceMs: number,
+    nowMs: number,
+  ): Waiting<I> {
+    const position = this.#shares.positionOf(item, nowMs);
+    return { item, acceptedAtMs: nowMs, serviceMs, position };
   }
 
-  #estimateWaitMs(item: WorkItem, nowMs: number): number {
-    const key = this.#sortKey(item, nowMs);
+  /** Refuses waiting requests that are too late with the new one ahead. */
+  #displaceBehind(entry: Waiting<T>, nowMs: number): OfferResult<T> {
+    const entryKey = this.#sortKey(entry, nowMs);
+    const order = this.#waiting
+      .map((waiting) => ({ waiting, key: this.#sortKey(waiting, nowMs) }))
+      .sort((a, b) => a.key - b.key);
+    const displaced: T[] = [];
+    let workMs = this.serviceTimes.overallMs;
+    let ahead = 0;
+    for (const { waiting, key } of order) {
+      const { item } = waiting;
+      const serviceMs = this.serviceTimes.expectedMs(item.route);
+      const endMs = nowMs + serviceMs + this.#waitMs(workMs, ahead, nowMs);
+      if (key > entryKey && endMs > this.effectiveDeadlineMs(item)) {
+        displaced.push(item);
+        continue;
+      }
+      workMs += serviceMs;
+      ahead++;
+    }
+    if (displaced.length === 0) return { kind: "wait" };
+    for (const item of displaced) this.remove(item);
+    const retryAfterMs = boundRetryAfterMs(this.#waitMs(workMs, ahead, nowMs));
+    return { kind: "displace", displaced, retryAfterMs };
+  }
+
+  #estimateWaitMs(entry: Waiting<WorkItem>, nowMs: number): number {
+    const key = this.#sortKey(entry, nowMs);
     let workMs = this.serviceTimes.overallMs;
     let ahead = 0;
     for (const other of this.#waiting) {
       if (this.#sortKey(other, nowMs) > key) continue;
-      workMs += this.serviceTimes.expectedMs(other.route);
+      workMs += this.serviceTimes.expectedMs(other.item.route);
       ahead++;
     }
+    return this.#waitMs(workMs, ahead, nowMs);
+  }
+
+  /** Wait behind a number of requests and their work. */
+  #waitMs(workMs: number, ahead: number, nowMs: number): number {
     return Math.max(
       workMs / Math.max(1, this.#slots),
       this.starts.waitMs(nowMs, ahead + 1),
@@ -230,24 +304,29 @@
   }
 
   /** Smaller keys go first. */
-  #sortKey(item: WorkItem, nowMs: number): number {
+  #sortKey(entry: Waiting<WorkItem>, nowMs: number): number {
+    const { item, position } = entry;
     const serviceMs = this.serviceTimes.expectedMs(item.route);
     const cost = serviceMs * (1 + item.priority);
     const remainingMs = item.deadlineMs - nowMs;
     const isLate = nowMs + serviceMs > item.objectiveAtMs;
-    return cost * (isLate ? LATE_COST_FACTOR : 1) +
+    const lateCost = cost * (isLate ? LATE_COST_FACTOR : 1);
+    const surplusMs = position.surplusMs === 0
+      ? 0
+      : this.#shares.countingSurplusMs(entry, item.objectiveAtMs, nowMs);
+    return (lateCost + surplusMs) * position.factor +
       remainingMs * REMAINING_TIME_WEIGHT;
   }
 
-  #nextItem(nowMs: number): T {
+  #nextEntry(nowMs: number): Waiting<T> {
     let best = this.#waiting[0]!;
     let bestKey = Infinity;
-    for (const item of this.#waiting) {
+    for (const entry of this.#waiting) {
       // A priority below its share goes first, whatever its key.
-      const key = this.#sortKey(item, nowMs) -
-        (this.#isBelowShare(item) ? BELOW_SHARE_LEAD : 0);
+      const key = this.#sortKey(entry, nowMs) -
+        (this.#isBelowShare(entry.item) ? BELOW_SHARE_LEAD : 0);
       if (key >= bestKey) continue;
-      best = item;
+      best = entry;
       bestKey = key;
     }
     return best;
@@ -264,6 +343,18 @@
     return endMs > this.effectiveDeadlineMs(item);
   }
 
+  #recordAccepted({ item, ...accepted }: Waiting<T>): void {
+    const { organisation } = item;
+    if (organisation === undefined) return;
+    this.#shares.accept({ organisation, ...accepted });
+  }
+
+  #recordWithdrawn({ item, ...accepted }: Waiting<T>): void {
+    const { organisation } = item;
+    if (organisation === undefined) return;
+    this.#shares.withdraw({ organisation, ...accepted });
+  }
+
   #start(item: T): void {
     this.#running++;
     this.#addRunning(item.priority, 1);
@@ -274,3 +365,7 @@
     this.#runningByPriority.set(priority, running + change);
   }
 }
+
+function boundRetryAfterMs(waitMs: number): number {
+  return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs));
+}
--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -22,6 +22,7 @@
 import {
   type DispatchResult,
   MomentaryPace,
+  type WorkItem,
   WorkQueue,
 } from "../coordination/dispatch/mod.ts";
 import {
@@ -52,13 +53,8 @@
 const MAX_CANCELLED_LINES_PER_S = 50;
 
 /** A call that waits for a slot or runs. */
-interface Job {
+interface Job extends WorkItem {
   readonly call: MeshCall;
-  readonly route: string;
-  readonly priority: number;
-  readonly objectiveAtMs: number;
-  readonly deadlineMs: number;
-  readonly arrivedAtMs: number;
   readonly resolve: (outcome: CallOutcome) => void;
 }
 
@@ -178,7 +174,8 @@
   }
 
   /**
-   * Returns the load, with the expected wait of a request like the given one.
+   * Returns the load, with the expected wait of a request like the given one
+   * of an organisation without work: the report is used for all organisations.
    *
    * @param call The request.
    * @returns The load.
@@ -242,12 +239,24 @@
         case "wait":
           this.#awaitSlot(job, signal);
           return;
+        case "displace":
+          this.#refuseDisplaced(offer.displaced, offer.retryAfterMs);
+          this.#awaitSlot(job, signal);
+          return;
         case "refuse":
           resolve(notRunOutcome(MeshReason.Overloaded, offer.retryAfterMs));
       }
     });
   }
 
+  #refuseDisplaced(displaced: readonly Job[], retryAfterMs: number): void {
+    this.#metrics.count("calls_displaced_total", {}, displaced.length);
+    for (const job of displaced) {
+      this.#stopWaiting(job);
+      job.resolve(notRunOutcome(MeshReason.Overloaded, retryAfterMs));
+    }
+  }
+
   #findRefusal(call: MeshCall, signal: AbortSignal): CallOutcome | undefined {
     if (signal.aborted) return notRunOutcome(MeshReason.Cancelled);
     const current = this.#backend.current;
@@ -518,6 +527,8 @@
     objectiveAtMs: call.objectiveAtMs,
     deadlineMs: call.deadlineMs,
     arrivedAtMs: performance.now(),
+    organisation: call.organisation,
+    organisationPriority: call.organisationPriority,
     resolve,
   };
 }
--- a/testkit/queue_simulation.ts
+++ b/testkit/queue_simulation.ts
@@ -84,6 +84,9 @@
     const offer = queue.offer(arrival!, nowMs);
     if (offer.kind === "start") start(arrival!, nowMs);
     if (offer.kind === "refuse") refuse(arrival!, nowMs);
+    if (offer.kind === "displace") {
+      for (const request of offer.displaced) refuse(request, nowMs);
+    }
   }
   return ends;
 }
