Order calls of running requests before work of their rank

A request whose call is refused or late fails after its work. A call now goes before work that is not more urgent, and is refused only if it cannot finish before its deadline, at the queue and at the ingress.

--- a/src/coordination/dispatch/work_queue.ts
+++ b/src/coordination/dispatch/work_queue.ts
@@ -1,11 +1,8 @@
 import { effectiveDeadlineMs } from "./effective_deadline.ts";
-import {
-  type FairPosition,
-  type FairRequest,
-  FairShares,
-} from "./fair_share.ts";
+import { type FairPosition, FairShares } from "./fair_share.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { StartLimiter } from "./start_limiter.ts";
+import { classOf, precedes, type WorkItem } from "./work_item.ts";
 
 /** Factor on the cost of a request that misses its objective in any case. */
 const LATE_COST_FACTOR = 2;
@@ -19,16 +16,6 @@
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_RETRY_AFTER_MS = 2_000;
 
-/** A request for a slot, with monotonic times. */
-export interface WorkItem extends FairRequest {
-  readonly route: string;
-  /** 0 is the most urgent. */
-  readonly priority: number;
-  readonly objectiveAtMs: number;
-  readonly deadlineMs: number;
-  readonly arrivedAtMs: number;
-}
-
 const EMPTY_RESULT: DispatchResult<never> = { started: [], expired: [] };
 
 /** A waiting request. */
@@ -65,7 +52,9 @@
  * the expected service time, multiplied for less urgent priorities and for a
  * missed objective. Each priority with waiting requests is guaranteed a small
  * share of the slots. A request that cannot be served in time is refused on
- * arrival. A limit on the starts per second holds besides the slots.
+ * arrival. A call that a running request waits for goes before work that is not
+ * more urgent, and is served as long as it can finish before its deadline, as
+ * the work of the running request is lost otherwise. A limit on the starts per second holds besides the slots.
  *
  * @example
  * ```ts ignore
@@ -81,7 +70,7 @@
   #waiting: Waiting<T>[] = [];
   readonly #shares = new FairShares();
   #running = 0;
-  readonly #runningByPriority = new Map<number, number>();
+  readonly #runningByClass = new Map<number, number>();
 
   /**
    * Creates an empty queue.
@@ -139,7 +128,7 @@
     }
     this.#waiting.push(entry);
     this.#recordAccepted(entry);
-    return organisation === undefined
+    return organisation === undefined && item.isSubcall !== true
       ? { kind: "wait" }
       : this.#displaceBehind(entry, nowMs);
   }
@@ -153,7 +142,7 @@
    */
   finish(item: T, ranMs: number | undefined): void {
     this.#running--;
-    this.#addRunning(item.priority, -1);
+    this.#addRunning(item, -1);
     if (ranMs !== undefined) this.serviceTimes.record(item.route, ranMs);
   }
 
@@ -211,6 +200,7 @@
    * @returns Monotonic time, in ms.
    */
   effectiveDeadlineMs(item: WorkItem): number {
+    if (item.isSubcall === true) return item.deadlineMs;
     return effectiveDeadlineMs(item, this.serviceTimes.isShort(item.route));
   }
 
@@ -262,7 +252,10 @@
     const entryKey = this.#sortKey(entry, nowMs);
     const order = this.#waiting
       .map((waiting) => ({ waiting, key: this.#sortKey(waiting, nowMs) }))
-      .sort((a, b) => a.key - b.key);
+      .sort((a, b) =>
+        Number(b.waiting.item.isSubcall === true) -
+          Number(a.waiting.item.isSubcall === true) || a.key - b.key
+      );
     const displaced: T[] = [];
     let workMs = this.serviceTimes.overallMs;
     let ahead = 0;
@@ -270,7 +263,8 @@
       const { item } = waiting;
       const serviceMs = this.serviceTimes.expectedMs(item.route);
       const endMs = nowMs + serviceMs + this.#waitMs(workMs, ahead, nowMs);
-      if (key > entryKey && endMs > this.effectiveDeadlineMs(item)) {
+      const isBehind = !precedes(item, key, entry.item, entryKey);
+      if (isBehind && endMs > this.effectiveDeadlineMs(item)) {
         displaced.push(item);
         continue;
       }
@@ -288,7 +282,8 @@
     let workMs = this.serviceTimes.overallMs;
     let ahead = 0;
     for (const other of this.#waiting) {
-      if (this.#sortKey(other, nowMs) > key) continue;
+      const otherKey = this.#sortKey(other, nowMs);
+      if (!precedes(other.item, otherKey, entry.item, key)) continue;
       workMs += this.serviceTimes.expectedMs(other.item.route);
       ahead++;
     }
@@ -321,21 +316,29 @@
   #nextEntry(nowMs: number): Waiting<T> {
     let best = this.#waiting[0]!;
     let bestKey = Infinity;
+    let call: Waiting<T> | undefined;
+    let callKey = Infinity;
     for (const entry of this.#waiting) {
       // A priority below its share goes first, whatever its key.
       const key = this.#sortKey(entry, nowMs) -
         (this.#isBelowShare(entry.item) ? BELOW_SHARE_LEAD : 0);
-      if (key >= bestKey) continue;
-      best = entry;
-      bestKey = key;
+      if (key < bestKey) {
+        best = entry;
+        bestKey = key;
+      }
+      if (entry.item.isSubcall === true && key < callKey) {
+        call = entry;
+        callKey = key;
+      }
     }
-    return best;
+    if (call === undefined || this.#isBelowShare(best.item)) return best;
+    return precedes(call.item, callKey, best.item, bestKey) ? call : best;
   }
 
   /** Whether the request's priority runs on less than its guaranteed share. */
   #isBelowShare(item: T): boolean {
     const guaranteed = Math.floor(this.#slots * GUARANTEED_SHARE);
-    return (this.#runningByPriority.get(item.priority) ?? 0) < guaranteed;
+    return (this.#runningByClass.get(classOf(item)) ?? 0) < guaranteed;
   }
 
   #isTooLate(item: T, nowMs: number): boolean {
@@ -357,12 +360,13 @@
 
   #start(item: T): void {
     this.#running++;
-    this.#addRunning(item.priority, 1);
+    this.#addRunning(item, 1);
   }
 
-  #addRunning(priority: number, change: number): void {
-    const running = this.#runningByPriority.get(priority) ?? 0;
-    this.#runningByPriority.set(priority, running + change);
+  #addRunning(item: T, change: number): void {
+    const key = classOf(item);
+    const running = this.#runningByClass.get(key) ?? 0;
+    this.#runningByClass.set(key, running + change);
   }
 }
 
--- a/src/coordination/dispatch/work_queue_fairness_test.ts
+++ b/src/coordination/dispatch/work_queue_fairness_test.ts
@@ -4,7 +4,8 @@
   type OrganisationLoad,
   runOrganisationLoad,
 } from "../../../testkit/organisation_loads.ts";
-import { type WorkItem, WorkQueue } from "./work_queue.ts";
+import type { WorkItem } from "./work_item.ts";
+import { WorkQueue } from "./work_queue.ts";
 
 /** Least share of an organisation, relative to that of all. */
 const REQUIRED_SHARE = 0.25;
--- a/src/coordination/dispatch/work_queue_test.ts
+++ b/src/coordination/dispatch/work_queue_test.ts
@@ -1,6 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type WorkItem, WorkQueue } from "./work_queue.ts";
+import type { WorkItem } from "./work_item.ts";
+import { WorkQueue } from "./work_queue.ts";
 
 interface NamedItem extends WorkItem {
   readonly name: string;
--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -192,6 +192,7 @@
         objectiveAtMs: call.objectiveAtMs,
         deadlineMs: call.deadlineMs,
         arrivedAtMs: nowMs,
+        isSubcall: call.isSubcall,
       }, nowMs),
       failureShare: this.#failureShare,
       pace: this.#pace.valueAt(nowMs),
@@ -529,6 +530,7 @@
     arrivedAtMs: performance.now(),
     organisation: call.organisation,
     organisationPriority: call.organisationPriority,
+    isSubcall: call.isSubcall,
     resolve,
   };
 }
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -199,12 +199,15 @@
 
   /**
    * Whether the best destination would finish the request too late. A free slot
-   * delays no other request, so it only has to finish before the deadline.
+   * delays no other request, so it only has to finish before the deadline, and
+   * so does a call that a running request waits for.
    */
   #isQueueTooLong(choice: DestinationChoice): boolean {
     const expectedEndMs = performance.now() + choice.waitMs + choice.serviceMs;
     const times = { ...this.#request, arrivedAtMs: this.#arrivedAtMs };
-    const latestEndMs = choice.queueMs >= MIN_QUEUE_MS
+    const hasShare = choice.queueMs >= MIN_QUEUE_MS &&
+      this.#request.isSubcall !== true;
+    const latestEndMs = hasShare
       ? effectiveDeadlineMs(times, choice.isShort)
       : times.deadlineMs;
     if (expectedEndMs <= latestEndMs) return false;
--- a/testkit/queue_simulation.ts
+++ b/testkit/queue_simulation.ts
@@ -1,7 +1,5 @@
-import {
-  type WorkItem,
-  WorkQueue,
-} from "../src/coordination/dispatch/work_queue.ts";
+import type { WorkItem } from "../src/coordination/dispatch/work_item.ts";
+import { WorkQueue } from "../src/coordination/dispatch/work_queue.ts";
 import type { Random } from "../src/protocol/random.ts";
 
 /** A request of a simulation, with the work that it really takes. */
