--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -159,7 +159,10 @@
   }
 
   async #runAttempts(signal: AbortSignal): Promise<ForwardResult> {
-    this.#budget.recordRequest(performance.now());
+    this.#budget.recordRequest(
+      performance.now(),
+      this.#request.organisation,
+    );
     const judgement = this.#judge();
     if (judgement?.verdict === Verdict.Quarantined) {
       return this.#buildQuarantineRefusal(judgement);
@@ -193,7 +196,7 @@
     if (isBudgeted && !this.#hasAttemptLeft()) return;
     const choice = this.#chooseDestination(judgement);
     if (choice === undefined || this.#isQueueTooLong(choice)) return;
-    if (isBudgeted && !this.#budget.trySpend(performance.now())) return;
+    if (isBudgeted && !this.#trySpendRetry()) return;
     this.#send(choice, signal);
   }
 
@@ -398,6 +401,11 @@
       performance.now() < deadlineMs;
   }
 
+  #trySpendRetry(): boolean {
+    const { organisation } = this.#request;
+    return this.#budget.trySpend(performance.now(), organisation);
+  }
+
   get #budget(): WindowedRetryBudget {
     return this.#context.budgetOf(this.#request.service);
   }
