Throttle organisations of which destinations refuse most requests

A destination's load report states the wait of an organisation without work, so the ingress no longer finds requests of a large organisation hopeless by itself, and each would be refused by up to three destinations. The ingress now refuses a part of them: about three are sent for each one that is accepted, and at least three in ten of all.

--- a/src/coordination/retry/mod.ts
+++ b/src/coordination/retry/mod.ts
@@ -9,3 +9,4 @@
 export * from "./decide_retry.ts";
 export * from "./windowed_retry_budget.ts";
 export * from "./decide_unanswered.ts";
+export * from "./organisation_throttle.ts";
--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -29,6 +29,7 @@
 import { RequestAuthorizer } from "./request_authorizer.ts";
 import { RequestDeadlines } from "./request_deadlines.ts";
 import { RequestLog } from "./request_log.ts";
+import { ThrottledForwarding } from "./throttled_forwarding.ts";
 
 /** Retry-After value during shutdown, in ms: other daemons serve at once. */
 const SHUTDOWN_RETRY_AFTER_MS = 50;
@@ -76,6 +77,7 @@
   readonly #requestLog: RequestLog;
   readonly #authorizer: RequestAuthorizer;
   readonly #deadlines = new RequestDeadlines();
+  readonly #throttle: ThrottledForwarding;
   readonly #droppedHeaders: ReadonlySet<string>;
   /** The same where the configuration names organisations. */
   readonly #droppedWithOrganisations: ReadonlySet<string>;
@@ -97,6 +99,7 @@
     this.#options = options;
     this.#requestLog = new RequestLog(options);
     this.#authorizer = new RequestAuthorizer(options);
+    this.#throttle = new ThrottledForwarding(options.forwarding.random);
     const { headers } = options;
     const { timeoutMs, callerService, expectedBackend } = headers;
     this.#droppedHeaders = new Set([
@@ -288,7 +291,10 @@
         : {}),
     }, this.#options.forwarding);
     this.#forwarders.add(forwarder);
-    const result = await forwarder.run(caller.cancel);
+    const result = await this.#throttle.run(
+      { service: routeTarget.service, organisation: organisation?.name },
+      () => forwarder.run(caller.cancel),
+    );
     this.#forwarders.delete(forwarder);
     this.#respond(response, id, result);
     this.#requestLog.recordEnd({ id, route, forwarder, result, arrivedAtMs });
