--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -159,7 +159,10 @@
   }
 
   async #runAttempts(signal: AbortSignal): Promise<ForwardResult> {
-    this.#budget.recordRequest(performance.now());
+    this.#budget.recordRequest(
+      performance.now(),
+      this.#request.organisation,
+    );
     const judgement = this.#judge();
     if (judgement?.verdict === Verdict.Quarantined) {
       return this.#buildQuarantineRefusal(judgement);
@@ -193,18 +196,21 @@
     if (isBudgeted && !this.#hasAttemptLeft()) return;
     const choice = this.#chooseDestination(judgement);
     if (choice === undefined || this.#isQueueTooLong(choice)) return;
-    if (isBudgeted && !this.#budget.trySpend(performance.now())) return;
+    if (isBudgeted && !this.#trySpendRetry()) return;
     this.#send(choice, signal);
   }
 
   /**
    * Whether the best destination would finish the request too late. A free slot
-   * delays no other request, so it only has to finish before the deadline.
+   * delays no other request, so it only has to finish before the deadline, and
+   * so does a call that a running request waits for.
    */
   #isQueueTooLong(choice: DestinationChoice): boolean {
     const expectedEndMs = performance.now() + choice.waitMs + choice.serviceMs;
     const times = { ...this.#request, arrivedAtMs: this.#arrivedAtMs };
-    const latestEndMs = choice.queueMs >= MIN_QUEUE_MS
+    const hasShare = choice.queueMs >= MIN_QUEUE_MS &&
+      this.#request.isSubcall !== true;
+    const latestEndMs = hasShare
       ? effectiveDeadlineMs(times, choice.isShort)
       : times.deadlineMs;
     if (expectedEndMs <= latestEndMs) return false;
@@ -398,6 +404,11 @@
       performance.now() < deadlineMs;
   }
 
+  #trySpendRetry(): boolean {
+    const { organisation } = this.#request;
+    return this.#budget.trySpend(performance.now(), organisation);
+  }
+
   get #budget(): WindowedRetryBudget {
     return this.#context.budgetOf(this.#request.service);
   }
