Choose backend servers by the chance to meet the objective

The cost of a request is a distribution, by route, method, size of body, path and organisation (RequestCosts), apart from the pace of the server. An old report gives way to the usual load of the server and of its domain. Servers that were lately free are compared first. The value of a byte that stays in its domain is VALUE_PER_LOCAL_BYTE; a request leaves its domain where that raises its chance by more.

--- a/src/coordination/dispatch/backend_pace.ts
+++ b/src/coordination/dispatch/backend_pace.ts
@@ -1,33 +1,34 @@
-import type { ServiceTimes } from "./service_times.ts";
+import type { RequestCostKey } from "./request_cost_key.ts";
+import type { RequestCosts } from "./request_costs.ts";
 
 /** Smallest weight of the newest sample in the pace. */
 const MIN_SAMPLE_WEIGHT = 0.1;
 /** Samples as which the pace of the whole service counts at first. */
 const PRIOR_SAMPLES = 1;
 /** Half-life of the deviation from the service's pace without samples, in ms. */
-const HALF_LIFE_MS = 8_000;
+const HALF_LIFE_MS = 10_000;
 /** Bounds of one sample, since single requests may be far longer than others. */
 const MIN_SAMPLE = 0.25;
 const MAX_SAMPLE = 4;
 
 /**
- * Service times of one backend server, as its pace relative to its service.
+ * How long work takes on one backend server, relative to its service.
  *
  * In a large fleet a daemon sends few requests to each backend server. The
- * service times of routes are averaged over the service, so that one request
- * of any route tells about all of them.
+ * costs of requests are learned over the service, so that one request of any
+ * route tells about all of them.
  *
  * @example
  * ```ts
- * const shared = new ServiceTimes();
- * shared.record("stock", 100);
- * const pace = new BackendPace(shared);
- * pace.record("stock", 300, 0);
- * pace.expectedMs("stock", 0); // between 100 and 300
+ * const costs = new RequestCosts();
+ * costs.record(["stock"], 100, 0);
+ * const pace = new BackendPace(costs);
+ * pace.record(["stock"], 300, 0);
+ * pace.valueAt(0); // between 1 and 3
  * ```
  */
 export class BackendPace {
-  readonly #shared: ServiceTimes;
+  readonly #costs: RequestCosts;
   #pace = 1;
   #atMs = 0;
   #sampleCount = 0;
@@ -35,23 +36,23 @@
   /**
    * Creates the pace of a backend server without requests so far.
    *
-   * @param shared Service times over all backend servers of the service.
+   * @param costs Costs over all backend servers of the service.
    */
-  constructor(shared: ServiceTimes) {
-    this.#shared = shared;
+  constructor(costs: RequestCosts) {
+    this.#costs = costs;
   }
 
   /**
    * Records a served request.
    *
-   * @param route Name of its route.
-   * @param serviceMs Its service time, in ms.
+   * @param key Key of its cost.
+   * @param serviceMs Its service time at the server's usual pace, in ms.
    * @param nowMs Monotonic time, in ms.
    */
-  record(route: string, serviceMs: number, nowMs: number): void {
-    const sample = serviceMs / this.#shared.expectedMs(route);
-    this.#shared.record(route, serviceMs);
-    const pace = this.#paceAt(nowMs);
+  record(key: RequestCostKey, serviceMs: number, nowMs: number): void {
+    const sample = serviceMs / this.#costs.estimate(key, nowMs).medianMs();
+    const pace = this.valueAt(nowMs);
+    this.#costs.record(key, serviceMs / pace, nowMs);
     const bounded = Math.min(MAX_SAMPLE, Math.max(MIN_SAMPLE, sample));
     this.#sampleCount++;
     const weight = Math.max(
@@ -65,25 +66,21 @@
   /**
    * Returns the expected service time of a request.
    *
-   * @param route Name of its route.
+   * @param key Key of its cost.
    * @param nowMs Monotonic time, in ms.
    * @returns The time, in ms.
    */
-  expectedMs(route: string, nowMs: number): number {
-    return this.#shared.expectedMs(route) * this.#paceAt(nowMs);
+  expectedMs(key: RequestCostKey, nowMs: number): number {
+    return this.#costs.meanMs(key, nowMs) * this.valueAt(nowMs);
   }
 
   /**
-   * Returns whether requests of a route are short for the service.
+   * Returns the pace at a time.
    *
-   * @param route Name of the route.
-   * @returns Whether they are short.
+   * @param nowMs Monotonic time, in ms.
+   * @returns How long work takes, relative to the service.
    */
-  isShort(route: string): boolean {
-    return this.#shared.isShort(route);
-  }
-
-  #paceAt(nowMs: number): number {
+  valueAt(nowMs: number): number {
     return 1 + (this.#pace - 1) * 0.5 ** ((nowMs - this.#atMs) / HALF_LIFE_MS);
   }
 }
--- a/src/coordination/dispatch/choose_destination.ts
+++ b/src/coordination/dispatch/choose_destination.ts
@@ -1,31 +1,46 @@
 import type { BackendRecord } from "../../protocol/mesh.ts";
 import type { Random } from "../../protocol/random.ts";
 import { needsTransferPermit } from "./transfer_limiter.ts";
+import type { CostDistribution } from "./cost_distribution.ts";
 import type { DestinationStats } from "./destination_stats.ts";
+import type { RequestCostKey } from "./request_cost_key.ts";
+import type { RequestCosts } from "./request_costs.ts";
 
 /** Most destinations compared per choice, in the local and in other domains. */
-const MAX_LOCAL_COMPARED = 6;
+const MAX_LOCAL_COMPARED = 2;
 const MAX_REMOTE_COMPARED = 4;
-/** Cost of leaving the local failure domain, as an equivalent wait in ms. */
-const REMOTE_PENALTY_MS = 60;
-/** Additional cost per byte that crosses failure domains, in ms. */
-const REMOTE_PENALTY_PER_BYTE_MS = 0.05;
-/** Most of the cost by bytes, so that a failing local server is left, in ms. */
-const MAX_BYTES_PENALTY_MS = 600;
-/** Share of the time to the objective that bytes may keep a request waiting. */
-const MAX_BYTES_PENALTY_SHARE = 0.5;
-/** Cost of a request that is certain to fail, as an equivalent wait in ms. */
-const FAILURE_PENALTY_MS = 1_500;
-/** Range of the random cost that spreads equal destinations, in ms. */
-const JITTER_MS = 5;
+/** Most destinations compared because they were lately free. */
+const MAX_FREE_COMPARED = 4;
+/** Age of a report up to which a destination counts as free, in ms. */
+const MAX_FREE_AGE_MS = 200;
+/**
+ * Value of a byte that stays in its failure domain, in answers within their
+ * objective. The operators pay a twentieth of such an answer for 5 kB that
+ * cross domains, and nine tenths for 90 kB.
+ */
+const VALUE_PER_LOCAL_BYTE = 0.000_01;
+/** Value of an answer past the objective, in answers within it. */
+const LATE_VALUE = 0.3;
+/** Value of an answer at once instead of at the objective, likewise. */
+const PROMPTNESS_VALUE = 0.1;
+/** Shortest objective by which promptness is measured, in ms. */
+const MIN_OBJECTIVE_MS = 100;
+/** Cost of a failure besides the lost answer: the work and the caller's wait. */
+const FAILURE_COST = 1.5;
+/** Range of the random value that spreads equal destinations, likewise. */
+const JITTER_VALUE = 0.002;
 
 /** Parameters of a choice besides the destinations. */
 export interface ChoiceOptions {
-  readonly route: string;
+  /** Key of the request's cost, with the name of its route first. */
+  readonly costKey: RequestCostKey;
+  /** Costs of the requests of the service. */
+  readonly costs: RequestCosts;
   readonly bodyBytes: number;
   /** Expected size of the response, in bytes. */
   readonly responseBytes: number;
   readonly objectiveAtMs: number;
+  readonly deadlineMs: number;
   readonly localDomain: string;
   /** Monotonic time. */
   readonly nowMs: number;
@@ -47,9 +62,10 @@
 }
 
 /**
- * Chooses the destination with the lowest expected response time, with a
- * preference for the local failure domain that grows with the size of the body
- * and of the expected response.
+ * Chooses the destination with the highest expected value: the chance that the
+ * response meets its objective, less the cost of the bytes that cross failure
+ * domains. A request leaves the local domain where that raises its chance by
+ * more than its bytes are worth.
  *
  * @param records Backend servers of the service that accept requests.
  * @param options The request, and the statistics of the destinations.
@@ -71,10 +87,11 @@
   const candidates = reachable.length > 0
     ? reachable
     : records.filter((one) => !excluded.has(one.id));
-  let best: (DestinationChoice & { readonly cost: number }) | undefined;
+  const cost = options.costs.estimate(options.costKey, nowMs);
+  let best: (DestinationChoice & { readonly value: number }) | undefined;
   for (const record of sampleCandidates(candidates, options)) {
-    const estimate = estimateCost(record, options);
-    if (best === undefined || estimate.cost < best.cost) best = estimate;
+    const estimate = estimateValue(record, options, cost);
+    if (best === undefined || estimate.value > best.value) best = estimate;
   }
   return best;
 }
@@ -88,48 +105,74 @@
   const local = records.filter((one) => one.domain === localDomain);
   const remote = records.filter((one) => one.domain !== localDomain);
   return [
+    ...findRecentlyFree(local, options),
     ...random.sample(local, MAX_LOCAL_COMPARED),
     ...random.sample(remote, MAX_REMOTE_COMPARED),
   ];
 }
 
-function estimateCost(
+/** The local destinations that were last known to have a free slot. */
+function findRecentlyFree(
+  records: readonly BackendRecord[],
+  options: ChoiceOptions,
+): readonly BackendRecord[] {
+  const free: BackendRecord[] = [];
+  const times: number[] = [];
+  for (const record of records) {
+    const atMs = options.statsOf(record).freeAtMs;
+    if (atMs < options.nowMs - MAX_FREE_AGE_MS) continue;
+    let at = free.length;
+    while (at > 0 && times[at - 1]! < atMs) at--;
+    if (at >= MAX_FREE_COMPARED) continue;
+    free.splice(at, 0, record);
+    times.splice(at, 0, atMs);
+    free.length = times.length = Math.min(free.length, MAX_FREE_COMPARED);
+  }
+  return free;
+}
+
+function estimateValue(
   record: BackendRecord,
   options: ChoiceOptions,
-): DestinationChoice & { readonly cost: number } {
-  const { nowMs, route } = options;
+  cost: CostDistribution,
+): DestinationChoice & { readonly value: number } {
+  const { nowMs, costKey, objectiveAtMs, deadlineMs } = options;
   const stats = options.statsOf(record);
-  const estimate = stats.estimate(
-    route,
-    nowMs,
-    record.slots,
-  );
+  const estimate = stats.estimate(costKey, nowMs, record.slots, cost);
   const permitWaitMs = needsTransferPermit(options.bodyBytes, record.linkMbps)
     ? stats.expectedPermitWaitMs(nowMs)
     : 0;
-  const { serviceMs } = estimate;
+  const { serviceMs, pace } = estimate;
   const waitMs = estimate.waitMs + permitWaitMs;
   const queueMs = estimate.queueMs + permitWaitMs;
-  const isRemote = record.domain !== options.localDomain;
-  const remotePenaltyMs = isRemote ? computeRemotePenaltyMs(options) : 0;
-  const failurePenaltyMs = stats.failureShare(nowMs) * FAILURE_PENALTY_MS;
-  const jitterMs = options.random.fraction() * JITTER_MS;
-  const cost = waitMs + serviceMs + remotePenaltyMs + failurePenaltyMs +
-    jitterMs;
-  const isShort = stats.isShort(route);
-  return { record, waitMs, queueMs, serviceMs, isShort, cost };
+  const delayMs = estimate.delayMs + permitWaitMs;
+  const within = (atMs: number) =>
+    shareWithin(cost, atMs - nowMs, delayMs, pace);
+  const inTime = within(objectiveAtMs);
+  const served = inTime + LATE_VALUE * (within(deadlineMs) - inTime);
+  const objectiveMs = Math.max(MIN_OBJECTIVE_MS, objectiveAtMs - nowMs);
+  const failureShare = stats.failureShare(nowMs);
+  const value = served * (1 - failureShare) - FAILURE_COST * failureShare -
+    PROMPTNESS_VALUE * (waitMs + serviceMs) / objectiveMs -
+    (record.domain === options.localDomain ? 0 : crossingCost(options)) +
+    options.random.fraction() * JITTER_VALUE;
+  const isShort = stats.isShort(costKey[0]!);
+  return { record, waitMs, queueMs, serviceMs, isShort, value };
 }
 
-/**
- * Bytes between domains are dear, but a request is not kept from its objective
- * for them.
- */
-function computeRemotePenaltyMs(options: ChoiceOptions): number {
+/** Chance that a request ends in time; the delay may be off by a half. */
+function shareWithin(
+  cost: CostDistribution,
+  remainingMs: number,
+  delayMs: number,
+  pace: number,
+): number {
+  const early = cost.shareWithin((remainingMs - delayMs * 0.5) / pace);
+  const late = cost.shareWithin((remainingMs - delayMs * 1.5) / pace);
+  return (early + late) / 2;
+}
+
+function crossingCost(options: ChoiceOptions): number {
   const bytes = options.bodyBytes + options.responseBytes;
-  const slackMs = Math.max(0, options.objectiveAtMs - options.nowMs);
-  return REMOTE_PENALTY_MS + Math.min(
-    MAX_BYTES_PENALTY_MS,
-    bytes * REMOTE_PENALTY_PER_BYTE_MS,
-    slackMs * MAX_BYTES_PENALTY_SHARE,
-  );
+  return bytes * VALUE_PER_LOCAL_BYTE;
 }
--- a/src/coordination/dispatch/destination_stats.ts
+++ b/src/coordination/dispatch/destination_stats.ts
@@ -7,7 +7,11 @@
 import { DecayingAverage } from "./decaying_average.ts";
 import { BackendPace } from "./backend_pace.ts";
 import { MomentaryPace } from "./momentary_pace.ts";
-import { ServiceTimes } from "./service_times.ts";
+import { DomainLoad } from "./domain_load.ts";
+import { UsualLoad } from "./usual_load.ts";
+import type { CostDistribution } from "./cost_distribution.ts";
+import type { RequestCostKey } from "./request_cost_key.ts";
+import { RequestCosts } from "./request_costs.ts";
 
 /** Time constant with which the weight of a load report decays, in ms. */
 const REPORT_DECAY_MS = 300;
@@ -46,6 +50,9 @@
  * ```
  */
 export class DestinationStats {
+  readonly #costs: RequestCosts;
+  readonly #domainLoad: DomainLoad;
+  readonly #ownLoad: UsualLoad;
   readonly #pace: BackendPace;
   readonly #transitMs = new DecayingAverage();
   readonly #permitWaitMs = new DecayingAverage();
@@ -57,16 +64,22 @@
   /** Latest reported wait of each route. */
   readonly #waits = new Map<string, RouteWait>();
   #reportedAtMs = -Infinity;
+  /** Requests that this daemon has sent since the last report. */
+  #sentSince = 0;
   #failureShare = 0;
   #failureShareAtMs = 0;
 
   /**
    * Creates the statistics of a destination without requests so far.
    *
-   * @param serviceTimes Service times over all destinations of its service.
+   * @param costs Costs of requests over all destinations of its service.
+   * @param domainLoad Load of the service's destinations in its domain.
    */
-  constructor(serviceTimes = new ServiceTimes()) {
-    this.#pace = new BackendPace(serviceTimes);
+  constructor(costs = new RequestCosts(), domainLoad = new DomainLoad()) {
+    this.#costs = costs;
+    this.#domainLoad = domainLoad;
+    this.#ownLoad = new UsualLoad(domainLoad);
+    this.#pace = new BackendPace(costs);
   }
 
   /**
@@ -76,23 +89,29 @@
    */
   recordSend(route: string): void {
     this.#inFlight++;
+    this.#sentSince++;
     const wait = this.#waits.get(route);
     if (wait !== undefined) wait.sentSince++;
   }
 
   /**
-   * Records the outcome of a request.
+   * Records the outcome of a request, after the load report that came with it.
    *
-   * @param route Name of its route.
+   * @param key Key of its cost.
    * @param outcome The outcome.
    * @param nowMs Monotonic time, in ms.
    */
-  recordOutcome(route: string, outcome: CallOutcome, nowMs: number): void {
+  recordOutcome(
+    key: RequestCostKey,
+    outcome: CallOutcome,
+    nowMs: number,
+  ): void {
     this.#inFlight--;
     switch (outcome.kind) {
       case "answered":
         if (outcome.answer.status < 500) {
-          this.#pace.record(route, outcome.serviceMs, nowMs);
+          const momentary = this.#momentaryPace.valueAt(nowMs);
+          this.#pace.record(key, outcome.serviceMs / momentary, nowMs);
         }
         this.#recordResult(outcome.answer.status >= 500, nowMs);
         return;
@@ -120,8 +139,12 @@
   recordLoad(route: string, load: DestinationLoad, nowMs: number): void {
     this.#load = load;
     this.#reportedAtMs = nowMs;
+    this.#sentSince = 0;
     this.#momentaryPace.record(load.pace, nowMs);
     this.#waits.set(route, { waitMs: load.waitMs, atMs: nowMs, sentSince: 0 });
+    const busy = (load.running + load.queued) / Math.max(1, load.limit);
+    this.#ownLoad.record(busy, load.waitMs, nowMs);
+    this.#domainLoad.record(busy, load.waitMs, nowMs);
     this.#unreachable.resetBackoff();
   }
 
@@ -201,55 +224,85 @@
   /**
    * Estimates the wait and the service time of a new request.
    *
-   * @param route Name of its route.
+   * @param key Key of its cost.
    * @param nowMs Monotonic time, in ms.
    * @param slots Slots that the backend server announced.
-   * @returns The wait, its part spent behind other requests, and the service
-   * time, in ms.
+   * @param cost Distribution of its cost, if the caller has it already.
+   * @returns The wait, its part spent behind other requests, the service time,
+   * in ms; the part of the wait before the start, in ms; and how long work takes
+   * after it, relative to the service.
    */
   estimate(
-    route: string,
+    key: RequestCostKey,
     nowMs: number,
     slots: number,
+    cost: Pick<CostDistribution, "meanMs"> = this.#costs.estimate(key, nowMs),
   ): {
     readonly waitMs: number;
     readonly queueMs: number;
     readonly serviceMs: number;
+    readonly delayMs: number;
+    readonly pace: number;
   } {
-    const serviceMs = this.#pace.expectedMs(route, nowMs) *
+    const pace = this.#pace.valueAt(nowMs) *
       this.#momentaryPace.valueAt(nowMs);
     const limit = Math.max(1, this.#load?.limit ?? slots);
     const weight = this.#reportWeight(nowMs);
     const reported = (this.#load?.running ?? 0) + (this.#load?.queued ?? 0);
-    const busy = Math.max(this.#inFlight, reported * weight);
+    const usual = this.#ownLoad.busyAt(nowMs) * limit;
+    const busy = Math.max(
+      this.#inFlight,
+      reported * weight + usual * (1 - weight) + this.#sentSince,
+    );
     // A destination near its limit slows down before requests queue.
-    const slowdownMs = Math.min(1, busy / limit) ** 3 * serviceMs *
-      FULL_LOAD_SLOWDOWN;
+    const slowdown = Math.min(1, busy / limit) ** 3 * FULL_LOAD_SLOWDOWN;
+    const serviceMs = cost.meanMs * pace;
     const isFull = busy >= limit;
     const limitPerS = this.#load?.limitPerS;
     const queueMs = this.#estimateQueueMs(
-      route,
+      key[0]!,
       nowMs,
       Math.max(
         isFull ? serviceMs / limit : 0,
         limitPerS === undefined ? 0 : MS_PER_S / limitPerS,
       ),
     );
-    const waitMs = queueMs + slowdownMs + this.#transitMs.valueAt(nowMs);
-    return { waitMs, queueMs, serviceMs };
+    const delayMs = queueMs + this.#transitMs.valueAt(nowMs);
+    return {
+      waitMs: delayMs + slowdown * serviceMs,
+      queueMs,
+      serviceMs,
+      delayMs,
+      pace: pace * (1 + slowdown),
+    };
   }
 
   /** Uses the route's own wait, as the queue's order depends on the route. */
   #estimateQueueMs(route: string, nowMs: number, perRequestMs: number): number {
+    const usualMs = this.#ownLoad.waitMsAt(nowMs);
     const wait = this.#waits.get(route);
-    if (wait === undefined) return perRequestMs;
+    if (wait === undefined) return Math.max(perRequestMs, usualMs);
     const weight = Math.exp((wait.atMs - nowMs) / REPORT_DECAY_MS);
-    return wait.waitMs * weight + wait.sentSince * perRequestMs;
+    return wait.waitMs * weight + usualMs * (1 - weight) +
+      wait.sentSince * perRequestMs;
+  }
+
+  /**
+   * Returns when the destination was last known to have a free slot.
+   *
+   * @returns Monotonic time of the report, in ms; `-Infinity` if its slots are
+   * taken by now.
+   */
+  get freeAtMs(): number {
+    const load = this.#load;
+    if (load === undefined) return -Infinity;
+    const busy = load.running + load.queued + this.#sentSince;
+    return busy < load.limit ? this.#reportedAtMs : -Infinity;
   }
 
   /** Returns whether requests of a route are short for the service. */
   isShort(route: string): boolean {
-    return this.#pace.isShort(route);
+    return this.#costs.isShort(route);
   }
 
   #reportWeight(nowMs: number): number {
--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -15,3 +15,7 @@
 export * from "./start_limiter.ts";
 export * from "./work_queue.ts";
 export * from "./response_sizes.ts";
+export * from "./cost_distribution.ts";
+export * from "./domain_load.ts";
+export * from "./request_cost_key.ts";
+export * from "./request_costs.ts";
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -3,7 +3,9 @@
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import {
   DestinationStats,
-  ServiceTimes,
+  DomainLoad,
+  type RequestCostKey,
+  RequestCosts,
 } from "../coordination/dispatch/mod.ts";
 import type { FeedPoll, FeedPollResult } from "../protocol/feed.ts";
 import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
@@ -42,6 +44,11 @@
   readonly onPeerVersion: (version: number, client: PeerClient) => void;
 }
 
+/** How a request is sent, and the key of its cost. */
+export type ExecuteOptions = Omit<SendOptions, "configVersion"> & {
+  readonly costKey: RequestCostKey;
+};
+
 /** The client of one backend server, and the statistics of its requests. */
 interface Destination {
   readonly id: string;
@@ -62,8 +69,10 @@
 export class DestinationPool {
   readonly #options: DestinationPoolOptions;
   readonly #destinations = new Map<string, Destination>();
-  /** Service times over all destinations of a service. */
-  readonly #serviceTimes = new Map<string, ServiceTimes>();
+  /** Costs of requests over all destinations of a service. */
+  readonly #costs = new Map<string, RequestCosts>();
+  /** By service and domain. */
+  readonly #domainLoads = new Map<string, DomainLoad>();
   readonly #statusLines: LogRateLimiter;
 
   /**
@@ -86,6 +95,21 @@
     return this.#findOrCreate(record).stats;
   }
 
+  /**
+   * Returns the costs of the requests of a service.
+   *
+   * @param service Name of the service.
+   * @returns The costs, which are empty before the first response.
+   */
+  costsOf(service: string): RequestCosts {
+    let costs = this.#costs.get(service);
+    if (costs === undefined) {
+      costs = new RequestCosts();
+      this.#costs.set(service, costs);
+    }
+    return costs;
+  }
+
   /**
    * Polls the daemon of a backend server for changes in the store.
    *
@@ -113,7 +137,7 @@
   async execute(
     record: BackendRecord,
     call: MeshCall,
-    options: Omit<SendOptions, "configVersion">,
+    options: ExecuteOptions,
   ): Promise<PeerResult["outcome"]> {
     try {
       return await this.#execute(record, call, options);
@@ -130,7 +154,7 @@
   async #execute(
     record: BackendRecord,
     call: MeshCall,
-    options: Omit<SendOptions, "configVersion">,
+    options: ExecuteOptions,
   ): Promise<PeerResult["outcome"]> {
     const { stats, client } = this.#findOrCreate(record);
     stats.recordSend(call.route);
@@ -151,7 +175,10 @@
       );
     this.#options.quarantine.merge(call, result.evidence, record.instance);
     const nowMs = performance.now();
-    stats.recordOutcome(call.route, result.outcome, nowMs);
+    if (result.load !== undefined) {
+      stats.recordLoad(call.route, result.load, nowMs);
+    }
+    stats.recordOutcome(options.costKey, result.outcome, nowMs);
     if (record.domain !== this.#options.domain) {
       this.#countRemoteBytes(call, result.outcome);
     }
@@ -160,9 +187,6 @@
       this.#recordLeaving(record, result.outcome.answer.headers);
       stats.recordNamedLimit(result.load?.limitPerS);
     }
-    if (result.load !== undefined) {
-      stats.recordLoad(call.route, result.load, nowMs);
-    }
     if (result.permitWaitMs !== undefined) {
       stats.recordPermitWait(result.permitWaitMs, nowMs);
     }
@@ -239,13 +263,14 @@
     return { outcome, load: dispatcher.loadFor(call) };
   }
 
-  #serviceTimesOf(service: string): ServiceTimes {
-    let times = this.#serviceTimes.get(service);
-    if (times === undefined) {
-      times = new ServiceTimes();
-      this.#serviceTimes.set(service, times);
+  #domainLoadOf(record: BackendRecord): DomainLoad {
+    const name = `${record.service}\n${record.domain}`;
+    let load = this.#domainLoads.get(name);
+    if (load === undefined) {
+      load = new DomainLoad();
+      this.#domainLoads.set(name, load);
     }
-    return times;
+    return load;
   }
 
   #findOrCreate(record: BackendRecord): Destination {
@@ -257,7 +282,10 @@
     const destination = {
       id: record.id,
       address: record.peerAddress,
-      stats: new DestinationStats(this.#serviceTimesOf(record.service)),
+      stats: new DestinationStats(
+        this.costsOf(record.service),
+        this.#domainLoadOf(record),
+      ),
       client: new PeerClient(record, {
         onStatusReport: (report) => this.#recordStatusReport(record, report),
       }),
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -1,7 +1,9 @@
 import {
   chooseDestination,
+  costKeyOf,
   type DestinationChoice,
   effectiveDeadlineMs,
+  type RequestCostKey,
 } from "../coordination/dispatch/mod.ts";
 import {
   type Judgement,
@@ -94,6 +96,7 @@
 export class RequestForwarder {
   readonly #request: ForwardRequest;
   readonly #context: ForwardContext;
+  readonly #costKey: RequestCostKey;
   readonly #excluded = new Set<string>();
   readonly #steps: string[] = [];
   readonly #arrivedAtMs = performance.now();
@@ -119,6 +122,7 @@
   constructor(request: ForwardRequest, context: ForwardContext) {
     this.#request = request;
     this.#context = context;
+    this.#costKey = costKeyOf({ ...request, route: request.route.name });
   }
 
   /** The routing decisions so far, as written to the log. */
@@ -223,16 +227,18 @@
   ): DestinationChoice | undefined {
     const { directory, destinations, random, domain, responseSizes } =
       this.#context;
-    const { service, route, body, objectiveAtMs } = this.#request;
+    const { service, route, body, objectiveAtMs, deadlineMs } = this.#request;
     const records = directory.readyBackends(service);
     const candidates = judgement?.verdict === Verdict.OnTrial
       ? chooseTrialBackend(records, judgement.fingerprint)
       : records;
     return chooseDestination(candidates, {
-      route: route.name,
+      costKey: this.#costKey,
+      costs: destinations.costsOf(service),
       bodyBytes: body?.length ?? 0,
       responseBytes: responseSizes.expectedBytes(route.name),
       objectiveAtMs,
+      deadlineMs,
       localDomain: domain,
       nowMs: performance.now(),
       excluded: this.#excluded,
@@ -253,6 +259,7 @@
       this.#buildCall(choice),
       {
         signal,
+        costKey: this.#costKey,
         expectedMs: choice.waitMs + choice.serviceMs,
         onSuspected: (reason) => {
           if (!attempt.isSuspected) {
--- a/src/sidecar/request_forwarder_test.ts
+++ b/src/sidecar/request_forwarder_test.ts
@@ -3,6 +3,7 @@
 import * as assert from "uvu/assert";
 import {
   DestinationStats,
+  RequestCosts,
   ResponseSizes,
 } from "../coordination/dispatch/mod.ts";
 import { WindowedRetryBudget } from "../coordination/retry/windowed_retry_budget.ts";
@@ -77,6 +78,7 @@
     directory.put(makeRecord(`b${index}`));
   }
   const destinations = {
+    costsOf: () => new RequestCosts(),
     statsOf: ({ id }: BackendRecord) => {
       if (!statsById.has(id)) statsById.set(id, new DestinationStats());
       return statsById.get(id)!;
