Let single requests weigh less in the service times

One request of twenty times the usual work doubled the expected service time of its queue, which then refused requests that it could serve. The smallest weight of a sample is 0.03 instead of 0.1; the first samples still count in full.

--- a/src/coordination/dispatch/service_times.ts
+++ b/src/coordination/dispatch/service_times.ts
@@ -1,5 +1,8 @@
-/** Weight of the newest sample in an average. */
-const SAMPLE_WEIGHT = 0.1;
+/**
+ * Smallest weight of the newest sample. With 0.1, one request of twenty times
+ * the usual work made the queue refuse those after it.
+ */
+const MIN_SAMPLE_WEIGHT = 0.03;
 /** Share of the average service time up to which a route is short. */
 const SHORT_SHARE = 0.6;
 /** Assumed service time before the first sample, in ms. */
@@ -16,8 +19,8 @@
  * ```
  */
 export class ServiceTimes {
-  readonly #byRoute = new Map<string, number>();
-  #overallMs = 0;
+  readonly #byRoute = new Map<string, Average>();
+  readonly #overall = new Average();
 
   /**
    * Records a served request.
@@ -26,8 +29,13 @@
    * @param serviceMs Its service time, in ms.
    */
   record(route: string, serviceMs: number): void {
-    this.#byRoute.set(route, average(this.#byRoute.get(route), serviceMs));
-    this.#overallMs = average(this.#overallMs || undefined, serviceMs);
+    let average = this.#byRoute.get(route);
+    if (average === undefined) {
+      average = new Average();
+      this.#byRoute.set(route, average);
+    }
+    average.add(serviceMs);
+    this.#overall.add(serviceMs);
   }
 
   /**
@@ -43,7 +51,7 @@
 
   /** Average over all routes, in ms. */
   get overallMs(): number {
-    return this.#overallMs || INITIAL_SERVICE_MS;
+    return this.#overall.valueMs || INITIAL_SERVICE_MS;
   }
 
   /**
@@ -53,12 +61,23 @@
    * @returns The average of the route, or of all routes if it has none, in ms.
    */
   expectedMs(route: string): number {
-    return this.#byRoute.get(route) ?? this.overallMs;
+    return this.#byRoute.get(route)?.valueMs ?? this.overallMs;
   }
 }
 
-function average(current: number | undefined, sample: number): number {
-  return current === undefined
-    ? sample
-    : current + (sample - current) * SAMPLE_WEIGHT;
+/** A moving average that follows its first samples at once. */
+class Average {
+  #valueMs = 0;
+  #count = 0;
+
+  /** The average, in ms; 0 before the first sample. */
+  get valueMs(): number {
+    return this.#valueMs;
+  }
+
+  add(sampleMs: number): void {
+    this.#count++;
+    const weight = Math.max(MIN_SAMPLE_WEIGHT, 1 / this.#count);
+    this.#valueMs += (sampleMs - this.#valueMs) * weight;
+  }
 }
