Find the candidates of a choice in one pass

The choice filtered all servers up to four times. One pass now finds the local, remote and lately free ones, and random ones are taken without a copy. A server whose report named a wait does not count as free.

--- a/src/coordination/dispatch/choose_destination.ts
+++ b/src/coordination/dispatch/choose_destination.ts
@@ -80,62 +80,110 @@
   records: readonly BackendRecord[],
   options: ChoiceOptions,
 ): DestinationChoice | undefined {
-  const { nowMs, statsOf, excluded } = options;
-  const reachable = records.filter((one) =>
-    !excluded.has(one.id) && !statsOf(one).isUnreachable(nowMs)
-  );
-  const candidates = reachable.length > 0
-    ? reachable
-    : records.filter((one) => !excluded.has(one.id));
-  const cost = options.costs.estimate(options.costKey, nowMs);
-  let best: (DestinationChoice & { readonly value: number }) | undefined;
-  for (const record of sampleCandidates(candidates, options)) {
-    const estimate = estimateValue(record, options, cost);
-    if (best === undefined || estimate.value > best.value) best = estimate;
+  const cost = options.costs.estimate(options.costKey, options.nowMs);
+  let best: ValuedChoice | undefined;
+  const compare = (record: BackendRecord) => {
+    const choice = estimateValue(record, options, cost);
+    if (best === undefined || choice.value > best.value) best = choice;
+  };
+  const { local, remote, recentlyFree } = findCandidates(records, options);
+  if (local.length + remote.length <= MAX_REMOTE_COMPARED) {
+    local.forEach(compare);
+    remote.forEach(compare);
+    return best;
   }
+  recentlyFree.forEach(compare);
+  takeRandom(local, MAX_LOCAL_COMPARED, options.random).forEach(compare);
+  takeRandom(remote, MAX_REMOTE_COMPARED, options.random).forEach(compare);
   return best;
 }
 
-function sampleCandidates(
-  records: readonly BackendRecord[],
-  options: ChoiceOptions,
-): readonly BackendRecord[] {
-  if (records.length <= MAX_REMOTE_COMPARED) return records;
-  const { random, localDomain } = options;
-  const local = records.filter((one) => one.domain === localDomain);
-  const remote = records.filter((one) => one.domain !== localDomain);
-  return [
-    ...findRecentlyFree(local, options),
-    ...random.sample(local, MAX_LOCAL_COMPARED),
-    ...random.sample(remote, MAX_REMOTE_COMPARED),
-  ];
+/** A choice with its expected value, in answers within their objective. */
+type ValuedChoice = DestinationChoice & { readonly value: number };
+
+interface Candidates {
+  readonly local: BackendRecord[];
+  readonly remote: BackendRecord[];
+  /** Local ones that had a free slot lately, the latest first. */
+  readonly recentlyFree: readonly BackendRecord[];
 }
 
-/** The local destinations that were last known to have a free slot. */
-function findRecentlyFree(
+/** Leaves out unreachable destinations, unless there are no others. */
+function findCandidates(
   records: readonly BackendRecord[],
   options: ChoiceOptions,
-): readonly BackendRecord[] {
-  const free: BackendRecord[] = [];
-  const times: number[] = [];
+): Candidates {
+  const { nowMs, localDomain, excluded, statsOf } = options;
+  const local: BackendRecord[] = [];
+  const remote: BackendRecord[] = [];
+  const unreachable: BackendRecord[] = [];
+  const recentlyFree = new LatestRecords(MAX_FREE_COMPARED);
   for (const record of records) {
-    const atMs = options.statsOf(record).freeAtMs;
-    if (atMs < options.nowMs - MAX_FREE_AGE_MS) continue;
-    let at = free.length;
-    while (at > 0 && times[at - 1]! < atMs) at--;
-    if (at >= MAX_FREE_COMPARED) continue;
-    free.splice(at, 0, record);
-    times.splice(at, 0, atMs);
-    free.length = times.length = Math.min(free.length, MAX_FREE_COMPARED);
+    if (excluded.has(record.id)) continue;
+    const stats = statsOf(record);
+    const isLocal = record.domain === localDomain;
+    if (stats.isUnreachable(nowMs)) {
+      unreachable.push(record);
+    } else if (isLocal) {
+      local.push(record);
+      const { freeAtMs } = stats;
+      if (nowMs - freeAtMs <= MAX_FREE_AGE_MS) {
+        recentlyFree.add(record, freeAtMs);
+      }
+    } else {
+      remote.push(record);
+    }
+  }
+  if (local.length + remote.length > 0) {
+    return { local, remote, recentlyFree: recentlyFree.records };
+  }
+  for (const record of unreachable) {
+    (record.domain === localDomain ? local : remote).push(record);
+  }
+  return { local, remote, recentlyFree: [] };
+}
+
+/** The records with the latest times, in the order of these. */
+class LatestRecords {
+  readonly records: BackendRecord[] = [];
+  readonly #timesMs: number[] = [];
+  readonly #size: number;
+
+  constructor(size: number) {
+    this.#size = size;
+  }
+
+  add(record: BackendRecord, atMs: number): void {
+    let at = this.records.length;
+    while (at > 0 && this.#timesMs[at - 1]! < atMs) at--;
+    if (at >= this.#size) return;
+    this.records.splice(at, 0, record);
+    this.#timesMs.splice(at, 0, atMs);
+    if (this.records.length <= this.#size) return;
+    this.records.pop();
+    this.#timesMs.pop();
+  }
+}
+
+/** Moves random records to the front, and returns these. */
+function takeRandom(
+  records: BackendRecord[],
+  count: number,
+  random: Random,
+): readonly BackendRecord[] {
+  const size = Math.min(count, records.length);
+  for (let index = 0; index < size; index++) {
+    const other = index + random.below(records.length - index);
+    [records[index], records[other]] = [records[other]!, records[index]!];
   }
-  return free;
+  return records.slice(0, size);
 }
 
 function estimateValue(
   record: BackendRecord,
   options: ChoiceOptions,
   cost: CostDistribution,
-): DestinationChoice & { readonly value: number } {
+): ValuedChoice {
   const { nowMs, costKey, objectiveAtMs, deadlineMs } = options;
   const stats = options.statsOf(record);
   const estimate = stats.estimate(costKey, nowMs, record.slots, cost);
--- a/src/coordination/dispatch/destination_stats.ts
+++ b/src/coordination/dispatch/destination_stats.ts
@@ -295,7 +295,7 @@
    */
   get freeAtMs(): number {
     const load = this.#load;
-    if (load === undefined) return -Infinity;
+    if (load === undefined || load.waitMs > 0) return -Infinity;
     const busy = load.running + load.queued + this.#sentSince;
     return busy < load.limit ? this.#reportedAtMs : -Infinity;
   }
