--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -18,3 +18,7 @@
 export * from "./work_queue.ts";
 export * from "./response_sizes.ts";
 export * from "./link_schedule.ts";
+export * from "./cost_distribution.ts";
+export * from "./domain_load.ts";
+export * from "./request_cost_key.ts";
+export * from "./request_costs.ts";
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -1,7 +1,9 @@
 import {
   chooseDestination,
+  costKeyOf,
   type DestinationChoice,
   effectiveDeadlineMs,
+  type RequestCostKey,
 } from "../coordination/dispatch/mod.ts";
 import {
   type Judgement,
@@ -16,6 +18,7 @@
   MeshCall,
 } from "../protocol/mesh_call.ts";
 import { MeshReason } from "../protocol/mesh_call.ts";
+import { formatOutcome, formatStep } from "./format_step.ts";
 import type {
   ForwardContext,
   ForwardRequest,
@@ -94,6 +97,7 @@
 export class RequestForwarder {
   readonly #request: ForwardRequest;
   readonly #context: ForwardContext;
+  readonly #costKey: RequestCostKey;
   readonly #excluded = new Set<string>();
   readonly #steps: string[] = [];
   readonly #arrivedAtMs = performance.now();
@@ -119,6 +123,7 @@
   constructor(request: ForwardRequest, context: ForwardContext) {
     this.#request = request;
     this.#context = context;
+    this.#costKey = costKeyOf({ ...request, route: request.route.name });
   }
 
   /** The routing decisions so far, as written to the log. */
@@ -214,11 +219,8 @@
       ? effectiveDeadlineMs(times, choice.isShort)
       : times.deadlineMs;
     if (expectedEndMs <= latestEndMs) return false;
-    this.#steps.push(
-      `${choice.record.id}:hopeless:${MeshReason.Overloaded}:${
-        Math.round(choice.waitMs)
-      }:0`,
-    );
+    const text = `hopeless:${MeshReason.Overloaded}`;
+    this.#steps.push(formatStep(choice, { text, tookMs: 0 }));
     this.#retryAfterMs = Math.min(this.#retryAfterMs, choice.waitMs);
     return true;
   }
@@ -229,16 +231,18 @@
   ): DestinationChoice | undefined {
     const { directory, destinations, random, domain, responseSizes } =
       this.#context;
-    const { service, route, body, objectiveAtMs } = this.#request;
+    const { service, route, body, objectiveAtMs, deadlineMs } = this.#request;
     const records = directory.readyBackends(service);
     const candidates = judgement?.verdict === Verdict.OnTrial
       ? chooseTrialBackend(records, judgement.fingerprint)
       : records;
     return chooseDestination(candidates, {
-      route: route.name,
+      costKey: this.#costKey,
+      costs: destinations.costsOf(service),
       bodyBytes: body?.length ?? 0,
       responseBytes: responseSizes.expectedBytes(route.name),
       objectiveAtMs,
+      deadlineMs,
       localDomain: domain,
       nowMs: performance.now(),
       excluded: this.#excluded,
@@ -259,6 +263,8 @@
       this.#buildCall(choice),
       {
         signal,
+        costKey: this.#costKey,
+        expectedServiceMs: choice.serviceMs,
         expectedMs: choice.waitMs + choice.serviceMs,
         responseBytes: this.#context.responseSizes.expectedBytes(
           this.#request.route.name,
@@ -271,10 +277,11 @@
         },
       },
     );
-    const detail = outcome.kind === "answered"
-      ? outcome.answer.status
-      : outcome.reason;
-    this.#recordStep(choice, `${outcome.kind}:${detail}`, startedAtMs);
+    const text = formatOutcome(outcome);
+    const serviceMs = outcome.kind === "answered"
+      ? outcome.serviceMs
+      : undefined;
+    this.#recordStep(choice, text, startedAtMs, serviceMs);
     this.#emit({ attempt, outcome });
   }
 
@@ -293,13 +300,12 @@
 
   #recordStep(
     choice: DestinationChoice,
-    outcome: string,
+    text: string,
     startedAtMs: number,
+    serviceMs?: number,
   ): void {
-    const tookMs = Math.round(performance.now() - startedAtMs);
-    this.#steps.push(
-      `${choice.record.id}:${outcome}:${Math.round(choice.waitMs)}:${tookMs}`,
-    );
+    const tookMs = performance.now() - startedAtMs;
+    this.#steps.push(formatStep(choice, { text, tookMs, serviceMs }));
   }
 
   #buildCall(choice: DestinationChoice): MeshCall {
