--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -51,6 +51,8 @@
   readonly onEnd?: (path: string) => void;
   /** Called with the history of a backend process that ended so. */
   readonly onRestart?: (history: BackendProcessHistory) => void;
+  /** Memory of the instance that its settings name, in MB; none by default. */
+  readonly memoryMb?: number;
 }
 
 /** Time from the end of a backend process to the next one, in ms. */
@@ -317,6 +319,7 @@
         domain: this.#options.domain,
         linkMbps: this.#options.linkMbps ??
           (this.#options.index % 2 === 0 ? FAST_MBPS : SLOW_MBPS),
+        memoryMb: this.#options.memoryMb,
         service: "stock",
         backendAddress: this.backend.address,
         ingressAddress: formatAddress(0),
--- a/testkit/daemon_process.ts
+++ b/testkit/daemon_process.ts
@@ -38,6 +38,15 @@
   readonly settings?: Readonly<Record<string, unknown>>;
 }
 
+/** Ports of a daemon. */
+export interface DaemonPorts {
+  readonly ingress: number;
+  readonly admin: number;
+  readonly control: number;
+  /** Port for other daemons, not that of its fault proxy. */
+  readonly peer: number;
+}
+
 /**
  * A daemon that runs as a separate process, with fault proxies in front of its
  * peer and control ports.
@@ -52,7 +61,7 @@
   readonly plan: DaemonPlan;
   readonly peerProxy: FaultProxy;
   readonly controlProxy: FaultProxy;
-  readonly ports: { ingress: number; admin: number; control: number };
+  readonly ports: DaemonPorts;
   readonly #settingsFile: string;
   readonly #logFile: string;
   #child: Child;
@@ -60,7 +69,7 @@
   private constructor(
     plan: DaemonPlan,
     parts: {
-      ports: { ingress: number; admin: number; control: number };
+      ports: DaemonPorts;
       proxies: [FaultProxy, FaultProxy];
       settingsFile: string;
       logFile: string;
@@ -119,7 +128,7 @@
     };
     writeFileSync(settingsFile, JSON.stringify(settings));
     return new DaemonProcess(plan, {
-      ports: { ingress, admin, control: advertised.control },
+      ports: { ingress, admin, control: advertised.control, peer },
       proxies: [peerProxy, controlProxy],
       settingsFile,
       logFile,
