Bound the bytes of request bodies by the instance's memory

Cause: each body was collected in full, whatever other bodies were held, and copied once more when it was whole; chunks of one byte were read without a bound, and up to 32 reads of a connection follow each other in one turn of the event loop. After a refusal what still came was read on.

Change: one account of the held bytes of a process, with a limit from the new setting memoryMb (Limits.MemoryMb), shares, and eviction of stalled bodies; 503 with Retry-After and the end of the connection for what does not fit; bodies of many tiny pieces are refused; the connection ends 0.5 s after a refusal. Bodies with a length are collected in one block and not copied.

Frames between daemons are not bounded yet.

--- a/src/sidecar/control_server.ts
+++ b/src/sidecar/control_server.ts
@@ -5,6 +5,8 @@
 import { guardHandler } from "../transport/http/guard_handler.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { readBody } from "../transport/http/read_body.ts";
+import { refuseFurtherBytes } from "../transport/http/refuse_further_bytes.ts";
+import { BodyRefusalLog } from "./body_refusal_log.ts";
 
 /** Largest request body, in bytes. */
 const MAX_BODY_BYTES = 16 * 1024;
@@ -39,10 +41,12 @@
  */
 export function createControlServer(options: ControlServerOptions): Server {
   const { log, metrics } = options;
+  const refusals = new BodyRefusalLog({ server: "control", log, metrics });
   return createServer(
     { requestTimeout: 0 },
     guardHandler(async (request, response) => {
-      const status = await handleRequest(request, options);
+      const status = await handleRequest(request, options, refusals);
+      if (!request.complete) refuseFurtherBytes(request, response);
       const body = status === 200 ? "{}" : "";
       response.writeHead(status, {
         "content-type": "application/json",
@@ -55,12 +59,20 @@
 async function handleRequest(
   request: IncomingMessage,
   options: ControlServerOptions,
+  refusals: BodyRefusalLog,
 ): Promise<number> {
   const { decoder, events, log } = options;
   const deadlineMs = performance.now() + BODY_TIMEOUT_MS;
-  const read = await readBody(request, MAX_BODY_BYTES, deadlineMs);
-  if (read.kind !== "whole") return 400;
+  const read = await readBody(request, {
+    maxBytes: MAX_BODY_BYTES,
+    deadlineMs,
+  });
+  if (read.kind !== "whole") {
+    if (read.kind !== "broken") refusals.record(request, "", read);
+    return read.kind === "refused" ? 503 : 400;
+  }
   const body = read.body?.toString() ?? "";
+  read.release();
   const call = decoder.decode(
     request.method ?? "GET",
     request.url ?? "/",
--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -25,13 +25,17 @@
 } from "./forward_types.ts";
 import type { EdgeHeaders } from "./ports.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
-import { readBody } from "../transport/http/read_body.ts";
+import { type BodyRead, readBody } from "../transport/http/read_body.ts";
+import { refuseFurtherBytes } from "../transport/http/refuse_further_bytes.ts";
+import { BodyRefusalLog } from "./body_refusal_log.ts";
 import { RequestAuthorizer } from "./request_authorizer.ts";
 import { RequestDeadlines } from "./request_deadlines.ts";
 import { RequestLog } from "./request_log.ts";
 
 /** Retry-After value during shutdown, in ms: other daemons serve at once. */
 const SHUTDOWN_RETRY_AFTER_MS = 50;
+/** Retry-After value of a body for which there was no memory, in ms. */
+const BODY_RETRY_AFTER_MS = 1_000;
 /** Keep-alive timeout before a configuration is known, in ms. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
@@ -74,6 +78,7 @@
   readonly server: Server;
   readonly #options: IngressServerOptions;
   readonly #requestLog: RequestLog;
+  readonly #bodyRefusals: BodyRefusalLog;
   readonly #authorizer: RequestAuthorizer;
   readonly #deadlines = new RequestDeadlines();
   readonly #droppedHeaders: ReadonlySet<string>;
@@ -96,6 +101,7 @@
   constructor(options: IngressServerOptions) {
     this.#options = options;
     this.#requestLog = new RequestLog(options);
+    this.#bodyRefusals = new BodyRefusalLog({ server: "ingress", ...options });
     this.#authorizer = new RequestAuthorizer(options);
     const { headers } = options;
     const { timeoutMs, callerService, expectedBackend } = headers;
@@ -196,39 +202,64 @@
       this.#readHeader(request, this.#options.headers.timeoutMs),
       arrivedAtMs,
     );
-    const read = await readBody(
-      request,
-      config.limits.maxBodyBytes,
-      times.deadlineMs,
-    );
-    if (read.kind === "broken" || isAnswered(response)) return;
-    if (read.kind === "late") {
-      response.shouldKeepAlive = false;
-      return this.#reject(response, id, { status: REQUEST_TIMEOUT_STATUS });
+    const read = await readBody(request, {
+      maxBytes: config.limits.maxBodyBytes,
+      deadlineMs: times.deadlineMs,
+      owner: organisation?.name,
+    });
+    if (read.kind !== "whole") {
+      return this.#rejectBody(request, response, { id, read });
     }
-    if (read.kind === "too-large") {
-      response.shouldKeepAlive = false;
-      return this.#reject(response, id, { status: 413 });
+    try {
+      if (isAnswered(response)) return;
+      if (!await caller.isConnected()) {
+        return this.#requestLog.recordAbandoned(id, arrivedAtMs);
+      }
+      if (isAnswered(response)) return;
+      this.#unsent.delete(response);
+      await this.#forward(
+        {
+          request,
+          response,
+          caller,
+          route,
+          organisation,
+          hasOrganisations: config.organisations !== undefined,
+          id,
+          arrivedAtMs,
+          times,
+          body: read.body,
+        },
+      );
+    } finally {
+      read.release();
     }
-    if (!await caller.isConnected()) {
-      return this.#requestLog.recordAbandoned(id, arrivedAtMs);
+  }
+
+  /** Answers a request whose body is not whole; it has not run. */
+  #rejectBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+    parts: {
+      readonly id: string;
+      readonly read: Exclude<BodyRead, { readonly kind: "whole" }>;
+    },
+  ): void {
+    const { id, read } = parts;
+    if (read.kind === "broken" || isAnswered(response)) return;
+    refuseFurtherBytes(request, response);
+    this.#bodyRefusals.record(request, id, read);
+    switch (read.kind) {
+      case "late":
+        return this.#reject(response, id, { status: REQUEST_TIMEOUT_STATUS });
+      case "too-large":
+        return this.#reject(response, id, { status: 413 });
+      case "refused":
+        return this.#reject(response, id, {
+          status: 503,
+          retryAfterMs: BODY_RETRY_AFTER_MS,
+        });
     }
-    if (isAnswered(response)) return;
-    this.#unsent.delete(response);
-    await this.#forward(
-      {
-        request,
-        response,
-        caller,
-        route,
-        organisation,
-        hasOrganisations: config.organisations !== undefined,
-        id,
-        arrivedAtMs,
-        times,
-        body: read.body,
-      },
-    );
   }
 
   async #forward(
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -54,11 +54,15 @@
 import { messageOf } from "../protocol/step_error.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
 import { readBody } from "../transport/http/read_body.ts";
+import { refuseFurtherBytes } from "../transport/http/refuse_further_bytes.ts";
+import { BodyRefusalLog } from "./body_refusal_log.ts";
 
 /** Keep-alive timeout for connections of other daemons, in ms. */
 const KEEP_ALIVE_MS = 60_000;
 /** Largest body that another daemon may send, in bytes. */
 const MAX_BODY_BYTES = 256 * 1024 * 1024;
+/** Time until a body for which there was no memory may fit, in ms. */
+const BODY_RETRY_AFTER_MS = 1_000;
 /** HTTP status of a reply to a daemon without a backend server's response. */
 const NO_RESPONSE_STATUS = 503;
 /** HTTP status of a reply to a query that cannot be read. */
@@ -95,6 +99,7 @@
 export class PeerServer {
   readonly server: Server;
   readonly #channels: ChannelServer;
+  readonly #bodyRefusals: BodyRefusalLog;
   readonly #options: PeerServerOptions;
   readonly #callers: DisconnectDetector;
   readonly #callStatuses = new CallStatusTable();
@@ -113,6 +118,7 @@
    */
   constructor(options: PeerServerOptions) {
     this.#options = options;
+    this.#bodyRefusals = new BodyRefusalLog({ server: "peers", ...options });
     this.server = createServer(
       {
         keepAliveTimeout: KEEP_ALIVE_MS,
@@ -184,14 +190,16 @@
     },
   ): Promise<void> {
     const { description, caller, mayRun, arrivedAtMs } = arrival;
-    const read = await readBody(
-      request,
-      MAX_BODY_BYTES,
-      arrivedAtMs + description.remainingMs,
-    );
+    const read = await readBody(request, {
+      maxBytes: MAX_BODY_BYTES,
+      deadlineMs: arrivedAtMs + description.remainingMs,
+      owner: description.organisation,
+    });
     this.#transferPermits.release(description.id);
-    const isLate = read.kind === "late";
-    if (read.kind !== "whole" && !isLate) {
+    if (read.kind !== "whole" && read.kind !== "broken") {
+      this.#bodyRefusals.record(request, description.id, read);
+    }
+    if (read.kind === "broken" || read.kind === "too-large") {
       response.destroy();
       return;
     }
@@ -204,22 +212,28 @@
         ...endToEndHeaders(request.rawHeaders, SENDER_HEADERS),
       ],
       description,
-      body: isLate ? undefined : read.body,
+      body: read.kind === "whole" ? read.body : undefined,
       arrivedAtMs,
     });
-    if (isLate) {
+    if (read.kind !== "whole") {
       // The rest of the body may still come, or never.
-      response.shouldKeepAlive = false;
-      const outcome = notRunOutcome(MeshReason.Expired);
+      refuseFurtherBytes(request, response);
+      const outcome = read.kind === "late"
+        ? notRunOutcome(MeshReason.Expired)
+        : notRunOutcome(MeshReason.Overloaded, BODY_RETRY_AFTER_MS);
       return this.#respond({ call, outcome, arrivedAtMs }, response);
     }
-    this.#mergeEvidence(call, request.socket.remoteAddress);
-    const outcome = await this.#execute(call, {
-      mayRun,
-      signal: caller.cancel.signal,
-      readPendingClose: caller.isConnected,
-    });
-    this.#respond({ call, outcome, arrivedAtMs }, response);
+    try {
+      this.#mergeEvidence(call, request.socket.remoteAddress);
+      const outcome = await this.#execute(call, {
+        mayRun,
+        signal: caller.cancel.signal,
+        readPendingClose: caller.isConnected,
+      });
+      this.#respond({ call, outcome, arrivedAtMs }, response);
+    } finally {
+      read.release();
+    }
   }
 
   #startChannelCall(received: ReceivedCall): void {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -8,6 +8,7 @@
 import { BackendDirectory } from "../state/backend_directory.ts";
 import { LocalBackend } from "../state/local_backend.ts";
 import { RouteTableHolder } from "../state/route_table_holder.ts";
+import { heldBytesLimit, PROCESS_BYTES } from "../transport/http/held_bytes.ts";
 import { listen, stopAccepting } from "../transport/http/listen.ts";
 import { EventLog } from "../transport/observe/event_log.ts";
 import { EventLoopMonitor } from "../transport/observe/event_loop_monitor.ts";
@@ -83,6 +84,7 @@
   constructor(settings: SidecarSettings, ports: SidecarPorts) {
     this.#settings = settings;
     this.#ports = ports;
+    PROCESS_BYTES.setLimit(heldBytesLimit(settings.memoryMb ?? 0));
     this.#log = new EventLog({ fields: { instance: settings.instance } });
     this.#eventLoop = new EventLoopMonitor({
       log: this.#log,
@@ -287,6 +289,7 @@
     );
     this.#metrics.gauge("backends_known", () => this.#directory.size);
     this.#metrics.gauge("requests_open", () => this.#ingress.openRequests);
+    this.#metrics.gauge("held_bytes", () => PROCESS_BYTES.bytes);
     this.#metrics.gauge(
       "destination_requests",
       () => this.#dispatcher.openRequests,
--- a/src/sidecar/sidecar_settings.ts
+++ b/src/sidecar/sidecar_settings.ts
@@ -29,4 +29,6 @@
   /** Additional retries allowed in a window, fleet-wide. */
   readonly retrySlack: number;
   readonly retryWindowMs: number;
+  /** Memory of the instance, in MB; unknown if absent or 0. */
+  readonly memoryMb?: number;
 }
--- a/src/transport/http/byte_collector.ts
+++ b/src/transport/http/byte_collector.ts
@@ -23,6 +23,19 @@
   #block: Buffer | undefined;
   #usedBytes = 0;
   #sizeBytes = 0;
+  /** Memory of the whole body where its size is known. */
+  #whole: Buffer | undefined;
+
+  /**
+   * Creates a collector without bytes.
+   *
+   * @param expectedBytes Size of the body, if it is known and large: it is then
+   * collected in one block, and never copied again.
+   */
+  constructor(expectedBytes?: number) {
+    if (expectedBytes === undefined) return;
+    this.#whole = Buffer.allocUnsafeSlow(expectedBytes);
+  }
 
   /** Number of bytes so far. */
   get sizeBytes(): number {
@@ -35,6 +48,11 @@
    * @param piece The piece; it may be overwritten afterwards.
    */
   append(piece: Uint8Array): void {
+    if (this.#whole !== undefined) {
+      this.#whole.set(piece, this.#sizeBytes);
+      this.#sizeBytes += piece.length;
+      return;
+    }
     // Most bodies come in one piece, which needs no block.
     const isWhole = this.#sizeBytes === 0 || piece.length >= BLOCK_BYTES;
     this.#sizeBytes += piece.length;
@@ -58,6 +76,11 @@
    * @returns The bytes, in one piece.
    */
   take(): Buffer {
+    const whole = this.#whole?.subarray(0, this.#sizeBytes);
+    if (whole !== undefined) {
+      this.clear();
+      return whole;
+    }
     this.#closeBlock();
     const blocks = this.#blocks;
     this.clear();
@@ -68,6 +91,7 @@
   clear(): void {
     this.#blocks = [];
     this.#block = undefined;
+    this.#whole = undefined;
     this.#usedBytes = 0;
     this.#sizeBytes = 0;
   }
--- a/src/transport/http/request_body.ts
+++ b/src/transport/http/request_body.ts
@@ -69,9 +69,13 @@
     if (lengthBytes > MAX_BUFFERED_BYTES) {
       return toResult(new RequestBody(undefined, request, maxBytes));
     }
-    const read = await readBody(request, MAX_BUFFERED_BYTES, deadlineMs);
+    const read = await readBody(request, {
+      maxBytes: MAX_BUFFERED_BYTES,
+      deadlineMs,
+    });
     switch (read.kind) {
       case "whole":
+        read.release();
         return toResult(
           new RequestBody(read.body ?? new Uint8Array(), undefined, maxBytes),
         );
@@ -81,6 +85,8 @@
         return { kind: "refused", reason: Reason.DeadlineExceeded };
       case "broken":
         return { kind: "refused", reason: Reason.BodyCutShort };
+      case "refused":
+        return { kind: "refused", reason: Reason.Overloaded };
     }
   }
 
--- a/tests/platform/settings_test.ts
+++ b/tests/platform/settings_test.ts
@@ -36,4 +36,23 @@
   rmSync(folder, { recursive: true });
 });
 
+test("readSettings() reads the instance's memory, unknown where it is empty", () => {
+  const folder = mkdtempSync(join(tmpdir(), "sesamepond-settings-"));
+  const memoryOf = (fields: object) => {
+    const file = join(folder, "settings.jsonc");
+    writeFileSync(file, JSON.stringify({ ...REQUIRED, ...fields }));
+    return readSettings(file).memoryMb;
+  };
+  assert.equal([
+    memoryOf({}),
+    memoryOf({ memoryMb: "" }),
+    memoryOf({ memoryMb: "250" }),
+  ], [0, 0, 250]);
+  assert.throws(
+    () => memoryOf({ memoryMb: "much" }),
+    /"memoryMb" is not a non-negative number/,
+  );
+  rmSync(folder, { recursive: true });
+});
+
 test.run();
