Bound the frames that a daemon accepts on a channel

Cause: a channel took frames of up to 32 MB from any sender, of which daemons send 16 kB and a head, and copied a frame twice when it was whole. A reader kept one object for each piece of a frame.

Change: a daemon closes a channel that announces a call of more than 256 kB. An incomplete frame is assembled in one block. Responses that are received, and long ones that their callers are still reading, count in the account of held bytes.

--- a/src/protocol/call_frame.ts
+++ b/src/protocol/call_frame.ts
@@ -72,10 +72,19 @@
  * ```
  */
 export class FrameReader {
-  #chunks: Buffer[] = [];
-  #sizeBytes = 0;
-  /** Bytes needed for the next frame; its prefix until its length is known. */
-  #neededBytes = PREFIX_BYTES;
+  readonly #maxBytes: number;
+  /** The incomplete frame, or its prefix until its length is known. */
+  #pending: Buffer | undefined;
+  #filledBytes = 0;
+
+  /**
+   * Creates a reader at the start of a stream.
+   *
+   * @param maxBytes Largest frame that is accepted, in bytes.
+   */
+  constructor(maxBytes = MAX_FRAME_BYTES) {
+    this.#maxBytes = maxBytes;
+  }
 
   /**
    * Adds received bytes.
@@ -85,30 +94,51 @@
    * @throws {RangeError} If a frame is malformed or too large.
    */
   push(chunk: Buffer): Frame[] {
-    this.#chunks.push(chunk);
-    this.#sizeBytes += chunk.length;
-    if (this.#sizeBytes < this.#neededBytes) return [];
-    let rest = this.#chunks.length === 1 ? chunk : Buffer.concat(this.#chunks);
     const frames: Frame[] = [];
-    while (rest.length >= PREFIX_BYTES) {
-      const endOffset = readFrameSize(rest);
-      if (rest.length < endOffset) break;
-      frames.push(decodeFrame(rest.subarray(0, endOffset)));
-      rest = rest.subarray(endOffset);
+    let rest = chunk;
+    while (rest.length > 0) {
+      const sizeBytes = this.#pending?.length ?? this.#sizeOf(rest);
+      if (this.#pending === undefined && rest.length >= sizeBytes) {
+        frames.push(decodeFrame(rest.subarray(0, sizeBytes)));
+        rest = rest.subarray(sizeBytes);
+        continue;
+      }
+      this.#pending ??= Buffer.allocUnsafe(sizeBytes);
+      const usedBytes = rest.copy(this.#pending, this.#filledBytes);
+      this.#filledBytes += usedBytes;
+      rest = rest.subarray(usedBytes);
+      const frame = this.#completePending();
+      if (frame !== undefined) frames.push(frame);
     }
-    this.#chunks = rest.length === 0 ? [] : [rest];
-    this.#sizeBytes = rest.length;
-    this.#neededBytes = rest.length < PREFIX_BYTES
-      ? PREFIX_BYTES
-      : readFrameSize(rest);
     return frames;
   }
+
+  /** Returns the frame if all of it has come, else makes room for the rest. */
+  #completePending(): Frame | undefined {
+    const pending = this.#pending!;
+    if (this.#filledBytes < pending.length) return undefined;
+    const sizeBytes = this.#sizeOf(pending);
+    if (pending.length < sizeBytes) {
+      this.#pending = Buffer.allocUnsafe(sizeBytes);
+      pending.copy(this.#pending);
+      return undefined;
+    }
+    this.#pending = undefined;
+    this.#filledBytes = 0;
+    return decodeFrame(pending);
+  }
+
+  /** Size of the first frame; that of a prefix if the bytes contain less. */
+  #sizeOf(bytes: Buffer): number {
+    if (bytes.length < PREFIX_BYTES) return PREFIX_BYTES;
+    return readFrameSize(bytes, this.#maxBytes);
+  }
 }
 
 /** Returns the size of the first frame; the bytes must contain its prefix. */
-function readFrameSize(bytes: Buffer): number {
+function readFrameSize(bytes: Buffer, maxBytes: number): number {
   const sizeBytes = bytes.readUInt32BE(0) + LENGTH_BYTES;
-  if (sizeBytes < PREFIX_BYTES || sizeBytes > MAX_FRAME_BYTES) {
+  if (sizeBytes < PREFIX_BYTES || sizeBytes > maxBytes) {
     throw new RangeError(
       `Cannot read frame: ${sizeBytes} bytes is not a valid size`,
     );
--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -25,6 +25,10 @@
 } from "./forward_types.ts";
 import type { EdgeHeaders } from "./ports.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
+import {
+  MAX_SHORT_BODY_BYTES,
+  PROCESS_BYTES,
+} from "../transport/http/held_bytes.ts";
 import { type BodyRead, readBody } from "../transport/http/read_body.ts";
 import { refuseFurtherBytes } from "../transport/http/refuse_further_bytes.ts";
 import { BodyRefusalLog } from "./body_refusal_log.ts";
@@ -331,6 +335,11 @@
     switch (result.kind) {
       case "answered": {
         const { status, headers, body } = result.answer;
+        // A caller may take its time to read a long response.
+        if (body.length > MAX_SHORT_BODY_BYTES) {
+          PROCESS_BYTES.add(body.length);
+          response.once("close", () => PROCESS_BYTES.add(-body.length));
+        }
         response.writeHead(status, [
           ...headers,
           "content-length",
--- a/src/transport/channel/channel_server.ts
+++ b/src/transport/channel/channel_server.ts
@@ -17,6 +17,11 @@
  * that of the senders, so that they close it first.
  */
 const IDLE_TIMEOUT_MS = 60_000;
+/**
+ * Largest frame that a sender may send, in bytes. Daemons send bodies of up to
+ * 16 kB over a channel, and heads that were headers of an HTTP request.
+ */
+const MAX_CALL_FRAME_BYTES = 256 * 1024;
 
 /** A call that another daemon sent. */
 export interface ReceivedCall {
@@ -106,7 +111,7 @@
 class ServedChannel {
   readonly #socket: Socket;
   readonly #onCall: (call: ReceivedCall) => void;
-  readonly #reader = new FrameReader();
+  readonly #reader = new FrameReader(MAX_CALL_FRAME_BYTES);
   readonly #calls = new Map<number, AbortController>();
   #hasReadCall = false;
 
--- a/src/transport/channel/channel_server_test.ts
+++ b/src/transport/channel/channel_server_test.ts
@@ -59,4 +59,21 @@
     assert.ok(socket.destroyed);
   }));
 
+// Guards against memory for frames that never come in full.
+test("ChannelServer closes a channel that announces a frame beyond the limit", () =>
+  withSocket(async (socket, calls) => {
+    const frame = encodeFrame(FrameKind.Call, 1, {
+      head: "a",
+      body: Buffer.alloc(512 * 1024),
+    });
+    socket.write(CHANNEL_UPGRADE_REQUEST);
+    socket.write(frame.subarray(0, 100));
+    socket.on("error", () => {
+      // The server may reset the connection.
+    });
+    socket.resume();
+    await once(socket, "close");
+    assert.is(calls.length, 0);
+  }));
+
 test.run();
--- a/src/transport/http/lifo_connection_pool.ts
+++ b/src/transport/http/lifo_connection_pool.ts
@@ -5,6 +5,7 @@
 import { messageOf } from "../../protocol/step_error.ts";
 import { waitForNextPoll } from "./disconnect_detector.ts";
 import { ByteCollector } from "./byte_collector.ts";
+import { PROCESS_BYTES } from "./held_bytes.ts";
 import { ResponseMemory } from "./response_memory.ts";
 import { buildConnector, Client } from "./undici_client.ts";
 
@@ -364,6 +365,7 @@
     if (this.#isDone) return true;
     this.#timer?.refresh();
     this.#body.append(chunk);
+    PROCESS_BYTES.add(chunk.length);
     const longest = RESPONSE_MEMORY.take(this, chunk.length);
     if (longest !== undefined) longest.#abort("responses take too much memory");
     return true;
@@ -420,6 +422,7 @@
     this.#isDone = true;
     clearTimeout(this.#timer);
     clearTimeout(this.#deadlineTimer);
+    PROCESS_BYTES.add(-RESPONSE_MEMORY.bytesOf(this));
     RESPONSE_MEMORY.free(this);
     this.#body.clear();
     this.#options.signal?.removeEventListener("abort", this.#onAbort);
