Bound what src/daemon reads from clients that are not controlled

Cause: the control port read messages of up to 48 MB before it checked the sender's token. Chunked bodies were sent on chunk by chunk, and kept one object for each chunk while their calls waited. A body that stopped kept its slot of a backend server until the deadline. A body beyond the limit, whose attempt then failed, counted as a failure of the backend server. What came after a refusal was read without end.

Change: the token is checked first (401 in the form of the Connect protocol, as before). Short chunks are collected; a body of over 8,192 chunks of under 8 bytes on average is given up, as is one that got less than 16 kB in 5 s of waiting for its sender; attempts are cancelled first, so that the backend server is not blamed. The retained start of a body counts in the account of held bytes. The connection ends 0.5 s after a refusal of a long body, in both implementations. Setting memoryMb in both; the tests of src/daemon name it now.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,6 +6,8 @@
 import { Random } from "../protocol/random.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
 import { ControlServer } from "../transport/control/control_server.ts";
+import { heldBytesLimit, PROCESS_BYTES } from "../transport/http/held_bytes.ts";
+import { LogRateLimiter } from "../transport/observe/log_rate_limiter.ts";
 import { waitForNextPoll } from "../transport/http/disconnect_detector.ts";
 import { AdminServer } from "./admin_server.ts";
 import { monotonicMs } from "./clocks.ts";
@@ -32,6 +34,8 @@
 const SENDER_TTL_MS = 60_000;
 /** Wait for requests on connections that were just accepted, in ms. */
 const LATE_REQUEST_WAIT_MS = 300;
+/** Log lines per second on control calls of unknown peers. */
+const MAX_REFUSAL_LINES_PER_S = 10;
 /** Longest wait for running calls to end while stopping, in ms. */
 const MAX_DRAIN_MS = 3_600_000;
 
@@ -74,6 +78,7 @@
    * @param options Options for tests.
    */
   constructor(settings: Settings, options: DaemonOptions = {}) {
+    PROCESS_BYTES.setLimit(heldBytesLimit(settings.memoryMb));
     const random = new Random(options.seed ?? randomBytes(4).readInt32LE());
     const self = createSelf(settings);
     const connections = new DaemonConnections(settings, self.id);
@@ -116,7 +121,13 @@
         clients,
       }),
     });
-    return new ControlServer(handler, auth, meters);
+    const { log, metrics } = this.#connections;
+    const lines = new LogRateLimiter(log, MAX_REFUSAL_LINES_PER_S);
+    return new ControlServer(handler, auth, meters, (peer) => {
+      metrics.count("control.refused");
+      if (!lines.allows(performance.now())) return;
+      log.warn("control-call-refused", { peer });
+    });
   }
 
   #createAdminServer(): AdminServer {
--- a/src/daemon/ingress_call.ts
+++ b/src/daemon/ingress_call.ts
@@ -25,6 +25,7 @@
 import type { ResolvedRoute } from "../state/config_snapshot.ts";
 import type { DecisionLog } from "../state/decision_log.ts";
 import { endToEndResponseHeaders } from "../transport/http/header_filter.ts";
+import { refuseFurtherBytes } from "../transport/http/refuse_further_bytes.ts";
 import type { RequestBody } from "../transport/http/request_body.ts";
 import type { EventLog, LogFields } from "../transport/observe/event_log.ts";
 import type { Metrics } from "../transport/observe/metrics.ts";
@@ -122,7 +123,8 @@
     const remainingMs = template.deadlineMs - monotonicMs() + RESPONSE_GRACE_MS;
     this.#deadlineTimer = setTimeout(() => this.#onDeadline(), remainingMs);
     response.once("close", () => this.#onCallerGone());
-    this.#startAttempt();
+    this.#accepted.body.onGivenUp = (reason) => this.#onBodyGivenUp(reason);
+    if (!this.#isFinished) this.#startAttempt();
   }
 
   onAttemptHead(attempt: IngressAttempt, head: AnswerHead): void {
@@ -382,6 +384,22 @@
     );
   }
 
+  /** A caller that sends nothing must not keep a slot of a backend server. */
+  #onBodyGivenUp(reason: Reason): void {
+    if (this.#isFinished) return;
+    const { response, writer } = this.#accepted;
+    if (this.#winner !== undefined) {
+      this.#winner.cancel();
+      writer.abort();
+      return this.#finish(Outcome.Unknown);
+    }
+    for (const attempt of this.#inFlight) attempt.cancel();
+    refuseFurtherBytes(response.req, response);
+    this.#answer(
+      this.#attemptCount === 0 ? notRun(reason) : unknownOutcome(reason),
+    );
+  }
+
   #onCallerGone(): void {
     if (this.#isFinished) return;
     for (const attempt of this.#inFlight) attempt.cancel();
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -29,6 +29,7 @@
   stopAccepting,
 } from "../transport/http/listen.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
+import { refuseLongBody } from "../transport/http/refuse_further_bytes.ts";
 import { RequestBody } from "../transport/http/request_body.ts";
 import type { EventLoopMonitor } from "../transport/observe/event_loop_monitor.ts";
 import { ResponseWriter } from "./response_writer.ts";
@@ -159,7 +160,11 @@
     });
     const check = this.#headChecker.check(request);
     if (check.kind === "refused") {
-      return this.#refuse(request, { requestId, writer }, check.refusal);
+      return this.#refuse(
+        request,
+        { requestId, writer, response },
+        check.refusal,
+      );
     }
     const { head } = check;
     const limiterCall: LimiterCall = {
@@ -169,7 +174,11 @@
     };
     const reason = this.#limiter.admit(limiterCall);
     if (reason !== undefined) {
-      return this.#refuse(request, { requestId, writer }, notRun(reason));
+      return this.#refuse(
+        request,
+        { requestId, writer, response },
+        notRun(reason),
+      );
     }
     let isFinished = false;
     const onFinished = () => {
@@ -202,7 +211,8 @@
       onFinished: () => void;
     },
   ): Promise<void> {
-    const { head, requestId, writer, onFinished } = parts;
+    const { head, requestId, writer } = parts;
+    let { onFinished } = parts;
     const { route, caller, parent } = head;
     const result = await RequestBody.read(
       request,
@@ -211,8 +221,16 @@
     );
     if (result.kind === "refused") {
       onFinished();
-      return this.#refuse(request, parts, notRun(result.reason));
+      return this.#refuse(
+        request,
+        { requestId, writer, response },
+        notRun(result.reason),
+      );
     }
+    onFinished = () => {
+      result.body.release();
+      parts.onFinished();
+    };
     if (!await parts.caller.isConnected()) {
       onFinished();
       this.#options.context.log.info("caller-gone", { request: requestId });
@@ -222,7 +240,11 @@
     const { quarantine } = this.#options.context;
     if (quarantine.isQuarantined(digests.fingerprint, monotonicMs())) {
       onFinished();
-      return this.#refuse(request, parts, notRun(Reason.Quarantined));
+      return this.#refuse(
+        request,
+        { requestId, writer, response },
+        notRun(Reason.Quarantined),
+      );
     }
     new IngressCall({
       requestId,
@@ -263,10 +285,15 @@
 
   #refuse(
     request: IncomingMessage,
-    parts: { readonly requestId: string; readonly writer: ResponseWriter },
+    parts: {
+      readonly requestId: string;
+      readonly writer: ResponseWriter;
+      readonly response: ServerResponse;
+    },
     refusal: Refusal,
   ): void {
     const { log, decisions, metrics } = this.#options.context;
+    refuseLongBody(request, parts.response);
     request.resume();
     parts.writer.refuse(refusal);
     const fields = { outcome: refusal.outcome, reason: refusal.reason };
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -4,8 +4,14 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { Readable } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { AnswerSink, Call, CallBody } from "../protocol/call.ts";
+import type {
+  AnswerSink,
+  Call,
+  CallBody,
+  Execution,
+} from "../protocol/call.ts";
 import {
   HEADER_IDEMPOTENCY_KEY,
   HEADER_PEER_TOKEN,
@@ -29,6 +35,8 @@
   listen,
   stopAccepting,
 } from "../transport/http/listen.ts";
+import { GatheredPieces } from "../transport/http/body_pieces.ts";
+import { refuseLongBody } from "../transport/http/refuse_further_bytes.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { EventLoopMonitor } from "../transport/observe/event_loop_monitor.ts";
@@ -141,19 +149,30 @@
     const token = singleHeader(headers, HEADER_PEER_TOKEN);
     const sender = auth.verify(token, Date.now());
     if (sender === undefined) {
+      refuseLongBody(request, response);
       return refuseWithoutReading(request, writer, Reason.PeerUnauthorized);
     }
     onSender(sender);
     if (headers[HEADER_PEER_PROBE] !== undefined) return writer.writeEmpty();
     if (header === undefined) {
+      refuseLongBody(request, response);
       return refuseWithoutReading(request, writer, Reason.HeaderInvalid);
     }
-    const call = createCall(header, request);
+    const running: { execution?: Execution } = {};
+    const body = openBody(request, response, () => {
+      // First, as the backend server is not to blame for the broken body.
+      running.execution?.cancel();
+      request.socket.destroy();
+    });
+    const call = createCall(header, request, body);
     if (!await caller.isConnected()) return;
-    const execution = destination
-      .execute(call, createSink(request, writer, () => execution.resume()));
+    running.execution = destination
+      .execute(
+        call,
+        createSink(request, writer, () => running.execution?.resume()),
+      );
     response.once("close", () => {
-      if (!response.writableFinished) execution.cancel();
+      if (!response.writableFinished) running.execution?.cancel();
     });
   }
 }
@@ -188,7 +207,11 @@
   writer.refuse(notRun(reason));
 }
 
-function createCall(header: PeerCallHeader, request: IncomingMessage): Call {
+function createCall(
+  header: PeerCallHeader,
+  request: IncomingMessage,
+  body: CallBody,
+): Call {
   // Lists the fields one by one: an object rest copy costs 25 µs per call.
   return {
     id: header.id,
@@ -202,16 +225,24 @@
     method: request.method!,
     path: request.url!,
     headers: endToEndHeaders(request.rawHeaders),
-    body: bodyOf(request),
+    body,
     deadlineMs: monotonicMs() + header.timeoutMs,
     idempotencyKey: singleHeader(request.headers, HEADER_IDEMPOTENCY_KEY),
     retries: { left: header.retriesLeft },
   };
 }
 
-function bodyOf(request: IncomingMessage): CallBody {
+function openBody(
+  request: IncomingMessage,
+  response: ServerResponse,
+  onFragmented: () => void,
+): CallBody {
   const { headers } = request;
-  const hasBody = headers["transfer-encoding"] !== undefined ||
-    Number(headers["content-length"] ?? 0) > 0;
+  if (headers["transfer-encoding"] !== undefined) {
+    const pieces = new GatheredPieces(request, onFragmented);
+    response.once("close", () => pieces.stop());
+    return { kind: "stream", stream: Readable.from(pieces.read()) };
+  }
+  const hasBody = Number(headers["content-length"] ?? 0) > 0;
   return hasBody ? { kind: "stream", stream: request } : { kind: "none" };
 }
--- a/src/protocol/settings_schema.ts
+++ b/src/protocol/settings_schema.ts
@@ -64,6 +64,8 @@
     file: z.string().optional(),
     level: z.enum(["error", "warn", "info", "debug"]).default("info"),
   }).prefault({}),
+  /** Memory of the instance, in MB; 0 if unknown. */
+  memoryMb: z.number().min(0).default(0),
 });
 
 /** Settings of a daemon, with defaults filled in. */
--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -30,7 +30,10 @@
   PROCESS_BYTES,
 } from "../transport/http/held_bytes.ts";
 import { type BodyRead, readBody } from "../transport/http/read_body.ts";
-import { refuseFurtherBytes } from "../transport/http/refuse_further_bytes.ts";
+import {
+  refuseFurtherBytes,
+  refuseLongBody,
+} from "../transport/http/refuse_further_bytes.ts";
 import { BodyRefusalLog } from "./body_refusal_log.ts";
 import { RequestAuthorizer } from "./request_authorizer.ts";
 import { RequestDeadlines } from "./request_deadlines.ts";
@@ -369,6 +372,7 @@
   #reject(response: ServerResponse, id: string, reply: LocalReply): void {
     this.#unsent.delete(response);
     if (this.#isKeepAliveDisabled) response.shouldKeepAlive = false;
+    if (!response.req.complete) refuseLongBody(response.req, response);
     const headers = ["content-length", "0"];
     if (id !== "") headers.push(this.#options.headers.requestId, id);
     if (reply.retryAfterMs !== undefined) {
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -54,7 +54,10 @@
 import { messageOf } from "../protocol/step_error.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
 import { readBody } from "../transport/http/read_body.ts";
-import { refuseFurtherBytes } from "../transport/http/refuse_further_bytes.ts";
+import {
+  refuseFurtherBytes,
+  refuseLongBody,
+} from "../transport/http/refuse_further_bytes.ts";
 import { BodyRefusalLog } from "./body_refusal_log.ts";
 
 /** Keep-alive timeout for connections of other daemons, in ms. */
@@ -390,6 +393,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    refuseLongBody(request, response);
     const target = request.url ?? "";
     if (target === CONFIG_PATH) {
       this.#handleConfigQuery(request, response);
--- a/src/transport/control/control_server.ts
+++ b/src/transport/control/control_server.ts
@@ -1,20 +1,23 @@
 import { createServer, type Server } from "node:http";
-import {
-  Code,
-  ConnectError,
-  type Interceptor,
-  type ServiceImpl,
-} from "@connectrpc/connect";
+import type { ServiceImpl } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { Fleet } from "../../protocol/gen/sesamepond/v1/fleet_pb.ts";
 import { HEADER_PEER_TOKEN } from "../../protocol/headers.ts";
 import { MAX_MESSAGE_BYTES } from "./fleet_client.ts";
+import { singleHeader } from "../http/header_filter.ts";
 import { closeServer, listen } from "../http/listen.ts";
+import { refuseLongBody } from "../http/refuse_further_bytes.ts";
 import { SocketMeter } from "../observe/socket_meter.ts";
 import type { PeerAuth } from "./peer_auth.ts";
 
 /** Idle timeout of a peer's connection, in ms. */
 const IDLE_CONNECTION_MS = 15_000;
+/** Status and error of the Connect protocol for a peer without a token. */
+const UNAUTHORIZED_STATUS = 401;
+const UNKNOWN_PEER = JSON.stringify({
+  code: "unauthenticated",
+  message: "unknown peer",
+});
 
 /**
  * Calls that belong to a caller's request. Their connections carry no other
@@ -56,6 +59,7 @@
    * @param handler Handles the calls.
    * @param auth Authenticates the peers.
    * @param meters Count the bytes of control calls and of calls for requests.
+   * @param onRefused Called with the address of an unknown peer.
    */
   constructor(
     handler: FleetHandler,
@@ -64,24 +68,29 @@
       control: new SocketMeter(),
       requests: new SocketMeter(),
     },
+    onRefused: (peer: string | undefined) => void = () => {},
   ) {
-    const authenticate: Interceptor = (next) => (request) => {
-      const token = request.header.get(HEADER_PEER_TOKEN) ?? undefined;
-      if (auth.verify(token, Date.now()) === undefined) {
-        throw new ConnectError("unknown peer", Code.Unauthenticated);
-      }
-      return next(request);
-    };
+    const serve = connectNodeAdapter({
+      routes: (router) => router.service(Fleet, handler),
+      readMaxBytes: MAX_MESSAGE_BYTES,
+      acceptCompression: [],
+      grpc: false,
+      grpcWeb: false,
+    });
     this.#server = createServer(
       { keepAliveTimeout: IDLE_CONNECTION_MS },
-      connectNodeAdapter({
-        routes: (router) => router.service(Fleet, handler),
-        interceptors: [authenticate],
-        readMaxBytes: MAX_MESSAGE_BYTES,
-        acceptCompression: [],
-        grpc: false,
-        grpcWeb: false,
-      }),
+      (request, response) => {
+        const token = singleHeader(request.headers, HEADER_PEER_TOKEN);
+        if (auth.verify(token, Date.now()) !== undefined) {
+          return serve(request, response);
+        }
+        // Before its message is read, which may take all memory.
+        onRefused(request.socket.remoteAddress);
+        refuseLongBody(request, response);
+        response.writeHead(UNAUTHORIZED_STATUS, {
+          "content-type": "application/json",
+        }).end(UNKNOWN_PEER);
+      },
     );
     this.#server.on("request", (request) => {
       const { socket, url } = request;
--- a/tests/integration/uncontrolled_clients_test.ts
+++ b/tests/integration/uncontrolled_clients_test.ts
@@ -18,7 +18,11 @@
   sampleSource,
   VENDOR_TOKEN,
 } from "../../testkit/sample_config.ts";
-import { type DaemonUnderTest, testClients } from "../uncontrolled_clients.ts";
+import {
+  type DaemonUnderTest,
+  MEMORY_MB,
+  testClients,
+} from "../uncontrolled_clients.ts";
 
 /** Longer than the tests, so that no body is given up at its deadline. */
 const UPLOAD_TIMEOUT_MS = 30_000;
@@ -35,6 +39,7 @@
     source: sampleSource(base),
     domains: [{ name: "tobago", services: ["lookup"] }],
     isProxied: false,
+    settings: { memoryMb: MEMORY_MB },
   });
   const { daemon } = fleet.instances[0]!;
   return {
