--- a/src/sidecar/sidecar_settings.ts
+++ b/src/sidecar/sidecar_settings.ts
@@ -35,4 +35,6 @@
   readonly quotaOver?: number;
   /** Requests that may run beyond it in a window. @default {20} */
   readonly quotaSlack?: number;
+  /** Memory of the instance, in MB; unknown if absent or 0. */
+  readonly memoryMb?: number;
 }
