--- a/src/coordination/quota/account_book.ts
+++ b/src/coordination/quota/account_book.ts
@@ -17,6 +17,10 @@
   readonly #process: string;
   readonly #groups = new Map<string, AccountGroup>();
   #groupCount = 0;
+  #view: FleetView | undefined;
+  #plans: ReadonlyMap<string, QuotaPlan> | undefined;
+  #plansByGroup: ReadonlyMap<string, ReadonlyMap<string, QuotaPlan>> =
+    new Map();
 
   /**
    * Creates a book without groups.
@@ -38,7 +42,8 @@
    * Adopts the assignment of accounts, limits and facts about the fleet.
    *
    * @param view The view of the fleet.
-   * @param plans Plans of all organisations with a limit, by name.
+   * @param plans Plans of all organisations with a limit, by name; another map
+   * whenever one has changed.
    * @param isOutdated Whether the view of the store is old.
    * @param nowMs Monotonic time, in ms.
    */
@@ -54,19 +59,17 @@
     for (const group of this.#groups.keys()) {
       if (!mine.includes(group)) this.#groups.delete(group);
     }
-    if (mine.length === 0) return;
-    const plansByGroup = new Map<string, Map<string, QuotaPlan>>(
-      mine.map((group) => [group, new Map()]),
-    );
-    for (const [organisation, plan] of plans) {
-      plansByGroup.get(view.groupOf(organisation))?.set(organisation, plan);
+    if (view !== this.#view || plans !== this.#plans) {
+      this.#view = view;
+      this.#plans = plans;
+      this.#plansByGroup = assignPlans(view, mine, plans);
     }
     const conditions: GroupConditions = {
       fleetSize: view.size,
       leaseMs: view.leaseMs,
       isOutdated,
     };
-    for (const [name, groupPlans] of plansByGroup) {
+    for (const [name, groupPlans] of this.#plansByGroup) {
       let group = this.#groups.get(name);
       if (group === undefined) {
         group = new AccountGroup(`${this.#process}.${++this.#groupCount}`);
@@ -88,3 +91,18 @@
       { kind: "not-account" };
   }
 }
+
+function assignPlans(
+  view: FleetView,
+  groups: readonly string[],
+  plans: ReadonlyMap<string, QuotaPlan>,
+): ReadonlyMap<string, ReadonlyMap<string, QuotaPlan>> {
+  const byGroup = new Map<string, Map<string, QuotaPlan>>(
+    groups.map((group) => [group, new Map()]),
+  );
+  if (groups.length === 0) return byGroup;
+  for (const [organisation, plan] of plans) {
+    byGroup.get(view.groupOf(organisation))?.set(organisation, plan);
+  }
+  return byGroup;
+}
--- a/src/coordination/quota/quota_account.ts
+++ b/src/coordination/quota/quota_account.ts
@@ -179,7 +179,9 @@
       nowMs + MAX_EMPTY_MS,
       Math.max(nextAtMs, this.#promisedUntilMs + batch * MS_PER_S / ratePerS),
     );
-    return this.#promisedUntilMs - nowMs;
+    // A new account gets its share as the daemons claim their leases.
+    const mostMs = nowMs < this.#formerUntilMs ? NO_SHARE_MS : MAX_EMPTY_MS;
+    return Math.min(mostMs, this.#promisedUntilMs - nowMs);
   }
 
   /** Tokens that a daemon gets at a time while all want more than there are. */
--- a/src/coordination/quota/quota_loads_test.ts
+++ b/src/coordination/quota/quota_loads_test.ts
@@ -24,6 +24,8 @@
 interface Load {
   /** Factors on the usual traffic, by organisation. */
   readonly factors?: ReadonlyMap<string, number>;
+  /** Organisation that sends nothing until its account has filled. */
+  readonly late?: string;
   /** Chooses the daemon that a request enters at. */
   readonly enter?: (organisation: string, atMs: number) => number | undefined;
   readonly deliver?: ModelPlan["deliver"];
@@ -63,6 +65,7 @@
     const count = Math.round(perS * DURATION_MS / 1_000);
     for (let index = 0; index < count; index++) {
       const atMs = 1 + random.below(DURATION_MS - 1);
+      if (organisation === load.late && atMs < SETTLED_MS) continue;
       requests.push({
         atMs,
         organisation,
@@ -164,10 +167,11 @@
   });
 }
 
-// Load: the requests of one organisation enter at one daemon only.
+// Load: the requests of one organisation, 0.9 of its limit, enter at one daemon.
 test("an organisation has its whole quota at one daemon", () => {
   const { results } = runLoad({
     factors: new Map([[nameOf(3), 1.8]]),
+    late: nameOf(3),
     enter: (organisation) => organisation === nameOf(3) ? 17 : undefined,
   });
   assert.equal(
@@ -176,10 +180,11 @@
   );
 });
 
-// Load: the requests of one organisation enter at another daemon every 250 ms.
+// Load: the same requests enter at another daemon every 250 ms.
 test("an organisation that moves between daemons keeps its quota", () => {
   const { results } = runLoad({
     factors: new Map([[nameOf(3), 1.8]]),
+    late: nameOf(3),
     enter: (organisation, atMs) =>
       organisation === nameOf(3)
         ? Math.floor(atMs / 250) * 7 % INSTANCES
--- a/src/coordination/quota/token_holder.ts
+++ b/src/coordination/quota/token_holder.ts
@@ -9,6 +9,11 @@
   AccountLinks,
 } from "./account_links.ts";
 import type { FleetView } from "./fleet_view.ts";
+import {
+  QuotaBasis,
+  type QuotaDecision,
+  type QuotaRefusal,
+} from "./quota_decision.ts";
 import { TokenStore } from "./token_store.ts";
 import { BRIDGE_HOLD_MS, type QuotaPlan } from "./quota_plan.ts";
 import type { SharePart } from "./share_schedule.ts";
@@ -23,37 +28,6 @@
 
 const MS_PER_S = 1_000;
 
-/** On whose word a request was admitted or refused. */
-export enum QuotaBasis {
-  /** A token of the account, or its word that it has none. */
-  Account = "account",
-  /** This daemon's part of the limit, as the account is unreachable. */
-  FixedShare = "fixed-share",
-  /** A small rate until this daemon's lease at the account has ended. */
-  Bridge = "bridge",
-  /** The organisation has no limit. */
-  Unlimited = "unlimited",
-}
-
-/** A refusal for want of tokens. */
-export interface QuotaRefusal {
-  readonly kind: "refused";
-  readonly basis: QuotaBasis;
-  readonly retryAfterMs: number;
-  /** Tokens at the account by its last answer. */
-  readonly level: number;
-  readonly limitPerS: number;
-  /** Age of that answer, in ms; `Infinity` if there was none. */
-  readonly knownAgeMs: number;
-}
-
-/** Whether a request may run. */
-export type QuotaDecision =
-  | { readonly kind: "admitted"; readonly basis: QuotaBasis }
-  | QuotaRefusal
-  /** The account has to be asked. */
-  | { readonly kind: "ask"; readonly link: AccountLink };
-
 /** Options of a {@linkcode TokenHolder}. */
 export interface TokenHolderOptions {
   /** Name of this instance. */
@@ -79,6 +53,7 @@
   readonly #stores = new Map<string, TokenStore>();
   /** Organisations of which the accounts have to be told something. */
   readonly #changed = new Set<TokenStore>();
+  #plans: ReadonlyMap<string, QuotaPlan> = new Map();
   #view: FleetView | undefined;
   #isOutdated = false;
 
@@ -95,7 +70,8 @@
   /**
    * Applies limits and the view of the fleet.
    *
-   * @param plans Plans of all organisations with a limit, by name.
+   * @param plans Plans of all organisations with a limit, by name; another map
+   * whenever one has changed.
    * @param view The view of the fleet.
    * @param isOutdated Whether the view of the store is old.
    * @param nowMs Monotonic time, in ms.
@@ -109,6 +85,11 @@
     this.#view = view;
     this.#isOutdated = isOutdated;
     this.links.update(view, nowMs);
+    if (plans !== this.#plans) this.#applyPlans(plans);
+  }
+
+  #applyPlans(plans: ReadonlyMap<string, QuotaPlan>): void {
+    this.#plans = plans;
     for (const [name, store] of this.#stores) {
       if (plans.has(name)) continue;
       this.#stores.delete(name);
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./coordination/dispatch/mod.ts";
 export * from "./coordination/membership/mod.ts";
 export * from "./coordination/quarantine/mod.ts";
+export * from "./coordination/quota/mod.ts";
 export * from "./coordination/readers/mod.ts";
 export * from "./coordination/retry/mod.ts";
 export * from "./coordination/routing/mod.ts";
--- a/src/sidecar/peer_client_test.ts
+++ b/src/sidecar/peer_client_test.ts
@@ -1,4 +1,4 @@
-import { type AddressInfo, createServer } from "node:net";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { Buffer } from "node:buffer";
 import { Worker } from "node:worker_threads";
 import { test } from "uvu";
@@ -38,6 +38,59 @@
   }, { onStatusReport });
 }
 
+// Guards against quotas that stop working while daemons have two versions.
+test("PeerClient.sendQuotaReport() tells a daemon without quotas from a silent one", async () => {
+  const open = new Set<Socket>();
+  let answers: readonly string[] = [];
+  const server = createServer((socket) => {
+    open.add(socket);
+    const reader = new FrameReader();
+    let hasUpgraded = false;
+    socket.on("data", (chunk) => {
+      if (!hasUpgraded) {
+        hasUpgraded = true;
+        const bodyAt = chunk.indexOf("\r\n\r\n") + 4;
+        socket.write(CHANNEL_UPGRADE_RESPONSE);
+        chunk = chunk.subarray(bodyAt);
+      }
+      for (const { kind, call } of reader.push(chunk)) {
+        const [head, ...rest] = answers;
+        answers = rest;
+        if (kind !== FrameKind.Call || head === undefined) continue;
+        socket.write(encodeFrame(FrameKind.Result, call, { head }));
+      }
+    });
+    socket.on("error", () => {});
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const client = clientOf((server.address() as AddressInfo).port);
+  const report = {
+    group: "0/1",
+    sender: "i",
+    epoch: "",
+    stampMs: 0,
+    leaseMs: 0,
+    releases: false,
+    demands: [],
+  };
+  answers = ["", '["n;overloaded;0",[503],[]]', "quota1 [1]", "quota1 []"];
+  const results = [];
+  for (let index = 0; index < 5; index++) {
+    results.push(await client.sendQuotaReport(report));
+  }
+  client.close();
+  for (const socket of open) socket.destroy();
+  server.close();
+  const unreadable = { kind: "failed", reason: "unreadable" };
+  assert.equal(results, [
+    unreadable,
+    unreadable,
+    unreadable,
+    { kind: "reply", reply: { kind: "not-account" } },
+    { kind: "failed", reason: "unreachable" },
+  ]);
+});
+
 // Guards against readers that are given up although they responded: after a
 // stall the time limit fired before the response was read.
 test("PeerClient.pollFeed() reads a response that came during a stall", async () => {
