Claim no lease at moved accounts just after a restart

A daemon that restarted while accounts moved could count at two accounts, as it forgot its lease at the former one. An answer now says for 5 s that the accounts have moved, and a process claims no lease in its first lease time then.

--- a/src/coordination/quota/account_book.ts
+++ b/src/coordination/quota/account_book.ts
@@ -17,6 +17,8 @@
   readonly #process: string;
   readonly #groups = new Map<string, AccountGroup>();
   #groupCount = 0;
+  /** Whether it was known before who holds which accounts. */
+  #hasAssignment = false;
   #view: FleetView | undefined;
   #plans: ReadonlyMap<string, QuotaPlan> | undefined;
   #plansByGroup: ReadonlyMap<string, ReadonlyMap<string, QuotaPlan>> =
@@ -64,6 +66,8 @@
       this.#plans = plans;
       this.#plansByGroup = assignPlans(view, mine, plans);
     }
+    const isFirst = !this.#hasAssignment;
+    this.#hasAssignment ||= view.hasAccounts;
     const conditions: GroupConditions = {
       fleetSize: view.size,
       leaseMs: view.leaseMs,
@@ -72,7 +76,10 @@
     for (const [name, groupPlans] of this.#plansByGroup) {
       let group = this.#groups.get(name);
       if (group === undefined) {
-        group = new AccountGroup(`${this.#process}.${++this.#groupCount}`);
+        group = new AccountGroup(
+          `${this.#process}.${++this.#groupCount}`,
+          isFirst ? undefined : nowMs,
+        );
         this.#groups.set(name, group);
       }
       group.update(groupPlans, conditions, nowMs);
--- a/src/coordination/quota/account_group.ts
+++ b/src/coordination/quota/account_group.ts
@@ -12,6 +12,8 @@
  */
 const LEASE_MARGIN_MS = 100;
 const SWEEP_PERIOD_MS = 50;
+/** Time in which all daemons learn of a move of the accounts, in ms. */
+const MOVE_NOTICE_MS = 5_000;
 
 /** Facts about the fleet that determine the shares. */
 export interface GroupConditions {
@@ -39,6 +41,7 @@
  */
 export class AccountGroup {
   readonly #epoch: string;
+  readonly #movedAtMs: number;
   readonly #accounts = new Map<string, QuotaAccount>();
   /** Ends of leases by instance, in ms. */
   readonly #leases = new Map<string, number>();
@@ -57,9 +60,12 @@
    * Creates a group without accounts.
    *
    * @param epoch Id of this account daemon's process and of this group in it.
+   * @param movedAtMs Time at which the accounts came from another daemon, if
+   * they did.
    */
-  constructor(epoch: string) {
+  constructor(epoch: string, movedAtMs = -Infinity) {
     this.#epoch = epoch;
+    this.#movedAtMs = movedAtMs;
   }
 
   /** Daemons with a lease. */
@@ -135,6 +141,7 @@
       stampMs: nowMs,
       leaseMs: this.#conditions.leaseMs,
       isLeased: this.#leases.has(report.sender),
+      isMoved: nowMs - this.#movedAtMs < MOVE_NOTICE_MS,
       grants,
     };
   }
--- a/src/coordination/quota/account_group_test.ts
+++ b/src/coordination/quota/account_group_test.ts
@@ -113,6 +113,7 @@
     leaseMs: LEASE_MS,
     isLeased: true,
     grants: [],
+    isMoved: false,
   };
   former.recordReply(answer, 2_010);
   former.recordClaim();
--- a/src/coordination/quota/account_links.ts
+++ b/src/coordination/quota/account_links.ts
@@ -32,6 +32,8 @@
   heardAtMs = -Infinity;
   /** Whether this daemon held a lease by the last answer. */
   isLeased = false;
+  /** Whether the accounts were elsewhere a short time before the last answer. */
+  isMoved = false;
   /** No lease that this daemon claimed lasts longer. */
   claimedUntilMs = -Infinity;
   /** Not asked until then. */
@@ -65,6 +67,7 @@
     this.stampMs = reply.stampMs;
     this.leaseMs = reply.leaseMs;
     this.isLeased = reply.isLeased;
+    this.isMoved = reply.isMoved;
     this.heardAtMs = nowMs;
     this.silentUntilMs = -Infinity;
   }
@@ -184,7 +187,10 @@
    * @returns Whether no other lease may be in force.
    */
   mayClaim(link: AccountLink, nowMs: number): boolean {
-    return link.stampMs > 0 &&
+    // An earlier process may have a lease at the former account.
+    const startedMs = nowMs - this.#startedAtMs;
+    const mayHaveFormer = link.isMoved && startedMs < link.leaseMs;
+    return link.stampMs > 0 && !mayHaveFormer &&
       this.#former.every((former) =>
         !isConflict(former, link) || former.claimedUntilMs <= nowMs
       );
--- a/src/coordination/quota/fleet_view.ts
+++ b/src/coordination/quota/fleet_view.ts
@@ -76,6 +76,11 @@
     this.#phase = computePhase(members, self);
   }
 
+  /** Whether it is known which instances hold the accounts. */
+  get hasAccounts(): boolean {
+    return this.#accounts.size > 0;
+  }
+
   /**
    * Returns the group of an organisation.
    *
--- a/src/protocol/quota_message.ts
+++ b/src/protocol/quota_message.ts
@@ -58,6 +58,8 @@
   readonly isLeased: boolean;
   /** Organisations that the account daemon does not know are left out. */
   readonly grants: readonly TokenGrant[];
+  /** Whether the accounts came from another daemon a short time ago. */
+  readonly isMoved: boolean;
 }
 
 /** What the account daemon answers. */
@@ -182,6 +184,7 @@
           Math.ceil(grant.emptyMs),
           roundTenths(grant.level),
         ]),
+        reply.isMoved ? 1 : 0,
       ]);
   }
 }
@@ -201,7 +204,7 @@
   const fields = parseFields(head);
   if (fields === undefined) return undefined;
   if (fields.length === 0) return { kind: "not-account" };
-  const [epoch, stampMs, leaseMs, isLeased, rawGrants] = fields;
+  const [epoch, stampMs, leaseMs, isLeased, rawGrants, isMoved] = fields;
   if (!isText(epoch) || !isNumber(stampMs) || !isNumber(leaseMs)) {
     return undefined;
   }
@@ -216,15 +219,8 @@
     level: level!,
   }));
   if (grants === undefined) return undefined;
-  const hasLease = isLeased === 1;
-  return {
-    kind: "served",
-    epoch,
-    stampMs,
-    leaseMs,
-    isLeased: hasLease,
-    grants,
-  };
+  const flags = { isLeased: isLeased === 1, isMoved: isMoved === 1 };
+  return { kind: "served", epoch, stampMs, leaseMs, grants, ...flags };
 }
 
 /** Numbers of each demand and of each grant; later versions append theirs. */
--- a/src/protocol/quota_message_test.ts
+++ b/src/protocol/quota_message_test.ts
@@ -41,6 +41,7 @@
     emptyMs: 40,
     level: 0.5,
   }],
+  isMoved: true,
 };
 
 test("quota messages are read as they were written", () => {
--- a/src/sidecar/quota_task_test.ts
+++ b/src/sidecar/quota_task_test.ts
@@ -127,6 +127,7 @@
         stampMs: 1,
         leaseMs: 1_500,
         isLeased: true,
+        isMoved: false,
         grants: report.demands.map(({ organisation, waiting }) => ({
           organisation,
           granted: Math.min(waiting, 4),
