--- a/src/sidecar/request_forwarder_test.ts
+++ b/src/sidecar/request_forwarder_test.ts
@@ -21,7 +21,7 @@
 import { BackendDirectory } from "../state/backend_directory.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import type { DestinationPool } from "./destination_pool.ts";
-import type { ForwardContext } from "./forward_types.ts";
+import type { ForwardContext, ForwardRequest } from "./forward_types.ts";
 import { EventLog } from "../transport/observe/event_log.ts";
 import { TextMetrics } from "../transport/observe/text_metrics.ts";
 import type { SendOptions } from "./peer_client.ts";
@@ -65,10 +65,17 @@
   }));
 }
 
+function recordWait(stats: DestinationStats, waitMs: number): void {
+  const load = { running: 8, queued: 20, limit: 8, failureShare: 0, pace: 1 };
+  stats.recordLoad("stock", { ...load, waitMs }, performance.now());
+}
+
 function startForwarding(
   maxAttempts: number,
   backendCount: number,
   evidence: readonly EndEvidence[] = [],
+  fields: Partial<ForwardRequest> = {},
+  waitMs = 0,
 ) {
   const sent: SentRequest[] = [];
   const statsById = new Map<string, DestinationStats>();
@@ -78,7 +85,10 @@
   }
   const destinations = {
     statsOf: ({ id }: BackendRecord) => {
-      if (!statsById.has(id)) statsById.set(id, new DestinationStats());
+      if (!statsById.has(id)) {
+        statsById.set(id, new DestinationStats());
+        if (waitMs > 0) recordWait(statsById.get(id)!, waitMs);
+      }
       return statsById.get(id)!;
     },
     execute: (
@@ -128,6 +138,7 @@
       priority: 0,
       maxAttempts,
     },
+    ...fields,
   }, context);
   const result = forwarder.run(new AbortController());
   return { directory, sent, quarantine, result };
@@ -284,4 +295,19 @@
   assert.ok(destinations.size <= 2, "the period may change in between");
 });
 
+// Failure: a running request ends with 500, as its call was not sent although
+// it could still finish before its deadline.
+test("RequestForwarder.run() sends a call that can finish before its deadline only", async () => {
+  const sentCounts: number[] = [];
+  for (const isSubcall of [false, true]) {
+    const objectiveAtMs = performance.now() + 300;
+    const fields = { objectiveAtMs, isSubcall };
+    const { sent, result } = startForwarding(1, 1, [], fields, 1_000);
+    sentCounts.push(sent.length);
+    sent[0]?.end(notRunOutcome(MeshReason.Overloaded));
+    await result;
+  }
+  assert.equal(sentCounts, [0, 1]);
+});
+
 test.run();
