--- a/src/coordination/dispatch/work_item.ts
+++ b/src/coordination/dispatch/work_item.ts
@@ -10,6 +10,8 @@
   readonly arrivedAtMs: number;
   /** Whether a running request probably waits for it. */
   readonly isSubcall?: boolean | undefined;
+  /** Expected work, relative to the usual one of its route; above 0. */
+  readonly costFactor?: number | undefined;
 }
 
 /**
--- a/src/coordination/dispatch/work_queue.ts
+++ b/src/coordination/dispatch/work_queue.ts
@@ -109,7 +109,7 @@
    */
   offer(item: T, nowMs: number): OfferResult<T> {
     const { organisation } = item;
-    const serviceMs = this.serviceTimes.expectedMs(item.route);
+    const serviceMs = this.#expectedMs(item);
     if (organisation !== undefined) {
       this.#shares.recordOffer(organisation, nowMs);
     }
@@ -143,7 +143,8 @@
   finish(item: T, ranMs: number | undefined): void {
     this.#running--;
     this.#addRunning(item, -1);
-    if (ranMs !== undefined) this.serviceTimes.record(item.route, ranMs);
+    if (ranMs === undefined) return;
+    this.serviceTimes.record(item.route, ranMs / (item.costFactor ?? 1));
   }
 
   /**
@@ -215,7 +216,7 @@
     const isFree = this.#waiting.length === 0 &&
       this.#running < this.#slots && this.starts.waitMs(nowMs) === 0;
     if (isFree) return 0;
-    const serviceMs = this.serviceTimes.expectedMs(item.route);
+    const serviceMs = this.#expectedMs(item);
     return this.#estimateWaitMs(
       this.#toWaiting(item, serviceMs, nowMs),
       nowMs,
@@ -234,6 +235,11 @@
     return isHeld ? this.starts.waitMs(nowMs) : undefined;
   }
 
+  #expectedMs({ route, costFactor }: WorkItem): number {
+    const usualMs = this.serviceTimes.expectedMs(route);
+    return costFactor === undefined ? usualMs : usualMs * costFactor;
+  }
+
   #refusal(waitMs: number): OfferResult<T> {
     return { kind: "refuse", retryAfterMs: boundRetryAfterMs(waitMs) };
   }
@@ -261,7 +267,7 @@
     let ahead = 0;
     for (const { waiting, key } of order) {
       const { item } = waiting;
-      const serviceMs = this.serviceTimes.expectedMs(item.route);
+      const serviceMs = this.#expectedMs(item);
       const endMs = nowMs + serviceMs + this.#waitMs(workMs, ahead, nowMs);
       const isBehind = !precedes(item, key, entry.item, entryKey);
       if (isBehind && endMs > this.effectiveDeadlineMs(item)) {
@@ -284,7 +290,7 @@
     for (const other of this.#waiting) {
       const otherKey = this.#sortKey(other, nowMs);
       if (!precedes(other.item, otherKey, entry.item, key)) continue;
-      workMs += this.serviceTimes.expectedMs(other.item.route);
+      workMs += this.#expectedMs(other.item);
       ahead++;
     }
     return this.#waitMs(workMs, ahead, nowMs);
@@ -301,7 +307,7 @@
   /** Smaller keys go first. */
   #sortKey(entry: Waiting<WorkItem>, nowMs: number): number {
     const { item, position } = entry;
-    const serviceMs = this.serviceTimes.expectedMs(item.route);
+    const serviceMs = this.#expectedMs(item);
     const cost = serviceMs * (1 + item.priority);
     const remainingMs = item.deadlineMs - nowMs;
     const isLate = nowMs + serviceMs > item.objectiveAtMs;
@@ -342,7 +348,7 @@
   }
 
   #isTooLate(item: T, nowMs: number): boolean {
-    const endMs = nowMs + this.serviceTimes.expectedMs(item.route);
+    const endMs = nowMs + this.#expectedMs(item);
     return endMs > this.effectiveDeadlineMs(item);
   }
 
