--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -248,8 +248,8 @@
   #countCost(route: string, options: ExecuteOptions, serviceMs: number): void {
     const { metrics } = this.#options;
     const errorMs = Math.abs(serviceMs - options.expectedServiceMs);
-    metrics.count("service_ms_total", { route }, serviceMs);
-    metrics.count("service_error_ms_total", { route }, errorMs);
+    metrics.count("service_ms_total", { route }, Math.round(serviceMs));
+    metrics.count("service_error_ms_total", { route }, Math.round(errorMs));
   }
 
   #countRemoteBytes(call: MeshCall, outcome: CallOutcome): void {
