Take no status outside 100 to 599 and no reset for the end of a response

Cause: status 600 to 999 was checked nowhere. undici takes a reset for the end of a response without a length; src/daemon passed such a response on as a whole one, also where the upload was still being written.

Change: isHttpStatus() in both implementations; the connections of src/daemon to its backend server report a reset under another code.

--- a/src/daemon/backend_task.ts
+++ b/src/daemon/backend_task.ts
@@ -4,6 +4,7 @@
 import type { Service } from "../protocol/config_schema.ts";
 import { type PerRank, perRank, type Rank, RANKS } from "../protocol/rank.ts";
 import { messageOf } from "../protocol/step_error.ts";
+import { strictConnector } from "../transport/http/strict_connector.ts";
 import { Agent, Pool, request } from "../transport/http/undici_parts.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import { monotonicMs } from "./clocks.ts";
@@ -301,7 +302,7 @@
         keepAliveTimeout: IDLE_TIMEOUT_MS,
         headersTimeout: 0,
         bodyTimeout: 0,
-        connect: { timeout: CONNECT_TIMEOUT_MS },
+        connect: strictConnector({ timeout: CONNECT_TIMEOUT_MS }),
       })
     );
     if (oldPools === undefined) return;
--- a/src/sidecar/backend_response.ts
+++ b/src/sidecar/backend_response.ts
@@ -1,5 +1,6 @@
 import type { CallOutcome, MeshCall } from "../protocol/mesh_call.ts";
 import { MeshReason, notRunOutcome } from "../protocol/mesh_call.ts";
+import { isHttpStatus } from "../protocol/response_status.ts";
 import type {
   PoolResponseHead,
   PoolResult,
@@ -49,6 +50,7 @@
   fields: ReadonlyMap<string, string>,
 ): boolean {
   const { call, status, headerNames } = head;
+  if (!isHttpStatus(status)) return false;
   if (fields.get(headerNames.requestId) !== call.id) return false;
   if (fields.has("content-encoding")) return false;
   return status >= 300 || fields.has(headerNames.answerProof);
@@ -178,6 +180,7 @@
   fields: ReadonlyMap<string, string>,
 ): boolean {
   const { call, status, isFirst, headerNames } = head;
+  if (!isHttpStatus(status)) return false;
   const id = fields.get(headerNames.requestId);
   if (id === undefined ? !isFirst : id !== call.id) return false;
   return fields.has(headerNames.notRun) || status === MISDIRECTED_STATUS;
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from "undici";
 import type { AnswerHead, CallBody, Execution } from "../../protocol/call.ts";
+import { isHttpStatus } from "../../protocol/response_status.ts";
 
 /** A request to send over a connection of a pool. */
 export interface ExchangeRequest {
@@ -83,10 +84,15 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
+    if (!isHttpStatus(status)) {
+      return controller.abort(
+        new Error(`Cannot read the response: status ${status} is invalid`),
+      );
+    }
     if (status < 200) return;
     this.#events.onHead({ status, headers });
   }
--- a/tests/platform/malformed_answer_test.ts
+++ b/tests/platform/malformed_answer_test.ts
@@ -5,6 +5,7 @@
 import { EDGE_HEADERS } from "../../platform/edge_headers.ts";
 import { RequestKind } from "../../src/protocol/mesh.ts";
 import { Exchange } from "../../src/transport/http/exchange.ts";
+import { strictConnector } from "../../src/transport/http/strict_connector.ts";
 import { type RawAnswer, RawServer } from "../../testkit/raw_server.ts";
 import { createCall, createDispatcher } from "./local_dispatcher.ts";
 
@@ -30,7 +31,8 @@
     return outcome.kind;
   },
   daemon: async (address, body) => {
-    const pool = new Pool(`http://${address}`);
+    const connect = strictConnector({});
+    const pool = new Pool(`http://${address}`, { connect });
     const result = await new Promise<string>((resolve) =>
       Exchange.send(pool, {
         method: "POST",
