--- a/testkit/raw_server.ts
+++ b/testkit/raw_server.ts
@@ -11,6 +11,8 @@
   readonly text: string;
   /** Whether the connection is reset after it. */
   readonly isReset: boolean;
+  /** Whether later requests on the connection are answered too. */
+  readonly isKept?: boolean;
 }
 
 /** Time after which a connection is reset, in ms; its bytes arrive before. */
@@ -41,8 +43,8 @@
         received += chunk.toString("latin1");
         const endOffset = received.indexOf("\r\n\r\n");
         if (endOffset < 0) return;
-        socket.pause();
-        const { text, isReset } = answer(received.slice(0, endOffset));
+        const { text, isReset, isKept } = answer(received.slice(0, endOffset));
+        if (isKept !== true) socket.pause();
         received = "";
         socket.write(text, "latin1");
         if (!isReset) return;
