--- a/tests/platform/daemon_processes.ts
+++ b/tests/platform/daemon_processes.ts
@@ -22,12 +22,14 @@
  * @param count Number of daemons, each in a failure domain of its own.
  * @param run The test.
  * @param nodeArgs Arguments of Node.js for the daemons; none by default.
+ * @param memoryMb Memory of the instances in the settings, in MB.
  */
 export function testDaemons(
   name: string,
   count: number,
   run: (daemons: readonly SoakInstance[], store: KvServer) => Promise<void>,
   nodeArgs: readonly string[] = [],
+  memoryMb?: number,
 ): void {
   test(name, async () => {
     const folder = mkdtempSync(join(tmpdir(), "sesamepond-"));
@@ -47,6 +49,7 @@
             storePort: Number(store.address.split(":")[1]),
             graceS: GRACE_S,
             nodeArgs,
+            ...(memoryMb === undefined ? {} : { memoryMb }),
           }),
         );
       }
