Add decisions about new versions of a service, not wired yet

Cause: traffic of a service is to move to another version by order of the operator, and back if that version is bad.

--- /dev/null
+++ b/src/coordination/rollout/rollout_coordinator.ts
@@ -0,0 +1,410 @@
+import {
+  isActivePhase,
+  type RolloutOrder,
+  RolloutPhase,
+  type RolloutRecord,
+  type RolloutReport,
+  type RolloutStatus,
+} from "../../protocol/rollout.ts";
+import { decideStep } from "./decide_step.ts";
+import { type VersionJudgement, VersionVerdict } from "./judge_version.ts";
+import { RolloutObservations } from "./rollout_observations.ts";
+import { planSteps } from "./step_plan.ts";
+
+/** Time after which the deciding daemon renews its record, in ms. */
+const RENEW_MS = 1_200;
+/** Time without a renewal after which another daemon takes over, in ms. */
+const TAKEOVER_MS = 3_200;
+/** Further time for each daemon that comes before in the order of takeover. */
+const RANK_DELAY_MS = 700;
+/** Daemons beyond this rank do not differ in their delay. */
+const MAX_RANK = 8;
+/** Age of a view of the store from which it shows no lapse, in ms. */
+const MAX_VIEW_AGE_MS = 2_500;
+/** Time within which a daemon must have reported to count, in ms. */
+const REPORTED_WITHIN_MS = 2_000;
+/** Share of the daemons that must report to the deciding daemon. */
+const MIN_REPORTERS = 0.5;
+/** Time for which a daemon that few report to leaves the role to others. */
+const RESIGNED_FOR_MS = 10_000;
+/** Pause before a write is repeated that has failed, in ms. */
+const RETRY_MS = 400;
+
+const UNKNOWN: VersionJudgement = { verdict: VersionVerdict.Unknown };
+
+const ROLLED_BACK = { phase: RolloutPhase.RolledBack, share: 0 };
+
+/** What a daemon knows about the fleet when it decides. */
+export interface RolloutSituation {
+  readonly nowMs: number;
+  readonly nowUnixMs: number;
+  /** Age of the view of the store, in ms. */
+  readonly viewAgeMs: number;
+  /** Number of daemons that come before this one, 0 for the first. */
+  readonly rank: number;
+  /** Number of daemons in the fleet. */
+  readonly daemons: number;
+  /** Versions of the service that are in use. */
+  readonly inUse: readonly string[];
+  /** Versions of the service that are announced. */
+  readonly announced: readonly string[];
+  /** Instances that have backend servers of other versions than the target. */
+  readonly formerInstances: readonly string[];
+  /** Whether backend servers of the target version accept requests. */
+  readonly hasTarget: boolean;
+}
+
+/** A write that holds only if the record has not changed. */
+export interface RolloutWrite {
+  readonly record: RolloutRecord;
+  /** Store revision of the replaced record; 0 if there is none. */
+  readonly afterRevision: number;
+  /** Present if the operator is to be told. */
+  readonly status?: RolloutStatus;
+  /** Why the record changes. */
+  readonly judgement: VersionJudgement;
+  readonly reason: RolloutReason;
+}
+
+/** Why a record is written. */
+export enum RolloutReason {
+  /** A version that is not in use was announced, and there is no order yet. */
+  Baseline = "baseline",
+  Ordered = "ordered",
+  TakenOver = "taken-over",
+  Decided = "decided",
+  Renewed = "renewed",
+}
+
+/** Result of a write. */
+export type WriteResult =
+  | { readonly kind: "written"; readonly revision: number }
+  /** Another daemon has written meanwhile. */
+  | { readonly kind: "conflict" }
+  | { readonly kind: "failed" };
+
+/**
+ * One daemon's part in the decisions about one service. At any time one daemon
+ * decides: each write replaces the record that the daemon has seen last.
+ *
+ * @example
+ * ```ts ignore
+ * const write = coordinator.next(situation);
+ * ```
+ */
+export class RolloutCoordinator {
+  readonly #instance: string;
+  readonly #service: string;
+  #order: RolloutOrder | undefined;
+  #orderSeenAtMs = 0;
+  #orderSeenAtUnixMs = 0;
+  #record: RolloutRecord | undefined;
+  #revision = 0;
+  #recordSeenAtMs = 0;
+  /** Sequences of the records that this process has written or tried to. */
+  readonly #ownSequences = new Set<number>();
+  #observations: RolloutObservations | undefined;
+  #pending: RolloutWrite | undefined;
+  #retryAtMs = -Infinity;
+  #shareSinceMs = 0;
+  /** Sequence with which the phase began, as far as this daemon knows. */
+  #phaseSequence = 0;
+  /** Sequences of writes whose result is not known. */
+  readonly #unknownSequences = new Set<number>();
+  #decidingSinceMs = 0;
+  #resignedUntilMs = -Infinity;
+  /** Whether a decision to roll back is not written yet. */
+  #isHalted = false;
+
+  /**
+   * Creates a coordinator that knows no order.
+   *
+   * @param instance Instance of this daemon.
+   * @param service Name of the service.
+   */
+  constructor(instance: string, service: string) {
+    this.#instance = instance;
+    this.#service = service;
+  }
+
+  /** The record as this daemon last saw or wrote it. */
+  get record(): RolloutRecord | undefined {
+    return this.#record;
+  }
+
+  /** Whether this daemon decides. */
+  get isDecider(): boolean {
+    return this.#record?.decider === this.#instance &&
+      this.#ownSequences.has(this.#record.sequence);
+  }
+
+  /**
+   * Learns of an order or of its removal.
+   *
+   * @param order The order, if there is one.
+   * @param time Monotonic and Unix time, in ms.
+   */
+  setOrder(
+    order: RolloutOrder | undefined,
+    time: Pick<RolloutSituation, "nowMs" | "nowUnixMs">,
+  ): void {
+    const isSame = order?.targetVersion === this.#order?.targetVersion &&
+      order?.durationMs === this.#order?.durationMs;
+    if (isSame) return;
+    this.#order = order;
+    this.#orderSeenAtMs = time.nowMs;
+    this.#orderSeenAtUnixMs = time.nowUnixMs;
+  }
+
+  /**
+   * Learns of the record in the store.
+   *
+   * @param record The record.
+   * @param revision Its store revision.
+   * @param nowMs Monotonic time, in ms.
+   */
+  setRecord(record: RolloutRecord, revision: number, nowMs: number): void {
+    if (revision <= this.#revision) return;
+    this.#adopt(record, revision, nowMs);
+  }
+
+  /**
+   * Answers a report of a daemon.
+   *
+   * @param report The report.
+   * @param nowMs Monotonic time, in ms.
+   * @returns The decision in force; `undefined` if this daemon does not decide.
+   */
+  receive(report: RolloutReport, nowMs: number): RolloutRecord | undefined {
+    const record = this.#record;
+    const isResigned = nowMs < this.#resignedUntilMs;
+    if (record === undefined || !this.isDecider || isResigned) return undefined;
+    this.#observations?.record(report, nowMs);
+    return this.#isHalted
+      ? { ...record, phase: RolloutPhase.Running, share: 0 }
+      : record;
+  }
+
+  /**
+   * Compares the versions by the reports so far.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns The judgement.
+   */
+  judge(nowMs: number): VersionJudgement {
+    return this.#observations?.judge(nowMs) ?? UNKNOWN;
+  }
+
+  /**
+   * Returns the next write of this daemon. Its result is to be passed to
+   * {@linkcode finishWrite} before the next call has a result.
+   *
+   * @param situation What the daemon knows.
+   * @returns The write; `undefined` if there is nothing to write.
+   */
+  next(situation: RolloutSituation): RolloutWrite | undefined {
+    const { nowMs } = situation;
+    if (this.#pending !== undefined || nowMs < this.#retryAtMs) {
+      return undefined;
+    }
+    const write = this.#takeUpOrder(situation) ??
+      this.#decide(situation) ?? this.#takeOver(situation) ??
+      this.#writeBaseline(situation);
+    this.#pending = write;
+    if (write !== undefined) this.#ownSequences.add(write.record.sequence);
+    return write;
+  }
+
+  /**
+   * Records the result of a write.
+   *
+   * @param result The result.
+   * @param nowMs Monotonic time, in ms.
+   */
+  finishWrite(result: WriteResult, nowMs: number): void {
+    const write = this.#pending;
+    this.#pending = undefined;
+    if (write === undefined) return;
+    switch (result.kind) {
+      case "written":
+        // The view may have shown the write, or a later one, before.
+        if (result.revision > this.#revision) {
+          this.#adopt(write.record, result.revision, nowMs);
+        }
+        return;
+      case "conflict":
+        // The view of the store shows soon who has written; until then, this
+        // daemon can write nothing.
+        if (!this.#unknownSequences.has(write.record.sequence)) {
+          this.#ownSequences.delete(write.record.sequence);
+        }
+        this.#retryAtMs = nowMs + RETRY_MS;
+        return;
+      case "failed":
+        this.#unknownSequences.add(write.record.sequence);
+        this.#retryAtMs = nowMs + RETRY_MS;
+    }
+  }
+
+  #adopt(record: RolloutRecord, revision: number, nowMs: number): void {
+    const known = this.#record;
+    const wasDecider = this.isDecider;
+    const isNewPhase = known?.phase !== record.phase ||
+      known.targetVersion !== record.targetVersion;
+    const hasShareChanged = isNewPhase || known.share !== record.share ||
+      known.decider !== record.decider;
+    if (hasShareChanged) this.#shareSinceMs = nowMs;
+    if (isNewPhase) this.#phaseSequence = record.sequence;
+    this.#record = record;
+    this.#revision = revision;
+    this.#recordSeenAtMs = nowMs;
+    if (!this.isDecider || !isActivePhase(record.phase)) {
+      this.#isHalted = false;
+    }
+    const isNewRole = this.isDecider &&
+      (!wasDecider || known?.targetVersion !== record.targetVersion);
+    if (!isNewRole) return;
+    this.#decidingSinceMs = nowMs;
+    this.#isHalted = false;
+    this.#observations = new RolloutObservations(record.targetVersion, nowMs);
+  }
+
+  #takeUpOrder(situation: RolloutSituation): RolloutWrite | undefined {
+    const order = this.#order;
+    const record = this.#record;
+    const { nowMs, rank, viewAgeMs } = situation;
+    if (order === undefined || order.targetVersion === "") return undefined;
+    const isTakenUp = record?.targetVersion === order.targetVersion &&
+      record.endsAtUnixMs - record.startedAtUnixMs === order.durationMs;
+    if (isTakenUp || !this.#mayElect(viewAgeMs, nowMs)) return undefined;
+    const isActive = record !== undefined && isActivePhase(record.phase);
+    const place = isActive && this.isDecider ? 0 : rank + (isActive ? 1 : 0);
+    const sinceMs = Math.max(this.#orderSeenAtMs, this.#recordSeenAtMs);
+    if (nowMs - sinceMs < delayOf(place)) return undefined;
+    const formers = situation.inUse.filter((version) =>
+      version !== order.targetVersion
+    );
+    const isMoved = formers.length === 0;
+    const phase = isMoved ? RolloutPhase.Finished : RolloutPhase.Running;
+    return this.#write(RolloutReason.Ordered, {
+      service: order.service,
+      sequence: (record?.sequence ?? 0) + 1,
+      phase,
+      inUse: isMoved ? [order.targetVersion] : formers,
+      decider: this.#instance,
+      targetVersion: order.targetVersion,
+      share: isMoved ? 1 : 0,
+      startedAtUnixMs: this.#orderSeenAtUnixMs,
+      endsAtUnixMs: this.#orderSeenAtUnixMs + order.durationMs,
+    });
+  }
+
+  #decide(situation: RolloutSituation): RolloutWrite | undefined {
+    const { nowMs, nowUnixMs, daemons } = situation;
+    const record = this.#record;
+    const observations = this.#observations;
+    const isDeciding = record !== undefined && this.isDecider &&
+      isActivePhase(record.phase) && observations !== undefined &&
+      nowMs >= this.#resignedUntilMs;
+    if (!isDeciding) return undefined;
+    const reporters = observations.countReporters(nowMs - REPORTED_WITHIN_MS);
+    const hasReports = reporters >= daemons * MIN_REPORTERS;
+    if (!hasReports && nowMs - this.#decidingSinceMs > TAKEOVER_MS) {
+      // Others can take the role over once the record is not renewed.
+      this.#resignedUntilMs = nowMs + RESIGNED_FOR_MS;
+      return undefined;
+    }
+    const durationMs = record.endsAtUnixMs - record.startedAtUnixMs;
+    const observedS = Math.max(1, (nowMs - observations.startedAtMs) / 1_000);
+    const judgement = observations.judge(nowMs);
+    const step = decideStep({
+      record,
+      plan: planSteps(durationMs, observations.requests / observedS),
+      durationMs,
+      elapsedMs: nowUnixMs - record.startedAtUnixMs,
+      shareAgeMs: nowMs - this.#shareSinceMs,
+      judgement,
+      targetRequests: observations.targetRequests,
+      hasTarget: situation.hasTarget,
+      hasReports,
+      isDrained: situation.formerInstances.every((instance) =>
+        observations.isDrained(instance, this.#phaseSequence)
+      ),
+    });
+    const { phase, share } = this.#isHalted ? ROLLED_BACK : step;
+    const sequence = record.sequence + 1;
+    if (phase !== record.phase || share !== record.share) {
+      this.#isHalted = phase === RolloutPhase.RolledBack;
+      const inUse = phase === RolloutPhase.Finished
+        ? [record.targetVersion]
+        : record.inUse;
+      const next = { ...record, sequence, phase, share, inUse };
+      return this.#write(RolloutReason.Decided, next, judgement);
+    }
+    return nowMs - this.#recordSeenAtMs >= RENEW_MS
+      ? this.#write(RolloutReason.Renewed, { ...record, sequence }, judgement)
+      : undefined;
+  }
+
+  #takeOver(situation: RolloutSituation): RolloutWrite | undefined {
+    const { nowMs, rank, viewAgeMs } = situation;
+    const record = this.#record;
+    const isLapsed = record !== undefined && isActivePhase(record.phase) &&
+      nowMs - this.#recordSeenAtMs >= TAKEOVER_MS + delayOf(rank);
+    if (!isLapsed || !this.#mayElect(viewAgeMs, nowMs)) return undefined;
+    return this.#write(RolloutReason.TakenOver, {
+      ...record,
+      sequence: record.sequence + 1,
+      decider: this.#instance,
+      // Nobody has looked at the results since the last decider ended.
+      share: record.phase === RolloutPhase.Running ? 0 : record.share,
+    });
+  }
+
+  /** Records the versions in use for daemons that start from now on. */
+  #writeBaseline(situation: RolloutSituation): RolloutWrite | undefined {
+    const { nowMs, rank, viewAgeMs, inUse, announced } = situation;
+    const isNeeded = this.#record === undefined && inUse.length > 0 &&
+      announced.some((version) => !inUse.includes(version));
+    const mayWrite = isNeeded && rank === 0 && this.#order === undefined &&
+      this.#mayElect(viewAgeMs, nowMs);
+    if (!mayWrite) return undefined;
+    return this.#write(RolloutReason.Baseline, {
+      service: this.#service,
+      sequence: 1,
+      phase: RolloutPhase.Idle,
+      inUse: [...inUse],
+      decider: this.#instance,
+      targetVersion: "",
+      share: 0,
+      startedAtUnixMs: 0,
+      endsAtUnixMs: 0,
+    });
+  }
+
+  #mayElect(viewAgeMs: number, nowMs: number): boolean {
+    return viewAgeMs < MAX_VIEW_AGE_MS && nowMs >= this.#resignedUntilMs;
+  }
+
+  #write(
+    reason: RolloutReason,
+    record: RolloutRecord,
+    judgement: VersionJudgement = UNKNOWN,
+  ): RolloutWrite {
+    const { service, targetVersion, phase } = record;
+    const isNews = phase !== RolloutPhase.Idle &&
+      (this.#record?.phase !== phase ||
+        this.#record.targetVersion !== targetVersion);
+    return {
+      record,
+      afterRevision: this.#revision,
+      judgement,
+      reason,
+      ...(isNews ? { status: { service, targetVersion, phase } } : {}),
+    };
+  }
+}
+
+function delayOf(rank: number): number {
+  return Math.min(rank, MAX_RANK) * RANK_DELAY_MS;
+}
--- /dev/null
+++ b/src/coordination/rollout/version_gate.ts
@@ -0,0 +1,326 @@
+import {
+  isActivePhase,
+  RolloutPhase,
+  type RolloutRecord,
+  type RolloutReport,
+  type RouteSamples,
+} from "../../protocol/rollout.ts";
+import { NO_SAMPLES, timeClassOf } from "./sample_times.ts";
+import { LAST_SHARE } from "./step_plan.ts";
+
+/** Share of the requests that an unproven version may get. */
+const EXPOSED_SHARE = 0.09;
+/** Requests beyond that share, over all daemons together. */
+const EXPOSED_SLACK = 25;
+/**
+ * Time without the deciding daemon's answer after which the target version gets
+ * no requests: the decision to roll back may have been made meanwhile.
+ */
+const CONFIRMED_FOR_MS = 2_000;
+
+/** The versions that a request may use. */
+export type VersionChoice =
+  | { readonly kind: "any" }
+  | {
+    readonly kind: "versions";
+    readonly versions: ReadonlySet<string>;
+    /** Whether the request counts as one of the target version. */
+    readonly isTarget: boolean;
+  };
+
+/** The result of a request at a backend server. */
+export interface VersionResult {
+  readonly route: string;
+  readonly version: string;
+  readonly isFailure: boolean;
+  /** Absent if it does not say how fast the version is. */
+  readonly serviceMs?: number | undefined;
+}
+
+/** What a choice depends on. */
+export interface VersionRequest {
+  /** Whether the request has not been sent to a backend server yet. */
+  readonly isFirst: boolean;
+  /** Random number from 0 to 1. */
+  readonly fraction: number;
+  /** Monotonic time, in ms. */
+  readonly nowMs: number;
+  /** Number of daemons in the fleet. */
+  readonly daemons: number;
+}
+
+const ANY: VersionChoice = { kind: "any" };
+
+/**
+ * Knows which versions of one service requests may use, and bounds the requests
+ * that a target version gets through this daemon.
+ *
+ * The share of a target version only holds for a short time after each answer
+ * of the deciding daemon, and a bound of its own holds at each daemon, so that
+ * all daemons together keep the bound whether or not they hear from others.
+ *
+ * @example
+ * ```ts
+ * const gate = new VersionGate("orders");
+ * gate.observe("v1");
+ * gate.observe("v2");
+ * gate.admits("v2"); // false
+ * ```
+ */
+export class VersionGate {
+  readonly #service: string;
+  #inUse: ReadonlySet<string> = new Set();
+  #record: RolloutRecord | undefined;
+  #targets: ReadonlySet<string> = new Set();
+  /** Whether there is a version that is not in use. */
+  #isRestricted = false;
+  #confirmedAtMs = -Infinity;
+  #requests = 0;
+  #exposed = 0;
+  readonly #samples = new Map<string, MutableRoute>();
+
+  /**
+   * Creates a gate that knows no version.
+   *
+   * @param service Name of the service.
+   */
+  constructor(service: string) {
+    this.#service = service;
+  }
+
+  /** Versions that requests use beside the share of a target version. */
+  get inUse(): ReadonlySet<string> {
+    return this.#inUse;
+  }
+
+  /** The newest decision that is known. */
+  get record(): RolloutRecord | undefined {
+    return this.#record;
+  }
+
+  /** Whether there are versions that requests may not use. */
+  get isRestricted(): boolean {
+    return this.#isRestricted;
+  }
+
+  /**
+   * Returns the share of the requests that the target version gets now.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns The share, 0 to 1.
+   */
+  shareAt(nowMs: number): number {
+    const record = this.#record;
+    switch (record?.phase) {
+      case undefined:
+      case RolloutPhase.Idle:
+      case RolloutPhase.RolledBack:
+        return 0;
+      case RolloutPhase.Running:
+        return nowMs - this.#confirmedAtMs <= CONFIRMED_FOR_MS
+          ? record.share
+          : 0;
+      case RolloutPhase.Draining:
+      case RolloutPhase.Finished:
+        return 1;
+    }
+  }
+
+  /**
+   * Learns of a version of the service.
+   *
+   * @param version The version; empty if it was not announced.
+   * @param isInitial Whether the backend server was there before this daemon.
+   */
+  observe(version: string, isInitial = false): void {
+    if (this.#inUse.has(version)) return;
+    const isUnknown = this.#record === undefined &&
+      (isInitial || [...this.#inUse].every((known) => known === ""));
+    // Daemons of an earlier version record no versions.
+    if (isUnknown || version === "") {
+      this.#inUse = new Set([...this.#inUse, version]);
+      return;
+    }
+    this.#isRestricted = true;
+  }
+
+  /**
+   * Adopts a decision, unless a newer one is known.
+   *
+   * @param record The decision.
+   * @returns Whether it changes anything.
+   */
+  apply(record: RolloutRecord): boolean {
+    const known = this.#record;
+    // A decider that cannot write yet may lower the share in the meantime.
+    const isNews = known === undefined || record.sequence > known.sequence ||
+      record.sequence === known.sequence && record.share < known.share;
+    if (!isNews) return false;
+    if (known?.targetVersion !== record.targetVersion) {
+      this.#requests = 0;
+      this.#exposed = 0;
+      this.#samples.clear();
+      this.#confirmedAtMs = -Infinity;
+    }
+    this.#record = record;
+    this.#isRestricted = true;
+    this.#inUse = new Set(record.inUse);
+    this.#targets = new Set([record.targetVersion]);
+    return true;
+  }
+
+  /**
+   * Records that the deciding daemon has answered a report.
+   *
+   * @param record Its decision.
+   * @param reportedAtMs When the report was sent, in ms.
+   */
+  confirm(record: RolloutRecord, reportedAtMs: number): void {
+    this.apply(record);
+    if (this.#record?.targetVersion !== record.targetVersion) return;
+    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, reportedAtMs);
+  }
+
+  /**
+   * Returns whether the local backend server may run requests.
+   *
+   * @param version Its version; empty if it was not announced.
+   * @returns False if no request may use the version.
+   */
+  admits(version: string): boolean {
+    const record = this.#record;
+    switch (record?.phase) {
+      case undefined:
+      case RolloutPhase.Idle:
+        return true;
+      case RolloutPhase.Running:
+        return version === record.targetVersion || this.#isInUse(version);
+      case RolloutPhase.RolledBack:
+        return this.#isInUse(version);
+      case RolloutPhase.Draining:
+      case RolloutPhase.Finished:
+        return version === record.targetVersion;
+    }
+  }
+
+  /**
+   * Chooses the versions that a request may use.
+   *
+   * @param request The request.
+   * @returns The versions.
+   */
+  choose(request: VersionRequest): VersionChoice {
+    if (!this.#isRestricted) return ANY;
+    const record = this.#record;
+    const isRunning = record?.phase === RolloutPhase.Running;
+    if (isRunning && request.isFirst) this.#requests++;
+    const share = this.shareAt(request.nowMs);
+    // A repetition goes to a version that is known to be good.
+    const isTarget = isRunning
+      ? request.isFirst && request.fraction < share &&
+        this.#mayExpose(share, request.daemons)
+      : share === 1;
+    return {
+      kind: "versions",
+      versions: isTarget ? this.#targets : this.#inUse,
+      isTarget,
+    };
+  }
+
+  /** Counts a request that is sent to the target version. */
+  recordExposed(): void {
+    this.#exposed++;
+  }
+
+  /**
+   * Records the result of a request.
+   *
+   * @param result The result.
+   */
+  recordResult(result: VersionResult): void {
+    const record = this.#record;
+    if (record === undefined || !isActivePhase(record.phase)) return;
+    const route = this.#samplesOf(result.route);
+    const side = result.version === record.targetVersion
+      ? route.target
+      : route.former;
+    side.requests++;
+    if (result.isFailure) side.failures++;
+    if (result.serviceMs === undefined) return;
+    const timeClass = timeClassOf(result.serviceMs);
+    while (side.times.length <= timeClass) side.times.push(0);
+    side.times[timeClass]!++;
+  }
+
+  /** Failures of the target version that were recorded. */
+  get targetFailures(): number {
+    return [...this.#samples.values()]
+      .reduce((sum, { target }) => sum + target.failures, 0);
+  }
+
+  /**
+   * Builds the report for the deciding daemon.
+   *
+   * @param reporter This daemon and the state of its backend server.
+   * @returns The report; `undefined` if no requests move.
+   */
+  buildReport(
+    reporter: Pick<RolloutReport, "instance" | "epoch" | "openRequests">,
+  ): RolloutReport | undefined {
+    const record = this.#record;
+    if (record === undefined || !isActivePhase(record.phase)) return undefined;
+    return {
+      service: this.#service,
+      targetVersion: record.targetVersion,
+      instance: reporter.instance,
+      epoch: reporter.epoch,
+      sequence: record.sequence,
+      openRequests: reporter.openRequests,
+      routes: [...this.#samples.values()].map(copyRoute),
+    };
+  }
+
+  #isInUse(version: string): boolean {
+    return version === "" || this.#inUse.has(version);
+  }
+
+  /** Keeps this daemon's part of the bound until the version is proven. */
+  #mayExpose(share: number, daemons: number): boolean {
+    if (share >= LAST_SHARE) return true;
+    return this.#exposed + 1 <= this.#requests * EXPOSED_SHARE +
+        EXPOSED_SLACK / Math.max(1, daemons);
+  }
+
+  #samplesOf(route: string): MutableRoute {
+    let samples = this.#samples.get(route);
+    if (samples === undefined) {
+      samples = { route, former: newSide(), target: newSide() };
+      this.#samples.set(route, samples);
+    }
+    return samples;
+  }
+}
+
+interface MutableSide {
+  requests: number;
+  failures: number;
+  readonly times: number[];
+}
+
+interface MutableRoute {
+  readonly route: string;
+  readonly former: MutableSide;
+  readonly target: MutableSide;
+}
+
+function newSide(): MutableSide {
+  return { ...NO_SAMPLES, times: [] };
+}
+
+function copyRoute({ route, former, target }: MutableRoute): RouteSamples {
+  return {
+    route,
+    former: { ...former, times: [...former.times] },
+    target: { ...target, times: [...target.times] },
+  };
+}
