Compare versions by exact probabilities, and over all routes together

Cause: two slow responses of two rolled a good version back; a version that is slow at times needed more results than a route gives. Change: binomial tail against the former versions' upper bound; all routes are pooled by their medians.

--- a/src/coordination/rollout/decide_step.ts
+++ b/src/coordination/rollout/decide_step.ts
@@ -11,6 +11,9 @@
 /** Part of the spare time for which a suspect version may still recover. */
 const SUSPECT_SPARE_SHARE = 0.4;
 
+/** Part of the spare time for which results of a version are waited for. */
+const UNPROVEN_SPARE_SHARE = 0.2;
+
 /** What a decision is based on. */
 export interface StepSituation {
   readonly record: Pick<RolloutRecord, "phase" | "share">;
@@ -97,7 +100,9 @@
 /** A version without results is not moved to while there is time for them. */
 function canDrain(situation: StepSituation): boolean {
   const { record, plan, durationMs, elapsedMs } = situation;
-  const isLate = elapsedMs >= (plan.drainAfterMs + durationMs) / 2;
+  const spareMs = durationMs - plan.drainAfterMs;
+  const isLate =
+    elapsedMs >= plan.drainAfterMs + spareMs * UNPROVEN_SPARE_SHARE;
   return record.share > 0 && (isLate || isProven(situation));
 }
 
--- a/src/coordination/rollout/judge_version.ts
+++ b/src/coordination/rollout/judge_version.ts
@@ -1,6 +1,6 @@
 import type { RouteSamples, SampleCounts } from "../../protocol/rollout.ts";
-import { CLASSES_PER_DOUBLING, TIME_CLASSES } from "./sample_times.ts";
-import { wilsonInterval } from "./wilson_interval.ts";
+import { addSamples, NO_SAMPLES, TIME_CLASSES } from "./sample_times.ts";
+import { chanceOfHits, wilsonUpperBound } from "./share_bounds.ts";
 
 /** How the target version compares with the former ones. */
 export enum VersionVerdict {
@@ -30,23 +30,29 @@
 }
 
 /**
- * Standard deviations for a fault. A rollout makes some thousand comparisons,
- * so that chance alone must exceed it less than once in ten thousand.
+ * Largest probability of a fault by chance. A rollout makes some thousand
+ * comparisons, most of which depend on each other.
  */
-const BAD_DEVIATIONS = 3.9;
-const SUSPECT_DEVIATIONS = 2.6;
+const BAD_CHANCE = 1e-5;
+const SUSPECT_CHANCE = 2e-3;
+/** Margin of the former versions' share, in standard deviations. */
+const FORMER_DEVIATIONS = 2;
 /** Difference of shares that is no fault, however certain it is. */
 const MIN_DIFFERENCE = 0.003;
 /** The same for slow responses, as backend servers differ. */
 const MIN_SLOW_DIFFERENCE = 0.03;
+/** Classes by which a response may be slower: one version may be a bit slower. */
+const TOLERATED_CLASSES = 1;
+/** Names the results of all routes together. */
+const ALL_ROUTES = "*";
 /** Fewer results of the former versions give no comparison. */
 const MIN_FORMER = 20;
 /** Fewer results of the target version can show a fault, but no good version. */
 const MIN_TARGET = 8;
 
 const SEVERITY: Readonly<Record<VersionVerdict, number>> = {
-  [VersionVerdict.Good]: 0,
-  [VersionVerdict.Unknown]: 1,
+  [VersionVerdict.Unknown]: 0,
+  [VersionVerdict.Good]: 1,
   [VersionVerdict.Suspect]: 2,
   [VersionVerdict.Bad]: 3,
 };
@@ -65,15 +71,45 @@
 export function judgeVersion(
   routes: Iterable<RouteSamples>,
 ): VersionJudgement {
-  let worst: VersionJudgement | undefined;
+  const known = [...routes].filter(({ former, target }) =>
+    former.requests + target.requests > 0
+  );
+  return [...known, pool(known)].map(judgeRoute).reduce(moreSevere, {
+    verdict: VersionVerdict.Unknown,
+  });
+}
+
+/**
+ * Adds up all routes, with response times relative to the median of each: a
+ * fault of all routes shows with fewer results than one of a single route.
+ */
+function pool(routes: readonly RouteSamples[]): RouteSamples {
+  let former = NO_SAMPLES;
+  let target = NO_SAMPLES;
   for (const samples of routes) {
-    if (samples.former.requests + samples.target.requests === 0) continue;
-    const judgement = judgeRoute(samples);
-    const isWorse = worst === undefined ||
-      SEVERITY[judgement.verdict] > SEVERITY[worst.verdict];
-    if (isWorse) worst = judgement;
+    const offset = TIME_CLASSES / 2 - medianClass(samples.former.times);
+    former = addSamples(former, shift(samples.former, offset));
+    target = addSamples(target, shift(samples.target, offset));
   }
-  return worst ?? { verdict: VersionVerdict.Unknown };
+  return { route: ALL_ROUTES, former, target };
+}
+
+function medianClass(times: readonly number[]): number {
+  const half = sum(times) / 2;
+  let before = 0;
+  return Math.max(
+    0,
+    times.findIndex((count) => (before += count) >= half),
+  );
+}
+
+function shift(samples: SampleCounts, offset: number): SampleCounts {
+  const times = new Array<number>(TIME_CLASSES).fill(0);
+  samples.times.forEach((count, index) => {
+    const shifted = Math.min(TIME_CLASSES - 1, Math.max(0, index + offset));
+    times[shifted]! += count;
+  });
+  return { ...samples, times };
 }
 
 /**
@@ -114,8 +150,8 @@
 
 /**
  * Compares the target version's responses beyond each time with the former
- * versions' beyond half of it: a version whose responses take up to twice as
- * long is not slow at any time.
+ * versions' beyond a somewhat shorter one, so that a version that is only a bit
+ * slower is not slow at any time.
  */
 function compareTimes(
   former: SampleCounts,
@@ -127,7 +163,7 @@
   let formerBeyond = sum(former.times.slice(TIME_CLASSES));
   for (let index = TIME_CLASSES - 1; index >= 0; index--) {
     formerBeyond += former.times[index] ?? 0;
-    const targetIndex = index + CLASSES_PER_DOUBLING;
+    const targetIndex = index + TOLERATED_CLASSES;
     targetBeyond += targetIndex < TIME_CLASSES
       ? target.times[targetIndex] ?? 0
       : 0;
@@ -154,17 +190,17 @@
 ): VersionJudgement {
   const { hits, totals, minDifference } = counts;
   if (totals[1] < MIN_FORMER) return { verdict: VersionVerdict.Unknown };
-  const isWorse = (deviations: number) =>
-    wilsonInterval(hits[0], totals[0], deviations).lower >
-      wilsonInterval(hits[1], totals[1], deviations).upper + minDifference;
+  const share = wilsonUpperBound(hits[1], totals[1], FORMER_DEVIATIONS) +
+    minDifference;
+  const chance = chanceOfHits(hits[0], totals[0], Math.min(1, share));
   const figures = {
     target: [hits[0], totals[0]],
     former: [hits[1], totals[1]],
   } as const;
-  if (isWorse(BAD_DEVIATIONS)) {
+  if (chance <= BAD_CHANCE) {
     return { verdict: VersionVerdict.Bad, ...figures };
   }
-  if (isWorse(SUSPECT_DEVIATIONS)) {
+  if (chance <= SUSPECT_CHANCE) {
     return { verdict: VersionVerdict.Suspect, ...figures };
   }
   return {
--- a/src/coordination/rollout/mod.ts
+++ b/src/coordination/rollout/mod.ts
@@ -8,6 +8,6 @@
 export * from "./rollout_coordinator.ts";
 export * from "./rollout_observations.ts";
 export * from "./sample_times.ts";
+export * from "./share_bounds.ts";
 export * from "./step_plan.ts";
 export * from "./version_gate.ts";
-export * from "./wilson_interval.ts";
--- a/src/coordination/rollout/rollout_observations.ts
+++ b/src/coordination/rollout/rollout_observations.ts
@@ -3,7 +3,6 @@
   judgeVersion,
   moreSevere,
   type VersionJudgement,
-  VersionVerdict,
 } from "./judge_version.ts";
 import { addRoutes, NO_SAMPLES } from "./sample_times.ts";
 
@@ -125,8 +124,6 @@
   judge(nowMs: number): VersionJudgement {
     return WINDOWS_MS
       .map((windowMs) => judgeVersion(this.#recent(nowMs - windowMs)))
-      // A short period with few results shows nothing that the whole one hides.
-      .filter(({ verdict }) => verdict !== VersionVerdict.Unknown)
       .reduce(moreSevere, judgeVersion(this.#total.values()));
   }
 
--- a/src/coordination/rollout/sample_times.ts
+++ b/src/coordination/rollout/sample_times.ts
@@ -3,7 +3,7 @@
 /** Classes of response times; each is longer than the last one by root 2. */
 export const TIME_CLASSES = 36;
 /** Number of classes by which a response time doubles. */
-export const CLASSES_PER_DOUBLING = 2;
+const CLASSES_PER_DOUBLING = 2;
 
 /** No results. */
 export const NO_SAMPLES: SampleCounts = { requests: 0, failures: 0, times: [] };
--- a/src/coordination/rollout/step_plan.ts
+++ b/src/coordination/rollout/step_plan.ts
@@ -14,9 +14,9 @@
 const MIN_SPARE_MS = 3_000;
 const MAX_SPARE_MS = 12_000;
 /** Time at each share after the first one. */
-const STEP_SHARE = 0.1;
+const STEP_SHARE = 0.06;
 const MIN_STEP_MS = 1_000;
-const MAX_STEP_MS = 3_000;
+const MAX_STEP_MS = 2_000;
 
 /** When which share is reached. */
 export interface StepPlan {
--- a/src/coordination/rollout/version_gate.ts
+++ b/src/coordination/rollout/version_gate.ts
@@ -17,6 +17,8 @@
  * no requests: the decision to roll back may have been made meanwhile.
  */
 const CONFIRMED_FOR_MS = 2_000;
+/** The same for the share at which most requests are exposed. */
+const LAST_CONFIRMED_FOR_MS = 1_200;
 
 /** The versions that a request may use. */
 export type VersionChoice =
@@ -116,10 +118,12 @@
       case RolloutPhase.Idle:
       case RolloutPhase.RolledBack:
         return 0;
-      case RolloutPhase.Running:
-        return nowMs - this.#confirmedAtMs <= CONFIRMED_FOR_MS
-          ? record.share
-          : 0;
+      case RolloutPhase.Running: {
+        const maxAgeMs = record.share >= LAST_SHARE
+          ? LAST_CONFIRMED_FOR_MS
+          : CONFIRMED_FOR_MS;
+        return nowMs - this.#confirmedAtMs <= maxAgeMs ? record.share : 0;
+      }
       case RolloutPhase.Draining:
       case RolloutPhase.Finished:
         return 1;
