Bound the exposure of daemons without contact while requests move

Cause: a daemon that was cut off while all requests moved went on for seconds after the version was rolled back. Change: it judges by its own results, and returns to the former versions after 4.5 s; a former version has ended only while a report of the last 2 s says so.

--- a/src/coordination/rollout/decide_step.ts
+++ b/src/coordination/rollout/decide_step.ts
@@ -3,7 +3,9 @@
 import { LAST_SHARE, type StepPlan } from "./step_plan.ts";
 
 /** Results of the target version without which it gets no large share. */
-const MIN_RESULTS = 30;
+const MIN_RESULTS = 90;
+/** Smallest share from which all requests may move. */
+const MIN_DRAIN_SHARE = 0.3;
 /** Time for results to come in before another decision, in ms. */
 const MIN_DWELL_MS = 700;
 /** Time before the limit at which a rollout without a decision ends, in ms. */
@@ -103,10 +105,10 @@
   const spareMs = durationMs - plan.drainAfterMs;
   const isLate =
     elapsedMs >= plan.drainAfterMs + spareMs * UNPROVEN_SPARE_SHARE;
-  return record.share > 0 && (isLate || isProven(situation));
+  return record.share >= MIN_DRAIN_SHARE && (isLate || isProven(situation));
 }
 
 function isProven({ judgement, targetRequests }: StepSituation): boolean {
-  return judgement.verdict === VersionVerdict.Good ||
+  return judgement.verdict === VersionVerdict.Good &&
     targetRequests >= MIN_RESULTS;
 }
--- a/src/coordination/rollout/rollout_coordinator.ts
+++ b/src/coordination/rollout/rollout_coordinator.ts
@@ -12,9 +12,9 @@
 import { planSteps } from "./step_plan.ts";
 
 /** Time after which the deciding daemon renews its record, in ms. */
-const RENEW_MS = 1_200;
+const RENEW_MS = 1_000;
 /** Time without a renewal after which another daemon takes over, in ms. */
-const TAKEOVER_MS = 3_200;
+const TAKEOVER_MS = 3_000;
 /** Further time for each daemon that comes before in the order of takeover. */
 const RANK_DELAY_MS = 700;
 /** Daemons beyond this rank do not differ in their delay. */
@@ -25,6 +25,9 @@
 const REPORTED_WITHIN_MS = 2_000;
 /** Share of the daemons that must report to the deciding daemon. */
 const MIN_REPORTERS = 0.5;
+/** Share of the daemons that must report before a new decider may wait less. */
+const ALL_REPORTERS = 0.95;
+const ALL_REPORTS_WITHIN_MS = 2_000;
 /** Time for which a daemon that few report to leaves the role to others. */
 const RESIGNED_FOR_MS = 10_000;
 /** Pause before a write is repeated that has failed, in ms. */
@@ -308,7 +311,10 @@
       nowMs >= this.#resignedUntilMs;
     if (!isDeciding) return undefined;
     const reporters = observations.countReporters(nowMs - REPORTED_WITHIN_MS);
-    const hasReports = reporters >= daemons * MIN_REPORTERS;
+    const isNew = nowMs - this.#decidingSinceMs < ALL_REPORTS_WITHIN_MS;
+    // A daemon that has just taken over has to know what others have seen.
+    const hasReports = reporters >=
+      daemons * (isNew ? ALL_REPORTERS : MIN_REPORTERS);
     if (!hasReports && nowMs - this.#decidingSinceMs > TAKEOVER_MS) {
       // Others can take the role over once the record is not renewed.
       this.#resignedUntilMs = nowMs + RESIGNED_FOR_MS;
@@ -328,7 +334,11 @@
       hasTarget: situation.hasTarget,
       hasReports,
       isDrained: situation.formerInstances.every((instance) =>
-        observations.isDrained(instance, this.#phaseSequence)
+        observations.isDrained(
+          instance,
+          this.#phaseSequence,
+          nowMs - REPORTED_WITHIN_MS,
+        )
       ),
     });
     const { phase, share } = this.#isHalted ? ROLLED_BACK : step;
--- a/src/coordination/rollout/rollout_observations.ts
+++ b/src/coordination/rollout/rollout_observations.ts
@@ -107,12 +107,14 @@
    *
    * @param instance Instance of the daemon.
    * @param sequence The decision.
+   * @param sinceMs Monotonic time of the oldest report that counts, in ms.
    * @returns Whether it has.
    */
-  isDrained(instance: string, sequence: number): boolean {
-    const report = this.#reporters.get(instance)?.report;
-    return report !== undefined && report.sequence >= sequence &&
-      report.openRequests === 0;
+  isDrained(instance: string, sequence: number, sinceMs: number): boolean {
+    const reporter = this.#reporters.get(instance);
+    return reporter !== undefined && reporter.atMs >= sinceMs &&
+      reporter.report.sequence >= sequence &&
+      reporter.report.openRequests === 0;
   }
 
   /**
--- a/src/coordination/rollout/step_plan.ts
+++ b/src/coordination/rollout/step_plan.ts
@@ -1,11 +1,11 @@
 /** Share at which a rollout begins. */
-const FIRST_SHARE = 0.03;
+const FIRST_SHARE = 0.04;
 /** Largest share at which a rollout with few requests begins. */
 const MAX_FIRST_SHARE = 0.3;
 /** Results of the target version that the first share is to give. */
 const FIRST_RESULTS = 30;
 /** Share before all requests move; the rest is for the comparison. */
-export const LAST_SHARE = 0.9;
+export const LAST_SHARE = 0.8;
 /** Shares between the first and the last one. */
 const MIDDLE_SHARES = [0.1, 0.3];
 
--- a/src/coordination/rollout/version_gate.ts
+++ b/src/coordination/rollout/version_gate.ts
@@ -5,13 +5,14 @@
   type RolloutReport,
   type RouteSamples,
 } from "../../protocol/rollout.ts";
+import { judgeVersion, VersionVerdict } from "./judge_version.ts";
 import { NO_SAMPLES, timeClassOf } from "./sample_times.ts";
 import { LAST_SHARE } from "./step_plan.ts";
 
 /** Share of the requests that an unproven version may get. */
-const EXPOSED_SHARE = 0.09;
+const EXPOSED_SHARE = 0.05;
 /** Requests beyond that share, over all daemons together. */
-const EXPOSED_SLACK = 25;
+const EXPOSED_SLACK = 20;
 /**
  * Time without the deciding daemon's answer after which the target version gets
  * no requests: the decision to roll back may have been made meanwhile.
@@ -19,6 +20,13 @@
 const CONFIRMED_FOR_MS = 2_000;
 /** The same for the share at which most requests are exposed. */
 const LAST_CONFIRMED_FOR_MS = 1_200;
+/**
+ * The same while all requests move. It is longer than the age at which a report
+ * still shows that a former version has ended, as requests may use it again.
+ */
+const DRAIN_CONFIRMED_FOR_MS = 4_500;
+/** Time between two judgements by this daemon's own results, in ms. */
+const JUDGE_EVERY_MS = 200;
 
 /** The versions that a request may use. */
 export type VersionChoice =
@@ -66,7 +74,7 @@
  * const gate = new VersionGate("orders");
  * gate.observe("v1");
  * gate.observe("v2");
- * gate.admits("v2"); // false
+ * gate.admits("v2", 0); // true, until a record says otherwise
  * ```
  */
 export class VersionGate {
@@ -79,6 +87,8 @@
   #confirmedAtMs = -Infinity;
   #requests = 0;
   #exposed = 0;
+  #judgedAtMs = -Infinity;
+  #wasBadHere = false;
   readonly #samples = new Map<string, MutableRoute>();
 
   /**
@@ -122,9 +132,10 @@
         const maxAgeMs = record.share >= LAST_SHARE
           ? LAST_CONFIRMED_FOR_MS
           : CONFIRMED_FOR_MS;
-        return nowMs - this.#confirmedAtMs <= maxAgeMs ? record.share : 0;
+        return this.#isConfirmed(nowMs, maxAgeMs) ? record.share : 0;
       }
       case RolloutPhase.Draining:
+        return this.#mayDrain(nowMs) ? 1 : 0;
       case RolloutPhase.Finished:
         return 1;
     }
@@ -189,9 +200,10 @@
    * Returns whether the local backend server may run requests.
    *
    * @param version Its version; empty if it was not announced.
+   * @param nowMs Monotonic time, in ms.
    * @returns False if no request may use the version.
    */
-  admits(version: string): boolean {
+  admits(version: string, nowMs: number): boolean {
     const record = this.#record;
     switch (record?.phase) {
       case undefined:
@@ -202,6 +214,9 @@
       case RolloutPhase.RolledBack:
         return this.#isInUse(version);
       case RolloutPhase.Draining:
+        return version === record.targetVersion ||
+          this.#isInUse(version) &&
+            !this.#isConfirmed(nowMs, DRAIN_CONFIRMED_FOR_MS);
       case RolloutPhase.Finished:
         return version === record.targetVersion;
     }
@@ -284,6 +299,31 @@
     };
   }
 
+  #isConfirmed(nowMs: number, maxAgeMs: number): boolean {
+    return nowMs - this.#confirmedAtMs <= maxAgeMs;
+  }
+
+  /**
+   * Whether a daemon without contact sends all requests to the target version:
+   * for a short time, and only if its own results show no fault.
+   */
+  #mayDrain(nowMs: number): boolean {
+    if (this.#isConfirmed(nowMs, CONFIRMED_FOR_MS)) return true;
+    return this.#isConfirmed(nowMs, DRAIN_CONFIRMED_FOR_MS) &&
+      !this.#isBadHere(nowMs);
+  }
+
+  /** Judges the target version by the results of this daemon alone. */
+  #isBadHere(nowMs: number): boolean {
+    if (nowMs - this.#judgedAtMs >= JUDGE_EVERY_MS) {
+      this.#judgedAtMs = nowMs;
+      const { verdict } = judgeVersion(this.#samples.values());
+      this.#wasBadHere = verdict === VersionVerdict.Bad ||
+        verdict === VersionVerdict.Suspect;
+    }
+    return this.#wasBadHere;
+  }
+
   #isInUse(version: string): boolean {
     return version === "" || this.#inUse.has(version);
   }
--- a/testkit/simulated_rollout.ts
+++ b/testkit/simulated_rollout.ts
@@ -370,7 +370,7 @@
     // A daemon beside a former backend server refuses it once it knows.
     if (!isTarget && phase === RolloutPhase.Finished) {
       const isAdmitted = this.#daemons.some(({ gate, hasCrashed }) =>
-        !hasCrashed && gate.admits(FORMER)
+        !hasCrashed && gate.admits(FORMER, nowMs)
       );
       if (isAdmitted) this.#afterFinish++;
     }
