Answer queries of other daemons apart from requests, and take reports

Change: PeerQueryHandler; a report is a POST of its own on the connections for queries, answered with the decision in force.

--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -22,6 +22,8 @@
 const USEFUL_MS_QUERY = "?usefulMs=";
 /** Path at which a daemon serves its newest configuration. */
 export const CONFIG_PATH = "/.sesamepond/config";
+/** Path at which a daemon takes reports about the versions of a service. */
+export const ROLLOUT_PATH = "/.sesamepond/rollout";
 /** Status of a request at its destination. */
 export enum CallStatus {
   /** Not received; the destination refuses it if it arrives later. */
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -1,3 +1,4 @@
+import type { Buffer } from "node:buffer";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import { LogRateLimiter } from "../transport/observe/log_rate_limiter.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
@@ -102,6 +103,20 @@
     return this.#findOrCreate(record).client.pollFeed(poll, signal);
   }
 
+  /**
+   * Reports the results of the versions of a service to another daemon.
+   *
+   * @param record The backend server of the daemon.
+   * @param report The encoded report.
+   * @returns The encoded decision, if the daemon decides; never rejects.
+   */
+  reportRollout(
+    record: BackendRecord,
+    report: Buffer,
+  ): Promise<Buffer | undefined> {
+    return this.#findOrCreate(record).client.reportRollout(report);
+  }
+
   /**
    * Executes a request on a backend server.
    *
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -1,3 +1,4 @@
+import type { Buffer } from "node:buffer";
 import { gunzipSync } from "node:zlib";
 import {
   effectiveDeadlineMs,
@@ -21,6 +22,7 @@
   formatStatusTarget,
   formatTransferPermitTarget,
   HEADER_CALL,
+  ROLLOUT_PATH,
 } from "../protocol/peer_call.ts";
 import { CallChannel } from "../transport/channel/mod.ts";
 import {
@@ -222,6 +224,26 @@
     };
   }
 
+  /**
+   * Reports the results of the versions of a service.
+   *
+   * @param report The encoded report.
+   * @returns The encoded decision; `undefined` if the daemon does not decide.
+   */
+  async reportRollout(report: Buffer): Promise<Buffer | undefined> {
+    const result = await this.#queryConnections.send({
+      method: "POST",
+      path: ROLLOUT_PATH,
+      headers: [],
+      body: report,
+      maxIdleMs: QUERY_MAX_IDLE_MS,
+      silenceTimeoutMs: QUERY_TIMEOUT_MS,
+    });
+    return result.kind === "answer" && result.status === 200
+      ? result.body
+      : undefined;
+  }
+
   /** Closes idle connections, and the channel once its requests have ended. */
   close(): void {
     this.#channel?.drain();
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -5,24 +5,11 @@
   type ServerResponse,
 } from "node:http";
 import type { Buffer } from "node:buffer";
-import { gzipSync } from "node:zlib";
-import {
-  type ChangeBatch,
-  COMPRESSION_LEVEL,
-  encodeFeed,
-  FEED_PATH,
-  type FeedAnswer,
-  type FeedPoll,
-  HEADER_STORE_AWAY,
-  HEADER_VIEW_AGE,
-  parseFeedTarget,
-} from "../protocol/feed.ts";
+import type { FeedAnswer, FeedPoll } from "../protocol/feed.ts";
 import type { CallOutcome, MeshCall } from "../protocol/mesh_call.ts";
 import { MeshReason, notRunOutcome } from "../protocol/mesh_call.ts";
 import {
   type CallDescription,
-  CallStatus,
-  CONFIG_PATH,
   formatFrameHead,
   formatResult,
   type FrameHead,
@@ -30,10 +17,6 @@
   HEADER_RESULT,
   parseCall,
   parseFrameHead,
-  parseStatusTarget,
-  parseTransferPermitTarget,
-  STATUS_PATH,
-  TRANSFER_PERMIT_PATH,
 } from "../protocol/peer_call.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import { ChannelServer, type ReceivedCall } from "../transport/channel/mod.ts";
@@ -46,10 +29,11 @@
 import { endToEndHeaders } from "../transport/http/header_filter.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
-import { CallStatusTable, RETENTION_MS } from "./call_status_table.ts";
+import { CallStatusTable } from "./call_status_table.ts";
 import type { GracefulShutdown } from "./graceful_shutdown.ts";
 import type { BackendDispatcher } from "./backend_dispatcher.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
+import { PeerQueryHandler, rejectQuery } from "./peer_query_handler.ts";
 import { TransferPermitQueue } from "./transfer_permit_queue.ts";
 import { messageOf } from "../protocol/step_error.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
@@ -63,8 +47,6 @@
 const NO_RESPONSE_STATUS = 503;
 /** HTTP status of a reply to a query that cannot be read. */
 const BAD_REQUEST_STATUS = 400;
-/** Upper bound of the time from process start to the first request, in ms. */
-const START_MARGIN_MS = 200;
 const SENDER_HEADERS = new Set([HEADER_CALL, "content-length"]);
 
 /** Options of a {@linkcode PeerServer}. */
@@ -82,6 +64,8 @@
   readonly waitForUpdate: (poll: FeedPoll) => Promise<FeedAnswer>;
   /** Age of this daemon's view of the store, in ms. */
   readonly viewAgeMs: () => number;
+  /** Answers an encoded report about the versions of a service. */
+  readonly handleRolloutReport?: (report: Buffer) => Buffer | undefined;
 }
 
 /**
@@ -99,12 +83,7 @@
   readonly #callers: DisconnectDetector;
   readonly #callStatuses = new CallStatusTable();
   readonly #transferPermits = new TransferPermitQueue();
-  #compressedConfig:
-    | { readonly version: number; readonly body: Buffer }
-    | undefined;
-  #cachedFeed:
-    | { readonly update: ChangeBatch; readonly body: Buffer }
-    | undefined;
+  readonly #queries: PeerQueryHandler;
 
   /**
    * Creates a server that does not listen yet.
@@ -113,6 +92,11 @@
    */
   constructor(options: PeerServerOptions) {
     this.#options = options;
+    this.#queries = new PeerQueryHandler({
+      ...options,
+      callStatuses: this.#callStatuses,
+      transferPermits: this.#transferPermits,
+    });
     this.server = createServer(
       {
         keepAliveTimeout: KEEP_ALIVE_MS,
@@ -143,14 +127,14 @@
   ): Promise<void> {
     const header = request.headers[HEADER_CALL];
     if (typeof header !== "string") {
-      return this.#handleQuery(request, response);
+      return this.#queries.handle(request, response);
     }
     const description = parseCall(header);
     if (description === undefined) {
       this.#options.log.warn("peer-call-unreadable", {
         peer: request.socket.remoteAddress,
       });
-      this.#rejectQuery(response);
+      rejectQuery(response);
       return;
     }
     // Registered before its body is read, as a large body takes time to arrive.
@@ -371,114 +355,6 @@
       evidence: this.#options.quarantine.evidenceOf(exchange.call),
     });
   }
-
-  async #handleQuery(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    const target = request.url ?? "";
-    if (target === CONFIG_PATH) {
-      this.#handleConfigQuery(request, response);
-    } else if (target.startsWith(STATUS_PATH)) {
-      const query = parseStatusTarget(target);
-      if (query === undefined) return this.#rejectQuery(response);
-      response.writeHead(200).end(this.#queryStatus(query.id, query.ageMs));
-    } else if (target.startsWith(TRANSFER_PERMIT_PATH)) {
-      const query = parseTransferPermitTarget(target);
-      if (query === undefined) return this.#rejectQuery(response);
-      const { id, maxWaitMs } = query;
-      response.once("close", () => {
-        if (!response.writableFinished) this.#transferPermits.release(id);
-      });
-      this.#transferPermits.request({ id, maxWaitMs }, {
-        admit: () => response.writeHead(200, { "content-length": 0 }).end(),
-        refuse: (waitMs) =>
-          response.writeHead(NO_RESPONSE_STATUS).end(String(Math.ceil(waitMs))),
-      });
-    } else if (target.startsWith(FEED_PATH)) {
-      await this.#handleFeedQuery(target, response);
-    } else {
-      response.writeHead(404).end();
-    }
-  }
-
-  #rejectQuery(response: ServerResponse): void {
-    response.writeHead(BAD_REQUEST_STATUS, { "content-length": 0 }).end();
-  }
-
-  /**
-   * Looks up the status of a request. An unknown request counts as ended if it
-   * is older than this process, as an earlier daemon process may have executed
-   * it, or older than the retention time, as its entry may have been removed.
-   */
-  #queryStatus(id: string, ageMs: number): CallStatus {
-    const nowMs = performance.now();
-    const status = this.#callStatuses.query(id, nowMs);
-    const mayHaveEnded = ageMs + START_MARGIN_MS >= nowMs ||
-      ageMs >= RETENTION_MS;
-    const reportedStatus = status === CallStatus.Unknown && mayHaveEnded
-      ? CallStatus.Ended
-      : status;
-    this.#options.metrics.count("questions_answered_total", {
-      status: reportedStatus,
-    });
-    return reportedStatus;
-  }
-
-  #handleConfigQuery(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): void {
-    const { encodedConfig, version } = this.#options.routes;
-    // Daemons of an earlier version do not ask for it.
-    if (request.headers["accept-encoding"] !== "gzip") {
-      response.writeHead(200).end(encodedConfig);
-      return;
-    }
-    if (this.#compressedConfig?.version !== version) {
-      const body = gzipSync(encodedConfig, { level: COMPRESSION_LEVEL });
-      this.#compressedConfig = { version, body };
-    }
-    const { body } = this.#compressedConfig!;
-    response.writeHead(200, {
-      "content-encoding": "gzip",
-      "content-length": body.length,
-    }).end(body);
-  }
-
-  async #handleFeedQuery(
-    target: string,
-    response: ServerResponse,
-  ): Promise<void> {
-    const query = parseFeedTarget(target);
-    const answer: FeedAnswer = query === undefined
-      ? { kind: "refused" }
-      : await this.#options.waitForUpdate(query);
-    if (answer.kind !== "changes") {
-      response.writeHead(NO_RESPONSE_STATUS, {
-        "content-length": 0,
-        ...(answer.kind === "away" ? { [HEADER_STORE_AWAY]: 1 } : {}),
-      }).end();
-      return;
-    }
-    const body = this.#encodeUpdate(answer.batch);
-    response.writeHead(200, {
-      "content-length": body.length,
-      [HEADER_VIEW_AGE]: Math.round(this.#options.viewAgeMs()),
-    }).end(body);
-  }
-
-  /** Caches the last result: followers mostly need the same large update. */
-  #encodeUpdate(update: ChangeBatch): Buffer {
-    const cached = this.#cachedFeed;
-    const isSame = cached?.update.revision === update.revision &&
-      cached.update.isComplete === update.isComplete &&
-      cached.update.events.length === update.events.length;
-    if (isSame) return cached.body;
-    const body = encodeFeed(update);
-    this.#cachedFeed = { update, body };
-    return body;
-  }
 }
 
 /** Deadlines count from the arrival of the head, not of the whole body. */
