Apply entries of the store apart from reading them

Change: StoreEntryApplier takes over records, configurations and exemptions; other entries go to a callback.

--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -1,7 +1,5 @@
 import { Buffer } from "node:buffer";
 import { setTimeout as sleep } from "node:timers/promises";
-import { EXEMPTION_PREFIX } from "../protocol/end_evidence.ts";
-import type { ConfigGap } from "../protocol/mesh.ts";
 import { messageOf } from "../protocol/step_error.ts";
 import type { StoreEntry } from "../protocol/store.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
@@ -10,10 +8,10 @@
 import { ViewAge } from "../state/view_age.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
-import { decodeRecord, RECORD_PREFIX } from "./backend_record_codec.ts";
+import { RECORD_PREFIX } from "./backend_record_codec.ts";
 import type { PeerClient } from "./peer_client.ts";
+import { ConfigOrigin, StoreEntryApplier } from "./store_entry_applier.ts";
 import type { Result } from "neverthrow";
-import { isSlowRead } from "../coordination/readers/mod.ts";
 import type { ChangeBatch, FeedAnswer, FeedPoll } from "../protocol/feed.ts";
 import type { StepError } from "../protocol/step_error.ts";
 import type { RangeResult } from "../protocol/store.ts";
@@ -60,21 +58,6 @@
 const CONFIRM_TIMEOUT_MS = 600;
 /** Mean pause after an internal failure, in ms. */
 const FAILURE_PAUSE_MS = 400;
-/** Time for which a backend server without a record is still used, in ms. */
-const MISSING_GRACE_MS = 3_000;
-/** Pause between two checks for missing records, in ms. */
-const SWEEP_PERIOD_MS = 500;
-
-/** The way by which a configuration came. */
-enum ConfigOrigin {
-  Listing = "listing",
-  Poll = "poll",
-  Reader = "reader",
-  /** A read of the key, after another daemon named the version. */
-  KeyRead = "key-read",
-  Peer = "peer",
-}
-
 /** Why the state of the store is not known. */
 interface StoreDoubt extends Omit<RecoveryStart, "isCurrent"> {
   readonly reason: string;
@@ -107,6 +90,10 @@
   readonly recovery: Pick<StoreRecovery, "run" | "reset">;
   /** Called once an instance has been removed from the directory. */
   readonly onRemoved: (instance: string) => void;
+  /** Called once all entries of the first listing were applied. */
+  readonly onFirstListing?: () => void;
+  /** Called with each entry that is neither a configuration nor a record. */
+  readonly onOtherEntry?: (key: string, entry: StoreEntry | undefined) => void;
 }
 
 /**
@@ -130,8 +117,7 @@
   #standIn: string | undefined;
   /** Stops waiting for the current poll alone. */
   #doubtPoll: (() => void) | undefined;
-  /** When a version was adopted that takes long to come from the store. */
-  #slowVersionAtMs = -Infinity;
+  readonly #applier: StoreEntryApplier;
   /** Resolves once a store that is lost has been regained. */
   #regained: Promise<void> | undefined;
   #resolveRegained: (() => void) | undefined;
@@ -142,13 +128,11 @@
   #newestPeer: PeerClient | undefined;
   #hasListed = false;
   #isRefreshing = false;
-  readonly #loggedGaps = new Set<string>();
   /** Age of the view of all keys. */
   readonly #view = new ViewAge();
   /** Age of the view of the configuration, which is also read by itself. */
   readonly #configView = new ViewAge();
   #keyRead: Promise<boolean> | undefined;
-  #sweepTimer: NodeJS.Timeout | undefined;
 
   /**
    * Creates a task that has not started.
@@ -157,6 +141,12 @@
    */
   constructor(options: StoreSyncOptions) {
     this.#options = options;
+    this.#applier = new StoreEntryApplier({
+      ...options,
+      isConnected: () => this.#contact.isConnected,
+      newestPeerVersion: () => this.#newestPeerVersion,
+      viewAgeMs: () => this.viewAgeMs(),
+    });
   }
 
   /** Whether the store was listed at least once. */
@@ -265,7 +255,7 @@
         await sleep(FAILURE_PAUSE_MS * (0.5 + Math.random()));
       }
     }
-    clearTimeout(this.#sweepTimer);
+    this.#applier.stop();
   }
 
   /**
@@ -316,7 +306,9 @@
     });
     // Compressed, so it also crosses a slow link that the store's copy fills.
     const bytes = await client?.fetchConfig();
-    if (bytes !== undefined) this.#adoptConfig(bytes, ConfigOrigin.Peer);
+    if (bytes !== undefined) {
+      this.#applier.adoptConfig(bytes, ConfigOrigin.Peer);
+    }
     if (version > routes.version && !this.#isRecovering) await this.#readKey();
   }
 
@@ -335,7 +327,7 @@
     this.countCall("read", sentAtMs, listed.isOk());
     if (listed.isErr()) return false;
     for (const entry of listed.value.entries) {
-      this.#applyEntry(entry, ConfigOrigin.KeyRead);
+      this.#applier.applyEntry(entry, ConfigOrigin.KeyRead);
     }
     this.#configView.confirm(sentAtMs);
     return true;
@@ -360,18 +352,19 @@
     this.#hasListed = true;
     this.#history.reset(entries, revision);
     for (const entry of entries) {
-      this.#applyEntry(entry, ConfigOrigin.Listing);
+      this.#applier.applyEntry(entry, ConfigOrigin.Listing);
     }
-    this.#replaceExempt(entries.map(({ key }) => key));
+    this.#applier.replaceExempt(entries.map(({ key }) => key));
     this.#markConnected(sentAtMs);
     const present = new Set(entries.map((entry) => entry.key));
     for (const { record } of directory.entries) {
       const key = RECORD_PREFIX + record.instance;
-      if (!present.has(key)) this.#markMissing(key);
+      if (!present.has(key)) this.#applier.markMissing(key);
     }
     if (!present.has(this.#options.localKey)) {
       this.#options.onLocalRecord(undefined);
     }
+    this.#options.onFirstListing?.();
     if (!present.has(configSource.key)) await sleep(BOOTSTRAP_PAUSE_MS);
     return revision;
   }
@@ -426,7 +419,7 @@
    * bring all that have followed it.
    */
   #isInSlowSeries(): boolean {
-    return performance.now() - this.#slowVersionAtMs < SERIES_MS;
+    return performance.now() - this.#applier.slowVersionAtMs < SERIES_MS;
   }
 
   /** Adds the deletion of each key that a complete state lacks. */
@@ -438,7 +431,7 @@
     );
     const missing = [...new Set([...known, localKey])]
       .filter((key) => !present.has(key)).map((key) => ({ key }));
-    this.#replaceExempt(batch.events.map(({ key }) => key));
+    this.#applier.replaceExempt(batch.events.map(({ key }) => key));
     return { ...batch, events: [...batch.events, ...missing] };
   }
 
@@ -691,134 +684,12 @@
 
   #applyUpdate(update: ChangeBatch, origin: ConfigOrigin): void {
     for (const { key, entry } of update.events) {
-      if (entry === undefined) this.#markMissing(key);
-      else this.#applyEntry(entry, origin);
+      if (entry === undefined) this.#applier.markMissing(key);
+      else this.#applier.applyEntry(entry, origin);
     }
     this.#history.record(update.events, update.revision);
   }
 
-  #applyEntry(entry: StoreEntry, origin: ConfigOrigin): void {
-    const { configSource, localKey, onLocalRecord } = this.#options;
-    if (entry.key === configSource.key) {
-      this.#adoptConfig(entry.value, origin);
-    }
-    this.#setExempt(entry.key, true);
-    if (!entry.key.startsWith(RECORD_PREFIX)) return;
-    if (entry.key === localKey) onLocalRecord(entry);
-    else this.#applyRecord(entry);
-  }
-
-  #applyRecord(entry: StoreEntry): void {
-    const record = decodeRecord(entry.value, entry.key);
-    if (record === undefined) {
-      this.#options.log.warn("record-unreadable", { key: entry.key });
-      return;
-    }
-    this.#options.quarantine.mergeReports(record.instance, record.ends);
-    if (this.#options.directory.put(record)) {
-      this.#options.log.info("backend-recorded", {
-        backend: record.id,
-        instance: record.instance,
-        service: record.service,
-        state: record.state,
-        revision: entry.modRevision,
-      });
-    }
-  }
-
-  #adoptConfig(bytes: Uint8Array, origin: ConfigOrigin): void {
-    const { configSource, routes, log, onConfigAdopted } = this.#options;
-    try {
-      const config = configSource.decode(bytes);
-      if (!routes.adopt(config, bytes)) return;
-      if (isSlowRead(bytes.length, this.#options.linkMbps)) {
-        this.#slowVersionAtMs = performance.now();
-      }
-      log.info("config-adopted", {
-        version: config.version,
-        routes: config.routes.length,
-        origin,
-        newest: Math.max(config.version, this.#newestPeerVersion),
-        viewAgeMs: Math.round(this.viewAgeMs()),
-      });
-      this.#logGaps(config.gaps);
-      onConfigAdopted();
-    } catch (error) {
-      log.error("config-unreadable", { reason: messageOf(error) });
-    }
-  }
-
-  /** Logs each reason once, as later versions mostly repeat it. */
-  #logGaps(gaps: readonly ConfigGap[]): void {
-    for (const reason of new Set(gaps.map((gap) => gap.reason))) {
-      if (this.#loggedGaps.has(reason)) continue;
-      this.#loggedGaps.add(reason);
-      const subjects = gaps.filter((gap) => gap.reason === reason);
-      this.#options.log.warn("config-gap", {
-        reason,
-        count: subjects.length,
-        first: subjects[0]!.subject,
-      });
-    }
-  }
-
-  #setExempt(key: string, isExempt: boolean): void {
-    if (!key.startsWith(EXEMPTION_PREFIX)) return;
-    const fingerprint = key.slice(EXEMPTION_PREFIX.length);
-    this.#options.quarantine.setExempt(fingerprint, isExempt);
-  }
-
-  #replaceExempt(keys: readonly string[]): void {
-    this.#options.quarantine.replaceExempt(
-      keys.filter((key) => key.startsWith(EXEMPTION_PREFIX))
-        .map((key) => key.slice(EXEMPTION_PREFIX.length)),
-    );
-  }
-
-  #markMissing(key: string): void {
-    this.#setExempt(key, false);
-    if (!key.startsWith(RECORD_PREFIX)) return;
-    if (key === this.#options.localKey) {
-      this.#options.onLocalRecord(undefined);
-      return;
-    }
-    const instance = key.slice(RECORD_PREFIX.length);
-    this.#options.directory.markMissing(instance, performance.now());
-    this.#scheduleSweep();
-  }
-
-  /** Runs a timer only while records are missing, so an idle daemon sleeps. */
-  #scheduleSweep(): void {
-    this.#sweepTimer ??= setTimeout(() => this.#sweep(), SWEEP_PERIOD_MS);
-  }
-
-  /** Removes instances whose records have been missing for too long. */
-  #sweep(): void {
-    this.#sweepTimer = undefined;
-    const nowMs = performance.now();
-    const { directory, log, onRemoved } = this.#options;
-    for (const { record, missingSinceMs } of [...directory.entries]) {
-      if (missingSinceMs === 0) continue;
-      if (!this.#contact.isConnected) {
-        directory.put(record);
-        directory.markMissing(record.instance, nowMs);
-      }
-      if (
-        !this.#contact.isConnected || nowMs - missingSinceMs < MISSING_GRACE_MS
-      ) {
-        this.#scheduleSweep();
-        continue;
-      }
-      log.info("backend-gone", {
-        backend: record.id,
-        instance: record.instance,
-        missingMs: Math.round(nowMs - missingSinceMs),
-      });
-      directory.remove(record.instance);
-      onRemoved(record.instance);
-    }
-  }
-
   /** Counts a call of the store. */
   countCall(call: string, sentAtMs: number, isOk: boolean): void {
     const result = isOk ? "ok" : "failed";
