Move the traffic of a service to another version by order

Cause: an order under op/rollout/ is to be carried out, and a bad version to be taken back within the bounds. Change: announcements and records carry a version; requests use versions in use and the confirmed share of a target; one daemon decides at a time by compare-and-swap. A version that nobody ordered gets no requests.

--- a/src/coordination/rollout/mod.ts
+++ b/src/coordination/rollout/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./decide_step.ts";
+export * from "./find_initial.ts";
 export * from "./judge_version.ts";
 export * from "./rollout_coordinator.ts";
 export * from "./rollout_observations.ts";
--- a/src/coordination/rollout/rollout_coordinator.ts
+++ b/src/coordination/rollout/rollout_coordinator.ts
@@ -67,6 +67,20 @@
   /** Why the record changes. */
   readonly judgement: VersionJudgement;
   readonly reason: RolloutReason;
+  /** Further figures behind the decision, for the log. */
+  readonly figures: RolloutFigures;
+}
+
+/** Figures behind a decision. */
+export interface RolloutFigures {
+  /** Time since the order, in ms. */
+  readonly elapsedMs: number;
+  readonly viewAgeMs: number;
+  /** Daemons that have reported lately, and all. */
+  readonly reporters: number;
+  readonly daemons: number;
+  readonly requests: number;
+  readonly targetRequests: number;
 }
 
 /** Why a record is written. */
@@ -79,11 +93,21 @@
   Renewed = "renewed",
 }
 
+/** A record in the store. */
+export interface StoredRollout {
+  readonly record: RolloutRecord;
+  readonly revision: number;
+}
+
 /** Result of a write. */
 export type WriteResult =
   | { readonly kind: "written"; readonly revision: number }
-  /** Another daemon has written meanwhile. */
-  | { readonly kind: "conflict" }
+  /** The record was not the expected one. */
+  | {
+    readonly kind: "conflict";
+    /** The record that the store has instead, if it told. */
+    readonly found?: StoredRollout | undefined;
+  }
   | { readonly kind: "failed" };
 
 /**
@@ -242,6 +266,7 @@
           this.#ownSequences.delete(write.record.sequence);
         }
         this.#retryAtMs = nowMs + RETRY_MS;
+        this.#adoptFound(result.found, nowMs);
         return;
       case "failed":
         this.#unknownSequences.add(write.record.sequence);
@@ -249,6 +274,17 @@
     }
   }
 
+  /** The store may count revisions in another way than its answers suggest. */
+  #adoptFound(found: StoredRollout | undefined, nowMs: number): void {
+    if (found === undefined) return;
+    const knownSequence = this.#record?.sequence ?? 0;
+    if (found.record.sequence > knownSequence) {
+      this.#adopt(found.record, found.revision, nowMs);
+    } else if (found.record.sequence === knownSequence) {
+      this.#revision = found.revision;
+    }
+  }
+
   #adopt(record: RolloutRecord, revision: number, nowMs: number): void {
     const known = this.#record;
     const wasDecider = this.isDecider;
@@ -289,7 +325,7 @@
     );
     const isMoved = formers.length === 0;
     const phase = isMoved ? RolloutPhase.Finished : RolloutPhase.Running;
-    return this.#write(RolloutReason.Ordered, {
+    return this.#write(situation, RolloutReason.Ordered, {
       service: order.service,
       sequence: (record?.sequence ?? 0) + 1,
       phase,
@@ -349,10 +385,15 @@
         ? [record.targetVersion]
         : record.inUse;
       const next = { ...record, sequence, phase, share, inUse };
-      return this.#write(RolloutReason.Decided, next, judgement);
+      return this.#write(situation, RolloutReason.Decided, next, judgement);
     }
     return nowMs - this.#recordSeenAtMs >= RENEW_MS
-      ? this.#write(RolloutReason.Renewed, { ...record, sequence }, judgement)
+      ? this.#write(
+        situation,
+        RolloutReason.Renewed,
+        { ...record, sequence },
+        judgement,
+      )
       : undefined;
   }
 
@@ -362,7 +403,7 @@
     const isLapsed = record !== undefined && isActivePhase(record.phase) &&
       nowMs - this.#recordSeenAtMs >= TAKEOVER_MS + delayOf(rank);
     if (!isLapsed || !this.#mayElect(viewAgeMs, nowMs)) return undefined;
-    return this.#write(RolloutReason.TakenOver, {
+    return this.#write(situation, RolloutReason.TakenOver, {
       ...record,
       sequence: record.sequence + 1,
       decider: this.#instance,
@@ -379,7 +420,7 @@
     const mayWrite = isNeeded && rank === 0 && this.#order === undefined &&
       this.#mayElect(viewAgeMs, nowMs);
     if (!mayWrite) return undefined;
-    return this.#write(RolloutReason.Baseline, {
+    return this.#write(situation, RolloutReason.Baseline, {
       service: this.#service,
       sequence: 1,
       phase: RolloutPhase.Idle,
@@ -397,6 +438,7 @@
   }
 
   #write(
+    situation: RolloutSituation,
     reason: RolloutReason,
     record: RolloutRecord,
     judgement: VersionJudgement = UNKNOWN,
@@ -410,9 +452,25 @@
       afterRevision: this.#revision,
       judgement,
       reason,
+      figures: this.#figuresOf(situation, record),
       ...(isNews ? { status: { service, targetVersion, phase } } : {}),
     };
   }
+
+  #figuresOf(
+    { nowMs, nowUnixMs, viewAgeMs, daemons }: RolloutSituation,
+    { startedAtUnixMs }: RolloutRecord,
+  ): RolloutFigures {
+    const observations = this.isDecider ? this.#observations : undefined;
+    return {
+      elapsedMs: startedAtUnixMs === 0 ? 0 : nowUnixMs - startedAtUnixMs,
+      viewAgeMs: Math.round(viewAgeMs),
+      reporters: observations?.countReporters(nowMs - REPORTED_WITHIN_MS) ?? 0,
+      daemons,
+      requests: observations?.requests ?? 0,
+      targetRequests: observations?.targetRequests ?? 0,
+    };
+  }
 }
 
 function delayOf(rank: number): number {
--- a/src/protocol/mesh.ts
+++ b/src/protocol/mesh.ts
@@ -105,6 +105,10 @@
   readonly sequence: number;
   /** Start of the backend process, in Unix ms; 0 where not announced. */
   readonly bornAtUnixMs: number;
+  /** Version of the service that it runs, if announced. */
+  readonly version?: string;
+  /** Time for which it still works slowly after its start, in ms. */
+  readonly coldLeftMs?: number;
 }
 
 /** Record of a backend server that its local daemon publishes to the fleet. */
@@ -123,4 +127,8 @@
   readonly linkMbps: number;
   /** Latest ends of backend processes on the instance, if any. */
   readonly ends?: readonly EndReport[] | undefined;
+  /** Version of the service that it runs, if announced. */
+  readonly version?: string | undefined;
+  /** Until when it works slowly after its start, in Unix ms. */
+  readonly warmAtUnixMs?: number | undefined;
 }
--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -79,6 +79,8 @@
   readonly metrics: TextMetrics;
   /** Called with the id of a backend process whose response says it leaves. */
   readonly onLeaving: (backendId: string) => void;
+  /** Whether requests may use the version of the backend server. */
+  readonly admits?: () => boolean;
 }
 
 /**
@@ -106,6 +108,7 @@
   #failureShare = 0;
   readonly #pace = new MomentaryPace();
   readonly #onLeaving: BackendDispatcherOptions["onLeaving"];
+  readonly #admits: BackendDispatcherOptions["admits"];
   readonly #limitLines: LogRateLimiter;
   readonly #ends: BackendEndDetector;
   readonly #quarantine: RequestQuarantine;
@@ -131,6 +134,7 @@
     this.#log = options.log;
     this.#metrics = options.metrics;
     this.#onLeaving = options.onLeaving;
+    this.#admits = options.admits;
     this.#limitLines = new LogRateLimiter(options.log, MAX_LIMIT_LINES_PER_S);
     this.#quarantine = options.quarantine;
     this.#ends = new BackendEndDetector({
@@ -255,10 +259,9 @@
     if (current.id !== call.backendId || current.service !== call.service) {
       return notRunOutcome(MeshReason.Replaced);
     }
-    if (this.#backend.ready === undefined) {
-      return notRunOutcome(MeshReason.Leaving);
-    }
-    return undefined;
+    const isLeaving = this.#backend.ready === undefined ||
+      this.#admits?.() === false;
+    return isLeaving ? notRunOutcome(MeshReason.Leaving) : undefined;
   }
 
   #findQuarantine(call: MeshCall): CallOutcome | undefined {
--- a/src/sidecar/backend_lifecycle.ts
+++ b/src/sidecar/backend_lifecycle.ts
@@ -55,6 +55,10 @@
   /** Newest announcement that may be older than this daemon process. */
   #unproven: Announcement | undefined;
   #isProbing = false;
+  /** Warm-up of the newest process; its end is recorded once. */
+  #warmUp:
+    | { readonly id: string; readonly warmAtUnixMs: number | undefined }
+    | undefined;
 
   /**
    * Creates a lifecycle before any announcement.
@@ -90,6 +94,7 @@
           state: BackendState.Ready,
           sequence: 0,
           bornAtUnixMs: record.bornAtUnixMs,
+          ...(record.version === undefined ? {} : { version: record.version }),
         });
     }
   }
@@ -231,6 +236,18 @@
     this.#publish(BackendState.Draining);
   }
 
+  /** Says until when a process works slowly that has just started. */
+  #warmUpOf(
+    { id, coldLeftMs = 0 }: Announcement,
+  ): Pick<BackendRecord, "warmAtUnixMs"> {
+    if (this.#warmUp?.id !== id) {
+      const warmAtUnixMs = coldLeftMs > 0 ? Date.now() + coldLeftMs : undefined;
+      this.#warmUp = { id, warmAtUnixMs };
+    }
+    const { warmAtUnixMs } = this.#warmUp;
+    return warmAtUnixMs === undefined ? {} : { warmAtUnixMs };
+  }
+
   #publish(state: BackendState, of = this.#options.backend.current): void {
     if (of === undefined) return;
     const { settings, quarantine } = this.#options;
@@ -247,6 +264,8 @@
       bornAtUnixMs: of.bornAtUnixMs,
       linkMbps: settings.linkMbps,
       ...(ends.length === 0 ? {} : { ends }),
+      ...(of.version === undefined ? {} : { version: of.version }),
+      ...this.#warmUpOf(of),
     };
     this.#options.directory.put(record);
     this.#options.publisher.publish(record);
--- a/src/sidecar/backend_record_codec.ts
+++ b/src/sidecar/backend_record_codec.ts
@@ -74,6 +74,7 @@
       bornAtUnixMs,
       linkMbps,
       ...(ends.length === 0 ? {} : { ends }),
+      ...readVersion(record),
     };
   } catch {
     // Invalid JSON: the caller logs it with its key.
@@ -96,6 +97,17 @@
     STATES.has(record.state);
 }
 
+function readVersion(
+  { version, warmAtUnixMs }: BackendRecord,
+): Pick<BackendRecord, "version" | "warmAtUnixMs"> {
+  return {
+    ...(typeof version === "string" && NAME_PATTERN.test(version)
+      ? { version }
+      : {}),
+    ...(isIntegerUpTo(warmAtUnixMs, MAX_UNIX_MS) ? { warmAtUnixMs } : {}),
+  };
+}
+
 /** Leaves out what cannot be read: the backend server can be used all the same. */
 function readEnds(value: unknown): EndReport[] {
   if (!Array.isArray(value)) return [];
--- a/src/sidecar/forward_types.ts
+++ b/src/sidecar/forward_types.ts
@@ -6,6 +6,7 @@
 import type { Random } from "../protocol/random.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
+import type { VersionFilter } from "./version_filter.ts";
 import type { DestinationPool } from "./destination_pool.ts";
 
 /** A caller's request with its whole body. */
@@ -51,4 +52,9 @@
   readonly domain: string;
   readonly callerService: string;
   readonly budgetOf: (service: string) => WindowedRetryBudget;
+  /** Absent if services are not moved between versions. */
+  readonly versions?: Pick<
+    VersionFilter,
+    "filter" | "recordSend" | "recordOutcome"
+  >;
 }
--- a/src/sidecar/ports.ts
+++ b/src/sidecar/ports.ts
@@ -6,6 +6,7 @@
 import type { ResultAsync } from "neverthrow";
 import type { ChangeBatch } from "../protocol/feed.ts";
 import type { Announcement, MeshConfig } from "../protocol/mesh.ts";
+import type { RolloutOrder, RolloutStatus } from "../protocol/rollout.ts";
 import type { StepError } from "../protocol/step_error.ts";
 
 /** Result of a long poll of the store. */
@@ -110,10 +111,23 @@
   decode(method: string, target: string, body: string): ControlCall;
 }
 
+/** Location and format of the operator's orders to move a service. */
+export interface RolloutWire {
+  /** Prefix of the keys of orders, which end with the name of the service. */
+  readonly orderPrefix: string;
+  /** Returns the order; `undefined` if it cannot be read. */
+  decodeOrder(bytes: Uint8Array): RolloutOrder | undefined;
+  /** Returns the key under which the operator is told about a service. */
+  statusKeyOf(service: string): string;
+  encodeStatus(status: RolloutStatus): Uint8Array;
+}
+
 /** The adapters that a deployment provides. */
 export interface SidecarPorts {
   readonly store: MeshStore;
   readonly config: MeshConfigSource;
   readonly headers: EdgeHeaders;
   readonly control: ControlDecoder;
+  /** Absent if services are not moved by orders. */
+  readonly rollouts?: RolloutWire;
 }
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -8,8 +8,7 @@
   Verdict,
 } from "../coordination/quarantine/suspect_list.ts";
 import type { WindowedRetryBudget } from "../coordination/retry/windowed_retry_budget.ts";
-import { rendezvous } from "../protocol/hash.ts";
-import { type BackendRecord, RequestKind } from "../protocol/mesh.ts";
+import { RequestKind } from "../protocol/mesh.ts";
 import type {
   CallOutcome,
   MeshAnswer,
@@ -21,6 +20,8 @@
   ForwardRequest,
   ForwardResult,
 } from "./forward_types.ts";
+import { chooseRetryAfterMs } from "./retry_after.ts";
+import { chooseTrialBackend } from "./trial_backend.ts";
 
 /** Most destinations that one request is sent to. */
 const MAX_SENDS = 3;
@@ -29,28 +30,12 @@
  * takes precedence over a timeout response, in ms.
  */
 const DEADLINE_MARGIN_MS = 40;
-/** Retry-After value if no destination named a wait, in ms. */
-const DEFAULT_RETRY_AFTER_MS = 150;
-/** Largest relative jitter on Retry-After, which spreads retries over time. */
-const RETRY_AFTER_JITTER = 0.5;
-/**
- * Share of the time to the deadline that Retry-After may take, so that the
- * retry still has time to be served.
- */
-const MAX_RETRY_AFTER_SHARE = 0.33;
-
 /** Shortest time behind other requests from which a queue exists, in ms. */
 const MIN_QUEUE_MS = 5;
 
 /** Largest number of ends after which the daemon still repeats a request. */
 const MAX_ENDS_FOR_REPEAT = 1;
 
-/**
- * Time after which another destination has the trials of a request, in ms, as
- * the backend server of the former one may be gone for good.
- */
-const TRIAL_PERIOD_MS = 10_000;
-
 /** One send of the request to a destination. */
 interface Attempt {
   readonly choice: DestinationChoice;
@@ -221,10 +206,14 @@
   #chooseDestination(
     judgement: Judgement | undefined,
   ): DestinationChoice | undefined {
-    const { directory, destinations, random, domain, responseSizes } =
+    const { directory, destinations, random, domain, responseSizes, versions } =
       this.#context;
     const { service, route, body, objectiveAtMs } = this.#request;
-    const records = directory.readyBackends(service);
+    const ready = directory.readyBackends(service);
+    const isFirst = this.#sendCount === 0;
+    const records = versions === undefined
+      ? ready
+      : versions.filter(service, ready, isFirst).records;
     const candidates = judgement?.verdict === Verdict.OnTrial
       ? chooseTrialBackend(records, judgement.fingerprint)
       : records;
@@ -245,7 +234,8 @@
   async #send(choice: DestinationChoice, signal: AbortSignal): Promise<void> {
     const startedAtMs = performance.now();
     const attempt: Attempt = { choice, isSuspected: false };
-    this.#sendCount++;
+    const isFirst = this.#sendCount++ === 0;
+    this.#context.versions?.recordSend(choice.record);
     this.#open.add(attempt);
     this.#excluded.add(choice.record.id);
     const outcome = await this.#context.destinations.execute(
@@ -262,6 +252,14 @@
         },
       },
     );
+    if (isFirst) {
+      this.#context.versions?.recordOutcome(
+        choice.record,
+        this.#request.route.name,
+        outcome,
+        performance.now() - startedAtMs,
+      );
+    }
     const detail = outcome.kind === "answered"
       ? outcome.answer.status
       : outcome.reason;
@@ -428,33 +426,12 @@
   }
 
   #buildRefusal(reason: string): ForwardResult {
-    const { random } = this.#context;
-    const { objectiveAtMs, deadlineMs } = this.#request;
-    const nowMs = performance.now();
-    const minRetryAfterMs = Number.isFinite(this.#retryAfterMs)
-      ? this.#retryAfterMs
-      : DEFAULT_RETRY_AFTER_MS;
-    // A retry that cannot meet the objective is better sent after the overload.
-    const canMeetObjective = nowMs + minRetryAfterMs < objectiveAtMs;
-    const lateRetryAfterMs = Math.max(
-      minRetryAfterMs,
-      (deadlineMs - nowMs) * MAX_RETRY_AFTER_SHARE,
-    );
-    const maxRetryAfterMs = canMeetObjective
-      ? minRetryAfterMs * (1 + RETRY_AFTER_JITTER)
-      : lateRetryAfterMs;
-    const retryAfterMs = minRetryAfterMs +
-      (maxRetryAfterMs - minRetryAfterMs) * random.fraction();
+    const retryAfterMs = chooseRetryAfterMs({
+      ...this.#request,
+      namedMs: this.#retryAfterMs,
+      nowMs: performance.now(),
+      random: this.#context.random,
+    });
     return { kind: "refused", reason, retryAfterMs };
   }
 }
-
-function chooseTrialBackend(
-  records: readonly BackendRecord[],
-  fingerprint: string,
-): readonly BackendRecord[] {
-  const ids = records.map(({ instance }) => instance);
-  const period = Math.floor(Date.now() / TRIAL_PERIOD_MS);
-  const [chosen] = rendezvous(`${fingerprint}@${period}`, ids, 1);
-  return records.filter(({ instance }) => instance === chosen);
-}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -5,10 +5,11 @@
 import { WindowedRetryBudget } from "../coordination/retry/windowed_retry_budget.ts";
 import { Random } from "../protocol/random.ts";
 import { messageOf } from "../protocol/step_error.ts";
+import type { Announcement } from "../protocol/mesh.ts";
 import { BackendDirectory } from "../state/backend_directory.ts";
 import { LocalBackend } from "../state/local_backend.ts";
 import { RouteTableHolder } from "../state/route_table_holder.ts";
-import { listen, stopAccepting } from "../transport/http/listen.ts";
+import { stopAccepting } from "../transport/http/listen.ts";
 import { EventLog } from "../transport/observe/event_log.ts";
 import { EventLoopMonitor } from "../transport/observe/event_loop_monitor.ts";
 import { TextMetrics } from "../transport/observe/text_metrics.ts";
@@ -23,9 +24,11 @@
 import { IngressServer } from "./ingress_server.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { PeerServer } from "./peer_server.ts";
+import { RolloutTask } from "./rollout_task.ts";
 import type { SidecarPorts } from "./ports.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
 import { StoreRecovery } from "./store_recovery.ts";
+import { listenAt, waitUntil } from "./start_and_stop.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
 /** Share of the fleet-wide retry ratio that one daemon uses. */
@@ -38,8 +41,6 @@
 const QUIET_PERIOD_MS = 400;
 /** Time for callers to notice that their connections close, in ms. */
 const CLOSE_NOTICE_MS = 60;
-/** Pause between two checks for the end of the shutdown, in ms. */
-const END_CHECK_MS = 50;
 
 /**
  * The sidecar daemon of one backend server of a mesh.
@@ -55,7 +56,9 @@
   readonly #ports: SidecarPorts;
   readonly #log: EventLog;
   readonly #routes = new RouteTableHolder();
-  readonly #directory = new BackendDirectory();
+  readonly #directory = new BackendDirectory((record) =>
+    this.#rollouts?.handleRecord(record)
+  );
   readonly #budgets = new Map<string, WindowedRetryBudget>();
   readonly #stopped = new AbortController();
   readonly #shutdown = new GracefulShutdown();
@@ -72,6 +75,7 @@
   readonly #publisher: RecordPublisher;
   readonly #lifecycle: BackendLifecycle;
   readonly #sync: StoreSyncTask;
+  readonly #rollouts: RolloutTask | undefined;
   #isStopping = false;
 
   /**
@@ -106,6 +110,7 @@
       log: this.#log,
       metrics: this.#metrics,
       onLeaving: (id) => this.#lifecycle.handleLeavingResponse(id),
+      admits: () => this.#admitsVersionOf(backend.current),
     });
     this.#publisher = new RecordPublisher({
       store: ports.store,
@@ -137,6 +142,7 @@
       onPeerVersion: (version, client) =>
         void this.#sync.handlePeerVersion(version, client),
     });
+    this.#rollouts = this.#createRollouts();
     this.#ingress = this.#createIngress();
     this.#sync = this.#createSync();
     this.#peerServer = new PeerServer({
@@ -151,6 +157,7 @@
         void this.#sync.handlePeerVersion(version, undefined),
       waitForUpdate: (poll) => this.#sync.waitForUpdate(poll),
       viewAgeMs: () => this.#sync.viewAgeMs(),
+      handleRolloutReport: (report) => this.#rollouts?.handleReport(report),
     });
     const { readyAddress, controlAddress } = settings;
     this.#controlServers = [...new Set([readyAddress, controlAddress])].map(
@@ -241,6 +248,7 @@
     this.#quarantine.stop();
     this.#eventLoop.stop();
     this.#usage.stop();
+    this.#rollouts?.stop();
     this.#log.info("daemon-stopped", { open: this.#ingress.openRequests });
     this.#log.close();
   }
@@ -251,6 +259,7 @@
     this.#quarantine.stop();
     this.#eventLoop.stop();
     this.#usage.stop();
+    this.#rollouts?.stop();
     this.#peerServer.closeChannels();
     const servers = [
       this.#ingress.server,
@@ -317,6 +326,9 @@
         domain,
         callerService: service,
         budgetOf: (name) => this.#budgetOf(name),
+        ...(this.#rollouts === undefined
+          ? {}
+          : { versions: this.#rollouts.versions }),
       },
     });
   }
@@ -359,9 +371,33 @@
         this.#lifecycle.recover(record);
       },
       onRemoved: (instance) => this.#destinations.remove(instance),
+      onFirstListing: () => this.#rollouts?.handleFirstListing(),
+      onOtherEntry: (key, entry) => this.#rollouts?.handleEntry(key, entry),
+    });
+  }
+
+  #createRollouts(): RolloutTask | undefined {
+    const { rollouts: wire, store } = this.#ports;
+    return wire && new RolloutTask({
+      instance: this.#settings.instance,
+      store,
+      wire,
+      directory: this.#directory,
+      random: new Random(process.pid ^ Date.now()),
+      log: this.#log,
+      metrics: this.#metrics,
+      viewAgeMs: () => this.#sync.viewAgeMs(),
+      openRequests: () => this.#dispatcher.openRequests,
+      sendReport: (record, report) =>
+        this.#destinations.reportRollout(record, report),
     });
   }
 
+  #admitsVersionOf(backend: Announcement | undefined): boolean {
+    if (backend === undefined || this.#rollouts === undefined) return true;
+    return this.#rollouts.versions.admits(backend.service, backend.version);
+  }
+
   #createControlServer(): Server {
     return createControlServer({
       decoder: this.#ports.control,
@@ -397,24 +433,3 @@
     return budget;
   }
 }
-
-/** Waits until a condition holds, which is polled. */
-function waitUntil(isMet: (nowMs: number) => boolean): Promise<void> {
-  return new Promise((resolve) => {
-    if (isMet(performance.now())) return resolve();
-    const timer = setInterval(() => {
-      if (!isMet(performance.now())) return;
-      clearInterval(timer);
-      resolve();
-    }, END_CHECK_MS);
-  });
-}
-
-async function listenAt(server: Server, address: string): Promise<void> {
-  const separatorAt = address.lastIndexOf(":");
-  await listen(
-    server,
-    address.slice(0, separatorAt),
-    Number(address.slice(separatorAt + 1)),
-  );
-}
--- a/src/state/backend_directory.ts
+++ b/src/state/backend_directory.ts
@@ -24,6 +24,16 @@
 export class BackendDirectory {
   readonly #byInstance = new Map<string, DirectoryEntry>();
   readonly #byService = new Map<string, BackendRecord[]>();
+  readonly #onPut: (record: BackendRecord) => void;
+
+  /**
+   * Creates an empty directory.
+   *
+   * @param onPut Called with each record that was added or replaced.
+   */
+  constructor(onPut: (record: BackendRecord) => void = () => {}) {
+    this.#onPut = onPut;
+  }
 
   /** All entries. */
   get entries(): IterableIterator<DirectoryEntry> {
@@ -46,6 +56,7 @@
     if (known !== undefined && isOlder(record, known.record)) return false;
     this.#byInstance.set(record.instance, { record, missingSinceMs: 0 });
     this.#byService.clear();
+    this.#onPut(record);
     return known?.record.id !== record.id ||
       known.record.state !== record.state;
   }
--- a/tests/platform/control_decoder_test.ts
+++ b/tests/platform/control_decoder_test.ts
@@ -37,6 +37,8 @@
         state: "ready",
         sequence: 3,
         bornAtUnixMs: 77,
+        version: "v1",
+        coldLeftMs: 1_500,
       },
     },
     { kind: "leave", id: "i-1", bornAtUnixMs: 77 },
