Report results sooner while many requests depend on them

Cause: at large shares, half a second decides whether a version that fails under load stays within the bound; a decider that had hung confirmed its own share although no other daemon reported to it.

--- a/src/coordination/rollout/judge_version.ts
+++ b/src/coordination/rollout/judge_version.ts
@@ -142,7 +142,7 @@
   const isSlow = SEVERITY[slow.verdict] > SEVERITY[failing.verdict];
   const worst = isSlow ? slow : failing;
   if (SEVERITY[worst.verdict] < SEVERITY[VersionVerdict.Suspect]) {
-    return { verdict: worst.verdict, route };
+    return { verdict: failing.verdict, route };
   }
   const fault = isSlow ? VersionFault.Slow : VersionFault.Failures;
   return { ...worst, route, fault };
@@ -158,7 +158,7 @@
   target: SampleCounts,
 ): VersionJudgement {
   const totals = [sum(target.times), sum(former.times)] as const;
-  let worst: VersionJudgement = { verdict: VersionVerdict.Good };
+  let worst: VersionJudgement = { verdict: VersionVerdict.Unknown };
   let targetBeyond = 0;
   let formerBeyond = sum(former.times.slice(TIME_CLASSES));
   for (let index = TIME_CLASSES - 1; index >= 0; index--) {
--- a/src/coordination/rollout/rollout_coordinator.ts
+++ b/src/coordination/rollout/rollout_coordinator.ts
@@ -139,6 +139,7 @@
   /** Sequences of writes whose result is not known. */
   readonly #unknownSequences = new Set<number>();
   #decidingSinceMs = 0;
+  #daemons = 0;
   #resignedUntilMs = -Infinity;
   /** Whether a decision to roll back is not written yet. */
   #isHalted = false;
@@ -207,6 +208,8 @@
     const isResigned = nowMs < this.#resignedUntilMs;
     if (record === undefined || !this.isDecider || isResigned) return undefined;
     this.#observations?.record(report, nowMs);
+    // A daemon that was held up does not know yet what others have seen.
+    if (!this.#isHeard(nowMs)) return undefined;
     return this.#isHalted
       ? { ...record, phase: RolloutPhase.Running, share: 0 }
       : record;
@@ -231,6 +234,7 @@
    */
   next(situation: RolloutSituation): RolloutWrite | undefined {
     const { nowMs } = situation;
+    this.#daemons = situation.daemons;
     if (this.#pending !== undefined || nowMs < this.#retryAtMs) {
       return undefined;
     }
@@ -351,7 +355,7 @@
     // A daemon that has just taken over has to know what others have seen.
     const hasReports = reporters >=
       daemons * (isNew ? ALL_REPORTERS : MIN_REPORTERS);
-    if (!hasReports && nowMs - this.#decidingSinceMs > TAKEOVER_MS) {
+    if (!this.#isHeard(nowMs)) {
       // Others can take the role over once the record is not renewed.
       this.#resignedUntilMs = nowMs + RESIGNED_FOR_MS;
       return undefined;
@@ -433,6 +437,14 @@
     });
   }
 
+  /** Whether enough daemons report, or have had no time to do so yet. */
+  #isHeard(nowMs: number): boolean {
+    const reporters =
+      this.#observations?.countReporters(nowMs - REPORTED_WITHIN_MS) ?? 0;
+    return reporters >= this.#daemons * MIN_REPORTERS ||
+      nowMs - this.#decidingSinceMs <= TAKEOVER_MS;
+  }
+
   #mayElect(viewAgeMs: number, nowMs: number): boolean {
     return viewAgeMs < MAX_VIEW_AGE_MS && nowMs >= this.#resignedUntilMs;
   }
--- a/src/coordination/rollout/version_gate.ts
+++ b/src/coordination/rollout/version_gate.ts
@@ -25,6 +25,10 @@
  * still shows that a former version has ended, as requests may use it again.
  */
 const DRAIN_CONFIRMED_FOR_MS = 4_500;
+/** Time for which a daemon does not look at its own results then, in ms. */
+const DRAIN_TRUSTED_FOR_MS = 600;
+/** Share from which results are reported more often. */
+const URGENT_SHARE = 0.3;
 /** Time between two judgements by this daemon's own results, in ms. */
 const JUDGE_EVERY_MS = 200;
 
@@ -271,6 +275,13 @@
     side.times[timeClass]!++;
   }
 
+  /** Whether many requests depend on soon knowing that the target is bad. */
+  get isUrgent(): boolean {
+    const record = this.#record;
+    return record !== undefined && isActivePhase(record.phase) &&
+      record.share >= URGENT_SHARE;
+  }
+
   /** Failures of the target version that were recorded. */
   get targetFailures(): number {
     return [...this.#samples.values()]
@@ -308,7 +319,7 @@
    * for a short time, and only if its own results show no fault.
    */
   #mayDrain(nowMs: number): boolean {
-    if (this.#isConfirmed(nowMs, CONFIRMED_FOR_MS)) return true;
+    if (this.#isConfirmed(nowMs, DRAIN_TRUSTED_FOR_MS)) return true;
     return this.#isConfirmed(nowMs, DRAIN_CONFIRMED_FOR_MS) &&
       !this.#isBadHere(nowMs);
   }
--- a/src/sidecar/rollout_task.ts
+++ b/src/sidecar/rollout_task.ts
@@ -27,9 +27,12 @@
 import { VersionFilter } from "./version_filter.ts";
 
 /** Pause between two decisions, in ms. */
-const DECIDE_EVERY_MS = 200;
-/** Pause between two reports, in ms. */
-const REPORT_EVERY_MS = 500;
+const DECIDE_EVERY_MS = 125;
+/** Pause between two reports, in ms; it grows with the fleet up to a bound. */
+const MIN_REPORT_EVERY_MS = 500;
+const URGENT_REPORT_EVERY_MS = 250;
+const MAX_REPORT_EVERY_MS = 1_000;
+const REPORT_EVERY_MS_PER_DAEMON = 0.5;
 /** New failures of the target version that are reported at once. */
 const MIN_FAILURES_FOR_REPORT = 5;
 /** Rank of a daemon that is no candidate. */
@@ -256,15 +259,12 @@
     const { gate, coordinator, service } = state;
     const records = [...directory.entries].map(({ record }) => record);
     const ofService = records.filter((record) => record.service === service);
-    const instances = records.map((record) => record.instance);
-    const place = rendezvous(service, instances, instances.length)
-      .indexOf(instance);
     const targetVersion = coordinator.record?.targetVersion;
     return {
       nowMs: performance.now(),
       nowUnixMs: Date.now(),
       viewAgeMs: viewAgeMs(),
-      rank: place < 0 ? NO_RANK : place,
+      rank: rankOf(instance, service, records),
       daemons: records.length,
       inUse: [...gate.inUse],
       announced: [
@@ -338,7 +338,11 @@
       : undefined;
     const decider = gate.record?.decider ?? "";
     if (report === undefined) return;
-    state.reportAtMs = nowMs + REPORT_EVERY_MS;
+    const usualMs = Math.max(
+      gate.isUrgent ? URGENT_REPORT_EVERY_MS : MIN_REPORT_EVERY_MS,
+      directory.size * REPORT_EVERY_MS_PER_DAEMON,
+    );
+    state.reportAtMs = nowMs + Math.min(MAX_REPORT_EVERY_MS, usualMs);
     state.reportedFailures = gate.targetFailures;
     if (decider === instance) {
       const answer = coordinator.receive(report, nowMs);
@@ -359,6 +363,30 @@
   }
 }
 
+/** Reports of a large fleet need a wide link, so such daemons come first. */
+function rankOf(
+  instance: string,
+  service: string,
+  records: readonly BackendRecord[],
+): number {
+  const widest = records.reduce(
+    (max, { linkMbps }) => Math.max(max, linkMbps),
+    0,
+  );
+  const isWide = ({ linkMbps }: BackendRecord) => linkMbps * 2 >= widest;
+  const order = (members: readonly BackendRecord[]) =>
+    rendezvous(
+      service,
+      members.map((record) => record.instance),
+      members.length,
+    );
+  const rank = [
+    ...order(records.filter(isWide)),
+    ...order(records.filter((record) => !isWide(record))),
+  ].indexOf(instance);
+  return rank < 0 ? NO_RANK : rank;
+}
+
 function findRecord(
   entries: readonly StoreEntry[],
   key: string,
--- a/testkit/simulated_rollout.ts
+++ b/testkit/simulated_rollout.ts
@@ -13,8 +13,9 @@
 
 /** Step of the simulated time, in ms. */
 const TICK_MS = 50;
-const DECIDE_EVERY_MS = 200;
+const DECIDE_EVERY_MS = 125;
 const REPORT_EVERY_MS = 500;
+const URGENT_REPORT_EVERY_MS = 250;
 const START_UNIX_MS = 1_800_000_000_000;
 const FORMER = "v1";
 const TARGET = "v2";
@@ -303,7 +304,8 @@
 
   #report(daemon: SimulatedDaemon): void {
     const { gate } = daemon;
-    daemon.reportAtMs = this.#nowMs + REPORT_EVERY_MS;
+    daemon.reportAtMs = this.#nowMs +
+      (gate.isUrgent ? URGENT_REPORT_EVERY_MS : REPORT_EVERY_MS);
     daemon.reportedFailures = gate.targetFailures;
     const report = gate.buildReport({
       instance: `d${daemon.index}`,
