Count the time limit of an order from when it may have been written

Cause: the limit began when the order was seen, up to 1.5 s late; an order for a service without known backend servers would have been finished at once.

--- a/src/coordination/rollout/rollout_coordinator.ts
+++ b/src/coordination/rollout/rollout_coordinator.ts
@@ -4,11 +4,18 @@
   RolloutPhase,
   type RolloutRecord,
   type RolloutReport,
-  type RolloutStatus,
 } from "../../protocol/rollout.ts";
 import { decideStep } from "./decide_step.ts";
 import { type VersionJudgement, VersionVerdict } from "./judge_version.ts";
 import { RolloutObservations } from "./rollout_observations.ts";
+import { RolloutReason } from "./rollout_types.ts";
+import type {
+  RolloutFigures,
+  RolloutSituation,
+  RolloutWrite,
+  StoredRollout,
+  WriteResult,
+} from "./rollout_types.ts";
 import { planSteps } from "./step_plan.ts";
 
 /** Time after which the deciding daemon renews its record, in ms. */
@@ -37,79 +44,6 @@
 
 const ROLLED_BACK = { phase: RolloutPhase.RolledBack, share: 0 };
 
-/** What a daemon knows about the fleet when it decides. */
-export interface RolloutSituation {
-  readonly nowMs: number;
-  readonly nowUnixMs: number;
-  /** Age of the view of the store, in ms. */
-  readonly viewAgeMs: number;
-  /** Number of daemons that come before this one, 0 for the first. */
-  readonly rank: number;
-  /** Number of daemons in the fleet. */
-  readonly daemons: number;
-  /** Versions of the service that are in use. */
-  readonly inUse: readonly string[];
-  /** Versions of the service that are announced. */
-  readonly announced: readonly string[];
-  /** Instances that have backend servers of other versions than the target. */
-  readonly formerInstances: readonly string[];
-  /** Whether backend servers of the target version accept requests. */
-  readonly hasTarget: boolean;
-}
-
-/** A write that holds only if the record has not changed. */
-export interface RolloutWrite {
-  readonly record: RolloutRecord;
-  /** Store revision of the replaced record; 0 if there is none. */
-  readonly afterRevision: number;
-  /** Present if the operator is to be told. */
-  readonly status?: RolloutStatus;
-  /** Why the record changes. */
-  readonly judgement: VersionJudgement;
-  readonly reason: RolloutReason;
-  /** Further figures behind the decision, for the log. */
-  readonly figures: RolloutFigures;
-}
-
-/** Figures behind a decision. */
-export interface RolloutFigures {
-  /** Time since the order, in ms. */
-  readonly elapsedMs: number;
-  readonly viewAgeMs: number;
-  /** Daemons that have reported lately, and all. */
-  readonly reporters: number;
-  readonly daemons: number;
-  readonly requests: number;
-  readonly targetRequests: number;
-}
-
-/** Why a record is written. */
-export enum RolloutReason {
-  /** A version that is not in use was announced, and there is no order yet. */
-  Baseline = "baseline",
-  Ordered = "ordered",
-  TakenOver = "taken-over",
-  Decided = "decided",
-  Renewed = "renewed",
-}
-
-/** A record in the store. */
-export interface StoredRollout {
-  readonly record: RolloutRecord;
-  readonly revision: number;
-}
-
-/** Result of a write. */
-export type WriteResult =
-  | { readonly kind: "written"; readonly revision: number }
-  /** The record was not the expected one. */
-  | {
-    readonly kind: "conflict";
-    /** The record that the store has instead, if it told. */
-    readonly found?: StoredRollout | undefined;
-  }
-  | { readonly kind: "failed" };
-
 /**
  * One daemon's part in the decisions about one service. At any time one daemon
  * decides: each write replaces the record that the daemon has seen last.
@@ -320,6 +254,8 @@
     const isTakenUp = record?.targetVersion === order.targetVersion &&
       record.endsAtUnixMs - record.startedAtUnixMs === order.durationMs;
     if (isTakenUp || !this.#mayElect(viewAgeMs, nowMs)) return undefined;
+    // Without a version in use, there is nothing to compare with.
+    if (situation.inUse.length === 0) return undefined;
     const isActive = record !== undefined && isActivePhase(record.phase);
     const place = isActive && this.isDecider ? 0 : rank + (isActive ? 1 : 0);
     const sinceMs = Math.max(this.#orderSeenAtMs, this.#recordSeenAtMs);
--- a/src/sidecar/rollout_task.ts
+++ b/src/sidecar/rollout_task.ts
@@ -35,6 +35,8 @@
 const REPORT_EVERY_MS_PER_DAEMON = 0.5;
 /** New failures of the target version that are reported at once. */
 const MIN_FAILURES_FOR_REPORT = 5;
+/** Longest time that an order is taken to have been on its way, in ms. */
+const MAX_ORDER_AGE_MS = 1_500;
 /** Rank of a daemon that is no candidate. */
 const NO_RANK = 1_000;
 
@@ -194,8 +196,12 @@
     }
     const service = order?.service ?? key.slice(wire.orderPrefix.length);
     if (order === undefined && !this.#services.has(service)) return;
-    const times = { nowMs: performance.now(), nowUnixMs: Date.now() };
-    this.#stateOf(service).coordinator.setOrder(order, times);
+    // The order may be as old as the view before it.
+    const ageMs = Math.min(MAX_ORDER_AGE_MS, this.#options.viewAgeMs());
+    this.#stateOf(service).coordinator.setOrder(order, {
+      nowMs: performance.now(),
+      nowUnixMs: Math.round(Date.now() - ageMs),
+    });
     log.info("rollout-ordered", {
       service,
       version: order?.targetVersion ?? "",
