Choose by response time as before where servers work alike

The former rule serves services whose backend servers report no momentary pace, in configurations without organisations.

--- a/src/coordination/dispatch/destination_stats.ts
+++ b/src/coordination/dispatch/destination_stats.ts
@@ -257,15 +257,11 @@
     // A destination near its limit slows down before requests queue.
     const slowdown = Math.min(1, busy / limit) ** 3 * FULL_LOAD_SLOWDOWN;
     const serviceMs = cost.meanMs * pace;
-    const isFull = busy >= limit;
-    const limitPerS = this.#load?.limitPerS;
     const queueMs = this.#estimateQueueMs(
       key[0]!,
       nowMs,
-      Math.max(
-        isFull ? serviceMs / limit : 0,
-        limitPerS === undefined ? 0 : MS_PER_S / limitPerS,
-      ),
+      this.#perRequestMs(serviceMs, limit, busy),
+      this.#ownLoad.waitMsAt(nowMs),
     );
     const delayMs = queueMs + this.#transitMs.valueAt(nowMs);
     return {
@@ -277,9 +273,57 @@
     };
   }
 
+  /**
+   * Estimates the wait and the service time of a new request from mean times and
+   * from reports alone, which lose their weight with their age.
+   *
+   * @param key Key of its cost.
+   * @param nowMs Monotonic time, in ms.
+   * @param slots Slots that the backend server announced.
+   * @returns The wait, its part spent behind other requests, and the service
+   * time, in ms.
+   */
+  estimateByMeans(
+    key: RequestCostKey,
+    nowMs: number,
+    slots: number,
+  ): {
+    readonly waitMs: number;
+    readonly queueMs: number;
+    readonly serviceMs: number;
+  } {
+    const serviceMs = this.#pace.expectedMs(key, nowMs) *
+      this.#momentaryPace.valueAt(nowMs);
+    const limit = Math.max(1, this.#load?.limit ?? slots);
+    const reported = (this.#load?.running ?? 0) + (this.#load?.queued ?? 0);
+    const busy = Math.max(
+      this.#inFlight,
+      reported * this.#reportWeight(nowMs),
+    );
+    const slowdownMs = Math.min(1, busy / limit) ** 3 * serviceMs *
+      FULL_LOAD_SLOWDOWN;
+    const perRequestMs = this.#perRequestMs(serviceMs, limit, busy);
+    const queueMs = this.#estimateQueueMs(key[0]!, nowMs, perRequestMs, 0);
+    const waitMs = queueMs + slowdownMs + this.#transitMs.valueAt(nowMs);
+    return { waitMs, queueMs, serviceMs };
+  }
+
+  /** Wait behind each further request. */
+  #perRequestMs(serviceMs: number, limit: number, busy: number): number {
+    const limitPerS = this.#load?.limitPerS;
+    return Math.max(
+      busy >= limit ? serviceMs / limit : 0,
+      limitPerS === undefined ? 0 : MS_PER_S / limitPerS,
+    );
+  }
+
   /** Uses the route's own wait, as the queue's order depends on the route. */
-  #estimateQueueMs(route: string, nowMs: number, perRequestMs: number): number {
-    const usualMs = this.#ownLoad.waitMsAt(nowMs);
+  #estimateQueueMs(
+    route: string,
+    nowMs: number,
+    perRequestMs: number,
+    usualMs: number,
+  ): number {
     const wait = this.#waits.get(route);
     if (wait === undefined) return Math.max(perRequestMs, usualMs);
     const weight = Math.exp((wait.atMs - nowMs) / REPORT_DECAY_MS);
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -78,6 +78,8 @@
   readonly #costs = new Map<string, RequestCosts>();
   /** By service and domain. */
   readonly #domainLoads = new Map<string, DomainLoad>();
+  /** Services of which a backend server reported another pace than usual. */
+  readonly #pacedServices = new Set<string>();
   readonly #statusLines: LogRateLimiter;
 
   /**
@@ -100,6 +102,17 @@
     return this.#findOrCreate(record).stats;
   }
 
+  /**
+   * Returns whether backend servers of a service report how fast they work at
+   * each moment.
+   *
+   * @param service Name of the service.
+   * @returns Whether one did that was not at its usual pace.
+   */
+  reportsPace(service: string): boolean {
+    return this.#pacedServices.has(service);
+  }
+
   /**
    * Returns the costs of the requests of a service.
    *
@@ -209,6 +222,7 @@
     this.#options.quarantine.merge(call, result.evidence, record.instance);
     const nowMs = performance.now();
     if (result.load !== undefined) {
+      if (result.load.pace !== 1) this.#pacedServices.add(record.service);
       stats.recordLoad(call.route, result.load, nowMs);
     }
     stats.recordOutcome(options.costKey, result.outcome, nowMs);
--- a/src/sidecar/forward_types.ts
+++ b/src/sidecar/forward_types.ts
@@ -51,6 +51,8 @@
   readonly responseSizes: ResponseSizes;
   readonly domain: string;
   readonly callerService: string;
+  /** Whether the work of the service's requests or servers is uneven. */
+  readonly choosesByValue: (service: string) => boolean;
   readonly budgetOf: (service: string) => WindowedRetryBudget;
   /** Absent if services are not moved between versions. */
   readonly versions?: Pick<
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -1,4 +1,5 @@
 import {
+  chooseByResponseTime,
   chooseDestination,
   costKeyOf,
   type DestinationChoice,
@@ -225,7 +226,10 @@
     const candidates = judgement?.verdict === Verdict.OnTrial
       ? chooseTrialBackend(records, judgement.fingerprint)
       : records;
-    return chooseDestination(candidates, {
+    const choose = this.#context.choosesByValue(service)
+      ? chooseDestination
+      : chooseByResponseTime;
+    return choose(candidates, {
       costKey: this.#costKey,
       costs: destinations.costsOf(service),
       bodyBytes: body?.length ?? 0,
--- a/src/sidecar/request_forwarder_test.ts
+++ b/src/sidecar/request_forwarder_test.ts
@@ -122,6 +122,7 @@
     responseSizes: new ResponseSizes(),
     domain: "a",
     callerService: "web",
+    choosesByValue: () => true,
     budgetOf: () => budget,
   };
   const nowMs = performance.now();
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -357,6 +357,9 @@
         responseSizes: new ResponseSizes(),
         domain,
         callerService: service,
+        choosesByValue: (name) =>
+          this.#routes.current?.organisations !== undefined ||
+          this.#destinations.reportsPace(name),
         budgetOf: (name) => this.#budgetOf(name),
         ...(this.#rollouts === undefined
           ? {}
