--- a/src/coordination/dispatch/choose_destination_test.ts
+++ b/src/coordination/dispatch/choose_destination_test.ts
@@ -3,6 +3,7 @@
 import { type BackendRecord, BackendState } from "../../protocol/mesh.ts";
 import { MeshReason } from "../../protocol/mesh_call.ts";
 import { Random } from "../../protocol/random.ts";
+import { chooseByResponseTime } from "./choose_by_response_time.ts";
 import { chooseDestination } from "./choose_destination.ts";
 import { DestinationStats } from "./destination_stats.ts";
 import { DomainLoad } from "./domain_load.ts";
@@ -23,14 +24,18 @@
 }
 
 /** Chooses between a destination with a queue for permits and a free one. */
-function chosenId(bodyBytes: number, linkMbps: number): string | undefined {
+function chosenId(
+  bodyBytes: number,
+  linkMbps: number,
+  choose = chooseDestination,
+): string | undefined {
   const busy = new DestinationStats();
   for (let index = 0; index < 10; index++) busy.recordPermitWait(900, 0);
   const free = new DestinationStats();
   // The transit time makes it the worse choice unless permits are needed.
   free.recordTransit(300, 0);
   const records = [record("busy", linkMbps), record("free", linkMbps)];
-  return chooseDestination(records, {
+  return choose(records, {
     costKey: ["upload"],
     costs: new RequestCosts(),
     bodyBytes,
@@ -61,6 +66,7 @@
     readonly failures?: number;
     readonly objectiveMs?: number;
   },
+  choose = chooseDestination,
 ): string | undefined {
   const costs = new RequestCosts();
   for (let index = 0; index < 20; index++) costs.record(["plans"], 90, 0);
@@ -82,7 +88,7 @@
     }, 0);
   }
   const objectiveMs = local.objectiveMs ?? 4_000;
-  return chooseDestination([record("a", 0, "a"), record("b", 0, "b")], {
+  return choose([record("a", 0, "a"), record("b", 0, "b")], {
     costKey: ["plans"],
     costs,
     bodyBytes: 0,
@@ -165,4 +171,33 @@
   assert.equal(chosen.map((id) => id === "s42"), [true, true, true, false]);
 });
 
+test("chooseByResponseTime() routes uploads around a link with a permit queue", () => {
+  const choose = chooseByResponseTime;
+  assert.equal({
+    upload: chosenId(60_000, 7, choose),
+    call: chosenId(0, 7, choose),
+    uploadOverFastLink: chosenId(60_000, 1_000, choose),
+  }, { upload: "free", call: "busy", uploadOverFastLink: "busy" });
+});
+
+// Pattern: large responses of a service with one server in each domain.
+test("chooseByResponseTime() keeps large responses in the domain unless it fails", () => {
+  const choose = chooseByResponseTime;
+  assert.equal({
+    small: chosenDomain(1_000, { waitMs: 200 }, choose),
+    large: chosenDomain(90_000, { waitMs: 200 }, choose),
+    largeBehindLongQueue: chosenDomain(90_000, { waitMs: 900 }, choose),
+    largeAtFailingServer: chosenDomain(
+      90_000,
+      { waitMs: 0, failures: 9 },
+      choose,
+    ),
+  }, {
+    small: "b",
+    large: "a",
+    largeBehindLongQueue: "b",
+    largeAtFailingServer: "b",
+  });
+});
+
 test.run();
