--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -1,5 +1,4 @@
 import type { Buffer } from "node:buffer";
-import { gunzipSync } from "node:zlib";
 import {
   effectiveDeadlineMs,
   needsTransferPermit,
@@ -18,7 +17,6 @@
 import {
   CallStatus,
   CONFIG_PATH,
-  formatCall,
   formatStatusTarget,
   formatTransferPermitTarget,
   HEADER_CALL,
@@ -35,6 +33,7 @@
   LifoConnectionPool,
   type PoolResult,
 } from "../transport/http/lifo_connection_pool.ts";
+import { decompressConfig, describeCall } from "./peer_messages.ts";
 import {
   findResult,
   type PeerReply,
@@ -55,8 +54,6 @@
 const MAX_CHANNEL_BODY_BYTES = 16 * 1024;
 /** A configuration in full would not cross a slow link in time. */
 const ACCEPT_COMPRESSED = ["accept-encoding", "gzip"];
-/** Largest decompressed configuration, in bytes. */
-const MAX_CONFIG_BYTES = 16 * 1024 * 1024;
 /** Shared abort reason: the default one captures a stack trace each time. */
 const ABANDONED = new Error("the request was abandoned");
 
@@ -233,7 +230,7 @@
   async fetchConfig(): Promise<Uint8Array | undefined> {
     const result = await this.#query(CONFIG_PATH, ACCEPT_COMPRESSED);
     return result.kind === "answer" && result.status === 200
-      ? decompress(result.headers, result.body)
+      ? decompressConfig(result.headers, result.body)
       : undefined;
   }
 
@@ -393,30 +390,3 @@
     });
   }
 }
-
-function decompress(
-  headers: readonly string[],
-  body: Uint8Array,
-): Uint8Array | undefined {
-  const isCompressed = headers.some((field, index) =>
-    index % 2 === 0 && field.toLowerCase() === "content-encoding"
-  );
-  try {
-    return isCompressed
-      ? gunzipSync(body, { maxOutputLength: MAX_CONFIG_BYTES })
-      : body;
-  } catch {
-    // Truncated or too large: the configuration also comes from the store.
-    return undefined;
-  }
-}
-
-function describeCall(call: MeshCall, configVersion: number): string {
-  const nowMs = performance.now();
-  return formatCall({
-    ...call,
-    remainingMs: call.deadlineMs - nowMs,
-    objectiveInMs: call.objectiveAtMs - nowMs,
-    configVersion,
-  });
-}
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -38,6 +38,7 @@
 import { CallStatusTable } from "./call_status_table.ts";
 import type { GracefulShutdown } from "./graceful_shutdown.ts";
 import type { BackendDispatcher } from "./backend_dispatcher.ts";
+import { buildCall } from "./build_call.ts";
 import { PeerResponseWriter } from "./peer_response_writer.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import { PeerQueryHandler, rejectQuery } from "./peer_query_handler.ts";
@@ -389,34 +390,3 @@
     });
   }
 }
-
-/** Deadlines count from the arrival of the head, not of the whole body. */
-function buildCall(
-  parts: Pick<MeshCall, "method" | "path" | "headers" | "body"> & {
-    readonly description: CallDescription;
-    readonly arrivedAtMs: number;
-  },
-): MeshCall {
-  const { description, arrivedAtMs } = parts;
-  // Fields are listed one by one, since an object spread is far slower.
-  return {
-    id: description.id,
-    method: parts.method,
-    path: parts.path,
-    headers: parts.headers,
-    body: parts.body,
-    route: description.route,
-    kind: description.kind,
-    priority: description.priority,
-    callerService: description.callerService,
-    service: description.service,
-    backendId: description.backendId,
-    deadlineMs: arrivedAtMs + description.remainingMs,
-    objectiveAtMs: arrivedAtMs + description.objectiveInMs,
-    namedLimitPerS: description.namedLimitPerS,
-    evidence: description.evidence,
-    organisation: description.organisation,
-    organisationPriority: description.organisationPriority,
-    isSubcall: description.isSubcall,
-  };
-}
