--- a/src/coordination/dispatch/choose_by_response_time.ts
+++ b/src/coordination/dispatch/choose_by_response_time.ts
@@ -76,9 +76,10 @@
   record: BackendRecord,
   options: ChoiceOptions,
 ): DestinationChoice & { readonly cost: number } {
-  const { nowMs, costKey } = options;
+  const { nowMs } = options;
+  const route = options.costKey[0]!;
   const stats = options.statsOf(record);
-  const estimate = stats.estimateByMeans(costKey, nowMs, record.slots);
+  const estimate = stats.estimateByMeans(route, nowMs, record.slots);
   const permitWaitMs = needsTransferPermit(options.bodyBytes, record.linkMbps)
     ? stats.expectedPermitWaitMs(nowMs)
     : 0;
@@ -91,7 +92,7 @@
   const jitterMs = options.random.fraction() * JITTER_MS;
   const cost = waitMs + serviceMs + remotePenaltyMs + failurePenaltyMs +
     jitterMs;
-  const isShort = stats.isShort(costKey[0]!);
+  const isShort = stats.isShortByMeans(route);
   return { record, waitMs, queueMs, serviceMs, isShort, cost };
 }
 
--- a/src/coordination/dispatch/destination_stats.ts
+++ b/src/coordination/dispatch/destination_stats.ts
@@ -7,6 +7,8 @@
 import { DecayingAverage } from "./decaying_average.ts";
 import { BackendPace } from "./backend_pace.ts";
 import { MomentaryPace } from "./momentary_pace.ts";
+import { MeanPace } from "./mean_pace.ts";
+import { ServiceTimes } from "./service_times.ts";
 import { DomainLoad } from "./domain_load.ts";
 import { UsualLoad } from "./usual_load.ts";
 import type { CostDistribution } from "./cost_distribution.ts";
@@ -54,6 +56,8 @@
   readonly #domainLoad: DomainLoad;
   readonly #ownLoad: UsualLoad;
   readonly #pace: BackendPace;
+  /** For choices by mean times. */
+  readonly #meanPace: MeanPace;
   readonly #transitMs = new DecayingAverage();
   readonly #permitWaitMs = new DecayingAverage();
   readonly #momentaryPace = new MomentaryPace();
@@ -74,12 +78,18 @@
    *
    * @param costs Costs of requests over all destinations of its service.
    * @param domainLoad Load of the service's destinations in its domain.
+   * @param serviceTimes Service times over all destinations of its service.
    */
-  constructor(costs = new RequestCosts(), domainLoad = new DomainLoad()) {
+  constructor(
+    costs = new RequestCosts(),
+    domainLoad = new DomainLoad(),
+    serviceTimes = new ServiceTimes(),
+  ) {
     this.#costs = costs;
     this.#domainLoad = domainLoad;
     this.#ownLoad = new UsualLoad(domainLoad);
     this.#pace = new BackendPace(costs);
+    this.#meanPace = new MeanPace(serviceTimes);
   }
 
   /**
@@ -112,6 +122,7 @@
         if (outcome.answer.status < 500) {
           const momentary = this.#momentaryPace.valueAt(nowMs);
           this.#pace.record(key, outcome.serviceMs / momentary, nowMs);
+          this.#meanPace.record(key[0]!, outcome.serviceMs, nowMs);
         }
         this.#recordResult(outcome.answer.status >= 500, nowMs);
         return;
@@ -277,14 +288,14 @@
    * Estimates the wait and the service time of a new request from mean times and
    * from reports alone, which lose their weight with their age.
    *
-   * @param key Key of its cost.
+   * @param route Name of its route.
    * @param nowMs Monotonic time, in ms.
    * @param slots Slots that the backend server announced.
    * @returns The wait, its part spent behind other requests, and the service
    * time, in ms.
    */
   estimateByMeans(
-    key: RequestCostKey,
+    route: string,
     nowMs: number,
     slots: number,
   ): {
@@ -292,7 +303,7 @@
     readonly queueMs: number;
     readonly serviceMs: number;
   } {
-    const serviceMs = this.#pace.expectedMs(key, nowMs) *
+    const serviceMs = this.#meanPace.expectedMs(route, nowMs) *
       this.#momentaryPace.valueAt(nowMs);
     const limit = Math.max(1, this.#load?.limit ?? slots);
     const reported = (this.#load?.running ?? 0) + (this.#load?.queued ?? 0);
@@ -303,7 +314,7 @@
     const slowdownMs = Math.min(1, busy / limit) ** 3 * serviceMs *
       FULL_LOAD_SLOWDOWN;
     const perRequestMs = this.#perRequestMs(serviceMs, limit, busy);
-    const queueMs = this.#estimateQueueMs(key[0]!, nowMs, perRequestMs, 0);
+    const queueMs = this.#estimateQueueMs(route, nowMs, perRequestMs, 0);
     const waitMs = queueMs + slowdownMs + this.#transitMs.valueAt(nowMs);
     return { waitMs, queueMs, serviceMs };
   }
@@ -344,6 +355,11 @@
     return busy < load.limit ? this.#reportedAtMs : -Infinity;
   }
 
+  /** The same by mean times. */
+  isShortByMeans(route: string): boolean {
+    return this.#meanPace.isShort(route);
+  }
+
   /** Returns whether requests of a route are short for the service. */
   isShort(route: string): boolean {
     return this.#costs.isShort(route);
--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./transfer_limiter.ts";
 export * from "./backend_pace.ts";
+export * from "./mean_pace.ts";
 export * from "./choose_destination.ts";
 export * from "./choose_by_response_time.ts";
 export * from "./destination_stats.ts";
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -7,6 +7,7 @@
   DomainLoad,
   type RequestCostKey,
   RequestCosts,
+  ServiceTimes,
 } from "../coordination/dispatch/mod.ts";
 import type { FeedPoll, FeedPollResult } from "../protocol/feed.ts";
 import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
@@ -76,6 +77,8 @@
   readonly #destinations = new Map<string, Destination>();
   /** Costs of requests over all destinations of a service. */
   readonly #costs = new Map<string, RequestCosts>();
+  /** Service times over all destinations of a service. */
+  readonly #serviceTimes = new Map<string, ServiceTimes>();
   /** By service and domain. */
   readonly #domainLoads = new Map<string, DomainLoad>();
   /** Services of which a backend server reported another pace than usual. */
@@ -328,6 +331,15 @@
     return load;
   }
 
+  #serviceTimesOf(service: string): ServiceTimes {
+    let times = this.#serviceTimes.get(service);
+    if (times === undefined) {
+      times = new ServiceTimes();
+      this.#serviceTimes.set(service, times);
+    }
+    return times;
+  }
+
   #findOrCreate(record: BackendRecord): Destination {
     const known = this.#destinations.get(record.instance);
     const isSame = known?.id === record.id &&
@@ -340,6 +352,7 @@
       stats: new DestinationStats(
         this.costsOf(record.service),
         this.#domainLoadOf(record),
+        this.#serviceTimesOf(record.service),
       ),
       client: new PeerClient(record, {
         onStatusReport: (report) => this.#recordStatusReport(record, report),
