--- a/src/sidecar/version_filter.ts
+++ b/src/sidecar/version_filter.ts
@@ -128,7 +128,8 @@
   ): void {
     const gate = this.#options.gateOf(record.service);
     if (gate?.record === undefined || outcome.kind === "not-run") return;
-    const isWarm = (record.warmAtUnixMs ?? 0) < Date.now();
+    // A process that has just started is slow, and late responses are failures.
+    if ((record.warmAtUnixMs ?? 0) >= Date.now()) return;
     const isAnswered = outcome.kind === "answered";
     gate.recordResult({
       route,
@@ -137,7 +138,7 @@
         ? outcome.answer.status >= 500
         // The caller has left: all that is known is that it took so long.
         : outcome.reason !== MeshReason.Cancelled,
-      serviceMs: isWarm ? isAnswered ? outcome.serviceMs : tookMs : undefined,
+      serviceMs: isAnswered ? outcome.serviceMs : tookMs,
     });
   }
 }
