--- a/src/coordination/dispatch/destination_stats.ts
+++ b/src/coordination/dispatch/destination_stats.ts
@@ -110,18 +110,19 @@
    * @param key Key of its cost.
    * @param outcome The outcome.
    * @param nowMs Monotonic time, in ms.
+   * @param learnsCost Whether its cost is learned for choices by expected value.
    */
   recordOutcome(
     key: RequestCostKey,
     outcome: CallOutcome,
     nowMs: number,
+    learnsCost = true,
   ): void {
     this.#inFlight--;
     switch (outcome.kind) {
       case "answered":
         if (outcome.answer.status < 500) {
-          const momentary = this.#momentaryPace.valueAt(nowMs);
-          this.#pace.record(key, outcome.serviceMs / momentary, nowMs);
+          if (learnsCost) this.#recordCost(key, outcome.serviceMs, nowMs);
           this.#meanPace.record(key[0]!, outcome.serviceMs, nowMs);
         }
         this.#recordResult(outcome.answer.status >= 500, nowMs);
@@ -140,6 +141,11 @@
     }
   }
 
+  #recordCost(key: RequestCostKey, serviceMs: number, nowMs: number): void {
+    const momentary = this.#momentaryPace.valueAt(nowMs);
+    this.#pace.record(key, serviceMs / momentary, nowMs);
+  }
+
   /**
    * Records a load report, which also resets the backoff for unreachability.
    *
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -51,6 +51,8 @@
 /** How a request is sent, and its expected cost. */
 export type ExecuteOptions = Omit<SendOptions, "configVersion"> & {
   readonly costKey: RequestCostKey;
+  /** Whether the cost is learned for choices by expected value. */
+  readonly learnsCost: boolean;
   /** Expected service time at the destination, in ms. */
   readonly expectedServiceMs: number;
 };
@@ -228,7 +230,12 @@
       if (result.load.pace !== 1) this.#pacedServices.add(record.service);
       stats.recordLoad(call.route, result.load, nowMs);
     }
-    stats.recordOutcome(options.costKey, result.outcome, nowMs);
+    stats.recordOutcome(
+      options.costKey,
+      result.outcome,
+      nowMs,
+      options.learnsCost,
+    );
     if (record.domain !== this.#options.domain) {
       this.#countRemoteBytes(call, result.outcome);
     }
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -83,6 +83,7 @@
 export class RequestForwarder {
   readonly #request: ForwardRequest;
   readonly #context: ForwardContext;
+  readonly #choosesByValue: boolean;
   readonly #costKey: RequestCostKey;
   readonly #excluded = new Set<string>();
   readonly #steps: string[] = [];
@@ -109,7 +110,10 @@
   constructor(request: ForwardRequest, context: ForwardContext) {
     this.#request = request;
     this.#context = context;
-    this.#costKey = costKeyOf({ ...request, route: request.route.name });
+    this.#choosesByValue = context.choosesByValue(request.service);
+    this.#costKey = this.#choosesByValue
+      ? costKeyOf({ ...request, route: request.route.name })
+      : [request.route.name];
   }
 
   /** The routing decisions so far, as written to the log. */
@@ -226,7 +230,7 @@
     const candidates = judgement?.verdict === Verdict.OnTrial
       ? chooseTrialBackend(records, judgement.fingerprint)
       : records;
-    const choose = this.#context.choosesByValue(service)
+    const choose = this.#choosesByValue
       ? chooseDestination
       : chooseByResponseTime;
     return choose(candidates, {
@@ -258,6 +262,7 @@
       {
         signal,
         costKey: this.#costKey,
+        learnsCost: this.#choosesByValue,
         expectedServiceMs: choice.serviceMs,
         expectedMs: choice.waitMs + choice.serviceMs,
         responseBytes: this.#context.responseSizes.expectedBytes(
