--- a/src/coordination/dispatch/destination_stats_test.ts
+++ b/src/coordination/dispatch/destination_stats_test.ts
@@ -121,4 +121,13 @@
   assert.equal(waits, [800, 400, 0]);
 });
 
+test("estimateByMeans() trusts a load report less as it ages", () => {
+  const stats = new DestinationStats();
+  stats.recordLoad("order", { ...LOAD, waitMs: 900 }, 0);
+  const waits = [0, 300, 1_500].map((nowMs) =>
+    stats.estimateByMeans("order", nowMs, 12).waitMs
+  );
+  assert.ok(waits[0]! > waits[1]! && waits[1]! > waits[2]! && waits[2]! < 50);
+});
+
 test.run();
