--- a/src/sidecar/quota_task.ts
+++ b/src/sidecar/quota_task.ts
@@ -96,6 +96,7 @@
   #plans: ReadonlyMap<string, QuotaPlan> = new Map();
   #configVersion = 0;
   #view: FleetView | undefined;
+  #isStarted = false;
   #timer: NodeJS.Timeout | undefined;
 
   /**
@@ -126,13 +127,28 @@
     );
   }
 
-  /** Starts the regular work. */
+  /** Starts the regular work, which there is once an organisation has a limit. */
   start(): void {
-    this.#timer ??= setInterval(() => this.#tick(), TICK_MS);
+    this.#isStarted = true;
+    this.#schedule();
+  }
+
+  /** Adopts the limits of the configuration in force. */
+  handleConfig(): void {
+    this.#applyConfig();
   }
 
   /** Stops the regular work; requests are still decided. */
   stop(): void {
+    this.#isStarted = false;
+    this.#schedule();
+  }
+
+  #schedule(): void {
+    if (this.#isStarted && this.#plans.size > 0) {
+      this.#timer ??= setInterval(() => this.#tick(), TICK_MS);
+      return;
+    }
     clearInterval(this.#timer);
     this.#timer = undefined;
   }
@@ -188,6 +204,7 @@
       ]),
     );
     this.#update();
+    this.#schedule();
   }
 
   /** Adopts the limits, and the view of the fleet if there are any. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -397,6 +397,7 @@
       }),
       onConfigAdopted: () => {
         this.#ingress.applyLimits();
+        this.#quotas.handleConfig();
         void this.#lifecycle.checkUnproven();
       },
       onLocalRecord: (entry) => {
