--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -240,7 +240,9 @@
       this.#countRemoteBytes(call, result.outcome);
     }
     if (result.outcome.kind === "answered") {
-      this.#countCost(call.route, options, result.outcome.serviceMs);
+      if (options.learnsCost) {
+        this.#countCost(call.route, options, result.outcome.serviceMs);
+      }
       if (!isLocal) this.#options.quarantine.recordServed(call);
       this.#recordLeaving(record, result.outcome.answer.headers);
       stats.recordNamedLimit(result.load?.limitPerS);
