Assume a large fleet before its directory is known; end link reservations always

A daemon that did not know the directory took a 64th of each limit, so that 2,400 daemons which start together could run 37 times the limits; the test of the groups expected that size. A reservation of link time was kept if the call ended with an exception.

--- a/src/coordination/quota/fleet_view.ts
+++ b/src/coordination/quota/fleet_view.ts
@@ -8,8 +8,11 @@
 const RETENTION_MS = 60_000;
 /** Age of the view of the store from which a daemon may be removed, in ms. */
 export const MAX_VIEW_AGE_MS = 50_000;
-/** Size that is assumed as long as the directory is not known. */
-const ASSUMED_SIZE = 64;
+/**
+ * Size that is assumed as long as the directory is not known: a smaller one than
+ * the fleet's would let its daemons run more than the limits together.
+ */
+const ASSUMED_SIZE = 4_096;
 /** Shortest lease of a daemon at an account, in ms. */
 const MIN_LEASE_MS = 1_500;
 /** Renewals of leases are rarer in a fleet with many groups. */
--- a/src/sidecar/peer_response_writer.ts
+++ b/src/sidecar/peer_response_writer.ts
@@ -107,18 +107,21 @@
   }
 
   /**
-   * Ends the reservation of a request, and learns the size of its response.
+   * Ends the reservation of a request that has ended in any way.
    *
-   * @param call The request.
-   * @param reservation Its reservation.
-   * @param outcome Its outcome.
+   * @param reservation The reservation, if there was one.
    */
-  release(
-    call: MeshCall,
-    reservation: LinkReservation | undefined,
-    outcome: CallOutcome,
-  ): void {
+  release(reservation: LinkReservation | undefined): void {
     this.#link.release(reservation);
+  }
+
+  /**
+   * Learns the size of a response.
+   *
+   * @param call Its request.
+   * @param outcome Outcome of the request.
+   */
+  recordSize(call: MeshCall, outcome: CallOutcome): void {
     if (outcome.kind !== "answered" || outcome.answer.status >= 300) return;
     const { answer: { body }, serviceMs } = outcome;
     this.#link.record(call.route, { bytes: body.length, serviceMs });
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -352,9 +352,13 @@
     const refusal = this.#responses.findRefusal(call);
     if (refusal !== undefined) return refusal;
     const reservation = this.#responses.reserve(call);
-    const outcome = await dispatcher.execute(call, arrival.signal);
-    this.#responses.release(call, reservation, outcome);
-    return outcome;
+    try {
+      const outcome = await dispatcher.execute(call, arrival.signal);
+      this.#responses.recordSize(call, outcome);
+      return outcome;
+    } finally {
+      this.#responses.release(reservation);
+    }
   }
 
   #respond(
