Count requests without keys as calls only as far as running requests explain

Any client could send requests without a key to public routes, and each of them went before the requests of all organisations and was refused only at its deadline. Four open calls for each running request of the local backend server take precedence; more are ordinary requests.

--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -16,6 +16,7 @@
 export * from "./service_times.ts";
 export * from "./choose_target.ts";
 export * from "./start_limiter.ts";
+export * from "./subcall_classifier.ts";
 export * from "./work_item.ts";
 export * from "./work_queue.ts";
 export * from "./response_sizes.ts";
--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -172,6 +172,11 @@
     }
   }
 
+  /** Number of requests that run on the backend server. */
+  get runningRequests(): number {
+    return this.#queue.running;
+  }
+
   /** Number of requests that wait or run. */
   get openRequests(): number {
     return this.#queue.running + this.#queue.queued;
--- a/src/sidecar/ingress_server.ts
+++ b/src/sidecar/ingress_server.ts
@@ -4,7 +4,10 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { chooseTarget } from "../coordination/dispatch/mod.ts";
+import {
+  chooseTarget,
+  SubcallClassifier,
+} from "../coordination/dispatch/mod.ts";
 import type { MeshOrganisation, MeshRoute } from "../protocol/mesh.ts";
 import { HEADER_CALL, HEADER_RESULT } from "../protocol/peer_call.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
@@ -18,24 +21,14 @@
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import type { GracefulShutdown } from "./graceful_shutdown.ts";
-import type {
-  ForwardContext,
-  ForwardRequest,
-  ForwardResult,
-} from "./forward_types.ts";
+import type { ForwardContext, ForwardRequest } from "./forward_types.ts";
 import type { EdgeHeaders } from "./ports.ts";
 import { guardHandler } from "../transport/http/guard_handler.ts";
-import {
-  MAX_SHORT_BODY_BYTES,
-  PROCESS_BYTES,
-} from "../transport/http/held_bytes.ts";
 import { type BodyRead, readBody } from "../transport/http/read_body.ts";
-import {
-  refuseFurtherBytes,
-  refuseLongBody,
-} from "../transport/http/refuse_further_bytes.ts";
+import { refuseFurtherBytes } from "../transport/http/refuse_further_bytes.ts";
 import { BodyRefusalLog } from "./body_refusal_log.ts";
 import type { QuotaTask } from "./quota_task.ts";
+import { type LocalReply, ReplyWriter } from "./reply_writer.ts";
 import { RequestAuthorizer } from "./request_authorizer.ts";
 import { RequestDeadlines } from "./request_deadlines.ts";
 import { RequestLog } from "./request_log.ts";
@@ -70,12 +63,8 @@
   readonly confirmConfig: () => Promise<boolean>;
   /** Keeps the limits of organisations. */
   readonly quotas: QuotaTask;
-}
-
-/** A response that this daemon generates itself. */
-interface LocalReply {
-  readonly status: number;
-  readonly retryAfterMs?: number;
+  /** Number of requests that run on the local backend server. */
+  readonly runningRequests: () => number;
 }
 
 /**
@@ -90,11 +79,13 @@
 export class IngressServer {
   readonly server: Server;
   readonly #options: IngressServerOptions;
+  readonly #replies: ReplyWriter;
   readonly #requestLog: RequestLog;
   readonly #bodyRefusals: BodyRefusalLog;
   readonly #authorizer: RequestAuthorizer;
   readonly #deadlines = new RequestDeadlines();
   readonly #throttle: ThrottledForwarding;
+  readonly #subcalls = new SubcallClassifier();
   readonly #droppedHeaders: ReadonlySet<string>;
   /** The same where the configuration names organisations. */
   readonly #droppedWithOrganisations: ReadonlySet<string>;
@@ -103,7 +94,6 @@
   /** Ids of the requests that are not passed on yet, by their responses. */
   readonly #unsent = new Map<ServerResponse, string>();
   #hasExpired = false;
-  #isKeepAliveDisabled = false;
   #openRequests = 0;
   #lastRequestAtMs = 0;
 
@@ -114,6 +104,7 @@
    */
   constructor(options: IngressServerOptions) {
     this.#options = options;
+    this.#replies = new ReplyWriter(options.headers.requestId);
     this.#requestLog = new RequestLog(options);
     this.#bodyRefusals = new BodyRefusalLog({ server: "ingress", ...options });
     this.#authorizer = new RequestAuthorizer(options);
@@ -160,7 +151,7 @@
 
   /** Closes each connection after its next response. */
   disableKeepAlive(): void {
-    this.#isKeepAliveDisabled = true;
+    this.#replies.disableKeepAlive();
   }
 
   /**
@@ -325,6 +316,8 @@
     if (organisation !== undefined) {
       headers.push(this.#options.headers.organisation, organisation.name);
     }
+    const isSubcall = parts.hasOrganisations && organisation === undefined &&
+      this.#subcalls.tryOpen(this.#options.runningRequests());
     const forwarder = new RequestForwarder({
       id,
       method: request.method ?? "GET",
@@ -338,52 +331,20 @@
         organisation: organisation.name,
         organisationPriority: organisation.priority,
       }),
-      // Callers of public routes have no key; mostly they are running requests.
-      ...(parts.hasOrganisations && route.isPublic === true &&
-          organisation === undefined
-        ? { isSubcall: true }
-        : {}),
+      ...(isSubcall ? { isSubcall } : {}),
     }, this.#options.forwarding);
     this.#forwarders.add(forwarder);
     const result = await this.#throttle.run(
       { service: routeTarget.service, organisation: organisation?.name },
       () => forwarder.run(caller.cancel),
-    );
-    this.#forwarders.delete(forwarder);
-    this.#respond(response, id, result);
+    ).finally(() => {
+      this.#forwarders.delete(forwarder);
+      if (isSubcall) this.#subcalls.close();
+    });
+    this.#replies.respond(response, id, result);
     this.#requestLog.recordEnd({ id, route, forwarder, result, arrivedAtMs });
   }
 
-  #respond(response: ServerResponse, id: string, result: ForwardResult): void {
-    if (response.destroyed) return;
-    if (this.#isKeepAliveDisabled) response.shouldKeepAlive = false;
-    switch (result.kind) {
-      case "answered": {
-        const { status, headers, body } = result.answer;
-        // A caller may take its time to read a long response.
-        if (body.length > MAX_SHORT_BODY_BYTES) {
-          PROCESS_BYTES.add(body.length);
-          response.once("close", () => PROCESS_BYTES.add(-body.length));
-        }
-        response.writeHead(status, [
-          ...headers,
-          "content-length",
-          String(body.length),
-        ]).end(body);
-        return;
-      }
-      case "refused":
-        return this.#reject(response, id, {
-          status: 503,
-          retryAfterMs: result.retryAfterMs,
-        });
-      case "failed":
-        return this.#reject(response, id, { status: BAD_GATEWAY_STATUS });
-      case "timed-out":
-        return this.#reject(response, id, { status: 504 });
-    }
-  }
-
   #rejectStopping(response: ServerResponse, id: string): void {
     this.#reject(response, id, {
       status: 503,
@@ -393,14 +354,7 @@
 
   #reject(response: ServerResponse, id: string, reply: LocalReply): void {
     this.#unsent.delete(response);
-    if (this.#isKeepAliveDisabled) response.shouldKeepAlive = false;
-    if (!response.req.complete) refuseLongBody(response.req, response);
-    const headers = ["content-length", "0"];
-    if (id !== "") headers.push(this.#options.headers.requestId, id);
-    if (reply.retryAfterMs !== undefined) {
-      headers.push("retry-after", (reply.retryAfterMs / 1_000).toFixed(3));
-    }
-    response.writeHead(reply.status, headers).end();
+    this.#replies.reject(response, id, reply);
   }
 
   #readHeader(request: IncomingMessage, name: string): string {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -349,6 +349,7 @@
       configAgeMs: () => this.#sync.configAgeMs(),
       confirmConfig: () => this.#sync.confirmConfig(),
       quotas: this.#quotas,
+      runningRequests: () => this.#dispatcher.runningRequests,
       forwarding: {
         destinations: this.#destinations,
         directory: this.#directory,
