Read one body of tiny pieces at a time instead of refusing all

A client within the configured limits may send over 8,192 chunks of a byte, and was refused each time it came back. Several at a time are still refused.

--- a/src/transport/http/body_pieces.ts
+++ b/src/transport/http/body_pieces.ts
@@ -24,6 +24,96 @@
   return pieces >= MIN_PIECES && bytes < pieces * MIN_MEAN_BYTES;
 }
 
+/** Fragmented bodies that a process reads at a time. */
+const MAX_FRAGMENTED = 1;
+/** Pieces of a fragmented body that are read in one turn of the event loop. */
+const PIECES_PER_TURN = 2_048;
+
+/**
+ * Admits the fragmented bodies of a process: one sender may use such pieces, but
+ * several at a time would take the processor time of other requests.
+ *
+ * @example
+ * ```ts
+ * const bodies = new FragmentedBodies();
+ * bodies.tryOpen(); // true
+ * bodies.tryOpen(); // false
+ * ```
+ */
+export class FragmentedBodies {
+  #open = 0;
+
+  /**
+   * Admits a body.
+   *
+   * @returns Whether it is read on; {@linkcode close} has to be called then.
+   */
+  tryOpen(): boolean {
+    if (this.#open >= MAX_FRAGMENTED) return false;
+    this.#open++;
+    return true;
+  }
+
+  /** Ends an admitted body. */
+  close(): void {
+    this.#open--;
+  }
+}
+
+/** Shared by all servers of a process. */
+export const FRAGMENTED_BODIES = new FragmentedBodies();
+
+/**
+ * Counts the pieces of one body, and slows it down once it is fragmented.
+ *
+ * @example
+ * ```ts ignore
+ * const counter = new PieceCounter(request);
+ * if (!counter.add(chunk.length)) refuse();
+ * counter.end();
+ * ```
+ */
+export class PieceCounter {
+  readonly #request: IncomingMessage;
+  #pieces = 0;
+  #bytes = 0;
+  #isAdmitted = false;
+
+  /**
+   * Creates a counter.
+   *
+   * @param request The request with the body.
+   */
+  constructor(request: IncomingMessage) {
+    this.#request = request;
+  }
+
+  /**
+   * Counts a piece.
+   *
+   * @param bytes Its size, in bytes.
+   * @returns Whether the body may be read on.
+   */
+  add(bytes: number): boolean {
+    this.#pieces++;
+    this.#bytes += bytes;
+    if (!isFragmented(this.#pieces, this.#bytes)) return true;
+    if (!this.#isAdmitted && !FRAGMENTED_BODIES.tryOpen()) return false;
+    this.#isAdmitted = true;
+    if (this.#pieces % PIECES_PER_TURN === 0) {
+      this.#request.pause();
+      setImmediate(() => this.#request.resume());
+    }
+    return true;
+  }
+
+  /** Ends the count; has to be called once the body is no longer read. */
+  end(): void {
+    if (this.#isAdmitted) FRAGMENTED_BODIES.close();
+    this.#isAdmitted = false;
+  }
+}
+
 /** Collected bytes from which the sender has to wait. */
 const MAX_COLLECTED_BYTES = 64 * 1024;
 
@@ -46,13 +136,13 @@
   readonly #onData = (chunk: Buffer) => this.#collect(chunk);
   readonly #onEnd = () => {
     this.#hasEnded = true;
+    this.#counter.end();
     this.#wake();
   };
   /** Whether no more chunks come; the request may have been aborted. */
   #hasEnded = false;
   #isFragmented = false;
-  #count = 0;
-  #readBytes = 0;
+  readonly #counter: PieceCounter;
   #wake = () => {};
 
   /**
@@ -65,6 +155,7 @@
   constructor(request: IncomingMessage, onFragmented: () => void) {
     this.#request = request;
     this.#onFragmented = onFragmented;
+    this.#counter = new PieceCounter(request);
     if (request.destroyed || request.readableEnded) this.#hasEnded = true;
     request.on("data", this.#onData);
     request.on("end", this.#onEnd);
@@ -99,16 +190,15 @@
   stop(): void {
     const request = this.#request;
     request.off("data", this.#onData);
+    this.#counter.end();
     this.#bytes.clear();
     request.resume();
   }
 
   #collect(chunk: Buffer): void {
     if (this.#isFragmented) return;
-    this.#count++;
-    this.#readBytes += chunk.length;
     this.#bytes.append(chunk);
-    if (isFragmented(this.#count, this.#readBytes)) {
+    if (!this.#counter.add(chunk.length)) {
       this.#isFragmented = true;
       this.#bytes.clear();
       this.#onFragmented();
--- a/src/transport/http/read_body.ts
+++ b/src/transport/http/read_body.ts
@@ -7,7 +7,7 @@
   MAX_SHORT_BODY_BYTES,
   PROCESS_BYTES,
 } from "./held_bytes.ts";
-import { isFragmented } from "./body_pieces.ts";
+import { PieceCounter } from "./body_pieces.ts";
 
 /** Why a body was refused although it is within the limit. */
 export enum BodyRefusal {
@@ -97,7 +97,7 @@
         ? lengthBytes
         : undefined,
     );
-    let pieces = 0;
+    const counter = new PieceCounter(request);
     const onData = (chunk: Buffer) => {
       const sizeBytes = bytes.sizeBytes + chunk.length;
       const isTaken = lengthBytes !== undefined || hold.take(chunk.length);
@@ -105,7 +105,7 @@
       if (!isTaken) {
         return settle({ kind: "refused", refusal: BodyRefusal.NoMemory });
       }
-      if (isFragmented(++pieces, sizeBytes)) {
+      if (!counter.add(chunk.length)) {
         return settle({ kind: "refused", refusal: BodyRefusal.Fragmented });
       }
       bytes.append(chunk);
@@ -117,6 +117,7 @@
       if (isSettled) return;
       isSettled = true;
       clearTimeout(timer);
+      counter.end();
       request.off("data", onData);
       request.off("end", onEnd);
       request.off("close", onBroken);
