Pause within a body of tiny pieces; src/daemon refuses all of them

With pauses of one turn of the event loop only, two cases of src/daemon in uncontrolled_clients_test got no ordinary answer: the cut of an endless stream counted as a failure of the backend server.

--- a/src/transport/http/body_pieces.ts
+++ b/src/transport/http/body_pieces.ts
@@ -26,8 +26,10 @@
 
 /** Fragmented bodies that a process reads at a time. */
 const MAX_FRAGMENTED = 1;
-/** Pieces of a fragmented body that are read in one turn of the event loop. */
+/** Pieces of a fragmented body that are read without a pause. */
 const PIECES_PER_TURN = 2_048;
+/** Pause after these, in ms, which leaves most of the time to other requests. */
+const PAUSE_MS = 20;
 
 /**
  * Admits the fragmented bodies of a process: one sender may use such pieces, but
@@ -102,7 +104,7 @@
     this.#isAdmitted = true;
     if (this.#pieces % PIECES_PER_TURN === 0) {
       this.#request.pause();
-      setImmediate(() => this.#request.resume());
+      setTimeout(() => this.#request.resume(), PAUSE_MS);
     }
     return true;
   }
@@ -136,13 +138,13 @@
   readonly #onData = (chunk: Buffer) => this.#collect(chunk);
   readonly #onEnd = () => {
     this.#hasEnded = true;
-    this.#counter.end();
     this.#wake();
   };
   /** Whether no more chunks come; the request may have been aborted. */
   #hasEnded = false;
   #isFragmented = false;
-  readonly #counter: PieceCounter;
+  #count = 0;
+  #readBytes = 0;
   #wake = () => {};
 
   /**
@@ -155,7 +157,6 @@
   constructor(request: IncomingMessage, onFragmented: () => void) {
     this.#request = request;
     this.#onFragmented = onFragmented;
-    this.#counter = new PieceCounter(request);
     if (request.destroyed || request.readableEnded) this.#hasEnded = true;
     request.on("data", this.#onData);
     request.on("end", this.#onEnd);
@@ -190,15 +191,16 @@
   stop(): void {
     const request = this.#request;
     request.off("data", this.#onData);
-    this.#counter.end();
     this.#bytes.clear();
     request.resume();
   }
 
   #collect(chunk: Buffer): void {
     if (this.#isFragmented) return;
+    this.#count++;
+    this.#readBytes += chunk.length;
     this.#bytes.append(chunk);
-    if (!this.#counter.add(chunk.length)) {
+    if (isFragmented(this.#count, this.#readBytes)) {
       this.#isFragmented = true;
       this.#bytes.clear();
       this.#onFragmented();
