Log refusals by organisation and denials by reason

One organisation that floods, or one kind of denial, used up the lines of a second, so that the refusal of another never reached the log. Each organisation has a line a second, and unknown keys no longer share a limit with unknown routes.

--- a/src/sidecar/quota_observer.ts
+++ b/src/sidecar/quota_observer.ts
@@ -1,3 +1,4 @@
+import { LRUCache } from "lru-cache";
 import {
   type AccountFailure,
   type AccountLink,
@@ -9,7 +10,14 @@
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 
 /** Most log lines about refused requests in a second. */
-const MAX_REFUSED_LINES_PER_S = 5;
+const MAX_REFUSED_LINES_PER_S = 20;
+/**
+ * Shortest time between two lines about one organisation, in ms: the flood of
+ * one hides no refusal of another.
+ */
+const REFUSED_LINE_PERIOD_MS = 1_000;
+/** Most organisations whose last lines are remembered. */
+const MAX_REFUSED_ORGANISATIONS = 512;
 /** Most log lines about accounts that do not answer in a second. */
 const MAX_SILENT_LINES_PER_S = 2;
 /** Most organisations with metrics of their own. */
@@ -30,6 +38,10 @@
   readonly #refusedLines: LogRateLimiter;
   readonly #silentLines: LogRateLimiter;
   readonly #named = new Set<string>();
+  /** Monotonic times of the last lines, by organisation. */
+  readonly #refusedLineAtMs = new LRUCache<string, number>({
+    max: MAX_REFUSED_ORGANISATIONS,
+  });
 
   /**
    * Creates an observer.
@@ -63,7 +75,11 @@
     this.#metrics.count("quota_refused_total", {
       organisation: this.#labelOf(organisation),
     });
-    if (!this.#refusedLines.allows(performance.now())) return;
+    const nowMs = performance.now();
+    const lineAtMs = this.#refusedLineAtMs.get(organisation) ?? -Infinity;
+    if (nowMs - lineAtMs < REFUSED_LINE_PERIOD_MS) return;
+    if (!this.#refusedLines.allows(nowMs)) return;
+    this.#refusedLineAtMs.set(organisation, nowMs);
     const { knownAgeMs, level, limitPerS, retryAfterMs } = decision;
     this.#log.info("quota-refused", {
       id,
--- a/src/sidecar/request_authorizer.ts
+++ b/src/sidecar/request_authorizer.ts
@@ -58,9 +58,9 @@
     readonly retryAfterMs?: number;
   };
 
-type Verdict = AllowedRequest | {
-  readonly kind: "no-route" | "unknown-key";
-};
+type DenialKind = "no-route" | "unknown-key";
+
+type Verdict = AllowedRequest | { readonly kind: DenialKind };
 
 /**
  * Decides whether a request is allowed by the newest configuration.
@@ -75,7 +75,8 @@
  */
 export class RequestAuthorizer {
   readonly #options: RequestAuthorizerOptions;
-  readonly #deniedLines: LogRateLimiter;
+  /** By reason: a flood of one kind hides none of the other. */
+  readonly #deniedLines: Readonly<Record<DenialKind, LogRateLimiter>>;
 
   /**
    * Creates an authorizer.
@@ -84,7 +85,11 @@
    */
   constructor(options: RequestAuthorizerOptions) {
     this.#options = options;
-    this.#deniedLines = new LogRateLimiter(options.log, MAX_DENIED_LINES_PER_S);
+    const { log } = options;
+    this.#deniedLines = {
+      "no-route": new LogRateLimiter(log, MAX_DENIED_LINES_PER_S),
+      "unknown-key": new LogRateLimiter(log, MAX_DENIED_LINES_PER_S),
+    };
   }
 
   /**
@@ -129,13 +134,13 @@
 
   #logDenied(
     { id }: RequestClaim,
-    kind: "no-route" | "unknown-key",
+    kind: DenialKind,
     isCurrent: boolean,
   ): void {
     const { log, metrics, routes, configAgeMs } = this.#options;
     const isRoute = kind === "no-route";
     metrics.count(isRoute ? "routes_unknown_total" : "keys_unknown_total");
-    if (!this.#deniedLines.allows(performance.now())) return;
+    if (!this.#deniedLines[kind].allows(performance.now())) return;
     log.info(isRoute ? "route-unknown" : "key-unknown", {
       id,
       configVersion: routes.version,
