Admit a waiting transfer whose permit expired before the next check

A request for a permit also granted expired permits to those that waited, but dropped their ids, so that these senders were never told and were refused at the end of their wait. The queue grants expired permits before a new request. The new test fails on the former code.

--- a/src/sidecar/transfer_permit_queue.ts
+++ b/src/sidecar/transfer_permit_queue.ts
@@ -39,7 +39,10 @@
    * @param handlers Callbacks for the decision.
    */
   request(request: PermitRequest, handlers: TransferPermitHandlers): void {
-    const decision = this.#limiter.requestPermit(request, performance.now());
+    const nowMs = performance.now();
+    // Permits that have expired belong to the requests that wait already.
+    this.#grantAll(this.#limiter.grantFree(nowMs));
+    const decision = this.#limiter.requestPermit(request, nowMs);
     switch (decision.kind) {
       case "admit":
         return handlers.admit();
