Order transfer permits by organisation and expected bytes

Uploads over a slow link were served in the order of arrival, so that the backlog of one organisation made all others wait or be refused. Organisations with a backlog now get equal numbers of bytes (start-time fair queueing), a fourth for each step of rank, each at least a quarter as often as all; a first upload and the calls of running requests pass the backlogs, and what is delayed beyond its wait by that is refused at once. The sender states size, organisation and ranks in a header of its own, which earlier daemons ignore and which is absent without organisations; the order is then the former one, as a property test shows.

Of the fairness tests, all but that property fail on the former code, and so does the test over a loopback connection.

--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./transfer_limiter.ts";
+export * from "./transfer_queue.ts";
 export * from "./backend_pace.ts";
 export * from "./mean_pace.ts";
 export * from "./choose_destination.ts";
--- a/src/protocol/peer_call.ts
+++ b/src/protocol/peer_call.ts
@@ -6,6 +6,7 @@
 import type { CallOutcome, DestinationLoad, MeshCall } from "./mesh_call.ts";
 import { MeshReason } from "./mesh_call.ts";
 import { RequestKind } from "./mesh.ts";
+import { decodeField } from "./percent_field.ts";
 
 /** Header with the description of a request between daemons. */
 export const HEADER_CALL = "sp-call";
@@ -14,12 +15,8 @@
 
 /** Path prefix at which a daemon reports the status of a request, by its id. */
 export const STATUS_PATH = "/.sesamepond/status/";
-/** Path prefix at which a daemon grants transfer permits for large bodies. */
-export const TRANSFER_PERMIT_PATH = "/.sesamepond/place/";
 /** Precedes the age of the request whose status is queried, in ms. */
 const AGE_MS_QUERY = "?ageMs=";
-/** Precedes the longest time that a sender waits for a permit, in ms. */
-const USEFUL_MS_QUERY = "?usefulMs=";
 /** Path at which a daemon serves its newest configuration. */
 export const CONFIG_PATH = "/.sesamepond/config";
 /** Path at which a daemon takes reports about the versions of a service. */
@@ -242,50 +239,6 @@
   return id === undefined || Number.isNaN(ageMs) ? undefined : { id, ageMs };
 }
 
-/**
- * Formats the target of a request for a transfer permit.
- *
- * @param id Id of the request whose body is to be sent.
- * @param maxWaitMs Longest time that the sender waits for a permit, in ms.
- * @returns Path and query.
- *
- * @example
- * ```ts
- * formatTransferPermitTarget("a", 500);
- * ```
- */
-export function formatTransferPermitTarget(
-  id: string,
-  maxWaitMs: number,
-): string {
-  return `${TRANSFER_PERMIT_PATH}${encodeURIComponent(id)}${USEFUL_MS_QUERY}${
-    Math.floor(maxWaitMs)
-  }`;
-}
-
-/**
- * Parses the target of a request for a transfer permit.
- *
- * @param target The target, which starts with {@linkcode TRANSFER_PERMIT_PATH}.
- * @returns The id and the longest wait, which is `Infinity` if it is missing;
- * `undefined` where the id cannot be read.
- *
- * @example
- * ```ts
- * parseTransferPermitTarget(formatTransferPermitTarget("a", 500)); // { id: "a", maxWaitMs: 500 }
- * ```
- */
-export function parseTransferPermitTarget(
-  target: string,
-): { readonly id: string; readonly maxWaitMs: number } | undefined {
-  const [encodedId, maxWaitText] = target.slice(TRANSFER_PERMIT_PATH.length)
-    .split(USEFUL_MS_QUERY);
-  const id = decodeField(encodedId!);
-  if (id === undefined) return undefined;
-  const maxWaitMs = Number(maxWaitText ?? Infinity);
-  return { id, maxWaitMs: Number.isNaN(maxWaitMs) ? Infinity : maxWaitMs };
-}
-
 /** Head of a frame with a request or a response. */
 export interface FrameHead {
   /** Value of {@linkcode HEADER_CALL} or {@linkcode HEADER_RESULT}. */
@@ -454,12 +407,3 @@
   const decoded = fields.map(decodeField);
   return decoded.every((field) => field !== undefined) ? decoded : undefined;
 }
-
-function decodeField(text: string): string | undefined {
-  try {
-    return decodeURIComponent(text);
-  } catch {
-    // A malformed escape: no daemon wrote it.
-    return undefined;
-  }
-}
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -18,10 +18,13 @@
   CallStatus,
   CONFIG_PATH,
   formatStatusTarget,
-  formatTransferPermitTarget,
   HEADER_CALL,
   ROLLOUT_PATH,
 } from "../protocol/peer_call.ts";
+import {
+  formatTransferHeaders,
+  formatTransferPermitTarget,
+} from "../protocol/transfer_permit.ts";
 import {
   formatQuotaReport,
   parseQuotaReply,
@@ -338,7 +341,7 @@
     const result = await this.#connections.send({
       method: "GET",
       path: formatTransferPermitTarget(call.id, maxWaitMs),
-      headers: [],
+      headers: formatTransferHeaders(call),
       body: undefined,
       silenceTimeoutMs: Math.ceil(maxWaitMs),
     }, signal);
--- a/src/sidecar/peer_query_handler.ts
+++ b/src/sidecar/peer_query_handler.ts
@@ -16,11 +16,15 @@
   CallStatus,
   CONFIG_PATH,
   parseStatusTarget,
-  parseTransferPermitTarget,
   ROLLOUT_PATH,
   STATUS_PATH,
-  TRANSFER_PERMIT_PATH,
 } from "../protocol/peer_call.ts";
+import {
+  HEADER_TRANSFER,
+  parseTransfer,
+  parseTransferPermitTarget,
+  TRANSFER_PERMIT_PATH,
+} from "../protocol/transfer_permit.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
 import { readBody } from "../transport/http/read_body.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
@@ -118,7 +122,9 @@
           this.#options.transferPermits.release(id);
         }
       });
-      this.#options.transferPermits.request({ id, maxWaitMs }, {
+      const header = request.headers[HEADER_TRANSFER];
+      const body = parseTransfer(typeof header === "string" ? header : "");
+      this.#options.transferPermits.request({ ...body, id, maxWaitMs }, {
         admit: () => response.writeHead(200, { "content-length": 0 }).end(),
         refuse: (waitMs) =>
           response.writeHead(NO_RESPONSE_STATUS).end(String(Math.ceil(waitMs))),
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -102,7 +102,7 @@
   readonly #options: PeerServerOptions;
   readonly #callers: DisconnectDetector;
   readonly #callStatuses = new CallStatusTable();
-  readonly #transferPermits = new TransferPermitQueue();
+  readonly #transferPermits: TransferPermitQueue;
   readonly #responses: PeerResponseWriter;
   readonly #queries: PeerQueryHandler;
 
@@ -113,6 +113,7 @@
    */
   constructor(options: PeerServerOptions) {
     this.#options = options;
+    this.#transferPermits = new TransferPermitQueue(options.metrics);
     this.#responses = new PeerResponseWriter(options);
     this.#bodyRefusals = new BodyRefusalLog({ server: "peers", ...options });
     this.#queries = new PeerQueryHandler({
--- a/src/sidecar/transfer_permit_queue.ts
+++ b/src/sidecar/transfer_permit_queue.ts
@@ -1,7 +1,9 @@
 import {
+  type DisplacedRequest,
   type PermitRequest,
   TransferLimiter,
 } from "../coordination/dispatch/mod.ts";
+import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 
 /** Pause between two checks for expired permits, in ms. */
 const EXPIRY_CHECK_MS = 250;
@@ -28,14 +30,24 @@
  * ```
  */
 export class TransferPermitQueue {
+  readonly #metrics: TextMetrics;
   readonly #limiter = new TransferLimiter();
   readonly #pending = new Map<string, TransferPermitHandlers>();
   #check: NodeJS.Timeout | undefined;
 
+  /**
+   * Creates an empty queue.
+   *
+   * @param metrics Counts the refused requests.
+   */
+  constructor(metrics: TextMetrics) {
+    this.#metrics = metrics;
+  }
+
   /**
    * Requests a permit.
    *
-   * @param request The id of the body's request, and the longest wait.
+   * @param request The body's request, and the longest wait.
    * @param handlers Callbacks for the decision.
    */
   request(request: PermitRequest, handlers: TransferPermitHandlers): void {
@@ -50,6 +62,7 @@
         return handlers.refuse(decision.waitMs);
       case "wait":
         this.#enqueue(request.id, handlers);
+        this.#refuseDisplaced(decision.displaced);
     }
   }
 
@@ -58,6 +71,15 @@
     this.#check ??= setInterval(() => this.#expire(), EXPIRY_CHECK_MS);
   }
 
+  #refuseDisplaced(displaced: readonly DisplacedRequest[]): void {
+    if (displaced.length === 0) return;
+    this.#metrics.count("permits_displaced_total", {}, displaced.length);
+    for (const { id, waitMs } of displaced) {
+      this.#pending.get(id)?.refuse(waitMs);
+      this.#pending.delete(id);
+    }
+  }
+
   #expire(): void {
     const nowMs = performance.now();
     for (const id of this.#limiter.removeExpired(nowMs)) {
--- a/src/sidecar/transfer_permit_queue_test.ts
+++ b/src/sidecar/transfer_permit_queue_test.ts
@@ -1,5 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { TransferPermitQueue } from "./transfer_permit_queue.ts";
 
 /** Time after which an unreleased permit expires, and some more, in ms. */
@@ -14,7 +15,7 @@
 // check for such permits, granted it to one that waited; its sender was never
 // told.
 test("request() admits a waiting request whose permit has become free", () => {
-  const permits = new TransferPermitQueue();
+  const permits = new TransferPermitQueue(new TextMetrics());
   const admitted: string[] = [];
   const request = (id: string) =>
     permits.request({ id, maxWaitMs: 60_000 }, {
--- a/testkit/organisation_loads.ts
+++ b/testkit/organisation_loads.ts
@@ -3,6 +3,7 @@
   generateTraffic,
   type SimulatedRequest,
   simulateQueue,
+  type TrafficOptions,
 } from "./queue_simulation.ts";
 
 const SLOTS = 13;
@@ -86,23 +87,64 @@
   seed: number,
 ): Run {
   const random = new Random(seed);
-  const firstId = seed * ID_RANGE;
+  const originals = generateOrganisations(
+    load,
+    { ...READ, perS: load.usual * CAPACITY_PER_S },
+    random,
+    seed * ID_RANGE,
+  );
+  const requests = originals.flatMap((request) =>
+    Array.from(
+      { length: random.fraction() < load.resending ? COPIES : 1 },
+      () => ({ ...request }),
+    )
+  );
+  const ends = simulateQueue({
+    slots: SLOTS,
+    serviceMs: { [READ.route]: READ.serviceMs },
+    requests: isFair ? requests : requests.map(withoutOrganisation),
+  });
+  const served = ends.filter(({ request, startedAtMs, endedAtMs }) =>
+    startedAtMs !== undefined && endedAtMs <= request.objectiveAtMs
+  ).map(({ request }) => request.id);
+  return { originals, served };
+}
+
+/**
+ * Generates the requests of a load's organisations.
+ *
+ * @param load The load.
+ * @param stream Their route, and the usual requests per second of all.
+ * @param random Source of times, work and organisations.
+ * @param firstId Id of the first request.
+ * @returns The requests.
+ *
+ * @example
+ * ```ts ignore
+ * const requests = generateOrganisations(load, stream, random, 0);
+ * ```
+ */
+export function generateOrganisations(
+  load: OrganisationLoad,
+  stream: Omit<TrafficOptions, "weights" | "fromMs" | "toMs">,
+  random: Random,
+  firstId: number,
+): readonly SimulatedRequest[] {
   const weights = Array.from(
     { length: ORGANISATIONS },
     (_, index) => (index + 1) ** -ZIPF_EXPONENT,
   );
   const total = weights.reduce((sum, weight) => sum + weight, 0);
-  const perS = load.usual * CAPACITY_PER_S;
   const usual = generateTraffic(
-    { ...READ, perS, weights, fromMs: 0, toMs: SURGE_TO_MS },
+    { ...stream, weights, fromMs: 0, toMs: SURGE_TO_MS },
     random,
     firstId,
   );
   const extra = load.surging.flatMap((rank) =>
     generateTraffic(
       {
-        ...READ,
-        perS: perS * (load.factor - 1) * weights[rank]! / total,
+        ...stream,
+        perS: stream.perS * (load.factor - 1) * weights[rank]! / total,
         weights: weights.map((_, index) => index === rank ? 1 : 0),
         fromMs: SURGE_FROM_MS,
         toMs: SURGE_TO_MS,
@@ -111,25 +153,10 @@
       firstId + (rank + 1) * 1_000_000,
     )
   );
-  const originals = [...usual, ...extra].map((request) => ({
+  return [...usual, ...extra].map((request) => ({
     ...request,
     organisationPriority: isOdd(request) ? load.oddPriority ?? 0 : 0,
   }));
-  const requests = originals.flatMap((request) =>
-    Array.from(
-      { length: random.fraction() < load.resending ? COPIES : 1 },
-      () => ({ ...request }),
-    )
-  );
-  const ends = simulateQueue({
-    slots: SLOTS,
-    serviceMs: { [READ.route]: READ.serviceMs },
-    requests: isFair ? requests : requests.map(withoutOrganisation),
-  });
-  const served = ends.filter(({ request, startedAtMs, endedAtMs }) =>
-    startedAtMs !== undefined && endedAtMs <= request.objectiveAtMs
-  ).map(({ request }) => request.id);
-  return { originals, served };
 }
 
 function isOdd({ organisation }: SimulatedRequest): boolean {
@@ -141,7 +168,19 @@
   return rest;
 }
 
-function countServed(
+/**
+ * Counts what was served during the surge.
+ *
+ * @param originals The requests, without copies.
+ * @param served Ids of those that were served.
+ * @returns The shares.
+ *
+ * @example
+ * ```ts ignore
+ * countServed(requests, new Set([1])).total; // 1
+ * ```
+ */
+export function countServed(
   originals: readonly SimulatedRequest[],
   served: ReadonlySet<number>,
 ): ServedShares {
--- a/tests/platform/odd_input.ts
+++ b/tests/platform/odd_input.ts
@@ -1,11 +1,8 @@
 import { Buffer } from "node:buffer";
 import fc from "fast-check";
 import { encodeFrame, FrameKind } from "../../src/protocol/call_frame.ts";
-import {
-  HEADER_CALL,
-  STATUS_PATH,
-  TRANSFER_PERMIT_PATH,
-} from "../../src/protocol/peer_call.ts";
+import { HEADER_CALL, STATUS_PATH } from "../../src/protocol/peer_call.ts";
+import { TRANSFER_PERMIT_PATH } from "../../src/protocol/transfer_permit.ts";
 import { CHANNEL_UPGRADE_REQUEST } from "../../src/transport/channel/channel_handshake.ts";
 
 /** Depth of a nested value, which overflows the stack of a recursive reader. */
--- a/tests/platform/slow_links_test.ts
+++ b/tests/platform/slow_links_test.ts
@@ -12,7 +12,7 @@
 } from "../../platform/fakes/mesh.ts";
 import { BackendState } from "../../src/protocol/mesh.ts";
 import { PeerClient } from "../../src/sidecar/peer_client.ts";
-import { formatTransferPermitTarget } from "../../src/protocol/peer_call.ts";
+import { formatTransferPermitTarget } from "../../src/protocol/transfer_permit.ts";
 import { until } from "../../testkit/until.ts";
 
 const UPLOAD_COUNT = 12;
