Keep the retries of an organisation from many others, and from none

One retry is allowed to each organisation even if its requests do not allow a whole one. Many small organisations whose requests fail, or requests without an organisation, which had no limit of their own, thus spent what the requests of another organisation allow. The whole retries that an organisation's requests allow are now kept for it, requests without an organisation count as those of one more, and at most 512 organisations are told apart in a window; the counts are kept as they change instead of being added up for each retry. The limit of the service is unchanged, and the only one without organisations.

--- a/src/coordination/retry/windowed_retry_budget.ts
+++ b/src/coordination/retry/windowed_retry_budget.ts
@@ -1,5 +1,9 @@
 /** Number of buckets in the sliding window. */
 const BUCKET_COUNT = 10;
+/** Most organisations that are told apart in a window. */
+const MAX_ORGANISATIONS = 512;
+/** Stands for all requests without an organisation, and beyond that number. */
+const NO_ORGANISATION = "";
 
 /** Options of a {@linkcode WindowedRetryBudget}. */
 export interface WindowedRetryBudgetOptions {
@@ -17,14 +21,19 @@
 
 interface Bucket extends Counts {
   readonly index: number;
-  /** Counts of the organisations with requests in it. */
   readonly byOrganisation: Map<string, Counts>;
 }
 
 /**
  * Limits the retries of one service to a share of its requests in a sliding
- * window. An organisation is limited to the same share of its own requests and
- * to its part of the additional retries, or to one retry if that is more.
+ * window.
+ *
+ * An organisation is limited to the same share of its own requests and to its
+ * part of the additional retries, or to one retry if that is more. The whole
+ * retries in the share of its own requests are kept for it: others that have
+ * used theirs up, in particular many small ones with one retry each, only get
+ * what is left besides. Requests without an organisation count as those of one
+ * more; if there are no others, only the limit of the service applies.
  *
  * @example
  * ```ts
@@ -37,6 +46,10 @@
   readonly #options: WindowedRetryBudgetOptions;
   readonly #bucketMs: number;
   #buckets: Bucket[] = [];
+  /** Counts over the window, of organisations with requests or retries in it. */
+  readonly #byOrganisation = new Map<string, Counts>();
+  /** Retries that are kept for organisations, over all of them. */
+  #kept = 0;
 
   /**
    * Creates an unused budget.
@@ -48,6 +61,11 @@
     this.#bucketMs = options.windowMs / BUCKET_COUNT;
   }
 
+  /** Number of organisations in the window. */
+  get organisations(): number {
+    return this.#byOrganisation.size;
+  }
+
   /**
    * Records a new request.
    *
@@ -55,9 +73,7 @@
    * @param organisation Organisation of the caller, if it has one.
    */
   recordRequest(nowMs: number, organisation?: string): void {
-    const bucket = this.#bucketAt(nowMs);
-    bucket.requests++;
-    if (organisation !== undefined) countsOf(bucket, organisation).requests++;
+    this.#count(this.#bucketAt(nowMs), organisation, "requests");
   }
 
   /**
@@ -78,27 +94,54 @@
     const allowed = requests * this.#options.ratio +
       this.#options.slack();
     if (retries + 1 > allowed) return false;
-    if (organisation !== undefined) {
-      if (!this.#allowsOrganisation(organisation)) return false;
-      countsOf(bucket, organisation).retries++;
-    }
-    bucket.retries++;
+    if (!this.#allows(organisation, allowed - retries)) return false;
+    this.#count(bucket, organisation, "retries");
     return true;
   }
 
-  #allowsOrganisation(organisation: string): boolean {
-    const organisations = new Set<string>();
-    let requests = 0;
-    let retries = 0;
-    for (const { byOrganisation } of this.#buckets) {
-      for (const name of byOrganisation.keys()) organisations.add(name);
-      const own = byOrganisation.get(organisation);
-      requests += own?.requests ?? 0;
-      retries += own?.retries ?? 0;
-    }
-    const allowed = requests * this.#options.ratio +
-      this.#options.slack() / Math.max(1, organisations.size);
-    return retries + 1 <= Math.max(1, allowed);
+  /** Whether an organisation may spend one of the retries that are left. */
+  #allows(organisation: string | undefined, left: number): boolean {
+    const known = this.#byOrganisation.get(this.#nameOf(organisation));
+    const own = known ?? { requests: 0, retries: 0 };
+    if (this.#keptOf(own) > 0) return true;
+    const count = this.#byOrganisation.size + (known === undefined ? 1 : 0);
+    if (count === 1) return true;
+    const allowed = own.requests * this.#options.ratio +
+      this.#options.slack() / count;
+    const hasShare = own.retries + 1 <= Math.max(1, allowed);
+    return hasShare && this.#kept + 1 <= left;
+  }
+
+  #nameOf(organisation: string | undefined): string {
+    if (organisation === undefined) return NO_ORGANISATION;
+    const hasRoom = this.#byOrganisation.has(organisation) ||
+      this.#byOrganisation.size < MAX_ORGANISATIONS;
+    return hasRoom ? organisation : NO_ORGANISATION;
+  }
+
+  #count(
+    bucket: Bucket,
+    organisation: string | undefined,
+    field: keyof Counts,
+  ): void {
+    const name = this.#nameOf(organisation);
+    bucket[field]++;
+    countsOf(bucket.byOrganisation, name)[field]++;
+    this.#change(name, (counts) => counts[field]++);
+  }
+
+  #change(name: string, change: (counts: Counts) => void): void {
+    const counts = countsOf(this.#byOrganisation, name);
+    this.#kept -= this.#keptOf(counts);
+    change(counts);
+    this.#kept += this.#keptOf(counts);
+    const isUnused = counts.requests === 0 && counts.retries === 0;
+    if (isUnused) this.#byOrganisation.delete(name);
+  }
+
+  /** Whole retries in the share of an organisation that it has not spent. */
+  #keptOf({ requests, retries }: Counts): number {
+    return Math.max(0, Math.floor(requests * this.#options.ratio) - retries);
   }
 
   #bucketAt(nowMs: number): Bucket {
@@ -111,19 +154,34 @@
       retries: 0,
       byOrganisation: new Map<string, Counts>(),
     };
-    this.#buckets = this.#buckets.filter((one) =>
-      one.index > index - BUCKET_COUNT
-    );
+    const kept: Bucket[] = [];
+    for (const one of this.#buckets) {
+      if (one.index > index - BUCKET_COUNT) kept.push(one);
+      else this.#expire(one);
+    }
+    this.#buckets = kept;
     this.#buckets.push(bucket);
     return bucket;
   }
+
+  #expire(bucket: Bucket): void {
+    for (const [name, { requests, retries }] of bucket.byOrganisation) {
+      this.#change(name, (counts) => {
+        counts.requests -= requests;
+        counts.retries -= retries;
+      });
+    }
+  }
 }
 
-function countsOf(bucket: Bucket, organisation: string): Counts {
-  let counts = bucket.byOrganisation.get(organisation);
+function countsOf(
+  byOrganisation: Map<string, Counts>,
+  name: string,
+): Counts {
+  let counts = byOrganisation.get(name);
   if (counts === undefined) {
     counts = { requests: 0, retries: 0 };
-    bucket.byOrganisation.set(organisation, counts);
+    byOrganisation.set(name, counts);
   }
   return counts;
 }
