--- a/src/coordination/dispatch/transfer_limiter.ts
+++ b/src/coordination/dispatch/transfer_limiter.ts
@@ -121,7 +121,8 @@
   }
 
   /**
-   * Requests a permit.
+   * Requests a permit. Permits that have expired have to be granted before, by
+   * {@linkcode grantFree}.
    *
    * @param request The request.
    * @param nowMs Monotonic time, in ms.
--- a/src/protocol/transfer_permit.ts
+++ b/src/protocol/transfer_permit.ts
@@ -12,6 +12,8 @@
 const USEFUL_MS_QUERY = "?usefulMs=";
 /** Separates the fields; later versions append theirs. */
 const SEPARATOR = ";";
+/** Largest size that is believed, in bytes; daemons accept no larger bodies. */
+const MAX_BYTES = 256 * 1024 * 1024;
 /** Marks a body of a request that a running request waits for. */
 const SUBCALL_FLAG = "s";
 
@@ -123,8 +125,9 @@
   const priority = parseNumber(priorityText);
   const organisation = decodeField(nameText ?? "");
   const organisationPriority = parseNumber(rankText);
+  const isSize = bytes !== undefined && bytes > 0 && bytes <= MAX_BYTES;
   return {
-    ...(bytes === undefined || bytes <= 0 ? {} : { bytes }),
+    ...(isSize ? { bytes } : {}),
     ...(priority === undefined ? {} : { priority }),
     ...(organisation === undefined || organisation === ""
       ? {}
--- a/src/protocol/transfer_permit_test.ts
+++ b/src/protocol/transfer_permit_test.ts
@@ -36,6 +36,8 @@
     "60000;1;a;2;s;new",
     "-5;x;%;Infinity;?",
     "0;;;;",
+    // The order adds sizes up, so that one of this size would end it.
+    "1e308",
   ];
   assert.equal(values.map(parseTransfer), [
     {},
@@ -50,6 +52,7 @@
     },
     {},
     {},
+    {},
   ]);
 });
 
