Add paths to problems of source files

A problem named its file, line and column, but not the field, so that a program that reads the JSON report could not tell which entry is wrong. Each problem has the path, and an error about a file that cannot be read has the file.

--- a/src/cli/config_directory.ts
+++ b/src/cli/config_directory.ts
@@ -4,14 +4,18 @@
   checkDocuments,
   type ConfigDocuments,
 } from "../coordination/config/check_documents.ts";
-import { type Problem, SourceDocument } from "../protocol/source_document.ts";
-import { FailureKind, StepError } from "../protocol/step_error.ts";
+import {
+  type Problem,
+  SourceDocument,
+  SourceError,
+} from "../protocol/source_document.ts";
+import { messageOf } from "../protocol/step_error.ts";
 import { type ConfigSource, ResourceSet } from "../state/resource_set.ts";
 
 /** Name of the base file in a configuration directory. */
 const BASE_FILE = "base.jsonc";
 /** Name of the folder with the overlays. */
-const SITES_FOLDER = "sites";
+export const SITES_FOLDER = "sites";
 /** Extension of an overlay's file name. */
 const OVERLAY_EXTENSION = ".jsonc";
 
@@ -26,7 +30,7 @@
  *
  * @param directory Path with `base.jsonc` and `sites/SITE.jsonc`.
  * @returns The documents with their problems.
- * @throws {StepError} If the directory cannot be read.
+ * @throws {SourceError} If the directory cannot be read.
  *
  * @example
  * ```ts ignore
@@ -68,15 +72,28 @@
 
 function listOverlays(folder: string): string[] {
   if (!existsSync(folder)) return [];
-  return readdirSync(folder)
+  return listFiles(folder)
     .filter((name) => name.endsWith(OVERLAY_EXTENSION))
     .map((name) => checkSiteName(folder, name));
 }
 
+function listFiles(folder: string): string[] {
+  try {
+    return readdirSync(folder);
+  } catch (error) {
+    throw new SourceError(
+      folder,
+      "read-overlays",
+      `Cannot read ${folder}: ${messageOf(error)}`,
+      { cause: error },
+    );
+  }
+}
+
 function checkSiteName(folder: string, name: string): string {
   if (/^[a-z0-9][a-z0-9-]{0,62}\.jsonc$/.test(name)) return join(folder, name);
-  throw new StepError(
-    FailureKind.Invalid,
+  throw new SourceError(
+    join(folder, name),
     "read-overlays",
     `Cannot use overlay ${
       join(folder, name)
--- a/src/coordination/config/check_documents.ts
+++ b/src/coordination/config/check_documents.ts
@@ -86,16 +86,7 @@
   config: SiteConfig,
 ): Problem[] {
   return checkReferences(config).map(({ path, message }) => {
-    const document = hasPath(overlay, path) ? overlay : base;
+    const document = overlay.has(path) ? overlay : base;
     return document.problemAt(path, message);
   });
 }
-
-function hasPath(document: SourceDocument, path: JsonPath): boolean {
-  let value: unknown = document.value;
-  for (const step of path) {
-    if (typeof value !== "object" || value === null) return false;
-    value = (value as Record<string | number, unknown>)[step];
-  }
-  return value !== undefined;
-}
--- a/src/coordination/config/merge_patch.ts
+++ b/src/coordination/config/merge_patch.ts
@@ -1,4 +1,4 @@
-import type { Json } from "../../protocol/canonical_json.ts";
+import { isJsonObject, type Json } from "../../protocol/canonical_json.ts";
 
 /**
  * Applies a JSON merge patch (RFC 7396) to a value.
@@ -13,8 +13,10 @@
  * ```
  */
 export function mergePatch(target: Json | undefined, patch: Json): Json {
-  if (!isObject(patch)) return patch;
-  const result: Record<string, Json> = isObject(target) ? { ...target } : {};
+  if (!isJsonObject(patch)) return patch;
+  const result: Record<string, Json> = isJsonObject(target)
+    ? { ...target }
+    : {};
   for (const [key, value] of Object.entries(patch)) {
     if (value === null) {
       delete result[key];
@@ -24,9 +26,3 @@
   }
   return result;
 }
-
-function isObject(
-  value: Json | undefined,
-): value is { [key: string]: Json } {
-  return typeof value === "object" && value !== null && !Array.isArray(value);
-}
--- a/src/protocol/canonical_json.ts
+++ b/src/protocol/canonical_json.ts
@@ -9,6 +9,23 @@
   | Json[]
   | { [key: string]: Json };
 
+/**
+ * Returns whether a value is a JSON object.
+ *
+ * @param value The value; `undefined` if it is absent.
+ * @returns Whether it is an object and not an array or `null`.
+ *
+ * @example
+ * ```ts
+ * isJsonObject([]); // false
+ * ```
+ */
+export function isJsonObject(
+  value: Json | undefined,
+): value is { [key: string]: Json } {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
+
 /**
  * Serializes a value as JSON with sorted keys and no white space.
  *
--- a/src/protocol/source_document.ts
+++ b/src/protocol/source_document.ts
@@ -1,6 +1,8 @@
 import { readFileSync } from "node:fs";
 import {
   findNodeAtLocation,
+  getLocation,
+  getNodePath,
   type Node,
   type ParseError,
   parseTree,
@@ -11,18 +13,48 @@
 import type { Json } from "./canonical_json.ts";
 import { FailureKind, messageOf, StepError } from "./step_error.ts";
 
-/** A problem in a source file, with its position. */
-export interface Problem {
+/** Path to a value inside a document. */
+export type JsonPath = (string | number)[];
+
+/** Position of a value in a source file. */
+export interface SourcePosition {
   readonly file: string;
   /** Line, from 1. */
   readonly line: number;
   /** Column, from 1. */
   readonly column: number;
+  /** Path to the value, which may be absent; empty for the whole file. */
+  readonly path: JsonPath;
+}
+
+/** A problem in a source file, with its position. */
+export interface Problem extends SourcePosition {
   readonly message: string;
 }
 
-/** Path to a value inside a document. */
-export type JsonPath = (string | number)[];
+/** An error that names the source file or folder that cannot be used. */
+export class SourceError extends StepError {
+  readonly file: string;
+
+  /**
+   * Creates an error.
+   *
+   * @param file Path of the file or folder.
+   * @param step The step that failed, in kebab case.
+   * @param message Message of the form "Cannot do X: reason".
+   * @param options The error that caused this one.
+   */
+  constructor(
+    file: string,
+    step: string,
+    message: string,
+    options: { cause?: unknown } = {},
+  ) {
+    super(FailureKind.Invalid, step, message, options);
+    this.name = "SourceError";
+    this.file = file;
+  }
+}
 
 /** Largest source file that is read, in bytes. */
 export const MAX_SOURCE_BYTES = 8 * 1024 * 1024;
@@ -53,6 +85,7 @@
       ...errors.map((error) =>
         this.#problemAtOffset(
           error.offset,
+          getLocation(text, error.offset).path,
           `Cannot parse ${file}: ${printParseErrorCode(error.error)}`,
         )
       ),
@@ -76,13 +109,13 @@
    *
    * @param file Path of the file.
    * @returns The document.
-   * @throws {StepError} If the file cannot be read or is too large.
+   * @throws {SourceError} If the file cannot be read or is too large.
    */
   static read(file: string): SourceDocument {
     const text = readSource(file);
     if (text.length > MAX_SOURCE_BYTES) {
-      throw new StepError(
-        FailureKind.Invalid,
+      throw new SourceError(
+        file,
         "read-source",
         `Cannot read ${file}: ${text.length} bytes are over the limit of ${MAX_SOURCE_BYTES}`,
       );
@@ -102,10 +135,21 @@
       const node = this.#tree &&
         findNodeAtLocation(this.#tree, path.slice(0, length));
       if (node !== undefined) {
-        return this.#problemAtOffset(keyOffset(node), message);
+        return this.#problemAtOffset(keyOffset(node), path, message);
       }
     }
-    return this.#problemAtOffset(0, message);
+    return this.#problemAtOffset(0, path, message);
+  }
+
+  /**
+   * Returns whether the document contains a value at a path; `null` is one.
+   *
+   * @param path Path to the value.
+   * @returns Whether the value is present.
+   */
+  has(path: JsonPath): boolean {
+    return this.#tree !== undefined &&
+      findNodeAtLocation(this.#tree, path) !== undefined;
   }
 
   /**
@@ -131,12 +175,17 @@
     });
   }
 
-  #problemAtOffset(offset: number, message: string): Problem {
+  #problemAtOffset(
+    offset: number,
+    path: JsonPath,
+    message: string,
+  ): Problem {
     const precedingLines = this.#text.slice(0, offset).split("\n");
     return {
       file: this.file,
       line: precedingLines.length,
       column: precedingLines.at(-1)!.length + 1,
+      path,
       message,
     };
   }
@@ -149,10 +198,15 @@
     if (node.type !== "object") return problems;
     const seen = new Set<string>();
     for (const property of node.children) {
-      const key = property.children?.[0]?.value as string;
+      const keyNode = property.children![0]!;
+      const key = keyNode.value as string;
       if (seen.has(key)) {
         problems.push(
-          this.#problemAtOffset(property.offset, `duplicate key "${key}"`),
+          this.#problemAtOffset(
+            property.offset,
+            getNodePath(keyNode),
+            `duplicate key "${key}"`,
+          ),
         );
       }
       seen.add(key);
@@ -165,8 +219,8 @@
   try {
     return readFileSync(file, "utf8");
   } catch (error) {
-    throw new StepError(
-      FailureKind.Invalid,
+    throw new SourceError(
+      file,
       "read-source",
       `Cannot read ${file}: ${messageOf(error)}`,
       { cause: error },
@@ -190,7 +244,7 @@
  *
  * @example
  * ```ts
- * formatProblem({ file: "a", line: 1, column: 2, message: "m" }); // "a:1:2: m"
+ * formatProblem({ file: "a", line: 1, column: 2, path: [], message: "m" }); // "a:1:2: m"
  * ```
  */
 export function formatProblem(problem: Problem): string {
