Check a configuration before it is sent

`sesamepond validate` finds what daemons reject, but not entries that never take effect, limits that contradict each other, and whom a change affects. `sesamepond check` reports these, as text or JSON, with the exit status 0, 1 or 2. The exit codes of the other commands are the same as before.

--- a/src/cli/exit_code.ts
+++ b/src/cli/exit_code.ts
@@ -13,6 +13,14 @@
   Unavailable = 4,
 }
 
+/** Exit codes of `sesamepond check`. */
+export enum CheckExitCode {
+  Clean = 0,
+  Findings = 1,
+  /** The files, or the version in force, cannot be read. */
+  Unreadable = 2,
+}
+
 /**
  * Returns the exit code for a failure.
  *
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,7 +4,8 @@
 import { hideBin } from "yargs/helpers";
 import { messageOf, StepError } from "../protocol/step_error.ts";
 import { apply, type ApplyOptions, diff, rollback } from "./apply.ts";
-import { ExitCode, exitCodeOf } from "./exit_code.ts";
+import { check } from "./check.ts";
+import { type CheckExitCode, ExitCode, exitCodeOf } from "./exit_code.ts";
 import { explainCall, explainRequest, explainVersion } from "./explain.ts";
 import { explainLog } from "./explain_log.ts";
 import { summarizeLogs } from "./logs.ts";
@@ -19,7 +20,7 @@
 /** Runs a command and turns a failure into a message and an exit code. */
 async function runAndReport(
   output: Output,
-  run: () => Promise<ExitCode> | ExitCode,
+  run: () => Promise<ExitCode | CheckExitCode> | ExitCode,
 ): Promise<void> {
   try {
     process.exitCode = await run();
@@ -42,7 +43,7 @@
 /** Runs a command without the operator's connections. */
 function runLocal(
   args: CommonArgs,
-  run: (output: Output) => Promise<ExitCode> | ExitCode,
+  run: (output: Output) => Promise<ExitCode | CheckExitCode> | ExitCode,
 ): Promise<void> {
   const output = openOutput(args.json === true);
   return runAndReport(output, () => run(output));
@@ -54,7 +55,9 @@
   run: (session: OperatorSession, output: Output) => Promise<ExitCode>,
 ): Promise<void> {
   return runLocal(args, async (output) => {
-    const session = OperatorSession.open(String(args.operator));
+    const session = OperatorSession.open(
+      String(args.operator ?? DEFAULT_OPERATOR_FILE),
+    );
     try {
       return await run(session, output);
     } finally {
@@ -123,7 +126,8 @@
   })
   .option("operator", {
     type: "string",
-    default: DEFAULT_OPERATOR_FILE,
+    // No default: `check` uses the store only if a file is given.
+    defaultDescription: DEFAULT_OPERATOR_FILE,
     describe: "the operator's settings file",
   })
   .command(
@@ -132,6 +136,22 @@
     (builder) => builder.positional("directory", directory),
     (args) => runLocal(args, (output) => validate(args.directory, output)),
   )
+  .command(
+    "check <directory>",
+    "find errors, useless entries, contradicting limits and differences",
+    (builder) =>
+      builder.positional("directory", directory).option("output", {
+        choices: ["text", "json"] as const,
+        default: "text" as const,
+        describe: "form of the report",
+      }),
+    (args) =>
+      runLocal(
+        { ...args, json: args.json || args.output === "json" },
+        (output) =>
+          check(args.directory, output, { operatorFile: args.operator }),
+      ),
+  )
   .command(
     "diff <directory>",
     "show what applying a configuration would change",
