Compile sites and references named like inherited properties

An approval of an absent caller named "constructor" passed the compiler, because the look-up found the property that all objects inherit; `validate` rejected it. A daemon of a site of that name could not compile any configuration, and its overlay was written into the global Object. Look-ups of names now read own properties only.

--- a/src/coordination/config/check_references.ts
+++ b/src/coordination/config/check_references.ts
@@ -31,7 +31,7 @@
   const routeByMatch = new Map<string, string>();
   for (const [name, route] of Object.entries(config.routes)) {
     const path = ["routes", name];
-    if (config.services[route.service] === undefined) {
+    if (!Object.hasOwn(config.services, route.service)) {
       problems.push({
         path: [...path, "service"],
         message: `route "${name}" points at unknown service "${route.service}"`,
@@ -55,7 +55,7 @@
 function checkApprovals(config: SiteConfig): ReferenceProblem[] {
   return Object.entries(config.services).flatMap(([name, service]) =>
     service.approvedCallers.flatMap((caller, index) =>
-      config.callers[caller] === undefined
+      !Object.hasOwn(config.callers, caller)
         ? [{
           path: ["services", name, "approvedCallers", index],
           message: `service "${name}" approves unknown caller "${caller}"`,
--- a/src/coordination/config/compile_site.ts
+++ b/src/coordination/config/compile_site.ts
@@ -24,7 +24,10 @@
   source: ConfigSource,
   site: string,
 ): Result<SiteConfig, StepError> {
-  const merged = mergePatch(source.base, source.sites[site] ?? {});
+  const { base, sites } = source;
+  // The names of sites may be those of properties that all objects inherit.
+  const overlay = Object.hasOwn(sites, site) ? sites[site]! : {};
+  const merged = mergePatch(base, overlay);
   const parsed = BASE_SCHEMA.safeParse(merged);
   if (!parsed.success) {
     const issue = parsed.error.issues[0]!;
--- a/src/state/resource_set.ts
+++ b/src/state/resource_set.ts
@@ -141,17 +141,18 @@
       routes: {},
       callers: {},
     };
-    const sites: Record<string, Record<string, Json>> = {};
+    const sites = new Map<string, Record<string, Json>>();
     for (const [key, body] of this.entries()) {
       const parts = key.split("/");
       if (parts[0] === "base") {
         setSection(base, parts.slice(1), JSON.parse(body));
         continue;
       }
-      const site = sites[parts[1]!] ??= {};
+      const site = sites.get(parts[1]!) ?? {};
+      sites.set(parts[1]!, site);
       if (parts.length > 2) setSection(site, parts.slice(2), JSON.parse(body));
     }
-    return { base, sites };
+    return { base, sites: Object.fromEntries(sites) };
   }
 }
 
