--- a/src/protocol/source_document.ts
+++ b/src/protocol/source_document.ts
@@ -85,7 +85,8 @@
       ...errors.map((error) =>
         this.#problemAtOffset(
           error.offset,
-          getLocation(text, error.offset).path,
+          // The last step is empty where a key is expected.
+          getLocation(text, error.offset).path.filter((step) => step !== ""),
           `Cannot parse ${file}: ${printParseErrorCode(error.error)}`,
         )
       ),
