Find the line of a source position by binary search

Each position split the text before it into lines. The new test of lines and columns and the former ones pass.

--- a/src/protocol/source_document.ts
+++ b/src/protocol/source_document.ts
@@ -72,13 +72,14 @@
   readonly file: string;
   readonly value: Json;
   readonly problems: readonly Problem[];
-  readonly #text: string;
+  /** Offset of the first character of each line. */
+  readonly #lineOffsets: readonly number[];
   readonly #tree: Node | undefined;
 
   private constructor(file: string, text: string) {
     const errors: ParseError[] = [];
     this.file = file;
-    this.#text = text;
+    this.#lineOffsets = findLineOffsets(text);
     this.#tree = parseTree(text, errors, { allowTrailingComma: true });
     this.value = this.#tree === undefined ? null : getNodeValue(this.#tree);
     this.problems = [
@@ -181,16 +182,28 @@
     path: JsonPath,
     message: string,
   ): Problem {
-    const precedingLines = this.#text.slice(0, offset).split("\n");
+    const line = this.#lineAt(offset);
     return {
       file: this.file,
-      line: precedingLines.length,
-      column: precedingLines.at(-1)!.length + 1,
+      line,
+      column: offset - this.#lineOffsets[line - 1]! + 1,
       path,
       message,
     };
   }
 
+  /** Returns the line of an offset, from 1, by binary search. */
+  #lineAt(offset: number): number {
+    let low = 0;
+    let high = this.#lineOffsets.length - 1;
+    while (low < high) {
+      const middle = Math.ceil((low + high) / 2);
+      if (this.#lineOffsets[middle]! <= offset) low = middle;
+      else high = middle - 1;
+    }
+    return low + 1;
+  }
+
   #findDuplicateKeys(node: Node | undefined): Problem[] {
     if (node?.children === undefined) return [];
     const problems = node.children.flatMap((child) =>
@@ -216,6 +229,18 @@
   }
 }
 
+function findLineOffsets(text: string): number[] {
+  const offsets = [0];
+  for (
+    let index = text.indexOf("\n");
+    index >= 0;
+    index = text.indexOf("\n", index + 1)
+  ) {
+    offsets.push(index + 1);
+  }
+  return offsets;
+}
+
 function readSource(file: string): string {
   try {
     return readFileSync(file, "utf8");
--- a/src/protocol/source_document_test.ts
+++ b/src/protocol/source_document_test.ts
@@ -24,6 +24,19 @@
   );
 });
 
+// Guards against a position that is one line or column off at the ends of lines.
+test("positions count lines and columns from 1", () => {
+  const text = '\n{"a": 1,\r\n\n"b": 2,\n  "c": 3\n}\n';
+  const document = SourceDocument.parse("a", text);
+  const positions = [[], ["a"], ["b"], ["c"]].map((path) => {
+    const { line, column } = document.problemAt(path, "");
+    return [line, column];
+  });
+  assert.equal(positions, [[2, 1], [2, 2], [4, 1], [5, 3]]);
+  const end = SourceDocument.parse("a", '{\n"a": 1\n').problems[0]!;
+  assert.equal([end.line, end.column], [3, 1]);
+});
+
 test("a file that cannot be read is named by the error", () => {
   try {
     SourceDocument.read("/nonexistent/base.jsonc");
