Keep places for transfers that cannot be taken yet

Large responses have to have their place in the order of organisations before their work, and TransferQueue had only transfers that can all be taken. It now takes the next one that is ready, and starts a new transfer no earlier than the current virtual time, so that an organisation whose transfers are not ready does not save up its share. Transfers of one organisation and rank go by objective where they have one. The id belongs to the limiter's requests only.

--- a/src/coordination/dispatch/transfer_limiter.ts
+++ b/src/coordination/dispatch/transfer_limiter.ts
@@ -77,6 +77,7 @@
 }
 
 interface WaitingRequest extends QueuedTransfer {
+  readonly id: string;
   readonly bytes: number | undefined;
   /** Monotonic time until which the sender waits for a permit. */
   readonly deadlineMs: number;
--- a/src/coordination/dispatch/transfer_queue.ts
+++ b/src/coordination/dispatch/transfer_queue.ts
@@ -7,7 +7,6 @@
 
 /** A transfer that waits for a slow link. */
 export interface QueuedTransfer {
-  readonly id: string;
   /** Size that counts against its organisation, in bytes; above 0. */
   readonly costBytes: number;
   /** Organisation of the caller, if it has one. */
@@ -16,6 +15,11 @@
   readonly organisationPriority?: number | undefined;
   /** Rank of the route; 0 is the most urgent. */
   readonly priority?: number | undefined;
+  /**
+   * Monotonic time of its objective, in ms; of one organisation's transfers of
+   * the same rank, the earlier goes first. Without it, they go by arrival.
+   */
+  readonly objectiveAtMs?: number | undefined;
   /** Whether a running request probably waits for it. */
   readonly isSubcall?: boolean | undefined;
   /** Whether it settles what its organisation is owed. */
@@ -42,7 +46,7 @@
 interface Flow<T extends QueuedTransfer> {
   /** Virtual time at which the first one starts, in bytes. */
   startBytes: number;
-  /** By the rank of the route, then by arrival. */
+  /** By the rank of the route, then by objective or arrival. */
   readonly entries: Entry<T>[];
 }
 
@@ -60,17 +64,20 @@
  * organisation's previous transfer if that is later. The first transfer of an
  * organisation therefore starts ahead of the backlogs of the others. Transfers
  * of one organisation, and all without one, go in the order of the routes'
- * ranks, then of arrival. Calls of running requests and transfers that are owed
- * start at the current virtual time.
+ * ranks, then of their objectives or of arrival. Calls of running requests and
+ * transfers that are owed start at the current virtual time.
+ *
+ * A transfer may be added before it can be taken, so that it has its place
+ * already. The others go ahead of it until then.
  *
  * @example
  * ```ts
  * const queue = new TransferQueue<QueuedTransfer>();
- * queue.add({ id: "a1", costBytes: 90_000, organisation: "a" });
- * queue.add({ id: "a2", costBytes: 90_000, organisation: "a" });
- * queue.add({ id: "b1", costBytes: 90_000, organisation: "b" });
- * queue.takeNext()?.id; // "a1"
- * queue.takeNext()?.id; // "b1"
+ * queue.add({ costBytes: 80_000, organisation: "a" });
+ * queue.add({ costBytes: 90_000, organisation: "a" });
+ * queue.add({ costBytes: 70_000, organisation: "b" });
+ * queue.takeNext()?.costBytes; // 80_000
+ * queue.takeNext()?.costBytes; // 70_000
  * ```
  */
 export class TransferQueue<T extends QueuedTransfer> {
@@ -106,22 +113,40 @@
       this.#apart.push({ entry, startBytes: this.#virtualBytes });
       return;
     }
-    const { entries } = this.#flowOf(transfer.organisation ?? NO_ORGANISATION);
-    const rank = transfer.priority ?? 0;
+    const flow = this.#flowOf(transfer.organisation ?? NO_ORGANISATION);
+    const { entries } = flow;
+    const endBytes = entries.reduce(
+      (atBytes, { transfer: { costBytes } }) => atBytes + costBytes,
+      flow.startBytes,
+    );
+    // Otherwise, a backlog of transfers that cannot be taken yet would save up
+    // the share that its organisation does not use meanwhile.
+    flow.startBytes += Math.max(0, this.#virtualBytes - endBytes);
     let index = entries.length;
-    while (index > 0 && (entries[index - 1]!.transfer.priority ?? 0) > rank) {
+    while (index > 0 && goesBefore(transfer, entries[index - 1]!.transfer)) {
       index--;
     }
     entries.splice(index, 0, entry);
   }
 
+  /**
+   * Returns the transfer that would be taken next.
+   *
+   * @param isReady Whether a transfer can be taken.
+   * @returns The transfer; `undefined` if none can be taken.
+   */
+  peekNext(isReady: (transfer: T) => boolean): T | undefined {
+    return this.#findNext(isReady)?.entry.transfer;
+  }
+
   /**
    * Takes the next transfer.
    *
-   * @returns The transfer; `undefined` if none waits.
+   * @param isReady Whether a transfer can be taken; all can by default.
+   * @returns The transfer; `undefined` if none can be taken.
    */
-  takeNext(): T | undefined {
-    const next = this.#findNext();
+  takeNext(isReady: (transfer: T) => boolean = () => true): T | undefined {
+    const next = this.#findNext(isReady);
     if (next === undefined) return undefined;
     this.#virtualBytes = Math.max(this.#virtualBytes, next.startBytes);
     const { transfer } = next.entry;
@@ -144,6 +169,11 @@
       .map(({ transfer }) => transfer);
   }
 
+  /** Returns the waiting transfers, in no particular order. */
+  transfers(): readonly T[] {
+    return this.#entries().map(({ transfer }) => transfer);
+  }
+
   /**
    * Returns the place of a waiting transfer in the order in which the transfers
    * would be taken.
@@ -180,13 +210,16 @@
     return placed;
   }
 
-  #findNext(): Placed<T> | undefined {
+  #findNext(isReady: (transfer: T) => boolean): Placed<T> | undefined {
     let next: Placed<T> | undefined;
     for (const placed of this.#apart) {
+      if (!isReady(placed.entry.transfer)) continue;
       if (next === undefined || compare(placed, next) < 0) next = placed;
     }
     for (const { startBytes, entries } of this.#flows.values()) {
-      const placed = { entry: entries[0]!, startBytes };
+      const entry = entries.find(({ transfer }) => isReady(transfer));
+      if (entry === undefined) continue;
+      const placed = { entry, startBytes };
       if (next === undefined || compare(placed, next) < 0) next = placed;
     }
     return next;
@@ -234,6 +267,13 @@
   return isSubcall === true || isOwed === true;
 }
 
+/** Whether a new transfer goes before an earlier one of its organisation. */
+function goesBefore(added: QueuedTransfer, other: QueuedTransfer): boolean {
+  const ranks = (added.priority ?? 0) - (other.priority ?? 0);
+  if (ranks !== 0) return ranks < 0;
+  return (added.objectiveAtMs ?? 0) < (other.objectiveAtMs ?? 0);
+}
+
 /**
  * Of transfers with the same start, what is owed goes last, as it belongs to an
  * organisation with a backlog, and then the more urgent rank goes first.
--- a/src/coordination/dispatch/transfer_queue_test.ts
+++ b/src/coordination/dispatch/transfer_queue_test.ts
@@ -2,10 +2,14 @@
 import * as assert from "uvu/assert";
 import { type QueuedTransfer, TransferQueue } from "./transfer_queue.ts";
 
+interface NamedTransfer extends QueuedTransfer {
+  readonly id: string;
+}
+
 function queueOf(
-  transfers: readonly QueuedTransfer[],
-): TransferQueue<QueuedTransfer> {
-  const queue = new TransferQueue<QueuedTransfer>();
+  transfers: readonly NamedTransfer[],
+): TransferQueue<NamedTransfer> {
+  const queue = new TransferQueue<NamedTransfer>();
   for (const transfer of transfers) queue.add(transfer);
   return queue;
 }
@@ -14,7 +18,7 @@
   organisation: string,
   count: number,
   costBytes = 1_000,
-): QueuedTransfer[] {
+): NamedTransfer[] {
   return Array.from({ length: count }, (_, index) => ({
     id: `${organisation}${index}`,
     costBytes,
@@ -22,7 +26,7 @@
   }));
 }
 
-function takeIds(queue: TransferQueue<QueuedTransfer>, count: number): string {
+function takeIds(queue: TransferQueue<NamedTransfer>, count: number): string {
   return Array.from({ length: count }, () => queue.takeNext()?.id ?? "-")
     .join(" ");
 }
@@ -94,4 +98,35 @@
   assert.is(takeIds(queue, 6), "idle0 busy0 idle1 busy1 idle2 busy2");
 });
 
+// Load: one organisation with a backlog of which only the last can be taken, and
+// one whose transfers can all be taken.
+test("takeNext() takes what is ready, at the place of its organisation", () => {
+  const queue = queueOf([...backlogOf("a", 3), ...backlogOf("b", 3)]);
+  const isReady = ({ id }: NamedTransfer) => /^b|a2/.test(id);
+  const ids = Array.from({ length: 5 }, () => queue.takeNext(isReady)?.id);
+  assert.equal([...ids, queue.size], ["a2", "b0", "b1", "b2", undefined, 2]);
+});
+
+// Load: an organisation that always has transfers that cannot be taken yet.
+// Failure: it saves up the share that it does not use meanwhile.
+test("add() starts no transfer before the current virtual time", () => {
+  const queue = queueOf(backlogOf("idle", 1));
+  for (const transfer of backlogOf("busy", 50)) queue.add(transfer);
+  for (let index = 0; index < 50; index++) {
+    queue.takeNext(({ organisation }) => organisation === "busy");
+  }
+  for (const transfer of backlogOf("idle", 8)) queue.add(transfer);
+  for (const transfer of backlogOf("busy", 8)) queue.add(transfer);
+  assert.is(takeIds(queue, 6), "idle0 idle0 idle1 busy0 idle2 busy1");
+});
+
+test("add() goes by objective within an organisation and rank", () => {
+  const queue = queueOf([
+    { id: "late", costBytes: 1, objectiveAtMs: 900 },
+    { id: "early", costBytes: 1, objectiveAtMs: 300 },
+    { id: "urgent", costBytes: 1, objectiveAtMs: 950, priority: -1 },
+  ]);
+  assert.is(takeIds(queue, 3), "urgent early late");
+});
+
 test.run();
