Order and refuse large responses by organisation

Large responses over a slow link were ordered by rank and objective, and refused by all bytes of the rank, so that an organisation with many times its usual downloads took the link from all others.

LinkQueue orders them within a rank by start-time fair queueing (TransferQueue), with what FairShares owes to organisations served less than a quarter as often as all. A request has the place of its response from its start, and is refused before its work by the bytes ahead of it and by the learned progress of the virtual time. While nothing is refused, admission is not stricter than before. A response whose work is done is always sent. Load reports state the wait of an organisation without a backlog.

--- a/src/coordination/dispatch/link_schedule.ts
+++ b/src/coordination/dispatch/link_schedule.ts
@@ -1,3 +1,8 @@
+import {
+  LinkQueue,
+  type LinkReservation,
+  type LinkUser,
+} from "./link_queue.ts";
 import { ResponseSizes } from "./response_sizes.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { needsTransferPermit } from "./transfer_limiter.ts";
@@ -15,18 +20,14 @@
 const BYTES_PER_MBPS_MS = 125;
 
 /** A large response that waits for the link or is being sent. */
-export interface Transfer {
+export interface Transfer extends LinkUser {
   readonly bytes: number;
-  /** 0 is the most urgent. */
-  readonly priority: number;
-  /** Monotonic time until which it meets its latency objective. */
-  readonly objectiveAtMs: number;
 }
 
-/** Expected use of the link by a request that has no response yet. */
-export interface LinkReservation {
-  readonly bytes: number;
-  readonly priority: number;
+/** A request whose response may be large. */
+export interface LinkRequest extends LinkUser {
+  /** Name of its route. */
+  readonly route: string;
 }
 
 /** A piece of a response that may be sent now. */
@@ -41,8 +42,9 @@
  *
  * They are sent one after the other, in pieces at a little less than the
  * bandwidth: a link that is full of whole responses would make each small
- * response, and each new connection, wait behind all of them. More urgent
- * responses go first, then those with the earlier objective.
+ * response, and each new connection, wait behind all of them. Their order is
+ * that of {@linkcode LinkQueue}: without organisations, more urgent ones go
+ * first, then those with the earlier objective.
  *
  * @example
  * ```ts
@@ -56,8 +58,7 @@
   readonly #serviceTimes = new ServiceTimes();
   readonly #linkMbps: number;
   readonly #bytesPerMs: number;
-  readonly #reservations = new Set<LinkReservation>();
-  #waiting: T[] = [];
+  readonly #queue: LinkQueue<T>;
   #current: { readonly transfer: T; sentBytes: number } | undefined;
   /** Monotonic time from which the next piece may be sent. */
   #nextPieceAtMs = -Infinity;
@@ -70,11 +71,17 @@
   constructor(linkMbps: number) {
     this.#linkMbps = linkMbps;
     this.#bytesPerMs = linkMbps * BYTES_PER_MBPS_MS * LARGE_RESPONSE_SHARE;
+    this.#queue = new LinkQueue(this.#bytesPerMs);
   }
 
   /** Number of responses that wait or are being sent. */
   get pending(): number {
-    return this.#waiting.length + (this.#current === undefined ? 0 : 1);
+    return this.#queue.waiting + (this.#current === undefined ? 0 : 1);
+  }
+
+  /** Number of reservations that have not ended. */
+  get reserved(): number {
+    return this.#queue.size - this.#queue.waiting;
   }
 
   /**
@@ -111,67 +118,93 @@
     return this.isLarge(this.#sizes.expectedBytes(route));
   }
 
+  /**
+   * Records that a request has arrived that is about to be admitted or refused.
+   *
+   * @param request The request.
+   * @param nowMs Monotonic time, in ms.
+   */
+  recordOffer(request: LinkRequest, nowMs: number): void {
+    if (this.isLong(request.route)) this.#queue.recordOffer(request, nowMs);
+  }
+
+  /**
+   * Records that a request was refused because of its estimate.
+   *
+   * @param nowMs Monotonic time, in ms.
+   */
+  recordRefusal(nowMs: number): void {
+    this.#queue.recordRefusal(nowMs);
+  }
+
   /**
    * Returns how long the response of a request that starts now would wait for
    * the link after its work, and when it would have been sent.
    *
-   * @param route Name of the route.
-   * @param priority Rank of the request.
+   * @param request The request.
+   * @param nowMs Monotonic time, in ms.
    * @returns Both times from now, in ms; 0 for a route with short responses.
    */
   estimate(
-    route: string,
-    priority: number,
+    request: LinkRequest,
+    nowMs: number,
   ): { readonly waitMs: number; readonly sentMs: number } {
+    const { route } = request;
     if (!this.isLong(route)) return { waitMs: 0, sentMs: 0 };
-    let bytes = 0;
-    for (const reservation of this.#reservations) {
-      if (reservation.priority <= priority) bytes += reservation.bytes;
-    }
-    for (const transfer of this.#waiting) {
-      if (transfer.priority <= priority) bytes += transfer.bytes;
-    }
-    if (this.#current !== undefined) {
-      bytes += this.#current.transfer.bytes - this.#current.sentBytes;
-    }
+    const ownBytes = this.#sizes.expectedBytes(route);
+    const backlog = this.#queue.backlogBefore(request, ownBytes, nowMs);
+    const bytes = backlog.bytes + this.#sendingBytes;
+    const inOrderMs = bytes / this.#bytesPerMs;
     // The link sends other responses while the request runs.
     const serviceMs = this.#serviceTimes.expectedMs(route);
-    const waitMs = Math.max(0, bytes / this.#bytesPerMs - serviceMs);
-    const transferMs = this.#sizes.expectedBytes(route) / this.#bytesPerMs;
+    const waitMs = Math.max(0, Math.max(inOrderMs, backlog.turnMs) - serviceMs);
+    const transferMs = ownBytes / this.#bytesPerMs;
     return { waitMs, sentMs: serviceMs + waitMs + transferMs };
   }
 
   /**
    * Reserves the link for the response of a request that starts.
    *
-   * @param route Name of its route.
-   * @param priority Its rank.
+   * @param request The request.
+   * @param nowMs Monotonic time, in ms.
    * @returns The reservation; `undefined` for a route with short responses.
    */
-  reserve(route: string, priority: number): LinkReservation | undefined {
+  reserve(request: LinkRequest, nowMs: number): LinkReservation | undefined {
+    const { route } = request;
     if (!this.isLong(route)) return undefined;
     const bytes = this.#sizes.expectedBytes(route);
-    const reservation = { bytes, priority };
-    this.#reservations.add(reservation);
-    return reservation;
+    return this.#queue.reserve(request, bytes, nowMs);
+  }
+
+  /**
+   * Counts the expected bytes of a reservation no longer, as the request has
+   * ended. It keeps its place for the response.
+   *
+   * @param reservation The reservation, if there was one.
+   */
+  settle(reservation: LinkReservation | undefined): void {
+    if (reservation !== undefined) this.#queue.settle(reservation);
   }
 
   /**
-   * Ends a reservation, as the request has ended.
+   * Ends a reservation, as the request has ended without a large response.
    *
    * @param reservation The reservation, if there was one.
    */
   release(reservation: LinkReservation | undefined): void {
-    if (reservation !== undefined) this.#reservations.delete(reservation);
+    if (reservation !== undefined) this.#queue.release(reservation);
   }
 
   /**
-   * Adds a large response.
+   * Adds a large response. It is sent in any case, as its work is done.
    *
    * @param transfer The response.
+   * @param nowMs Monotonic time, in ms.
+   * @param reservation Its reservation, which ends, if there was one.
    */
-  add(transfer: T): void {
-    this.#waiting.push(transfer);
+  add(transfer: T, nowMs: number, reservation?: LinkReservation): void {
+    const { bytes } = transfer;
+    this.#queue.add(transfer, { user: transfer, bytes, nowMs, reservation });
   }
 
   /**
@@ -180,7 +213,7 @@
    * @param transfer The response.
    */
   remove(transfer: T): void {
-    this.#waiting = this.#waiting.filter((other) => other !== transfer);
+    this.#queue.remove(transfer);
     if (this.#current?.transfer === transfer) this.#current = undefined;
   }
 
@@ -192,7 +225,7 @@
    */
   takePiece(nowMs: number): TransferPiece<T> | undefined {
     if (nowMs < this.#nextPieceAtMs) return undefined;
-    this.#current ??= this.#startNext();
+    this.#current ??= this.#startNext(nowMs);
     if (this.#current === undefined) return undefined;
     const { transfer, sentBytes } = this.#current;
     const end = Math.min(transfer.bytes, sentBytes + PIECE_BYTES);
@@ -215,19 +248,16 @@
     return Math.max(0, this.#nextPieceAtMs - nowMs);
   }
 
-  #startNext(): { readonly transfer: T; sentBytes: number } | undefined {
-    let next = this.#waiting[0];
-    if (next === undefined) return undefined;
-    for (const transfer of this.#waiting) {
-      if (isBefore(transfer, next)) next = transfer;
-    }
-    const transfer = next;
-    this.#waiting = this.#waiting.filter((other) => other !== transfer);
-    return { transfer, sentBytes: 0 };
+  /** Bytes that are left of the response that is being sent. */
+  get #sendingBytes(): number {
+    if (this.#current === undefined) return 0;
+    return this.#current.transfer.bytes - this.#current.sentBytes;
   }
-}
 
-function isBefore(a: Transfer, b: Transfer): boolean {
-  if (a.priority !== b.priority) return a.priority < b.priority;
-  return a.objectiveAtMs < b.objectiveAtMs;
+  #startNext(
+    nowMs: number,
+  ): { readonly transfer: T; sentBytes: number } | undefined {
+    const transfer = this.#queue.takeNext(nowMs);
+    return transfer === undefined ? undefined : { transfer, sentBytes: 0 };
+  }
 }
--- a/src/coordination/dispatch/mod.ts
+++ b/src/coordination/dispatch/mod.ts
@@ -21,6 +21,7 @@
 export * from "./work_item.ts";
 export * from "./work_queue.ts";
 export * from "./response_sizes.ts";
+export * from "./link_queue.ts";
 export * from "./link_schedule.ts";
 export * from "./cost_distribution.ts";
 export * from "./domain_load.ts";
--- a/src/coordination/dispatch/virtual_progress.ts
+++ b/src/coordination/dispatch/virtual_progress.ts
@@ -1,7 +1,12 @@
-/** Time constant with which the progress is forgotten, in ms. */
-const DECAY_MS = 1_000;
-/** Time with a backlog that the bandwidth of the link counts for, in ms. */
-const PRIOR_MS = 250;
+/** Settings of {@linkcode VirtualProgress}. */
+export interface VirtualProgressOptions {
+  /** Time constant with which the progress is forgotten, in ms. */
+  readonly decayMs: number;
+  /** Time with a backlog that the bandwidth of the link counts for, in ms. */
+  readonly priorMs: number;
+}
+
+const DEFAULTS: VirtualProgressOptions = { decayMs: 1_000, priorMs: 250 };
 
 /**
  * Learns how fast the virtual time of a link passes while transfers wait: the
@@ -21,6 +26,16 @@
   #virtualBytes = 0;
   #hasBacklog = false;
   #atMs = 0;
+  readonly #options: VirtualProgressOptions;
+
+  /**
+   * Creates an estimate from the bandwidth alone.
+   *
+   * @param options What counts besides the newest progress.
+   */
+  constructor(options: VirtualProgressOptions = DEFAULTS) {
+    this.#options = options;
+  }
 
   /**
    * Records the virtual time.
@@ -31,7 +46,7 @@
    */
   record(virtualBytes: number, hasBacklog: boolean, nowMs: number): void {
     const elapsedMs = Math.max(0, nowMs - this.#atMs);
-    const left = Math.exp(-elapsedMs / DECAY_MS);
+    const left = Math.exp(-elapsedMs / this.#options.decayMs);
     const passedMs = this.#hasBacklog ? elapsedMs : 0;
     this.#backlogMs = this.#backlogMs * left + passedMs;
     this.#bytes = this.#bytes * left + virtualBytes - this.#virtualBytes;
@@ -48,7 +63,8 @@
    * @returns The time from now, in ms.
    */
   expectedMs(bytes: number, bytesPerMs: number): number {
-    return bytes * (this.#backlogMs + PRIOR_MS) /
-      (this.#bytes + PRIOR_MS * bytesPerMs);
+    const { priorMs } = this.#options;
+    return bytes * (this.#backlogMs + priorMs) /
+      (this.#bytes + priorMs * bytesPerMs);
   }
 }
--- a/src/sidecar/peer_response_writer.ts
+++ b/src/sidecar/peer_response_writer.ts
@@ -50,6 +50,7 @@
   readonly #link: LinkSchedule<PacedBody>;
   readonly #options: PeerResponseWriterOptions;
   readonly #refusedLines: LogRateLimiter;
+  readonly #reservations = new WeakMap<MeshCall, LinkReservation>();
   #timer: NodeJS.Timeout | undefined;
 
   /**
@@ -66,6 +67,11 @@
     );
   }
 
+  /** Number of reservations that have not ended. */
+  get reserved(): number {
+    return this.#link.reserved;
+  }
+
   /**
    * Refuses a request whose response could not be sent in time. Its work would
    * only take a slot from others.
@@ -74,20 +80,20 @@
    * @returns The refusal; `undefined` if the link has room.
    */
   findRefusal(call: MeshCall): CallOutcome | undefined {
-    const { waitMs, sentMs } = this.#link.estimate(
-      call.route,
-      call.priority,
-    );
-    if (waitMs === 0) return undefined;
     const nowMs = performance.now();
+    this.#link.recordOffer(call, nowMs);
+    const { waitMs, sentMs } = this.#link.estimate(call, nowMs);
+    if (waitMs === 0) return undefined;
     const latestMs = latestSentMs(call, nowMs);
     if (nowMs + sentMs <= latestMs) return undefined;
+    this.#link.recordRefusal(nowMs);
     const { log, metrics } = this.#options;
     metrics.count("link_refusals_total");
     if (this.#refusedLines.allows(nowMs)) {
       log.info("link-full", {
         id: call.id,
         route: call.route,
+        organisation: call.organisation,
         waitMs: Math.round(waitMs),
         sentMs: Math.round(sentMs),
         leftMs: Math.round(latestMs - nowMs),
@@ -99,20 +105,31 @@
   /**
    * Reserves the link for the response of a request that starts.
    *
+   * @param call The request; {@linkcode release} has to be called at its end.
+   */
+  reserve(call: MeshCall): void {
+    const reservation = this.#link.reserve(call, performance.now());
+    if (reservation !== undefined) this.#reservations.set(call, reservation);
+  }
+
+  /**
+   * Counts the expected response of a request no longer, as it has ended in any
+   * way. Its response keeps the reserved place.
+   *
    * @param call The request.
-   * @returns The reservation, to be released at its end.
    */
-  reserve(call: MeshCall): LinkReservation | undefined {
-    return this.#link.reserve(call.route, call.priority);
+  settle(call: MeshCall): void {
+    this.#link.settle(this.#reservations.get(call));
   }
 
   /**
-   * Ends the reservation of a request that has ended in any way.
+   * Ends the reservation of a request, unless its response is written in pieces.
    *
-   * @param reservation The reservation, if there was one.
+   * @param call The request.
    */
-  release(reservation: LinkReservation | undefined): void {
-    this.#link.release(reservation);
+  release(call: MeshCall): void {
+    this.#link.release(this.#reservations.get(call));
+    this.#reservations.delete(call);
   }
 
   /**
@@ -128,14 +145,19 @@
   }
 
   /**
-   * Adds the wait for the link to a load report.
+   * Adds the wait for the link to a load report, for an organisation without a
+   * backlog, as the report counts for all organisations.
    *
    * @param call The request that the report answers.
    * @param load Load of the backend server.
    * @returns The load of the destination as a whole.
    */
   withLinkWait(call: MeshCall, load: DestinationLoad): DestinationLoad {
-    const { waitMs } = this.#link.estimate(call.route, call.priority);
+    const { route, priority, objectiveAtMs } = call;
+    const { waitMs } = this.#link.estimate(
+      { route, priority, objectiveAtMs },
+      performance.now(),
+    );
     return waitMs <= load.waitMs ? load : { ...load, waitMs };
   }
 
@@ -188,10 +210,13 @@
       bytes: body.length,
       priority: call.priority,
       objectiveAtMs: call.objectiveAtMs,
+      organisation: call.organisation,
+      organisationPriority: call.organisationPriority,
+      isSubcall: call.isSubcall,
       body,
       response,
     };
-    this.#link.add(paced);
+    this.#link.add(paced, performance.now(), this.#reservations.get(call));
     response.once("close", () => {
       this.#link.remove(paced);
       this.#sendPieces();
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -235,6 +235,7 @@
       });
       this.#respond({ call, outcome, arrivedAtMs }, response);
     } finally {
+      this.#responses.release(call);
       read.release();
     }
   }
@@ -314,7 +315,7 @@
       readPendingClose: async () => {
         if (mayBeStale) await waitForNextPoll();
       },
-    });
+    }).finally(() => this.#responses.release(call));
     const response = outcome.kind === "answered" ? outcome.answer : undefined;
     received.answer(
       formatFrameHead({
@@ -352,13 +353,13 @@
     await arrival.readPendingClose();
     const refusal = this.#responses.findRefusal(call);
     if (refusal !== undefined) return refusal;
-    const reservation = this.#responses.reserve(call);
+    this.#responses.reserve(call);
     try {
       const outcome = await dispatcher.execute(call, arrival.signal);
       this.#responses.recordSize(call, outcome);
       return outcome;
     } finally {
-      this.#responses.release(reservation);
+      this.#responses.settle(call);
     }
   }
 
