Split store_sync_task.ts by subject

StoreView applies what is read and serves it to followers, ConfigReader reads the configuration beside the polls, StorePoller polls and doubts a poll, RecoveryRunner waits for a doubted store; StoreSyncTask keeps the loop. No change of behaviour; store_sync, store_recovery and feed pass.

--- /dev/null
+++ b/src/sidecar/store_view.ts
@@ -0,0 +1,355 @@
+import { Buffer } from "node:buffer";
+import type { ChangeBatch, FeedAnswer, FeedPoll } from "../protocol/feed.ts";
+import type { RangeResult, StoreEntry } from "../protocol/store.ts";
+import type { BackendDirectory } from "../state/backend_directory.ts";
+import { FeedHistory } from "../state/feed_history.ts";
+import type { RouteTableHolder } from "../state/route_table_holder.ts";
+import { StoreContact } from "../state/store_contact.ts";
+import { ViewAge } from "../state/view_age.ts";
+import type { EventLog } from "../transport/observe/event_log.ts";
+import type { TextMetrics } from "../transport/observe/text_metrics.ts";
+import { RECORD_PREFIX } from "./backend_record_codec.ts";
+import type { FollowedBatch } from "./feed_follower.ts";
+import type { MeshConfigSource } from "./ports.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
+import { ConfigOrigin, StoreEntryApplier } from "./store_entry_applier.ts";
+
+/** Age of a reader's view from which it refuses its followers, in ms. */
+export const MAX_READER_AGE_MS = 1_500;
+
+/** Options of a {@linkcode StoreView}. */
+export interface StoreViewOptions {
+  readonly configSource: MeshConfigSource;
+  readonly routes: RouteTableHolder;
+  readonly directory: BackendDirectory;
+  readonly quarantine: RequestQuarantine;
+  readonly log: EventLog;
+  readonly metrics: TextMetrics;
+  /** Called after a configuration was adopted. */
+  readonly onConfigAdopted: () => void;
+  /** Called with the entry of the local record; `undefined` if missing. */
+  readonly onLocalRecord: (entry: StoreEntry | undefined) => void;
+  readonly localKey: string;
+  /** Bandwidth of this daemon's link, in Mbit/s; 0 if unknown. */
+  readonly linkMbps: number;
+  /** Called once an instance has been removed from the directory. */
+  readonly onRemoved: (instance: string) => void;
+  /** Called once all entries of the first listing were applied. */
+  readonly onFirstListing?: () => void;
+  /** Called with each entry that is neither a configuration nor a record. */
+  readonly onOtherEntry?: (key: string, entry: StoreEntry | undefined) => void;
+}
+
+/**
+ * What this daemon knows of the store: applies listings and changes, tells how
+ * old the view is, and serves the changes to the daemons that follow this one.
+ *
+ * @example
+ * ```ts ignore
+ * const view = new StoreView(options);
+ * const revision = view.applyFirstListing(range, sentAtMs);
+ * ```
+ */
+export class StoreView {
+  readonly #options: StoreViewOptions;
+  readonly #history = new FeedHistory();
+  readonly #contact = new StoreContact(performance.now());
+  readonly #applier: StoreEntryApplier;
+  /** Age of the view of all keys. */
+  readonly #view = new ViewAge();
+  /** Age of the view of the configuration, which is also read by itself. */
+  readonly #configView = new ViewAge();
+  /** Resolves once a store that is lost has been regained. */
+  #regained: Promise<void> | undefined;
+  #resolveRegained: (() => void) | undefined;
+  #hasListed = false;
+  /** Newest version that another daemon has named. */
+  newestPeerVersion = 0;
+
+  /**
+   * Creates a view before the first listing.
+   *
+   * @param options Configuration, directory and what depends on them.
+   */
+  constructor(options: StoreViewOptions) {
+    this.#options = options;
+    this.#applier = new StoreEntryApplier({
+      ...options,
+      isConnected: () => this.#contact.isConnected,
+      newestPeerVersion: () => this.newestPeerVersion,
+      viewAgeMs: () => this.ageMs(),
+    });
+  }
+
+  /** Whether the store was listed at least once. */
+  get hasListed(): boolean {
+    return this.#hasListed;
+  }
+
+  /** Whether the store is taken to answer. */
+  get isConnected(): boolean {
+    return this.#contact.isConnected;
+  }
+
+  /** Monotonic time of the last version that took long to come, in ms. */
+  get slowVersionAtMs(): number {
+    return this.#applier.slowVersionAtMs;
+  }
+
+  /**
+   * Returns the time since this daemon's view of the store was last known to be
+   * complete. It leaves out the transit of the response that said so.
+   *
+   * @returns The age, in ms; infinite before the first response.
+   */
+  ageMs(): number {
+    return this.#view.ageMs(performance.now());
+  }
+
+  /**
+   * Returns the time since the configuration was last known to be the newest.
+   *
+   * @returns The age, in ms; infinite before the first response.
+   */
+  configAgeMs(): number {
+    const nowMs = performance.now();
+    return Math.min(this.#view.ageMs(nowMs), this.#configView.ageMs(nowMs));
+  }
+
+  /** Stops waiting for records that are missing. */
+  stop(): void {
+    this.#applier.stop();
+  }
+
+  /** Records that the store no longer answers. */
+  lose(): void {
+    this.#contact.lose();
+  }
+
+  /** Ends the waits of followers, as the store is lost. */
+  wakeFollowers(): void {
+    this.#history.wake();
+  }
+
+  /** Resolves once the view is complete again. */
+  waitForRegain(): Promise<void> {
+    this.#regained ??= new Promise((resolve) => {
+      this.#resolveRegained = resolve;
+    });
+    return this.#regained;
+  }
+
+  /**
+   * Adopts a configuration of another daemon.
+   *
+   * @param bytes The configuration.
+   */
+  adoptPeerConfig(bytes: Uint8Array): void {
+    this.#applier.adoptConfig(bytes, ConfigOrigin.Peer);
+  }
+
+  /**
+   * Applies a read of the configuration's key.
+   *
+   * @param range The result.
+   * @param sentAtMs Monotonic time at which the read was sent, in ms.
+   */
+  applyKeyRead(range: RangeResult, sentAtMs: number): void {
+    for (const entry of range.entries) {
+      this.#applier.applyEntry(entry, ConfigOrigin.KeyRead);
+    }
+    this.#configView.confirm(sentAtMs);
+  }
+
+  /**
+   * Waits for changes that this daemon reads from the store.
+   *
+   * @param poll Where the follower goes on, and how long it waits.
+   * @param readsStore Whether this daemon reads the store now.
+   * @returns The changes, or why this daemon cannot say that there are none.
+   */
+  async waitForUpdate(
+    poll: FeedPoll,
+    readsStore: () => boolean,
+  ): Promise<FeedAnswer> {
+    const { afterRevision, waitMs, waitsForStore } = poll;
+    const deadlineMs = performance.now() + waitMs;
+    for (;;) {
+      if (!readsStore()) return { kind: "refused" };
+      const batch = this.#history.since(afterRevision);
+      const nowMs = performance.now();
+      const isCurrent = this.#contact.isConnected &&
+        this.ageMs() < MAX_READER_AGE_MS;
+      if (batch !== undefined) {
+        // Changes are worth having, however old the view is.
+        const hasChanged = batch.events.length > 0;
+        if (hasChanged || isCurrent && nowMs >= deadlineMs) {
+          return { kind: "changes", batch };
+        }
+      }
+      if (!isCurrent && (!waitsForStore || nowMs >= deadlineMs)) {
+        return { kind: "away" };
+      }
+      const currentForMs = isCurrent
+        ? MAX_READER_AGE_MS - this.ageMs()
+        : Infinity;
+      await this.#history.waitForChange(
+        Math.max(1, Math.min(deadlineMs - nowMs, currentForMs)),
+      );
+    }
+  }
+
+  /**
+   * Applies the first listing of the store.
+   *
+   * @param range The listing.
+   * @param sentAtMs Monotonic time at which it was sent, in ms.
+   * @returns Whether the store has a configuration.
+   */
+  applyFirstListing(range: RangeResult, sentAtMs: number): boolean {
+    const { configSource, directory } = this.#options;
+    const { entries, revision } = range;
+    this.#hasListed = true;
+    this.#history.reset(entries, revision);
+    for (const entry of entries) {
+      this.#applier.applyEntry(entry, ConfigOrigin.Listing);
+    }
+    this.#applier.replaceExempt(entries.map(({ key }) => key));
+    this.#markConnected(sentAtMs);
+    const present = new Set(entries.map((entry) => entry.key));
+    for (const { record } of directory.entries) {
+      const key = RECORD_PREFIX + record.instance;
+      if (!present.has(key)) this.#applier.markMissing(key);
+    }
+    if (!present.has(this.#options.localKey)) {
+      this.#options.onLocalRecord(undefined);
+    }
+    this.#options.onFirstListing?.();
+    return present.has(configSource.key);
+  }
+
+  /**
+   * Applies changes of another daemon.
+   *
+   * @param batch The changes.
+   * @returns The revision from which to go on.
+   */
+  applyFollowed(batch: FollowedBatch): number {
+    this.#applyUpdate(
+      batch.isComplete ? this.#compareState(batch) : batch,
+      ConfigOrigin.Reader,
+    );
+    this.#markConnected(performance.now() - batch.viewAgeMs);
+    return batch.revision;
+  }
+
+  /**
+   * Applies the changes that a poll of the store has returned.
+   *
+   * @param batch The changes.
+   * @param atMs Monotonic time at which they were all, in ms.
+   */
+  applyPolled(batch: ChangeBatch, atMs: number): void {
+    this.#applyUpdate(batch, ConfigOrigin.Poll);
+    this.#markConnected(atMs);
+  }
+
+  /**
+   * Applies a listing of the store after an earlier one.
+   *
+   * @param range The listing.
+   * @param from The state before.
+   * @returns The revision from which to go on.
+   */
+  applyListing(
+    range: RangeResult,
+    from: {
+      readonly afterRevision: number;
+      /** Whether the store can still tell the changes since then. */
+      readonly hasHistory: boolean;
+      /** Monotonic time at which the listing was sent, in ms. */
+      readonly sentAtMs: number;
+    },
+  ): number {
+    const { configSource, routes } = this.#options;
+    const { afterRevision, hasHistory, sentAtMs } = from;
+    const versionBefore = routes.version;
+    const { entries, revision } = range;
+    const state = this.#compareState({
+      events: entries.map((entry) => ({ key: entry.key, entry })),
+      revision,
+      isComplete: true,
+    });
+    const events = state.events.filter(({ entry }) =>
+      entry === undefined || entry.modRevision > afterRevision
+    );
+    this.#applyUpdate(
+      { events, revision, isComplete: false },
+      ConfigOrigin.Listing,
+    );
+    this.#markConnected(sentAtMs);
+    const config = events.find(({ key }) => key === configSource.key)?.entry;
+    // The last write may be an older version that hides a newer one before it.
+    const mayHide = config !== undefined && routes.version === versionBefore &&
+      Buffer.compare(config.value, routes.encodedConfig) !== 0;
+    return mayHide && hasHistory ? afterRevision : revision;
+  }
+
+  /**
+   * Counts a call of the store.
+   *
+   * @param call Name of the call.
+   * @param sentAtMs Monotonic time at which it was sent, in ms.
+   * @param isOk Whether it was answered.
+   */
+  countCall(call: string, sentAtMs: number, isOk: boolean): void {
+    const result = isOk ? "ok" : "failed";
+    const nowMs = performance.now();
+    const { log, metrics } = this.#options;
+    metrics.count("store_calls_total", { call, result });
+    if (isOk) return this.#contact.recordAnswer(nowMs);
+    log.info("store-call-failed", {
+      call,
+      tookMs: Math.round(nowMs - sentAtMs),
+      awayMs: Math.round(this.#contact.awayMs(nowMs)),
+    });
+  }
+
+  /** Adds the deletion of each key that a complete state lacks. */
+  #compareState(batch: ChangeBatch): ChangeBatch {
+    const { directory, localKey } = this.#options;
+    const present = new Set(batch.events.map(({ key }) => key));
+    const known = [...directory.entries].map(({ record }) =>
+      RECORD_PREFIX + record.instance
+    );
+    const missing = [...new Set([...known, localKey])]
+      .filter((key) => !present.has(key)).map((key) => ({ key }));
+    this.#applier.replaceExempt(batch.events.map(({ key }) => key));
+    return { ...batch, events: [...batch.events, ...missing] };
+  }
+
+  #applyUpdate(update: ChangeBatch, origin: ConfigOrigin): void {
+    for (const { key, entry } of update.events) {
+      if (entry === undefined) this.#applier.markMissing(key);
+      else this.#applier.applyEntry(entry, origin);
+    }
+    this.#history.record(update.events, update.revision);
+  }
+
+  /** Records a monotonic time at which the view was complete, in ms. */
+  #markConnected(completeAtMs: number): void {
+    const nowMs = performance.now();
+    this.#view.confirm(completeAtMs);
+    const returned = this.#contact.regain(nowMs);
+    this.#history.wake();
+    this.#resolveRegained?.();
+    this.#regained = undefined;
+    if (returned === undefined) return;
+    const { log, metrics } = this.#options;
+    metrics.observe("store_answered_unnoticed_ms", returned.answeredForMs);
+    log.info("store-regained", {
+      awayMs: Math.round(returned.awayMs),
+      answeredForMs: Math.round(returned.answeredForMs),
+    });
+  }
+}
