--- a/src/coordination/rollout/rollout_coordinator.ts
+++ b/src/coordination/rollout/rollout_coordinator.ts
@@ -1,3 +1,4 @@
+import { compareEras, EraOrder } from "../eras/mod.ts";
 import {
   isActivePhase,
   type RolloutOrder,
@@ -6,11 +7,19 @@
   type RolloutReport,
 } from "../../protocol/rollout.ts";
 import { decideStep } from "./decide_step.ts";
+import { keepsRecord } from "./keeps_record.ts";
+import { OrderMemory } from "./order_memory.ts";
 import { type VersionJudgement, VersionVerdict } from "./judge_version.ts";
 import { RolloutObservations } from "./rollout_observations.ts";
+import {
+  baselineRecord,
+  figuresOf,
+  orderedRecord,
+  takenOverRecord,
+} from "./rollout_records.ts";
 import { RolloutReason } from "./rollout_types.ts";
 import type {
-  RolloutFigures,
+  RolloutRestore,
   RolloutSituation,
   RolloutWrite,
   StoredRollout,
@@ -56,9 +65,11 @@
 export class RolloutCoordinator {
   readonly #instance: string;
   readonly #service: string;
-  #order: RolloutOrder | undefined;
-  #orderSeenAtMs = 0;
-  #orderSeenAtUnixMs = 0;
+  readonly #orders = new OrderMemory();
+  /** Era of the store to which the revision belongs. */
+  #era: number | undefined;
+  /** Set while the store may lack the record, as it was restored. */
+  #restore: RolloutRestore | undefined;
   #record: RolloutRecord | undefined;
   #revision = 0;
   #recordSeenAtMs = 0;
@@ -105,17 +116,37 @@
    *
    * @param order The order, if there is one.
    * @param time Monotonic and Unix time, in ms.
+   * @param mayBeOutdated Whether it may come from the copy of a store that was
+   * restored.
+   * @returns False if it is a former order, which is ignored.
    */
   setOrder(
     order: RolloutOrder | undefined,
     time: Pick<RolloutSituation, "nowMs" | "nowUnixMs">,
-  ): void {
-    const isSame = order?.targetVersion === this.#order?.targetVersion &&
-      order?.durationMs === this.#order?.durationMs;
-    if (isSame) return;
-    this.#order = order;
-    this.#orderSeenAtMs = time.nowMs;
-    this.#orderSeenAtUnixMs = time.nowUnixMs;
+    mayBeOutdated = false,
+  ): boolean {
+    const isTaken = this.#orders.set(order, time, mayBeOutdated);
+    if (this.#record !== undefined) this.#orders.noteRecord(this.#record);
+    return isTaken;
+  }
+
+  /**
+   * Enters an era of the store.
+   *
+   * @param era The era.
+   * @param restore What is known, if the store was restored.
+   */
+  startEra(era: number, restore: RolloutRestore | undefined): void {
+    this.#era = era;
+    if (restore === undefined) return;
+    const { followed, nowMs } = restore;
+    this.#revision = 0;
+    if ((followed?.sequence ?? 0) > (this.#record?.sequence ?? 0)) {
+      this.#adopt(followed!, 0, nowMs);
+    }
+    // Its owner gets the time to renew it before others take over.
+    this.#recordSeenAtMs = nowMs;
+    this.#restore = restore;
   }
 
   /**
@@ -124,10 +155,26 @@
    * @param record The record.
    * @param revision Its store revision.
    * @param nowMs Monotonic time, in ms.
+   * @returns False if a record that the store has lost holds in its place.
    */
-  setRecord(record: RolloutRecord, revision: number, nowMs: number): void {
-    if (revision <= this.#revision) return;
-    this.#adopt(record, revision, nowMs);
+  setRecord(record: RolloutRecord, revision: number, nowMs: number): boolean {
+    if (this.#keeps(record, revision)) return false;
+    if (revision > this.#revision) {
+      this.#restore = undefined;
+      this.#adopt(record, revision, nowMs);
+    }
+    return true;
+  }
+
+  /** Keeps the record that the store has lost, to write it again. */
+  #keeps(found: RolloutRecord, revision: number): boolean {
+    const known = this.#record;
+    if (known === undefined || this.#restore === undefined) return false;
+    if (!keepsRecord(known, found)) return false;
+    this.#revision = Math.max(this.#revision, revision);
+    const sequence = Math.max(known.sequence, found.sequence);
+    if (sequence > known.sequence) this.#record = { ...known, sequence };
+    return true;
   }
 
   /**
@@ -173,7 +220,8 @@
       return undefined;
     }
     const write = this.#takeUpOrder(situation) ??
-      this.#decide(situation) ?? this.#takeOver(situation) ??
+      this.#decide(situation) ?? this.#rewrite(situation) ??
+      this.#takeOver(situation) ??
       this.#writeBaseline(situation);
     this.#pending = write;
     if (write !== undefined) this.#ownSequences.add(write.record.sequence);
@@ -190,8 +238,20 @@
     const write = this.#pending;
     this.#pending = undefined;
     if (write === undefined) return;
+    if (result.kind !== "failed") {
+      const order = compareEras(result.era, this.#era);
+      if (order !== EraOrder.Same) {
+        this.#retryAtMs = nowMs + RETRY_MS;
+        // It was recorded, so that it holds, but its revision means nothing.
+        const isRecorded = result.kind === "written" &&
+          write.record.sequence > (this.#record?.sequence ?? 0);
+        if (isRecorded) this.#adopt(write.record, this.#revision, nowMs);
+        return;
+      }
+    }
     switch (result.kind) {
       case "written":
+        this.#restore = undefined;
         // The view may have shown the write, or a later one, before.
         if (result.revision > this.#revision) {
           this.#adopt(write.record, result.revision, nowMs);
@@ -215,6 +275,8 @@
   /** The store may count revisions in another way than its answers suggest. */
   #adoptFound(found: StoredRollout | undefined, nowMs: number): void {
     if (found === undefined) return;
+    if (this.#keeps(found.record, found.revision)) return;
+    this.#restore = undefined;
     const knownSequence = this.#record?.sequence ?? 0;
     if (found.record.sequence > knownSequence) {
       this.#adopt(found.record, found.revision, nowMs);
@@ -232,6 +294,7 @@
       known.decider !== record.decider;
     if (hasShareChanged) this.#shareSinceMs = nowMs;
     if (isNewPhase) this.#phaseSequence = record.sequence;
+    this.#orders.noteRecord(record);
     this.#record = record;
     this.#revision = revision;
     this.#recordSeenAtMs = nowMs;
@@ -247,35 +310,27 @@
   }
 
   #takeUpOrder(situation: RolloutSituation): RolloutWrite | undefined {
-    const order = this.#order;
+    const order = this.#orders.open;
     const record = this.#record;
     const { nowMs, rank, viewAgeMs } = situation;
     if (order === undefined || order.targetVersion === "") return undefined;
-    const isTakenUp = record?.targetVersion === order.targetVersion &&
-      record.endsAtUnixMs - record.startedAtUnixMs === order.durationMs;
-    if (isTakenUp || !this.#mayElect(viewAgeMs, nowMs)) return undefined;
+    if (!this.#mayElect(viewAgeMs, nowMs)) return undefined;
     // Without a version in use, there is nothing to compare with.
     if (situation.inUse.length === 0) return undefined;
     const isActive = record !== undefined && isActivePhase(record.phase);
     const place = isActive && this.isDecider ? 0 : rank + (isActive ? 1 : 0);
-    const sinceMs = Math.max(this.#orderSeenAtMs, this.#recordSeenAtMs);
+    const sinceMs = Math.max(this.#orders.seenAtMs, this.#recordSeenAtMs);
     if (nowMs - sinceMs < delayOf(place)) return undefined;
-    const formers = situation.inUse.filter((version) =>
-      version !== order.targetVersion
+    return this.#write(
+      situation,
+      RolloutReason.Ordered,
+      orderedRecord(order, {
+        sequence: (record?.sequence ?? 0) + 1,
+        inUse: situation.inUse,
+        decider: this.#instance,
+        startedAtUnixMs: this.#orders.seenAtUnixMs,
+      }),
     );
-    const isMoved = formers.length === 0;
-    const phase = isMoved ? RolloutPhase.Finished : RolloutPhase.Running;
-    return this.#write(situation, RolloutReason.Ordered, {
-      service: order.service,
-      sequence: (record?.sequence ?? 0) + 1,
-      phase,
-      inUse: isMoved ? [order.targetVersion] : formers,
-      decider: this.#instance,
-      targetVersion: order.targetVersion,
-      share: isMoved ? 1 : 0,
-      startedAtUnixMs: this.#orderSeenAtUnixMs,
-      endsAtUnixMs: this.#orderSeenAtUnixMs + order.durationMs,
-    });
   }
 
   #decide(situation: RolloutSituation): RolloutWrite | undefined {
@@ -337,19 +392,39 @@
       : undefined;
   }
 
+  /**
+   * Writes a record that the store has lost again. One that is still renewed
+   * needs no more than the next renewal.
+   */
+  #rewrite(situation: RolloutSituation): RolloutWrite | undefined {
+    const { nowMs, rank, viewAgeMs } = situation;
+    const record = this.#record;
+    const restore = this.#restore;
+    const isLost = record !== undefined && restore !== undefined &&
+      !isActivePhase(record.phase);
+    if (!isLost || !this.#mayElect(viewAgeMs, nowMs)) return undefined;
+    const delayMs = record.decider === this.#instance
+      ? restore.delayMs
+      : restore.periodMs + TAKEOVER_MS + delayOf(rank);
+    if (nowMs < restore.nowMs + delayMs) return undefined;
+    const sequence = record.sequence + 1;
+    return this.#write(situation, RolloutReason.Rewritten, {
+      ...record,
+      sequence,
+    });
+  }
+
   #takeOver(situation: RolloutSituation): RolloutWrite | undefined {
     const { nowMs, rank, viewAgeMs } = situation;
     const record = this.#record;
     const isLapsed = record !== undefined && isActivePhase(record.phase) &&
       nowMs - this.#recordSeenAtMs >= TAKEOVER_MS + delayOf(rank);
     if (!isLapsed || !this.#mayElect(viewAgeMs, nowMs)) return undefined;
-    return this.#write(situation, RolloutReason.TakenOver, {
-      ...record,
-      sequence: record.sequence + 1,
-      decider: this.#instance,
-      // Nobody has looked at the results since the last decider ended.
-      share: record.phase === RolloutPhase.Running ? 0 : record.share,
-    });
+    return this.#write(
+      situation,
+      RolloutReason.TakenOver,
+      takenOverRecord(record, this.#instance),
+    );
   }
 
   /** Records the versions in use for daemons that start from now on. */
@@ -357,20 +432,15 @@
     const { nowMs, rank, viewAgeMs, inUse, announced } = situation;
     const isNeeded = this.#record === undefined && inUse.length > 0 &&
       announced.some((version) => !inUse.includes(version));
-    const mayWrite = isNeeded && rank === 0 && this.#order === undefined &&
+    const mayWrite = isNeeded && rank === 0 &&
+      this.#orders.order === undefined &&
       this.#mayElect(viewAgeMs, nowMs);
     if (!mayWrite) return undefined;
-    return this.#write(situation, RolloutReason.Baseline, {
-      service: this.#service,
-      sequence: 1,
-      phase: RolloutPhase.Idle,
-      inUse: [...inUse],
-      decider: this.#instance,
-      targetVersion: "",
-      share: 0,
-      startedAtUnixMs: 0,
-      endsAtUnixMs: 0,
-    });
+    return this.#write(
+      situation,
+      RolloutReason.Baseline,
+      baselineRecord(this.#service, inUse, this.#instance),
+    );
   }
 
   /** Whether enough daemons report, or have had no time to do so yet. */
@@ -393,32 +463,22 @@
   ): RolloutWrite {
     const { service, targetVersion, phase } = record;
     const isNews = phase !== RolloutPhase.Idle &&
-      (this.#record?.phase !== phase ||
+      (this.#restore !== undefined || this.#record?.phase !== phase ||
         this.#record.targetVersion !== targetVersion);
     return {
       record,
       afterRevision: this.#revision,
       judgement,
       reason,
-      figures: this.#figuresOf(situation, record),
+      figures: figuresOf(
+        situation,
+        record,
+        this.isDecider ? this.#observations : undefined,
+        REPORTED_WITHIN_MS,
+      ),
       ...(isNews ? { status: { service, targetVersion, phase } } : {}),
     };
   }
-
-  #figuresOf(
-    { nowMs, nowUnixMs, viewAgeMs, daemons }: RolloutSituation,
-    { startedAtUnixMs }: RolloutRecord,
-  ): RolloutFigures {
-    const observations = this.isDecider ? this.#observations : undefined;
-    return {
-      elapsedMs: startedAtUnixMs === 0 ? 0 : nowUnixMs - startedAtUnixMs,
-      viewAgeMs: Math.round(viewAgeMs),
-      reporters: observations?.countReporters(nowMs - REPORTED_WITHIN_MS) ?? 0,
-      daemons,
-      requests: observations?.requests ?? 0,
-      targetRequests: observations?.targetRequests ?? 0,
-    };
-  }
 }
 
 function delayOf(rank: number): number {
--- a/src/coordination/rollout/rollout_types.ts
+++ b/src/coordination/rollout/rollout_types.ts
@@ -55,6 +55,8 @@
   TakenOver = "taken-over",
   Decided = "decided",
   Renewed = "renewed",
+  /** The store was restored from a copy that lacks the record. */
+  Rewritten = "rewritten",
 }
 
 /** A record in the store. */
@@ -63,13 +65,30 @@
   readonly revision: number;
 }
 
+/** What is known as the store was restored from a copy. */
+export interface RolloutRestore {
+  readonly nowMs: number;
+  /** Time after which this daemon writes its own records again, in ms. */
+  readonly delayMs: number;
+  /** Period within which all daemons do so, in ms. */
+  readonly periodMs: number;
+  /** The newest record that requests follow, if any. */
+  readonly followed: RolloutRecord | undefined;
+}
+
 /** Result of a write. */
 export type WriteResult =
-  | { readonly kind: "written"; readonly revision: number }
+  | {
+    readonly kind: "written";
+    readonly revision: number;
+    /** Era of the store; absent if it names none. */
+    readonly era?: number | undefined;
+  }
   /** The record was not the expected one. */
   | {
     readonly kind: "conflict";
     /** The record that the store has instead, if it told. */
     readonly found?: StoredRollout | undefined;
+    readonly era?: number | undefined;
   }
   | { readonly kind: "failed" };
--- a/src/protocol/feed.ts
+++ b/src/protocol/feed.ts
@@ -33,6 +33,8 @@
   readonly isComplete: boolean;
   /** Revision after which the next batch starts. */
   readonly revision: number;
+  /** Era of the store; absent if it names none. */
+  readonly era?: number | undefined;
 }
 
 /** What a daemon that reads the store answers to a poll. */
@@ -74,6 +76,8 @@
    * regained it.
    */
   readonly waitsForStore: boolean;
+  /** Era of that revision; absent if the store names none. */
+  readonly era?: number | undefined;
 }
 
 /**
@@ -89,9 +93,10 @@
  * ```
  */
 export function formatFeedTarget(poll: FeedPoll): string {
-  const { afterRevision, waitMs, waitsForStore } = poll;
-  const target = `${FEED_PATH}?after=${afterRevision}&waitMs=${waitMs}`;
-  return waitsForStore ? `${target}&waitsForStore=1` : target;
+  const { afterRevision, waitMs, waitsForStore, era } = poll;
+  const target = `${FEED_PATH}?after=${afterRevision}&waitMs=${waitMs}` +
+    (waitsForStore ? "&waitsForStore=1" : "");
+  return era === undefined ? target : `${target}&era=${era}`;
 }
 
 /**
@@ -112,7 +117,10 @@
   const isValid = Number.isSafeInteger(afterRevision) && waitMs >= 0 &&
     waitMs <= MAX_WAIT_MS;
   const waitsForStore = query.get("waitsForStore") === "1";
-  return isValid ? { afterRevision, waitMs, waitsForStore } : undefined;
+  if (!isValid) return undefined;
+  const era = query.get("era");
+  const poll = { afterRevision, waitMs, waitsForStore };
+  return era === null ? poll : { ...poll, era: readEra(Number(era)) };
 }
 
 /**
@@ -172,8 +180,9 @@
     const text = Buffer.from(value).toString("latin1");
     return { key, value: text, modRevision, leaseId };
   });
-  const { revision, isComplete } = batch;
-  const message = JSON.stringify({ revision, isComplete, changes });
+  const { revision, isComplete, era } = batch;
+  // Left out if undefined; daemons of earlier versions ignore it.
+  const message = JSON.stringify({ revision, isComplete, changes, era });
   return gzipSync(message, { level: COMPRESSION_LEVEL });
 }
 
@@ -192,7 +201,8 @@
   try {
     const text = gunzipSync(bytes, { maxOutputLength: MAX_FEED_BYTES })
       .toString();
-    const { revision, changes, isComplete } = JSON.parse(text) as {
+    const { revision, changes, isComplete, era } = JSON.parse(text) as {
+      readonly era?: unknown;
       readonly revision: number;
       readonly isComplete?: unknown;
       readonly changes: readonly WireChange[];
@@ -202,6 +212,7 @@
       revision,
       isComplete: isComplete === true,
       events: changes.map(decodeChange),
+      ...(era === undefined ? {} : { era: readEra(era) }),
     };
   } catch {
     // Truncated or not a batch: the caller logs it with the peer's address.
@@ -209,6 +220,23 @@
   }
 }
 
+/**
+ * Reads the era of the store.
+ *
+ * @param value The value.
+ * @returns The era; `undefined` if it is not a whole number.
+ *
+ * @example
+ * ```ts
+ * readEra(3); // 3
+ * ```
+ */
+export function readEra(value: unknown): number | undefined {
+  const isEra = typeof value === "number" && Number.isSafeInteger(value) &&
+    value >= 0;
+  return isEra ? value : undefined;
+}
+
 function decodeChange(change: WireChange): StoreChange {
   const { key, value, modRevision, leaseId } = change;
   if (typeof key !== "string") throw new TypeError("key is not a string");
--- a/src/protocol/feed_test.ts
+++ b/src/protocol/feed_test.ts
@@ -24,6 +24,27 @@
   assert.equal(decodeFeed(encodeFeed(batch)), batch);
 });
 
+// Guards against messages that daemons of an earlier version cannot read, and
+// against theirs, which name no era.
+test("the era is an optional part of a feed's messages", () => {
+  const batch = { revision: 9, isComplete: false, events: [] };
+  const poll = { afterRevision: 7, waitMs: 600, waitsForStore: true };
+  const formatted = formatFeedTarget({ ...poll, era: 3 });
+  assert.equal({
+    target: formatted,
+    poll: parseFeedTarget(formatted),
+    earlierPoll: parseFeedTarget(formatFeedTarget(poll)),
+    batch: decodeFeed(encodeFeed({ ...batch, era: 3 })),
+    earlierBatch: decodeFeed(encodeFeed(batch)),
+  }, {
+    target: `${formatFeedTarget(poll)}&era=3`,
+    poll: { ...poll, era: 3 },
+    earlierPoll: poll,
+    batch: { ...batch, era: 3 },
+    earlierBatch: batch,
+  });
+});
+
 test("decodeFeed() returns undefined for truncated bytes", () => {
   const bytes = encodeFeed({
     isComplete: false,
--- a/src/protocol/mesh.ts
+++ b/src/protocol/mesh.ts
@@ -131,4 +131,9 @@
   readonly version?: string | undefined;
   /** Until when it works slowly after its start, in Unix ms. */
   readonly warmAtUnixMs?: number | undefined;
+  /**
+   * Era of the store in which the lease of the record was granted; absent where
+   * the store names none.
+   */
+  readonly leaseEra?: number | undefined;
 }
--- a/src/protocol/store.ts
+++ b/src/protocol/store.ts
@@ -52,12 +52,16 @@
   readonly revision: number;
   /** Entries read after a condition failed. */
   readonly entries: readonly StoreEntry[];
+  /** Era of the store; absent if it names none. */
+  readonly era?: number | undefined;
 }
 
 /** Entries of a range and the revision at which they were read. */
 export interface RangeResult {
   readonly entries: readonly StoreEntry[];
   readonly revision: number;
+  /** Era of the store; absent if it names none. */
+  readonly era?: number | undefined;
 }
 
 /** Change of one key, as a watch reports it. */
--- a/src/sidecar/backend_record_codec.ts
+++ b/src/sidecar/backend_record_codec.ts
@@ -98,13 +98,14 @@
 }
 
 function readVersion(
-  { version, warmAtUnixMs }: BackendRecord,
-): Pick<BackendRecord, "version" | "warmAtUnixMs"> {
+  { version, warmAtUnixMs, leaseEra }: BackendRecord,
+): Pick<BackendRecord, "version" | "warmAtUnixMs" | "leaseEra"> {
   return {
     ...(typeof version === "string" && NAME_PATTERN.test(version)
       ? { version }
       : {}),
     ...(isIntegerUpTo(warmAtUnixMs, MAX_UNIX_MS) ? { warmAtUnixMs } : {}),
+    ...(isIntegerUpTo(leaseEra, Number.MAX_SAFE_INTEGER) ? { leaseEra } : {}),
   };
 }
 
--- a/src/sidecar/config_reader.ts
+++ b/src/sidecar/config_reader.ts
@@ -138,7 +138,6 @@
     const listed = await store.list(configSource.key);
     view.countCall("read", sentAtMs, listed.isOk());
     if (listed.isErr()) return false;
-    view.applyKeyRead(listed.value, sentAtMs);
-    return true;
+    return view.applyKeyRead(listed.value, sentAtMs);
   }
 }
--- a/src/sidecar/feed_follower.ts
+++ b/src/sidecar/feed_follower.ts
@@ -1,3 +1,4 @@
+import { canFollow } from "../coordination/eras/mod.ts";
 import {
   chooseFollowed,
   chooseReaders,
@@ -94,21 +95,27 @@
    * Waits for changes from a reader.
    *
    * @param afterRevision Newest revision that was seen.
+   * @param era Era of the store in which it was seen.
    * @returns The changes, or why there are none.
    */
-  async poll(afterRevision: number): Promise<FollowResult> {
+  async poll(afterRevision: number, era?: number): Promise<FollowResult> {
     const reader = this.#chooseReader();
     this.#setReader(reader?.instance ?? "");
     if (reader === undefined) return this.#judgeAbsence();
     const sentAtMs = performance.now();
-    const result = await this.#options.pollFeed(
+    const polled = await this.#options.pollFeed(
       reader,
       {
         afterRevision,
         waitMs: this.#hasFailed ? 0 : HOLD_MS,
         waitsForStore: false,
+        ...(era === undefined ? {} : { era }),
       },
     );
+    const result = polled.kind === "changes" &&
+        !canFollow(polled.batch.era, era)
+      ? { kind: "refused" } as const
+      : polled;
     this.#hasFailed = result.kind !== "changes";
     if (result.kind !== "changes") {
       this.#options.log.info("feed-poll-failed", {
@@ -134,7 +141,7 @@
         break;
     }
     // The other reader is asked without a wait.
-    return await this.poll(afterRevision);
+    return await this.poll(afterRevision, era);
   }
 
   /**
--- a/src/sidecar/peer_query_handler.ts
+++ b/src/sidecar/peer_query_handler.ts
@@ -221,7 +221,9 @@
   /** Caches the last result: followers mostly need the same large update. */
   #encodeUpdate(update: ChangeBatch): Buffer {
     const cached = this.#cachedFeed;
+    // A store that was restored assigns revisions again.
     const isSame = cached?.update.revision === update.revision &&
+      cached.update.era === update.era &&
       cached.update.isComplete === update.isComplete &&
       cached.update.events.length === update.events.length;
     if (isSame) return cached.body;
--- a/src/sidecar/ports.ts
+++ b/src/sidecar/ports.ts
@@ -13,7 +13,22 @@
 export type PollResult =
   | ({ readonly kind: "events" } & ChangeBatch)
   /** The store has compacted the history since the revision. */
-  | { readonly kind: "compacted" };
+  | { readonly kind: "compacted"; readonly era?: number | undefined };
+
+/** A lease. It is relied on only in the era in which it was granted. */
+export interface LeaseGrant {
+  readonly leaseId: string;
+  /** Era of the store; absent if it names none. */
+  readonly era?: number | undefined;
+}
+
+/** Result of the renewal of a lease. */
+export interface LeaseRenewal {
+  /** Remaining TTL, in s; 0 if the lease has expired. */
+  readonly ttlS: number;
+  /** Era of the store; absent if it names none. */
+  readonly era?: number | undefined;
+}
 
 /** Start and timeout of a long poll. */
 export interface PollOptions {
@@ -44,9 +59,8 @@
   commit(
     transaction: StoreTransaction,
   ): ResultAsync<TransactionResult, StepError>;
-  grantLease(ttlS: number): ResultAsync<string, StepError>;
-  /** Renews a lease; the result is its remaining TTL in s, 0 if expired. */
-  renewLease(leaseId: string): ResultAsync<number, StepError>;
+  grantLease(ttlS: number): ResultAsync<LeaseGrant, StepError>;
+  renewLease(leaseId: string): ResultAsync<LeaseRenewal, StepError>;
 }
 
 /** Location and decoder of the accepted configuration. */
--- a/src/sidecar/record_publisher.ts
+++ b/src/sidecar/record_publisher.ts
@@ -1,15 +1,17 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { Buffer } from "node:buffer";
+import { compareEras, EraOrder } from "../coordination/eras/mod.ts";
 import type { BackendRecord } from "../protocol/mesh.ts";
 import { messageOf } from "../protocol/step_error.ts";
 import type { StoreEntry } from "../protocol/store.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
+import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import {
   decodeRecord,
   encodeRecord,
   RECORD_PREFIX,
 } from "./backend_record_codec.ts";
-import type { MeshStore } from "./ports.ts";
+import type { LeaseGrant, MeshStore } from "./ports.ts";
 
 /** Time to live of the record once its daemon stops renewing it, in s. */
 const LEASE_TTL_S = 10;
@@ -26,13 +28,15 @@
   readonly store: MeshStore;
   readonly instance: string;
   readonly log: EventLog;
+  readonly metrics: TextMetrics;
 }
 
 /**
  * Keeps the record of the local backend server in the store up to date.
  *
  * It compares the desired record with the one that the store reports, and
- * writes again after a late write, a lost response or an expired lease.
+ * writes again after a late write, a lost response or an expired lease, and once
+ * after the store was restored from a copy.
  *
  * @example
  * ```ts ignore
@@ -42,13 +46,21 @@
 export class RecordPublisher {
   readonly #options: RecordPublisherOptions;
   readonly #key: string;
-  #desired: Uint8Array | undefined;
+  #desired: BackendRecord | undefined;
   #stored: Uint8Array | undefined;
   /** Whether the store has reported what an earlier process left there. */
   #isStoredKnown = false;
-  #leaseId: string | undefined;
+  #lease: LeaseGrant | undefined;
+  /** Era of the store, as far as the view of it shows. */
+  #era: number | undefined;
+  /** When the record is to be written again; `undefined` if it is not. */
+  #rewriteAtMs: number | undefined;
+  /** Whether a response was of an era that the view does not show yet. */
+  #awaitsEra = false;
   #renewAtMs = 0;
   #wake: (() => void) | undefined;
+  /** Whether there is something to do that the last comparison may not know. */
+  #isWoken = false;
 
   /**
    * Creates a publisher without a record.
@@ -71,8 +83,31 @@
    * @param record The record.
    */
   publish(record: BackendRecord): void {
-    this.#desired = encodeRecord(record);
-    this.#wake?.();
+    const known = this.#desired && encodeRecord(this.#desired);
+    const hasChanged = !isEqual(known, encodeRecord(record));
+    this.#desired = record;
+    // Others depend on a change, which also is the write that is due.
+    if (hasChanged && this.#rewriteAtMs !== undefined) {
+      this.#rewriteAtMs = performance.now();
+    }
+    this.#wakeUp();
+  }
+
+  /**
+   * Learns the era of the store, before anything that it has in this era.
+   *
+   * @param era The era.
+   * @param rewriteDelayMs Time after which the record is written again, as the
+   * store was restored, in ms; `undefined` if it was not.
+   */
+  enterEra(era: number, rewriteDelayMs: number | undefined): void {
+    this.#era = era;
+    this.#awaitsEra = false;
+    if (rewriteDelayMs === undefined) return;
+    // The store may have granted its id to another daemon since.
+    if (this.#lease?.era !== era) this.#lease = undefined;
+    this.#rewriteAtMs = performance.now() + rewriteDelayMs;
+    this.#wakeUp();
   }
 
   /**
@@ -85,15 +120,31 @@
    */
   handleStoredEntry(entry: StoreEntry | undefined): BackendRecord | undefined {
     this.#stored = entry?.value;
-    if (!this.#isStoredKnown) this.#wake?.();
+    if (!this.#isStoredKnown) this.#wakeUp();
     this.#isStoredKnown = true;
-    if (this.#leaseId === undefined && hasLease(entry)) {
-      this.#leaseId = entry.leaseId;
+    const record = entry && decodeRecord(entry.value, entry.key);
+    if (
+      this.#lease === undefined && hasLease(entry) && this.#mayAdopt(record)
+    ) {
+      this.#lease = { leaseId: entry.leaseId, era: this.#era };
       this.#renewAtMs = performance.now();
-      this.#wake?.();
+      this.#wakeUp();
     }
-    if (!isEqual(this.#stored, this.#desired)) this.#wake?.();
-    return entry && decodeRecord(entry.value, entry.key);
+    if (!isEqual(this.#stored, this.#encodeDesired())) this.#wakeUp();
+    return record;
+  }
+
+  /** Whether the lease of a stored record was granted in this era. */
+  #mayAdopt(record: BackendRecord | undefined): boolean {
+    return this.#rewriteAtMs === undefined &&
+      (this.#era === undefined || record?.leaseEra === this.#era);
+  }
+
+  #encodeDesired(): Uint8Array | undefined {
+    const leaseEra = this.#lease?.era;
+    return this.#desired && encodeRecord(
+      leaseEra === undefined ? this.#desired : { ...this.#desired, leaseEra },
+    );
   }
 
   /**
@@ -103,6 +154,7 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      this.#isWoken = false;
       const isReconciled = await this.#reconcile().catch((error: unknown) => {
         this.#options.log.error("record-write-failed", {
           reason: messageOf(error),
@@ -116,58 +168,103 @@
   }
 
   async #reconcile(): Promise<boolean> {
-    if (this.#leaseId !== undefined && performance.now() >= this.#renewAtMs) {
-      await this.#renewLease();
+    const { store } = this.#options;
+    if (this.#lease !== undefined && performance.now() >= this.#renewAtMs) {
+      await this.#renewLease(store, this.#lease);
     }
     // An earlier record stays until the backend server has announced itself.
     if (this.#desired === undefined || !this.#isStoredKnown) return true;
-    if (isEqual(this.#stored, this.#desired)) return true;
-    return await this.#put(this.#desired);
+    // The view shows the era soon, and with it when to write.
+    if (this.#awaitsEra) return true;
+    if (this.#rewriteAtMs !== undefined) {
+      return performance.now() < this.#rewriteAtMs || await this.#put();
+    }
+    if (isEqual(this.#stored, this.#encodeDesired())) return true;
+    return await this.#put();
   }
 
-  async #renewLease(): Promise<void> {
-    const renewed = await this.#options.store.renewLease(this.#leaseId!);
+  async #renewLease(store: MeshStore, lease: LeaseGrant): Promise<void> {
+    const renewed = await store.renewLease(lease.leaseId);
     this.#renewAtMs = performance.now() + RENEW_PERIOD_MS;
-    if (renewed.isErr() || renewed.value > 0) return;
-    this.#options.log.warn("record-lease-lapsed", { lease: this.#leaseId });
-    this.#leaseId = undefined;
+    if (renewed.isErr() || this.#lease !== lease) return;
+    if (!this.#isOfEra(renewed.value.era, lease)) return;
+    if (renewed.value.ttlS > 0) return;
+    this.#options.log.warn("record-lease-lapsed", { lease: lease.leaseId });
+    this.#lease = undefined;
     this.#stored = undefined;
   }
 
-  async #put(record: Uint8Array): Promise<boolean> {
-    const { store, log } = this.#options;
-    if (this.#leaseId === undefined) {
-      const granted = await store.grantLease(LEASE_TTL_S);
-      if (granted.isErr()) return false;
-      this.#leaseId = granted.value;
-      this.#renewAtMs = performance.now() + RENEW_PERIOD_MS;
-    }
+  /**
+   * Whether a response is of the era of the lease. If it is of a later one, the
+   * lease is given up, and nothing is written before the view shows the era.
+   */
+  #isOfEra(era: number | undefined, lease: LeaseGrant): boolean {
+    if (compareEras(era, lease.era) === EraOrder.Same) return true;
+    if (this.#lease === lease) this.#lease = undefined;
+    this.#awaitsEra = compareEras(era, this.#era) === EraOrder.Later;
+    return false;
+  }
+
+  async #grantLease(): Promise<LeaseGrant | undefined> {
+    const granted = await this.#options.store.grantLease(LEASE_TTL_S);
+    if (granted.isErr()) return undefined;
+    const { era } = granted.value;
+    const order = compareEras(era, this.#era);
+    this.#awaitsEra = order === EraOrder.Later;
+    if (order === EraOrder.Earlier) return undefined;
+    this.#lease = granted.value;
+    this.#renewAtMs = performance.now() + RENEW_PERIOD_MS;
+    return this.#awaitsEra ? undefined : granted.value;
+  }
+
+  async #put(): Promise<boolean> {
+    const { store, log, metrics } = this.#options;
+    const lease = this.#lease ?? await this.#grantLease();
+    const record = this.#encodeDesired();
+    if (lease === undefined || record === undefined) return false;
     const committed = await store.commit({
       conditions: [],
       writes: [{
         kind: "put",
         key: this.#key,
         value: record,
-        leaseId: this.#leaseId,
+        leaseId: lease.leaseId,
       }],
     });
     if (committed.isErr()) {
       log.warn("record-write-failed", { reason: committed.error.message });
       // The lease may have caused the failure; a new one costs one call.
-      this.#leaseId = undefined;
+      if (this.#lease === lease) this.#lease = undefined;
       return false;
     }
+    const { revision, era } = committed.value;
+    if (!this.#isOfEra(era, lease) || this.#lease !== lease) return false;
     this.#stored = record;
-    log.info("record-written", { revision: committed.value.revision });
+    const isRewrite = this.#rewriteAtMs !== undefined;
+    this.#rewriteAtMs = undefined;
+    if (isRewrite) {
+      metrics.count("records_rewritten_total", { kind: "backend" });
+    }
+    log.info("record-written", { revision, isRewrite, era });
     return true;
   }
 
   #computeRenewalDelayMs(): number {
-    if (this.#leaseId === undefined) return RENEW_PERIOD_MS;
-    return Math.max(0, this.#renewAtMs - performance.now());
+    const nowMs = performance.now();
+    const rewriteDelayMs = (this.#rewriteAtMs ?? Infinity) - nowMs;
+    const renewDelayMs = this.#lease === undefined
+      ? RENEW_PERIOD_MS
+      : this.#renewAtMs - nowMs;
+    return Math.max(0, Math.min(renewDelayMs, rewriteDelayMs));
+  }
+
+  #wakeUp(): void {
+    this.#isWoken = true;
+    this.#wake?.();
   }
 
   async #sleepUntilWoken(delayMs: number): Promise<void> {
+    if (this.#isWoken) return;
     const wakeUp = new AbortController();
     this.#wake = () => wakeUp.abort();
     try {
--- a/src/sidecar/record_publisher_test.ts
+++ b/src/sidecar/record_publisher_test.ts
@@ -4,6 +4,7 @@
 import * as assert from "uvu/assert";
 import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
 import { EventLog } from "../transport/observe/event_log.ts";
+import { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { encodeRecord } from "./backend_record_codec.ts";
 import type { MeshStore } from "./ports.ts";
 import { RecordPublisher } from "./record_publisher.ts";
@@ -29,11 +30,11 @@
   const store = {
     grantLease: () => {
       calls.push("grant");
-      return okAsync("new");
+      return okAsync({ leaseId: "new" });
     },
     renewLease: (leaseId: string) => {
       calls.push(`renew ${leaseId}`);
-      return okAsync(options.renewedTtlS);
+      return okAsync({ ttlS: options.renewedTtlS });
     },
     commit: ({ writes }: { readonly writes: { leaseId?: string }[] }) => {
       calls.push(`put with ${writes[0]!.leaseId}`);
@@ -44,6 +45,7 @@
     store,
     instance: RECORD.instance,
     log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
+    metrics: new TextMetrics(),
   });
   const stopped = new AbortController();
   void publisher.run(stopped.signal);
@@ -78,4 +80,131 @@
   });
 });
 
+/** A publisher with a store whose responses name an era. */
+class RestoredStore {
+  era = 1;
+  readonly calls: string[] = [];
+  readonly publisher: RecordPublisher;
+  #leases = 0;
+
+  constructor() {
+    const store = {
+      grantLease: () => {
+        this.calls.push("grant");
+        return okAsync({ leaseId: `l${++this.#leases}`, era: this.era });
+      },
+      renewLease: (leaseId: string) => {
+        this.calls.push(`renew ${leaseId}`);
+        return okAsync({ ttlS: 10, era: this.era });
+      },
+      commit: ({ writes }: { readonly writes: { leaseId?: string }[] }) => {
+        this.calls.push(`put with ${writes[0]!.leaseId}`);
+        const { era } = this;
+        return okAsync({ succeeded: true, revision: 9, entries: [], era });
+      },
+    } as unknown as MeshStore;
+    this.publisher = new RecordPublisher({
+      store,
+      instance: RECORD.instance,
+      log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
+      metrics: new TextMetrics(),
+    });
+  }
+}
+
+// Guards against a lease whose id the restored store has granted to another
+// daemon, and against records that the copy has and that no lease removes.
+test("RecordPublisher.enterEra() has the record written again, once, with a new lease", async () => {
+  const store = new RestoredStore();
+  const stopped = new AbortController();
+  void store.publisher.run(stopped.signal);
+  store.publisher.enterEra(1, undefined);
+  store.publisher.handleStoredEntry(undefined);
+  store.publisher.publish(RECORD);
+  await sleep(20);
+  store.era = 2;
+  store.publisher.enterEra(2, 30);
+  store.publisher.handleStoredEntry({
+    key: store.publisher.key,
+    value: encodeRecord({ ...RECORD, leaseEra: 1 }),
+    modRevision: 3,
+    leaseId: "l1",
+  });
+  const before = [...store.calls];
+  await sleep(100);
+  stopped.abort();
+  assert.equal({ before, after: store.calls }, {
+    before: ["grant", "put with l1"],
+    after: ["grant", "put with l1", "grant", "put with l2"],
+  });
+});
+
+// Guards against a change, such as draining, that waits as long as a record that
+// is only written again.
+test("RecordPublisher.publish() writes a change at once after a restore", async () => {
+  const store = new RestoredStore();
+  const stopped = new AbortController();
+  void store.publisher.run(stopped.signal);
+  store.publisher.enterEra(1, undefined);
+  store.publisher.handleStoredEntry(undefined);
+  store.publisher.publish(RECORD);
+  await sleep(20);
+  store.era = 2;
+  store.publisher.enterEra(2, 60_000);
+  store.publisher.publish(RECORD);
+  store.publisher.publish({ ...RECORD, state: BackendState.Draining });
+  await sleep(20);
+  stopped.abort();
+  assert.equal(store.calls.slice(2), ["grant", "put with l2"]);
+});
+
+// Guards against a write under a lease of the former era: the response names an
+// era that the view does not show yet.
+test("RecordPublisher.run() gives up a lease once a response is of a later era", async () => {
+  const store = new RestoredStore();
+  const stopped = new AbortController();
+  void store.publisher.run(stopped.signal);
+  store.publisher.enterEra(1, undefined);
+  store.publisher.handleStoredEntry(undefined);
+  store.publisher.publish(RECORD);
+  await sleep(20);
+  store.era = 2;
+  store.publisher.publish({ ...RECORD, slots: 5 });
+  await sleep(20);
+  const before = store.calls.slice(2);
+  store.publisher.enterEra(2, 0);
+  await sleep(20);
+  stopped.abort();
+  assert.equal({ before, after: store.calls.slice(3) }, {
+    before: ["put with l1"],
+    after: ["grant", "put with l2"],
+  });
+});
+
+// Pattern: all daemons restart. Guards against the lease of a former era.
+test("RecordPublisher.handleStoredEntry() adopts only a lease of the same era", async () => {
+  const callsFor = async (leaseEra: number) => {
+    const store = new RestoredStore();
+    const stopped = new AbortController();
+    store.era = 2;
+    void store.publisher.run(stopped.signal);
+    await sleep(1);
+    store.publisher.enterEra(2, undefined);
+    store.publisher.handleStoredEntry({
+      key: store.publisher.key,
+      value: encodeRecord({ ...RECORD, leaseEra }),
+      modRevision: 3,
+      leaseId: "old",
+    });
+    store.publisher.publish(RECORD);
+    await sleep(20);
+    stopped.abort();
+    return store.calls;
+  };
+  assert.equal([await callsFor(2), await callsFor(1)], [
+    ["renew old"],
+    ["grant", "put with l1"],
+  ]);
+});
+
 test.run();
--- a/src/sidecar/recovery_runner.ts
+++ b/src/sidecar/recovery_runner.ts
@@ -1,16 +1,17 @@
 import type { EventLog } from "../transport/observe/event_log.ts";
+import { MAX_READER_AGE_MS } from "./feed_source.ts";
 import type {
   Recovery,
   RecoveryStart,
   StoreRecovery,
 } from "./store_recovery.ts";
-import { MAX_READER_AGE_MS, type StoreView } from "./store_view.ts";
+import type { StoreView } from "./store_view.ts";
 
 /** Time for which a doubted store is not yet taken for lost, in ms. */
 const LOSS_DELAY_MS = 700;
 
 /** Why the state of the store is not known. */
-export interface StoreDoubt extends Omit<RecoveryStart, "isCurrent"> {
+export interface StoreDoubt extends Omit<RecoveryStart, "isCurrent" | "era"> {
   readonly reason: string;
   /** Whether a call has failed, and not only taken long. */
   readonly isFailure: boolean;
@@ -75,6 +76,7 @@
     this.#isRunning = true;
     const result = await recovery.run({
       afterRevision,
+      era: view.era,
       ...(pending === undefined ? {} : { pending }),
       isCurrent: view.ageMs() < MAX_READER_AGE_MS,
     }, signal);
--- a/src/sidecar/rollout_task.ts
+++ b/src/sidecar/rollout_task.ts
@@ -1,13 +1,13 @@
 import type { Buffer } from "node:buffer";
+import { rewritePeriodMs } from "../coordination/eras/mod.ts";
 import {
   findInitial,
+  RolloutReason,
   type RolloutSituation,
   type RolloutWrite,
-  type StoredRollout,
   VersionGate,
 } from "../coordination/rollout/mod.ts";
 import { RolloutCoordinator } from "../coordination/rollout/mod.ts";
-import { rendezvous } from "../protocol/hash.ts";
 import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
 import type { Random } from "../protocol/random.ts";
 import type { RolloutRecord } from "../protocol/rollout.ts";
@@ -23,6 +23,7 @@
   encodeRollout,
   ROLLOUT_PREFIX,
 } from "./rollout_codec.ts";
+import { findRecord, rankOf } from "./rollout_election.ts";
 import { isRolloutDecision, logWrite } from "./rollout_log.ts";
 import { VersionFilter } from "./version_filter.ts";
 
@@ -37,8 +38,6 @@
 const MIN_FAILURES_FOR_REPORT = 5;
 /** Longest time that an order is taken to have been on its way, in ms. */
 const MAX_ORDER_AGE_MS = 1_500;
-/** Rank of a daemon that is no candidate. */
-const NO_RANK = 1_000;
 
 /** Options of a {@linkcode RolloutTask}. */
 export interface RolloutTaskOptions {
@@ -87,6 +86,8 @@
   /** Distinguishes this process from earlier ones of the daemon. */
   readonly #epoch = Date.now();
   #hasListed = false;
+  /** Era of the store; `undefined` if it names none. */
+  #era: number | undefined;
   #timer: NodeJS.Timeout | undefined;
 
   /**
@@ -132,16 +133,42 @@
     if (this.#hasListed) this.#observe(record, false);
   }
 
+  /**
+   * Learns the era of the store, before anything that it has in this era.
+   *
+   * @param era The era.
+   * @param isRestored Whether the store was restored from a copy.
+   */
+  enterEra(era: number, isRestored: boolean): void {
+    this.#era = era;
+    const periodMs = rewritePeriodMs(this.#options.directory.size);
+    for (const { coordinator, gate } of this.#services.values()) {
+      const restore = {
+        nowMs: performance.now(),
+        delayMs: this.#options.random.fraction() * periodMs,
+        periodMs,
+        followed: gate.record,
+      };
+      coordinator.startEra(era, isRestored ? restore : undefined);
+    }
+  }
+
   /**
    * Applies an entry of the store, if it is about versions.
    *
    * @param key Its key.
    * @param entry The entry; `undefined` if it was deleted.
+   * @param mayBeOutdated Whether it may come from the copy of a store that was
+   * restored.
    */
-  handleEntry(key: string, entry: StoreEntry | undefined): void {
+  handleEntry(
+    key: string,
+    entry: StoreEntry | undefined,
+    mayBeOutdated: boolean,
+  ): void {
     const { wire } = this.#options;
     if (key.startsWith(wire.orderPrefix)) {
-      this.#applyOrder(key, entry);
+      this.#applyOrder(key, entry, mayBeOutdated);
     } else if (key.startsWith(ROLLOUT_PREFIX) && entry !== undefined) {
       this.#applyRecord(key, entry);
     }
@@ -182,12 +209,19 @@
         reportedFailures: 0,
         isReporting: false,
       };
+      if (this.#era !== undefined) {
+        state.coordinator.startEra(this.#era, undefined);
+      }
       this.#services.set(service, state);
     }
     return state;
   }
 
-  #applyOrder(key: string, entry: StoreEntry | undefined): void {
+  #applyOrder(
+    key: string,
+    entry: StoreEntry | undefined,
+    mayBeOutdated: boolean,
+  ): void {
     const { wire, log } = this.#options;
     const order = entry && wire.decodeOrder(entry.value);
     if (entry !== undefined && order === undefined) {
@@ -198,10 +232,17 @@
     if (order === undefined && !this.#services.has(service)) return;
     // The order may be as old as the view before it.
     const ageMs = Math.min(MAX_ORDER_AGE_MS, this.#options.viewAgeMs());
-    this.#stateOf(service).coordinator.setOrder(order, {
+    const isTaken = this.#stateOf(service).coordinator.setOrder(order, {
       nowMs: performance.now(),
       nowUnixMs: Math.round(Date.now() - ageMs),
-    });
+    }, mayBeOutdated);
+    if (!isTaken) {
+      log.warn("rollout-order-outdated", {
+        service,
+        version: order?.targetVersion ?? "",
+      });
+      return;
+    }
     log.info("rollout-ordered", {
       service,
       version: order?.targetVersion ?? "",
@@ -220,8 +261,9 @@
     }
     const state = this.#stateOf(record.service);
     const nowMs = performance.now();
-    state.coordinator.setRecord(record, entry.modRevision, nowMs);
-    this.#follow(state, record, () => state.gate.apply(record));
+    const holds = state.coordinator
+      .setRecord(record, entry.modRevision, nowMs);
+    if (holds) this.#follow(state, record, () => state.gate.apply(record));
     this.#start();
   }
 
@@ -318,12 +360,19 @@
     if (committed.isErr()) {
       return state.coordinator.finishWrite({ kind: "failed" }, nowMs);
     }
-    const { succeeded, revision, entries } = committed.value;
+    const { succeeded, revision, entries, era } = committed.value;
     if (!succeeded) {
       const found = findRecord(entries, key);
-      return state.coordinator.finishWrite({ kind: "conflict", found }, nowMs);
+      return state.coordinator.finishWrite(
+        { kind: "conflict", found, era },
+        nowMs,
+      );
+    }
+    const written = { kind: "written", revision, era } as const;
+    state.coordinator.finishWrite(written, nowMs);
+    if (write.reason === RolloutReason.Rewritten) {
+      metrics.count("records_rewritten_total", { kind: "rollout" });
     }
-    state.coordinator.finishWrite({ kind: "written", revision }, nowMs);
     this.#follow(state, write.record, () => state.gate.apply(write.record));
   }
 
@@ -368,36 +417,3 @@
     this.#follow(state, answer, () => gate.confirm(answer, nowMs));
   }
 }
-
-/** Reports of a large fleet need a wide link, so such daemons come first. */
-function rankOf(
-  instance: string,
-  service: string,
-  records: readonly BackendRecord[],
-): number {
-  const widest = records.reduce(
-    (max, { linkMbps }) => Math.max(max, linkMbps),
-    0,
-  );
-  const isWide = ({ linkMbps }: BackendRecord) => linkMbps * 2 >= widest;
-  const order = (members: readonly BackendRecord[]) =>
-    rendezvous(
-      service,
-      members.map((record) => record.instance),
-      members.length,
-    );
-  const rank = [
-    ...order(records.filter(isWide)),
-    ...order(records.filter((record) => !isWide(record))),
-  ].indexOf(instance);
-  return rank < 0 ? NO_RANK : rank;
-}
-
-function findRecord(
-  entries: readonly StoreEntry[],
-  key: string,
-): StoredRollout | undefined {
-  const entry = entries.find((candidate) => candidate.key === key);
-  const record = entry && decodeRolloutRecord(entry.value);
-  return record && { record, revision: entry!.modRevision };
-}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -2,6 +2,7 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { DEFAULT_QUOTA_BOUNDS } from "../coordination/quota/mod.ts";
+import { rewritePeriodMs } from "../coordination/eras/mod.ts";
 import { ResponseSizes } from "../coordination/dispatch/mod.ts";
 import { WindowedRetryBudget } from "../coordination/retry/windowed_retry_budget.ts";
 import { Random } from "../protocol/random.ts";
@@ -121,6 +122,7 @@
       store: ports.store,
       instance: settings.instance,
       log: this.#log,
+      metrics: this.#metrics,
     });
     this.#lifecycle = new BackendLifecycle({
       settings,
@@ -409,10 +411,20 @@
       },
       onRemoved: (instance) => this.#destinations.remove(instance),
       onFirstListing: () => this.#rollouts?.handleFirstListing(),
-      onOtherEntry: (key, entry) => this.#rollouts?.handleEntry(key, entry),
+      onOtherEntry: (...args) => this.#rollouts?.handleEntry(...args),
+      onEra: (era, isRestored) => this.#enterEra(era, isRestored),
     });
   }
 
+  #enterEra(era: number, isRestored: boolean): void {
+    const periodMs = rewritePeriodMs(this.#directory.size);
+    this.#publisher.enterEra(
+      era,
+      isRestored ? Math.random() * periodMs : undefined,
+    );
+    this.#rollouts?.enterEra(era, isRestored);
+  }
+
   #createRollouts(): RolloutTask | undefined {
     const { rollouts: wire, store } = this.#ports;
     return wire && new RolloutTask({
--- a/src/sidecar/store_entry_applier.ts
+++ b/src/sidecar/store_entry_applier.ts
@@ -1,3 +1,4 @@
+import { missingGraceMs } from "../coordination/eras/mod.ts";
 import { isSlowRead } from "../coordination/readers/mod.ts";
 import { EXEMPTION_PREFIX } from "../protocol/end_evidence.ts";
 import type { ConfigGap } from "../protocol/mesh.ts";
@@ -42,7 +43,15 @@
   /** Called once an instance has been removed from the directory. */
   readonly onRemoved: (instance: string) => void;
   /** Called with each entry that is neither a configuration nor a record. */
-  readonly onOtherEntry?: (key: string, entry: StoreEntry | undefined) => void;
+  readonly onOtherEntry?: (
+    key: string,
+    entry: StoreEntry | undefined,
+    mayBeOutdated: boolean,
+  ) => void;
+  /** Era of the store; `undefined` if it names none. */
+  readonly era: () => number | undefined;
+  /** Whether an entry may come from the copy of a store that was restored. */
+  readonly mayBeOutdated: (entry: StoreEntry) => boolean;
   /** Whether the store answers. */
   readonly isConnected: () => boolean;
   /** Newest configuration version that another daemon has named. */
@@ -65,6 +74,8 @@
   /** When a version was adopted that takes long to come from the store. */
   #slowVersionAtMs = -Infinity;
   #sweepTimer: NodeJS.Timeout | undefined;
+  /** Until when missing records may still be written again, in ms. */
+  #rewriteUntilMs = -Infinity;
 
   /**
    * Creates an applier.
@@ -80,6 +91,12 @@
     return this.#slowVersionAtMs;
   }
 
+  /** Gives all daemons the time to write their records again. */
+  startEra(): void {
+    this.#rewriteUntilMs = performance.now() +
+      missingGraceMs(this.#options.directory.size);
+  }
+
   /** Stops waiting for records that are missing. */
   stop(): void {
     clearTimeout(this.#sweepTimer);
@@ -98,7 +115,8 @@
     }
     this.#setExempt(entry.key, true);
     if (!entry.key.startsWith(RECORD_PREFIX)) {
-      return this.#options.onOtherEntry?.(entry.key, entry);
+      const { onOtherEntry, mayBeOutdated } = this.#options;
+      return onOtherEntry?.(entry.key, entry, mayBeOutdated(entry));
     }
     if (entry.key === localKey) onLocalRecord(entry);
     else this.#applyRecord(entry);
@@ -120,6 +138,12 @@
         revision: entry.modRevision,
       });
     }
+    // Only its daemon can show that it is still there: its lease is gone.
+    const { leaseEra } = record;
+    const era = this.#options.era();
+    if (leaseEra !== undefined && era !== undefined && leaseEra < era) {
+      this.#markRecordMissing(record.instance);
+    }
   }
 
   /**
@@ -132,7 +156,9 @@
     const { configSource, routes, log, onConfigAdopted } = this.#options;
     try {
       const config = configSource.decode(bytes);
-      if (!routes.adopt(config, bytes)) return;
+      const replacesEqual = origin !== ConfigOrigin.Peer &&
+        this.#rewriteUntilMs > -Infinity;
+      if (!routes.adopt(config, bytes, replacesEqual)) return;
       if (isSlowRead(bytes.length, this.#options.linkMbps)) {
         this.#slowVersionAtMs = performance.now();
       }
@@ -190,13 +216,16 @@
   markMissing(key: string): void {
     this.#setExempt(key, false);
     if (!key.startsWith(RECORD_PREFIX)) {
-      return this.#options.onOtherEntry?.(key, undefined);
+      return this.#options.onOtherEntry?.(key, undefined, false);
     }
     if (key === this.#options.localKey) {
       this.#options.onLocalRecord(undefined);
       return;
     }
-    const instance = key.slice(RECORD_PREFIX.length);
+    this.#markRecordMissing(key.slice(RECORD_PREFIX.length));
+  }
+
+  #markRecordMissing(instance: string): void {
     this.#options.directory.markMissing(instance, performance.now());
     this.#scheduleSweep();
   }
@@ -218,7 +247,7 @@
         directory.markMissing(record.instance, nowMs);
       }
       if (
-        !this.#options.isConnected() ||
+        !this.#options.isConnected() || nowMs < this.#rewriteUntilMs ||
         nowMs - missingSinceMs < MISSING_GRACE_MS
       ) {
         this.#scheduleSweep();
--- a/src/sidecar/store_recovery.ts
+++ b/src/sidecar/store_recovery.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Result } from "neverthrow";
+import { canFollow } from "../coordination/eras/mod.ts";
 import {
   planRecovery,
   type RecoveryPlan,
@@ -55,6 +56,8 @@
    * they respond.
    */
   readonly isCurrent: boolean;
+  /** Era of that revision; `undefined` if the store names none. */
+  readonly era?: number | undefined;
   /** A poll that may still be answered. */
   readonly pending?: Promise<Result<PollResult, StepError>>;
 }
@@ -217,16 +220,17 @@
     signal: AbortSignal,
     resolve: (recovery: Recovery) => void,
   ): Promise<void> {
-    const { afterRevision } = start;
+    const { afterRevision, era } = start;
     if (afterRevision === undefined) return;
     const { pollFeed } = this.#options;
     const { holdMs } = this.#plan();
     let pauseMs = 0;
     let waitMs = start.isCurrent ? holdMs : 0;
     while (await pause(pauseMs, signal)) {
-      const poll = { afterRevision, waitMs, waitsForStore: true };
+      const poll = { afterRevision, waitMs, waitsForStore: true, era };
       const polled = await pollFeed(source, poll, signal);
       const isUseful = polled.kind === "changes" &&
+        canFollow(polled.batch.era, era) &&
         (polled.viewAgeMs <= MAX_SOURCE_AGE_MS ||
           polled.batch.events.length > 0);
       if (isUseful) {
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -1,23 +1,19 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import { ResponseUse } from "../coordination/eras/mod.ts";
 import type { FeedAnswer, FeedPoll } from "../protocol/feed.ts";
 import { messageOf } from "../protocol/step_error.ts";
 import type { StepError } from "../protocol/step_error.ts";
 import type { RangeResult } from "../protocol/store.ts";
 import { ConfigReader } from "./config_reader.ts";
 import type { FeedFollower } from "./feed_follower.ts";
+import { MAX_READER_AGE_MS } from "./feed_source.ts";
 import type { PeerClient } from "./peer_client.ts";
 import type { MeshStore, PollResult } from "./ports.ts";
 import { choosePollWaitMs, COALESCE_MS, StorePoller } from "./store_poller.ts";
 import { RecoveryRunner, type StoreDoubt } from "./recovery_runner.ts";
 import type { StoreRecovery } from "./store_recovery.ts";
-import {
-  MAX_READER_AGE_MS,
-  StoreView,
-  type StoreViewOptions,
-} from "./store_view.ts";
+import { StoreView, type StoreViewOptions } from "./store_view.ts";
 
-/** Time after a version within which another one is likely, in ms. */
-const SERIES_MS = 1_000;
 /**
  * Pause before the first poll of a store without a configuration, in ms. A new
  * fleet's daemons record their backend servers then; one poll brings them all.
@@ -143,7 +139,7 @@
         });
         revision = undefined;
         this.#view.lose();
-        await sleep(FAILURE_PAUSE_MS * (0.5 + Math.random()));
+        await pauseAfterFailure();
       }
     }
     this.#view.stop();
@@ -187,9 +183,15 @@
   async #applyFirstListing(
     range: RangeResult,
     sentAtMs: number,
-  ): Promise<number> {
-    const hasConfig = this.#view.applyFirstListing(range, sentAtMs);
-    if (!hasConfig) await sleep(BOOTSTRAP_PAUSE_MS);
+  ): Promise<number | undefined> {
+    const { use, hasConfig } = this.#view.applyFirstListing(range, sentAtMs);
+    if (use === ResponseUse.Drop) {
+      await pauseAfterFailure();
+      return undefined;
+    }
+    if (!hasConfig && use === ResponseUse.Apply) {
+      await sleep(BOOTSTRAP_PAUSE_MS);
+    }
     return range.revision;
   }
 
@@ -197,7 +199,10 @@
     afterRevision: number,
     signal: AbortSignal,
   ): Promise<number | undefined> {
-    const followed = await this.#options.follower.poll(afterRevision);
+    const followed = await this.#options.follower.poll(
+      afterRevision,
+      this.#view.era,
+    );
     const wasReading = this.#isPollingStore;
     this.#isPollingStore = followed.kind === "none" ||
       followed.kind === "away" && wasReading;
@@ -226,7 +231,7 @@
             isFailure: false,
           }, signal);
         }
-        if (this.#isInSlowSeries()) {
+        if (this.#view.isInSlowSeries) {
           await sleep(COALESCE_MS);
           return await this.#catchUp(afterRevision, signal);
         }
@@ -238,14 +243,6 @@
     }
   }
 
-  /**
-   * Whether a version that takes long to come was adopted just now: a poll would
-   * bring all that have followed it.
-   */
-  #isInSlowSeries(): boolean {
-    return performance.now() - this.#view.slowVersionAtMs < SERIES_MS;
-  }
-
   async #pollStore(
     afterRevision: number,
     signal: AbortSignal,
@@ -295,11 +292,16 @@
     const { configSource, log } = this.#options;
     const { afterRevision, atMs } = poll;
     if (result.kind === "compacted") {
+      const use = this.#view.judgeCompacted(result.era);
+      if (use !== ResponseUse.Apply) {
+        return await this.#skip(use, afterRevision);
+      }
       log.warn("store-history-lost", { afterRevision });
       // Compared with what is known, so that followers can go on.
       return await this.#catchUp(afterRevision, signal, false);
     }
-    this.#view.applyPolled(result, atMs);
+    const use = this.#view.applyPolled(result, atMs);
+    if (use !== ResponseUse.Apply) return await this.#skip(use, afterRevision);
     if (result.events.length === 0) return result.revision;
     await sleep(COALESCE_MS);
     const versions = result.events.filter(({ key }) =>
@@ -310,6 +312,16 @@
       : result.revision;
   }
 
+  /** Returns where to go on after a poll that is not applied. */
+  async #skip(
+    use: ResponseUse,
+    afterRevision: number,
+  ): Promise<number | undefined> {
+    if (use !== ResponseUse.Drop) return undefined;
+    await pauseAfterFailure();
+    return afterRevision;
+  }
+
   /**
    * Waits until the store or another daemon tells the current state.
    *
@@ -385,3 +397,7 @@
       : await this.#recoverFrom(listed.error, afterRevision, signal);
   }
 }
+
+async function pauseAfterFailure(): Promise<void> {
+  await sleep(FAILURE_PAUSE_MS * (0.5 + Math.random()));
+}
--- a/src/sidecar/store_sync_task_test.ts
+++ b/src/sidecar/store_sync_task_test.ts
@@ -12,7 +12,7 @@
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { PeerClient } from "./peer_client.ts";
 import type { FeedFollower, FollowResult } from "./feed_follower.ts";
-import type { MeshStore } from "./ports.ts";
+import type { MeshStore, PollResult } from "./ports.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
 const KEY = "config";
@@ -183,4 +183,106 @@
   assert.equal(adopted, [1, 5, 9]);
 });
 
+/** Runs a task on a store that is restored while it is polled. */
+async function runRestored(
+  polls: readonly PollResult[],
+): Promise<{ calls: string[]; adopted: number[] }> {
+  const left = [...polls];
+  const calls: string[] = [];
+  const adopted: number[] = [];
+  const routes = new RouteTableHolder();
+  let listings = 0;
+  const task = new StoreSyncTask({
+    store: {
+      list: () => {
+        calls.push("list");
+        const isFirst = listings++ === 0;
+        return okAsync(
+          isFirst
+            ? { entries: [configEntryAt(9)], revision: 9, era: 1 }
+            : { entries: [configEntryAt(5)], revision: 12, era: 2 },
+        );
+      },
+      poll: ({ afterRevision }: { readonly afterRevision: number }) => {
+        calls.push(`poll after ${afterRevision}`);
+        const result = left.shift();
+        return result === undefined
+          ? ResultAsync.fromSafePromise(new Promise(() => {}))
+          : okAsync(result);
+      },
+    } as unknown as MeshStore,
+    configSource: { key: KEY, watchPrefix: "", decode },
+    routes,
+    directory: new BackendDirectory(),
+    quarantine: { replaceExempt: () => {} } as unknown as RequestQuarantine,
+    log: new EventLog({ sink: { write: () => {}, close: () => {} } }),
+    metrics: new TextMetrics(),
+    localKey: "own",
+    linkMbps: 0,
+    follower: {
+      poll: () => Promise.resolve({ kind: "none" }),
+    } as unknown as FeedFollower,
+    recovery: {
+      run: () => Promise.resolve({ kind: "stopped" }),
+      reset: () => {},
+    },
+    onConfigAdopted: () => adopted.push(routes.version),
+    onLocalRecord: () => {},
+    onRemoved: () => {},
+    onEra: (era, isRestored) => calls.push(`era ${era} ${isRestored}`),
+  });
+  const stopped = new AbortController();
+  void task.run(stopped.signal);
+  await sleep(RUN_MS);
+  stopped.abort();
+  return { calls, adopted };
+}
+
+const CHANGE = { key: KEY, entry: configEntryAt(10) };
+const RESTORED_CALLS = [
+  "list",
+  "era 1 false",
+  "poll after 9",
+  "list",
+  "era 2 true",
+  "poll after 12",
+];
+
+// Guards against a watch that goes on from a revision of the former era: the
+// store has assigned it again, and answers with the changes after it.
+test("StoreSyncTask.run() lists the store after changes of a later era", async () => {
+  const events = {
+    kind: "events",
+    events: [CHANGE],
+    isComplete: false,
+  } as const;
+  assert.equal(await runRestored([{ ...events, revision: 10, era: 2 }]), {
+    calls: RESTORED_CALLS,
+    adopted: [9],
+  });
+});
+
+test("StoreSyncTask.run() lists the store if it does not have the revision any more", async () => {
+  assert.equal((await runRestored([{ kind: "compacted", era: 2 }])).calls, [
+    ...RESTORED_CALLS,
+  ]);
+});
+
+// Guards against a late response that brings changes of the former era.
+test("StoreSyncTask.run() drops changes of an earlier era", async () => {
+  const events = {
+    kind: "events",
+    events: [CHANGE],
+    isComplete: false,
+  } as const;
+  const { calls, adopted } = await runRestored([
+    { kind: "compacted", era: 2 },
+    { ...events, revision: 10, era: 1 },
+  ]);
+  assert.equal({ calls, adopted }, {
+    calls: [...RESTORED_CALLS, "poll after 12"],
+    adopted: [9],
+  });
+});
+
 test.run();
--- a/src/sidecar/store_view.ts
+++ b/src/sidecar/store_view.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { ResponseUse } from "../coordination/eras/mod.ts";
 import type { ChangeBatch, FeedAnswer, FeedPoll } from "../protocol/feed.ts";
 import type { RangeResult, StoreEntry } from "../protocol/store.ts";
 import type { BackendDirectory } from "../state/backend_directory.ts";
@@ -9,13 +10,15 @@
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { RECORD_PREFIX } from "./backend_record_codec.ts";
+import { EraGate } from "./era_gate.ts";
 import type { FollowedBatch } from "./feed_follower.ts";
+import { FeedSource } from "./feed_source.ts";
 import type { MeshConfigSource } from "./ports.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import { ConfigOrigin, StoreEntryApplier } from "./store_entry_applier.ts";
 
-/** Age of a reader's view from which it refuses its followers, in ms. */
-export const MAX_READER_AGE_MS = 1_500;
+/** Time after a version within which another one is likely, in ms. */
+const SERIES_MS = 1_000;
 
 /** Options of a {@linkcode StoreView}. */
 export interface StoreViewOptions {
@@ -37,7 +40,16 @@
   /** Called once all entries of the first listing were applied. */
   readonly onFirstListing?: () => void;
   /** Called with each entry that is neither a configuration nor a record. */
-  readonly onOtherEntry?: (key: string, entry: StoreEntry | undefined) => void;
+  readonly onOtherEntry?: (
+    key: string,
+    entry: StoreEntry | undefined,
+    mayBeOutdated: boolean,
+  ) => void;
+  /**
+   * Called with the era of the store before anything of it is applied, and
+   * whether the store was restored since.
+   */
+  readonly onEra?: (era: number, isRestored: boolean) => void;
 }
 
 /**
@@ -53,6 +65,8 @@
 export class StoreView {
   readonly #options: StoreViewOptions;
   readonly #history = new FeedHistory();
+  readonly #gate: EraGate;
+  readonly #feed: FeedSource;
   readonly #contact = new StoreContact(performance.now());
   readonly #applier: StoreEntryApplier;
   /** Age of the view of all keys. */
@@ -73,11 +87,25 @@
    */
   constructor(options: StoreViewOptions) {
     this.#options = options;
+    this.#gate = new EraGate({
+      ...options,
+      onEra: (era, isRestored) => {
+        if (isRestored) this.#applier.startEra();
+        options.onEra?.(era, isRestored);
+      },
+    });
+    this.#feed = new FeedSource({
+      history: this.#history,
+      isConnected: () => this.#contact.isConnected,
+      viewAgeMs: () => this.ageMs(),
+    });
     this.#applier = new StoreEntryApplier({
       ...options,
       isConnected: () => this.#contact.isConnected,
       newestPeerVersion: () => this.newestPeerVersion,
       viewAgeMs: () => this.ageMs(),
+      era: () => this.#gate.era,
+      mayBeOutdated: (entry) => this.#gate.mayBeOutdated(entry),
     });
   }
 
@@ -86,14 +114,22 @@
     return this.#hasListed;
   }
 
+  /** Era of the store; `undefined` if it names none. */
+  get era(): number | undefined {
+    return this.#gate.era;
+  }
+
   /** Whether the store is taken to answer. */
   get isConnected(): boolean {
     return this.#contact.isConnected;
   }
 
-  /** Monotonic time of the last version that took long to come, in ms. */
-  get slowVersionAtMs(): number {
-    return this.#applier.slowVersionAtMs;
+  /**
+   * Whether a version that takes long to come was adopted just now: a poll would
+   * bring all that have followed it.
+   */
+  get isInSlowSeries(): boolean {
+    return performance.now() - this.#applier.slowVersionAtMs < SERIES_MS;
   }
 
   /**
@@ -153,12 +189,15 @@
    *
    * @param range The result.
    * @param sentAtMs Monotonic time at which the read was sent, in ms.
+   * @returns False if it is of an earlier era.
    */
-  applyKeyRead(range: RangeResult, sentAtMs: number): void {
+  applyKeyRead(range: RangeResult, sentAtMs: number): boolean {
+    if (this.#gate.isEarlier(range.era)) return false;
     for (const entry of range.entries) {
       this.#applier.applyEntry(entry, ConfigOrigin.KeyRead);
     }
     this.#configView.confirm(sentAtMs);
+    return true;
   }
 
   /**
@@ -168,35 +207,11 @@
    * @param readsStore Whether this daemon reads the store now.
    * @returns The changes, or why this daemon cannot say that there are none.
    */
-  async waitForUpdate(
+  waitForUpdate(
     poll: FeedPoll,
     readsStore: () => boolean,
   ): Promise<FeedAnswer> {
-    const { afterRevision, waitMs, waitsForStore } = poll;
-    const deadlineMs = performance.now() + waitMs;
-    for (;;) {
-      if (!readsStore()) return { kind: "refused" };
-      const batch = this.#history.since(afterRevision);
-      const nowMs = performance.now();
-      const isCurrent = this.#contact.isConnected &&
-        this.ageMs() < MAX_READER_AGE_MS;
-      if (batch !== undefined) {
-        // Changes are worth having, however old the view is.
-        const hasChanged = batch.events.length > 0;
-        if (hasChanged || isCurrent && nowMs >= deadlineMs) {
-          return { kind: "changes", batch };
-        }
-      }
-      if (!isCurrent && (!waitsForStore || nowMs >= deadlineMs)) {
-        return { kind: "away" };
-      }
-      const currentForMs = isCurrent
-        ? MAX_READER_AGE_MS - this.ageMs()
-        : Infinity;
-      await this.#history.waitForChange(
-        Math.max(1, Math.min(deadlineMs - nowMs, currentForMs)),
-      );
-    }
+    return this.#feed.waitForUpdate(poll, readsStore);
   }
 
   /**
@@ -204,18 +219,44 @@
    *
    * @param range The listing.
    * @param sentAtMs Monotonic time at which it was sent, in ms.
-   * @returns Whether the store has a configuration.
+   * @returns What was done, and whether the store has a configuration.
    */
-  applyFirstListing(range: RangeResult, sentAtMs: number): boolean {
-    const { configSource, directory } = this.#options;
-    const { entries, revision } = range;
-    this.#hasListed = true;
-    this.#history.reset(entries, revision);
-    for (const entry of entries) {
-      this.#applier.applyEntry(entry, ConfigOrigin.Listing);
+  applyFirstListing(
+    range: RangeResult,
+    sentAtMs: number,
+  ): { readonly use: ResponseUse; readonly hasConfig: boolean } {
+    const { configSource } = this.#options;
+    const use = this.#gate.enter({ ...range, isComplete: true });
+    if (use !== ResponseUse.Drop) {
+      this.#replaceState(range, ConfigOrigin.Listing, sentAtMs);
     }
+    const hasConfig = range.entries.some(({ key }) => key === configSource.key);
+    return { use, hasConfig };
+  }
+
+  /**
+   * Decides about a poll that was answered without changes, as the store does
+   * not have its revision.
+   *
+   * @param era Era of the response.
+   * @returns What is to be done.
+   */
+  judgeCompacted(era: number | undefined): ResponseUse {
+    return this.#gate.enter({ era, revision: 0, isComplete: false });
+  }
+
+  /** Replaces all that is known of the store. */
+  #replaceState(
+    { entries, revision }: RangeResult,
+    origin: ConfigOrigin,
+    completeAtMs: number,
+  ): void {
+    const { directory } = this.#options;
+    this.#hasListed = true;
+    this.#history.reset(entries, revision, this.era);
+    for (const entry of entries) this.#applier.applyEntry(entry, origin);
     this.#applier.replaceExempt(entries.map(({ key }) => key));
-    this.#markConnected(sentAtMs);
+    this.#markConnected(completeAtMs);
     const present = new Set(entries.map((entry) => entry.key));
     for (const { record } of directory.entries) {
       const key = RECORD_PREFIX + record.instance;
@@ -225,22 +266,36 @@
       this.#options.onLocalRecord(undefined);
     }
     this.#options.onFirstListing?.();
-    return present.has(configSource.key);
   }
 
   /**
    * Applies changes of another daemon.
    *
    * @param batch The changes.
-   * @returns The revision from which to go on.
+   * @returns The revision from which to go on; `undefined` if the store has to
+   * be listed.
    */
-  applyFollowed(batch: FollowedBatch): number {
-    this.#applyUpdate(
-      batch.isComplete ? this.#compareState(batch) : batch,
-      ConfigOrigin.Reader,
-    );
-    this.#markConnected(performance.now() - batch.viewAgeMs);
-    return batch.revision;
+  applyFollowed(batch: FollowedBatch): number | undefined {
+    const completeAtMs = performance.now() - batch.viewAgeMs;
+    switch (this.#gate.enter(batch)) {
+      case ResponseUse.Drop:
+      case ResponseUse.List:
+        return undefined;
+      case ResponseUse.Replace: {
+        const entries = batch.events.flatMap(({ entry }) => entry ?? []);
+        const { revision } = batch;
+        const range = { entries, revision };
+        this.#replaceState(range, ConfigOrigin.Reader, completeAtMs);
+        return revision;
+      }
+      case ResponseUse.Apply:
+        this.#applyUpdate(
+          batch.isComplete ? this.#compareState(batch) : batch,
+          ConfigOrigin.Reader,
+        );
+        this.#markConnected(completeAtMs);
+        return batch.revision;
+    }
   }
 
   /**
@@ -248,10 +303,14 @@
    *
    * @param batch The changes.
    * @param atMs Monotonic time at which they were all, in ms.
+   * @returns What was done with them.
    */
-  applyPolled(batch: ChangeBatch, atMs: number): void {
+  applyPolled(batch: ChangeBatch, atMs: number): ResponseUse {
+    const use = this.#gate.enter({ ...batch, isComplete: false });
+    if (use !== ResponseUse.Apply) return use;
     this.#applyUpdate(batch, ConfigOrigin.Poll);
     this.#markConnected(atMs);
+    return use;
   }
 
   /**
@@ -259,7 +318,8 @@
    *
    * @param range The listing.
    * @param from The state before.
-   * @returns The revision from which to go on.
+   * @returns The revision from which to go on; `undefined` if the listing was
+   * dropped.
    */
   applyListing(
     range: RangeResult,
@@ -270,11 +330,17 @@
       /** Monotonic time at which the listing was sent, in ms. */
       readonly sentAtMs: number;
     },
-  ): number {
+  ): number | undefined {
     const { configSource, routes } = this.#options;
     const { afterRevision, hasHistory, sentAtMs } = from;
     const versionBefore = routes.version;
     const { entries, revision } = range;
+    const use = this.#gate.enter({ ...range, isComplete: true });
+    if (use === ResponseUse.Drop) return undefined;
+    if (use === ResponseUse.Replace) {
+      this.#replaceState(range, ConfigOrigin.Listing, sentAtMs);
+      return revision;
+    }
     const state = this.#compareState({
       events: entries.map((entry) => ({ key: entry.key, entry })),
       revision,
--- a/src/state/feed_history.ts
+++ b/src/state/feed_history.ts
@@ -24,19 +24,27 @@
   readonly #waiters = new Set<() => void>();
   #startRevision = Infinity;
   #revision = 0;
+  #era: number | undefined;
 
   /** Latest revision that was read; 0 before the first read. */
   get revision(): number {
     return this.#revision;
   }
 
+  /** Era of the store in which it was read; `undefined` if it names none. */
+  get era(): number | undefined {
+    return this.#era;
+  }
+
   /**
    * Starts the history after a full read of the store.
    *
    * @param entries All entries of the store.
    * @param revision Store revision of the read.
+   * @param era Era of the store.
    */
-  reset(entries: readonly StoreEntry[], revision: number): void {
+  reset(entries: readonly StoreEntry[], revision: number, era?: number): void {
+    this.#era = era;
     this.#changes.clear();
     for (const entry of entries) {
       this.#changes.set(entry.key, {
@@ -86,6 +94,7 @@
       events,
       revision: Math.max(revision, this.#revision),
       isComplete,
+      ...(this.#era === undefined ? {} : { era: this.#era }),
     };
   }
 
--- a/src/state/route_table_holder.ts
+++ b/src/state/route_table_holder.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import type { MeshConfig } from "../protocol/mesh.ts";
 import { RouteTable } from "./route_table.ts";
 
@@ -34,10 +35,18 @@
    *
    * @param config The decoded configuration.
    * @param encodedConfig The bytes that it was decoded from.
+   * @param replacesEqual Whether another configuration of the same version is
+   * adopted too: the operator may have written it again after its loss.
    * @returns Whether it was adopted.
    */
-  adopt(config: MeshConfig, encodedConfig: Uint8Array): boolean {
-    if (config.version <= this.version) return false;
+  adopt(
+    config: MeshConfig,
+    encodedConfig: Uint8Array,
+    replacesEqual = false,
+  ): boolean {
+    const replaces = replacesEqual && config.version === this.version &&
+      Buffer.compare(encodedConfig, this.#encodedConfig) !== 0;
+    if (config.version <= this.version && !replaces) return false;
     this.#current = new RouteTable(config);
     this.#encodedConfig = encodedConfig;
     return true;
--- a/testkit/era_fleet.ts
+++ b/testkit/era_fleet.ts
@@ -2,6 +2,7 @@
 import { KvServer } from "../platform/fakes/kv_server.ts";
 import { KvStore } from "../platform/kv_store.ts";
 import { ROLLOUT_WIRE } from "../platform/rollout_codec.ts";
+import { rewritePeriodMs } from "../src/coordination/eras/mod.ts";
 import {
   decodeFeed,
   encodeFeed,
@@ -97,7 +98,7 @@
         close: () => {},
       },
     });
-    this.#publisher = new RecordPublisher({ store, instance, log });
+    this.#publisher = new RecordPublisher({ store, instance, log, metrics });
     this.#rollouts = new RolloutTask({
       instance,
       store,
@@ -156,7 +157,12 @@
       },
       onRemoved: (removed) => this.removed.push(removed),
       onFirstListing: () => this.#rollouts.handleFirstListing(),
-      onOtherEntry: (key, entry) => this.#rollouts.handleEntry(key, entry),
+      onOtherEntry: (...args) => this.#rollouts.handleEntry(...args),
+      onEra: (era, isRestored) => {
+        const delayMs = Math.random() * rewritePeriodMs(directory.size);
+        this.#publisher.enterEra(era, isRestored ? delayMs : undefined);
+        this.#rollouts.enterEra(era, isRestored);
+      },
     });
   }
 
