--- a/src/coordination/rollout/rollout_coordinator.ts
+++ b/src/coordination/rollout/rollout_coordinator.ts
@@ -6,11 +6,15 @@
   type RolloutRecord,
   type RolloutReport,
 } from "../../protocol/rollout.ts";
-import { decideStep } from "./decide_step.ts";
+import {
+  DecidingRole,
+  REPORTED_WITHIN_MS,
+  TAKEOVER_MS,
+  UNKNOWN_VERSION,
+} from "./deciding_role.ts";
 import { keepsRecord } from "./keeps_record.ts";
 import { OrderMemory } from "./order_memory.ts";
-import { type VersionJudgement, VersionVerdict } from "./judge_version.ts";
-import { RolloutObservations } from "./rollout_observations.ts";
+import type { VersionJudgement } from "./judge_version.ts";
 import {
   baselineRecord,
   figuresOf,
@@ -25,34 +29,16 @@
   StoredRollout,
   WriteResult,
 } from "./rollout_types.ts";
-import { planSteps } from "./step_plan.ts";
 
-/** Time after which the deciding daemon renews its record, in ms. */
-const RENEW_MS = 1_000;
-/** Time without a renewal after which another daemon takes over, in ms. */
-const TAKEOVER_MS = 3_000;
 /** Further time for each daemon that comes before in the order of takeover. */
 const RANK_DELAY_MS = 700;
 /** Daemons beyond this rank do not differ in their delay. */
 const MAX_RANK = 8;
 /** Age of a view of the store from which it shows no lapse, in ms. */
 const MAX_VIEW_AGE_MS = 2_500;
-/** Time within which a daemon must have reported to count, in ms. */
-const REPORTED_WITHIN_MS = 2_000;
-/** Share of the daemons that must report to the deciding daemon. */
-const MIN_REPORTERS = 0.5;
-/** Share of the daemons that must report before a new decider may wait less. */
-const ALL_REPORTERS = 0.95;
-const ALL_REPORTS_WITHIN_MS = 2_000;
-/** Time for which a daemon that few report to leaves the role to others. */
-const RESIGNED_FOR_MS = 10_000;
 /** Pause before a write is repeated that has failed, in ms. */
 const RETRY_MS = 400;
 
-const UNKNOWN: VersionJudgement = { verdict: VersionVerdict.Unknown };
-
-const ROLLED_BACK = { phase: RolloutPhase.RolledBack, share: 0 };
-
 /**
  * One daemon's part in the decisions about one service. At any time one daemon
  * decides: each write replaces the record that the daemon has seen last.
@@ -75,19 +61,11 @@
   #recordSeenAtMs = 0;
   /** Sequences of the records that this process has written or tried to. */
   readonly #ownSequences = new Set<number>();
-  #observations: RolloutObservations | undefined;
+  readonly #role = new DecidingRole();
   #pending: RolloutWrite | undefined;
   #retryAtMs = -Infinity;
-  #shareSinceMs = 0;
-  /** Sequence with which the phase began, as far as this daemon knows. */
-  #phaseSequence = 0;
   /** Sequences of writes whose result is not known. */
   readonly #unknownSequences = new Set<number>();
-  #decidingSinceMs = 0;
-  #daemons = 0;
-  #resignedUntilMs = -Infinity;
-  /** Whether a decision to roll back is not written yet. */
-  #isHalted = false;
 
   /**
    * Creates a coordinator that knows no order.
@@ -186,14 +164,9 @@
    */
   receive(report: RolloutReport, nowMs: number): RolloutRecord | undefined {
     const record = this.#record;
-    const isResigned = nowMs < this.#resignedUntilMs;
-    if (record === undefined || !this.isDecider || isResigned) return undefined;
-    this.#observations?.record(report, nowMs);
-    // A daemon that was held up does not know yet what others have seen.
-    if (!this.#isHeard(nowMs)) return undefined;
-    return this.#isHalted
-      ? { ...record, phase: RolloutPhase.Running, share: 0 }
-      : record;
+    return record !== undefined && this.isDecider
+      ? this.#role.receive(report, record, nowMs)
+      : undefined;
   }
 
   /**
@@ -203,7 +176,7 @@
    * @returns The judgement.
    */
   judge(nowMs: number): VersionJudgement {
-    return this.#observations?.judge(nowMs) ?? UNKNOWN;
+    return this.#role.judge(nowMs);
   }
 
   /**
@@ -215,7 +188,7 @@
    */
   next(situation: RolloutSituation): RolloutWrite | undefined {
     const { nowMs } = situation;
-    this.#daemons = situation.daemons;
+    this.#role.daemons = situation.daemons;
     if (this.#pending !== undefined || nowMs < this.#retryAtMs) {
       return undefined;
     }
@@ -288,25 +261,12 @@
   #adopt(record: RolloutRecord, revision: number, nowMs: number): void {
     const known = this.#record;
     const wasDecider = this.isDecider;
-    const isNewPhase = known?.phase !== record.phase ||
-      known.targetVersion !== record.targetVersion;
-    const hasShareChanged = isNewPhase || known.share !== record.share ||
-      known.decider !== record.decider;
-    if (hasShareChanged) this.#shareSinceMs = nowMs;
-    if (isNewPhase) this.#phaseSequence = record.sequence;
     this.#orders.noteRecord(record);
     this.#record = record;
     this.#revision = revision;
     this.#recordSeenAtMs = nowMs;
-    if (!this.isDecider || !isActivePhase(record.phase)) {
-      this.#isHalted = false;
-    }
-    const isNewRole = this.isDecider &&
-      (!wasDecider || known?.targetVersion !== record.targetVersion);
-    if (!isNewRole) return;
-    this.#decidingSinceMs = nowMs;
-    this.#isHalted = false;
-    this.#observations = new RolloutObservations(record.targetVersion, nowMs);
+    const { isDecider } = this;
+    this.#role.follow(known, record, { wasDecider, isDecider }, nowMs);
   }
 
   #takeUpOrder(situation: RolloutSituation): RolloutWrite | undefined {
@@ -334,62 +294,16 @@
   }
 
   #decide(situation: RolloutSituation): RolloutWrite | undefined {
-    const { nowMs, nowUnixMs, daemons } = situation;
     const record = this.#record;
-    const observations = this.#observations;
-    const isDeciding = record !== undefined && this.isDecider &&
-      isActivePhase(record.phase) && observations !== undefined &&
-      nowMs >= this.#resignedUntilMs;
-    if (!isDeciding) return undefined;
-    const reporters = observations.countReporters(nowMs - REPORTED_WITHIN_MS);
-    const isNew = nowMs - this.#decidingSinceMs < ALL_REPORTS_WITHIN_MS;
-    // A daemon that has just taken over has to know what others have seen.
-    const hasReports = reporters >=
-      daemons * (isNew ? ALL_REPORTERS : MIN_REPORTERS);
-    if (!this.#isHeard(nowMs)) {
-      // Others can take the role over once the record is not renewed.
-      this.#resignedUntilMs = nowMs + RESIGNED_FOR_MS;
-      return undefined;
-    }
-    const durationMs = record.endsAtUnixMs - record.startedAtUnixMs;
-    const observedS = Math.max(1, (nowMs - observations.startedAtMs) / 1_000);
-    const judgement = observations.judge(nowMs);
-    const step = decideStep({
+    if (record === undefined || !this.isDecider) return undefined;
+    const decision = this.#role.decide(
       record,
-      plan: planSteps(durationMs, observations.requests / observedS),
-      durationMs,
-      elapsedMs: nowUnixMs - record.startedAtUnixMs,
-      shareAgeMs: nowMs - this.#shareSinceMs,
-      judgement,
-      targetRequests: observations.targetRequests,
-      hasTarget: situation.hasTarget,
-      hasReports,
-      isDrained: situation.formerInstances.every((instance) =>
-        observations.isDrained(
-          instance,
-          this.#phaseSequence,
-          nowMs - REPORTED_WITHIN_MS,
-        )
-      ),
-    });
-    const { phase, share } = this.#isHalted ? ROLLED_BACK : step;
-    const sequence = record.sequence + 1;
-    if (phase !== record.phase || share !== record.share) {
-      this.#isHalted = phase === RolloutPhase.RolledBack;
-      const inUse = phase === RolloutPhase.Finished
-        ? [record.targetVersion]
-        : record.inUse;
-      const next = { ...record, sequence, phase, share, inUse };
-      return this.#write(situation, RolloutReason.Decided, next, judgement);
-    }
-    return nowMs - this.#recordSeenAtMs >= RENEW_MS
-      ? this.#write(
-        situation,
-        RolloutReason.Renewed,
-        { ...record, sequence },
-        judgement,
-      )
-      : undefined;
+      situation,
+      this.#recordSeenAtMs,
+    );
+    if (decision === undefined) return undefined;
+    const { reason, next, judgement } = decision;
+    return this.#write(situation, reason, next, judgement);
   }
 
   /**
@@ -443,23 +357,15 @@
     );
   }
 
-  /** Whether enough daemons report, or have had no time to do so yet. */
-  #isHeard(nowMs: number): boolean {
-    const reporters =
-      this.#observations?.countReporters(nowMs - REPORTED_WITHIN_MS) ?? 0;
-    return reporters >= this.#daemons * MIN_REPORTERS ||
-      nowMs - this.#decidingSinceMs <= TAKEOVER_MS;
-  }
-
   #mayElect(viewAgeMs: number, nowMs: number): boolean {
-    return viewAgeMs < MAX_VIEW_AGE_MS && nowMs >= this.#resignedUntilMs;
+    return viewAgeMs < MAX_VIEW_AGE_MS && !this.#role.isResigned(nowMs);
   }
 
   #write(
     situation: RolloutSituation,
     reason: RolloutReason,
     record: RolloutRecord,
-    judgement: VersionJudgement = UNKNOWN,
+    judgement = UNKNOWN_VERSION,
   ): RolloutWrite {
     const { service, targetVersion, phase } = record;
     const isNews = phase !== RolloutPhase.Idle &&
@@ -473,7 +379,7 @@
       figures: figuresOf(
         situation,
         record,
-        this.isDecider ? this.#observations : undefined,
+        this.isDecider ? this.#role.observations : undefined,
         REPORTED_WITHIN_MS,
       ),
       ...(isNews ? { status: { service, targetVersion, phase } } : {}),
--- a/src/sidecar/config_reader.ts
+++ b/src/sidecar/config_reader.ts
@@ -60,7 +60,9 @@
     const timeout = new AbortController();
     const isRead = await Promise.race([
       // A call to a lost store would only be one more that is waited for.
-      isRecovering() ? view.waitForRegain().then(() => false) : this.#readKey(),
+      isRecovering()
+        ? view.connection.waitForRegain().then(() => false)
+        : this.#readKey(),
       sleep(CONFIRM_TIMEOUT_MS, undefined, { signal: timeout.signal })
         .then(doubtPoll)
         // Aborted, as the read has ended.
@@ -114,7 +116,7 @@
     log.info("config-behind-peer", {
       version,
       known: routes.version,
-      viewAgeMs: Math.round(view.ageMs()),
+      viewAgeMs: Math.round(view.connection.ageMs()),
     });
     // Compressed, so it also crosses a slow link that the store's copy fills.
     const bytes = await client?.fetchConfig();
@@ -136,7 +138,7 @@
     const { store, configSource, view } = this.#options;
     const sentAtMs = performance.now();
     const listed = await store.list(configSource.key);
-    view.countCall("read", sentAtMs, listed.isOk());
+    view.connection.countCall("read", sentAtMs, listed.isOk());
     if (listed.isErr()) return false;
     return view.applyKeyRead(listed.value, sentAtMs);
   }
--- a/src/sidecar/feed_source.ts
+++ b/src/sidecar/feed_source.ts
@@ -61,9 +61,11 @@
           return { kind: "changes", batch };
         }
       }
-      if (!isCurrent && (!waitsForStore || nowMs >= deadlineMs)) {
-        return { kind: "away" };
-      }
+      // Without changes, the follower is ahead: this daemon learns the era soon.
+      const isOver = nowMs >= deadlineMs;
+      const isAway = !isCurrent && (!waitsForStore || isOver) ||
+        batch === undefined && isOver;
+      if (isAway) return { kind: "away" };
       const currentForMs = isCurrent
         ? MAX_READER_AGE_MS - this.#options.viewAgeMs()
         : Infinity;
--- a/src/sidecar/recovery_runner.ts
+++ b/src/sidecar/recovery_runner.ts
@@ -68,8 +68,8 @@
     const { recovery, view, log } = this.#options;
     const doubtedAtMs = performance.now();
     const lose = () => {
-      if (view.isConnected) log.warn("store-lost", { reason });
-      view.lose();
+      if (view.connection.isConnected) log.warn("store-lost", { reason });
+      view.connection.lose();
       view.wakeFollowers();
     };
     const timer = setTimeout(lose, isFailure ? 0 : LOSS_DELAY_MS);
@@ -78,7 +78,7 @@
       afterRevision,
       era: view.era,
       ...(pending === undefined ? {} : { pending }),
-      isCurrent: view.ageMs() < MAX_READER_AGE_MS,
+      isCurrent: view.connection.ageMs() < MAX_READER_AGE_MS,
     }, signal);
     clearTimeout(timer);
     this.#isRunning = false;
--- a/src/sidecar/rollout_task.ts
+++ b/src/sidecar/rollout_task.ts
@@ -3,12 +3,11 @@
 import {
   findInitial,
   RolloutReason,
-  type RolloutSituation,
   type RolloutWrite,
   VersionGate,
 } from "../coordination/rollout/mod.ts";
 import { RolloutCoordinator } from "../coordination/rollout/mod.ts";
-import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
+import type { BackendRecord } from "../protocol/mesh.ts";
 import type { Random } from "../protocol/random.ts";
 import type { RolloutRecord } from "../protocol/rollout.ts";
 import { messageOf } from "../protocol/step_error.ts";
@@ -23,7 +22,7 @@
   encodeRollout,
   ROLLOUT_PREFIX,
 } from "./rollout_codec.ts";
-import { findRecord, rankOf } from "./rollout_election.ts";
+import { findRecord, situationOf } from "./rollout_election.ts";
 import { isRolloutDecision, logWrite } from "./rollout_log.ts";
 import { VersionFilter } from "./version_filter.ts";
 
@@ -297,36 +296,11 @@
           reason: messageOf(error),
         })
       );
-      const write = state.coordinator.next(this.#situationOf(state));
+      const write = state.coordinator.next(situationOf(state, this.#options));
       if (write !== undefined) void this.#write(state, write);
     }
   }
 
-  #situationOf(state: ServiceState): RolloutSituation {
-    const { directory, instance, viewAgeMs } = this.#options;
-    const { gate, coordinator, service } = state;
-    const records = [...directory.entries].map(({ record }) => record);
-    const ofService = records.filter((record) => record.service === service);
-    const targetVersion = coordinator.record?.targetVersion;
-    return {
-      nowMs: performance.now(),
-      nowUnixMs: Date.now(),
-      viewAgeMs: viewAgeMs(),
-      rank: rankOf(instance, service, records),
-      daemons: records.length,
-      inUse: [...gate.inUse],
-      announced: [
-        ...new Set(ofService.map(({ version = "" }) => version)),
-      ],
-      formerInstances: ofService
-        .filter(({ version }) => version !== targetVersion)
-        .map((record) => record.instance),
-      hasTarget: ofService.some(({ version, state }) =>
-        version === targetVersion && state === BackendState.Ready
-      ),
-    };
-  }
-
   async #write(state: ServiceState, write: RolloutWrite): Promise<void> {
     const { store, wire, log, metrics } = this.#options;
     const key = ROLLOUT_PREFIX + state.service;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -2,11 +2,8 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { DEFAULT_QUOTA_BOUNDS } from "../coordination/quota/mod.ts";
-import { rewritePeriodMs } from "../coordination/eras/mod.ts";
 import { ResponseSizes } from "../coordination/dispatch/mod.ts";
-import { WindowedRetryBudget } from "../coordination/retry/windowed_retry_budget.ts";
 import { Random } from "../protocol/random.ts";
-import { messageOf } from "../protocol/step_error.ts";
 import type { Announcement } from "../protocol/mesh.ts";
 import { BackendDirectory } from "../state/backend_directory.ts";
 import { LocalBackend } from "../state/local_backend.ts";
@@ -22,7 +19,6 @@
 import { createControlServer } from "./control_server.ts";
 import { BackendDispatcher } from "./backend_dispatcher.ts";
 import { GracefulShutdown } from "./graceful_shutdown.ts";
-import { FeedFollower } from "./feed_follower.ts";
 import { DestinationPool } from "./destination_pool.ts";
 import { IngressServer } from "./ingress_server.ts";
 import { QuotaTask } from "./quota_task.ts";
@@ -31,14 +27,13 @@
 import { RolloutTask } from "./rollout_task.ts";
 import type { SidecarPorts } from "./ports.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
-import { StoreRecovery } from "./store_recovery.ts";
+import { RetryBudgets } from "./retry_budgets.ts";
+import { registerGauges } from "./sidecar_gauges.ts";
+import { logReload } from "./log_reload.ts";
 import { listenAt, waitUntil } from "./start_and_stop.ts";
-import { StoreSyncTask } from "./store_sync_task.ts";
+import { createStoreSync } from "./create_store_sync.ts";
+import type { StoreSyncTask } from "./store_sync_task.ts";
 
-/** Share of the fleet-wide retry ratio that one daemon uses. */
-const BUDGET_RATIO_SHARE = 0.5;
-/** Share of the fleet-wide retry slack that all daemons together use. */
-const BUDGET_SLACK_SHARE = 0.7;
 /** Earliest end of a stopping process: once its callers have left, in ms. */
 const EARLIEST_END_MS = 2_400;
 /** Time without requests after which a stopping process ends, in ms. */
@@ -63,7 +58,7 @@
   readonly #directory = new BackendDirectory((record) =>
     this.#rollouts?.handleRecord(record)
   );
-  readonly #budgets = new Map<string, WindowedRetryBudget>();
+  readonly #budgets: RetryBudgets;
   readonly #stopped = new AbortController();
   readonly #shutdown = new GracefulShutdown();
   readonly #quarantine: RequestQuarantine;
@@ -91,6 +86,7 @@
    */
   constructor(settings: SidecarSettings, ports: SidecarPorts) {
     this.#settings = settings;
+    this.#budgets = new RetryBudgets(settings, () => this.#directory.size);
     this.#ports = ports;
     PROCESS_BYTES.setLimit(heldBytesLimit(settings.memoryMb ?? 0));
     this.#log = new EventLog({ fields: { instance: settings.instance } });
@@ -152,7 +148,24 @@
     this.#quotas = this.#createQuotas();
     this.#rollouts = this.#createRollouts();
     this.#ingress = this.#createIngress();
-    this.#sync = this.#createSync();
+    this.#sync = createStoreSync({
+      settings,
+      ports,
+      routes: this.#routes,
+      directory: this.#directory,
+      quarantine: this.#quarantine,
+      log: this.#log,
+      metrics: this.#metrics,
+      publisher: this.#publisher,
+      destinations: this.#destinations,
+      lifecycle: this.#lifecycle,
+      rollouts: this.#rollouts,
+      onConfigAdopted: () => {
+        this.#ingress.applyLimits();
+        this.#quotas.handleConfig();
+        void this.#lifecycle.checkUnproven();
+      },
+    });
     this.#peerServer = new PeerServer({
       linkMbps: settings.linkMbps,
       dispatcher: this.#dispatcher,
@@ -177,7 +190,14 @@
       response.writeHead(200, { "content-type": "text/plain" })
         .end(this.#metrics.text());
     });
-    this.#registerGauges();
+    registerGauges(this.#metrics, {
+      routes: this.#routes,
+      directory: this.#directory,
+      sync: this.#sync,
+      ingress: this.#ingress,
+      dispatcher: this.#dispatcher,
+      eventLoop: this.#eventLoop,
+    });
   }
 
   /** Opens the ports and starts to synchronize with the store. */
@@ -215,15 +235,7 @@
    * @param read Reads and checks the settings; throws if they are invalid.
    */
   reload(read: () => SidecarSettings): void {
-    try {
-      const next = read();
-      const current = this.#settings;
-      const names = Object.keys(next) as (keyof SidecarSettings)[];
-      const changed = names.filter((name) => next[name] !== current[name]);
-      this.#log.info("settings-reloaded", { needsRestart: changed.join(",") });
-    } catch (error) {
-      this.#log.error("settings-refused", { reason: messageOf(error) });
-    }
+    logReload(this.#settings, read, this.#log);
   }
 
   /**
@@ -255,24 +267,14 @@
     await waitUntil((nowMs) => nowMs >= endAtMs || this.#isIdle());
     this.#ingress.expireAll();
     await sleep(CLOSE_NOTICE_MS);
-    this.#stopped.abort();
-    this.#quarantine.stop();
-    this.#eventLoop.stop();
-    this.#usage.stop();
-    this.#quotas.stop();
-    this.#rollouts?.stop();
+    this.#stopTasks();
     this.#log.info("daemon-stopped", { open: this.#ingress.openRequests });
     this.#log.close();
   }
 
   /** Stops at once, as a crash would. */
   kill(): void {
-    this.#stopped.abort();
-    this.#quarantine.stop();
-    this.#eventLoop.stop();
-    this.#usage.stop();
-    this.#quotas.stop();
-    this.#rollouts?.stop();
+    this.#stopTasks();
     this.#peerServer.closeChannels();
     const servers = [
       this.#ingress.server,
@@ -286,6 +288,15 @@
     this.#log.close();
   }
 
+  #stopTasks(): void {
+    this.#stopped.abort();
+    this.#quarantine.stop();
+    this.#eventLoop.stop();
+    this.#usage.stop();
+    this.#quotas.stop();
+    this.#rollouts?.stop();
+  }
+
   #isQuiet(startedAtMs: number, nowMs: number): boolean {
     if (nowMs - startedAtMs < EARLIEST_END_MS) return false;
     return this.#isIdle() &&
@@ -297,29 +308,6 @@
       this.#dispatcher.openRequests === 0;
   }
 
-  #registerGauges(): void {
-    this.#metrics.gauge("config_version", () => this.#routes.version);
-    this.#metrics.gauge(
-      "config_age_ms",
-      () => Math.round(this.#sync.configAgeMs()),
-    );
-    this.#metrics.gauge(
-      "config_gaps",
-      () => this.#routes.current?.config.gaps.length ?? 0,
-    );
-    this.#metrics.gauge("backends_known", () => this.#directory.size);
-    this.#metrics.gauge("requests_open", () => this.#ingress.openRequests);
-    this.#metrics.gauge("held_bytes", () => PROCESS_BYTES.bytes);
-    this.#metrics.gauge(
-      "destination_requests",
-      () => this.#dispatcher.openRequests,
-    );
-    this.#metrics.gauge(
-      "event_loop_delay_p99_ms",
-      () => this.#eventLoop.delayP99Ms,
-    );
-  }
-
   #createQuotas(): QuotaTask {
     const { instance, quotaWindowMs, quotaOver, quotaSlack } = this.#settings;
     return new QuotaTask({
@@ -363,7 +351,7 @@
         choosesByValue: (name) =>
           this.#routes.current?.organisations !== undefined ||
           this.#destinations.reportsPace(name),
-        budgetOf: (name) => this.#budgetOf(name),
+        budgetOf: (name) => this.#budgets.of(name),
         ...(this.#rollouts === undefined
           ? {}
           : { versions: this.#rollouts.versions }),
@@ -371,60 +359,6 @@
     });
   }
 
-  #createSync(): StoreSyncTask {
-    return new StoreSyncTask({
-      store: this.#ports.store,
-      configSource: this.#ports.config,
-      routes: this.#routes,
-      directory: this.#directory,
-      quarantine: this.#quarantine,
-      log: this.#log,
-      metrics: this.#metrics,
-      localKey: this.#publisher.key,
-      linkMbps: this.#settings.linkMbps,
-      follower: new FeedFollower({
-        instance: this.#settings.instance,
-        domain: this.#settings.domain,
-        directory: this.#directory,
-        pollFeed: (record, poll) => this.#destinations.pollFeed(record, poll),
-        log: this.#log,
-      }),
-      recovery: new StoreRecovery({
-        store: this.#ports.store,
-        prefix: this.#ports.config.watchPrefix,
-        instance: this.#settings.instance,
-        domain: this.#settings.domain,
-        directory: this.#directory,
-        pollFeed: (...args) => this.#destinations.pollFeed(...args),
-        onCall: (...args) => this.#sync.countCall(...args),
-      }),
-      onConfigAdopted: () => {
-        this.#ingress.applyLimits();
-        this.#quotas.handleConfig();
-        void this.#lifecycle.checkUnproven();
-      },
-      onLocalRecord: (entry) => {
-        const record = this.#publisher.handleStoredEntry(entry);
-        if (record === undefined) return;
-        this.#quarantine.mergeReports(record.instance, record.ends);
-        this.#lifecycle.recover(record);
-      },
-      onRemoved: (instance) => this.#destinations.remove(instance),
-      onFirstListing: () => this.#rollouts?.handleFirstListing(),
-      onOtherEntry: (...args) => this.#rollouts?.handleEntry(...args),
-      onEra: (era, isRestored) => this.#enterEra(era, isRestored),
-    });
-  }
-
-  #enterEra(era: number, isRestored: boolean): void {
-    const periodMs = rewritePeriodMs(this.#directory.size);
-    this.#publisher.enterEra(
-      era,
-      isRestored ? Math.random() * periodMs : undefined,
-    );
-    this.#rollouts?.enterEra(era, isRestored);
-  }
-
   #createRollouts(): RolloutTask | undefined {
     const { rollouts: wire, store } = this.#ports;
     return wire && new RolloutTask({
@@ -466,19 +400,4 @@
     return !this.#isStopping && this.#routes.current !== undefined &&
       this.#sync.hasListed;
   }
-
-  #budgetOf(service: string): WindowedRetryBudget {
-    let budget = this.#budgets.get(service);
-    if (budget === undefined) {
-      const { retryRatio, retrySlack, retryWindowMs } = this.#settings;
-      budget = new WindowedRetryBudget({
-        windowMs: retryWindowMs,
-        ratio: retryRatio * BUDGET_RATIO_SHARE,
-        slack: () =>
-          retrySlack * BUDGET_SLACK_SHARE / Math.max(1, this.#directory.size),
-      });
-      this.#budgets.set(service, budget);
-    }
-    return budget;
-  }
 }
--- a/src/sidecar/store_poller.ts
+++ b/src/sidecar/store_poller.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Result } from "neverthrow";
 import type { StepError } from "../protocol/step_error.ts";
 import { waitForNextPoll } from "../transport/http/disconnect_detector.ts";
@@ -16,6 +17,8 @@
  */
 const READER_POLL_WAIT_MS = 1_000;
 const MIN_READER_POLL_WAIT_MS = 300;
+/** Mean pause after an internal failure, in ms. */
+const FAILURE_PAUSE_MS = 400;
 /** Pause after a poll with events, so that a series needs few calls, in ms. */
 export const COALESCE_MS = 500;
 
@@ -132,3 +135,15 @@
     Math.round(READER_POLL_WAIT_MS - viewAgeMs),
   );
 }
+
+/**
+ * Waits after a failure, so that a fault that lasts costs few calls.
+ *
+ * @example
+ * ```ts ignore
+ * await pauseAfterFailure();
+ * ```
+ */
+export async function pauseAfterFailure(): Promise<void> {
+  await sleep(FAILURE_PAUSE_MS * (0.5 + Math.random()));
+}
--- a/src/sidecar/store_sync_task.ts
+++ b/src/sidecar/store_sync_task.ts
@@ -1,15 +1,19 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { ResponseUse } from "../coordination/eras/mod.ts";
 import type { FeedAnswer, FeedPoll } from "../protocol/feed.ts";
-import { messageOf } from "../protocol/step_error.ts";
-import type { StepError } from "../protocol/step_error.ts";
+import { messageOf, type StepError } from "../protocol/step_error.ts";
 import type { RangeResult } from "../protocol/store.ts";
 import { ConfigReader } from "./config_reader.ts";
 import type { FeedFollower } from "./feed_follower.ts";
 import { MAX_READER_AGE_MS } from "./feed_source.ts";
 import type { PeerClient } from "./peer_client.ts";
 import type { MeshStore, PollResult } from "./ports.ts";
-import { choosePollWaitMs, COALESCE_MS, StorePoller } from "./store_poller.ts";
+import {
+  choosePollWaitMs,
+  COALESCE_MS,
+  pauseAfterFailure,
+  StorePoller,
+} from "./store_poller.ts";
 import { RecoveryRunner, type StoreDoubt } from "./recovery_runner.ts";
 import type { StoreRecovery } from "./store_recovery.ts";
 import { StoreView, type StoreViewOptions } from "./store_view.ts";
@@ -19,8 +23,6 @@
  * fleet's daemons record their backend servers then; one poll brings them all.
  */
 const BOOTSTRAP_PAUSE_MS = 2_000;
-/** Mean pause after an internal failure, in ms. */
-const FAILURE_PAUSE_MS = 400;
 
 /** Options of a {@linkcode StoreSyncTask}. */
 export interface StoreSyncOptions extends StoreViewOptions {
@@ -84,7 +86,7 @@
    * @returns The age, in ms; infinite before the first response.
    */
   viewAgeMs(): number {
-    return this.#view.ageMs();
+    return this.#view.connection.ageMs();
   }
 
   /**
@@ -93,7 +95,7 @@
    * @returns The age, in ms; infinite before the first response.
    */
   configAgeMs(): number {
-    return this.#view.configAgeMs();
+    return this.#view.connection.configAgeMs();
   }
 
   /**
@@ -138,7 +140,7 @@
           reason: messageOf(error),
         });
         revision = undefined;
-        this.#view.lose();
+        this.#view.connection.lose();
         await pauseAfterFailure();
       }
     }
@@ -167,14 +169,19 @@
    * @param isOk Whether it was answered.
    */
   countCall(call: string, sentAtMs: number, isOk: boolean): void {
-    this.#view.countCall(call, sentAtMs, isOk);
+    this.#view.connection.countCall(call, sentAtMs, isOk);
   }
 
-  async #list(signal: AbortSignal): Promise<number | undefined> {
+  async #sendListing() {
     const { store, configSource } = this.#options;
     const sentAtMs = performance.now();
     const listed = await store.list(configSource.watchPrefix);
     this.countCall("list", sentAtMs, listed.isOk());
+    return { listed, sentAtMs };
+  }
+
+  async #list(signal: AbortSignal): Promise<number | undefined> {
+    const { listed, sentAtMs } = await this.#sendListing();
     return listed.isOk()
       ? await this.#applyFirstListing(listed.value, sentAtMs)
       : await this.#recoverFrom(listed.error, undefined, signal);
@@ -185,13 +192,9 @@
     sentAtMs: number,
   ): Promise<number | undefined> {
     const { use, hasConfig } = this.#view.applyFirstListing(range, sentAtMs);
-    if (use === ResponseUse.Drop) {
-      await pauseAfterFailure();
-      return undefined;
-    }
-    if (!hasConfig && use === ResponseUse.Apply) {
-      await sleep(BOOTSTRAP_PAUSE_MS);
-    }
+    if (use === ResponseUse.Drop) return await this.#skip(use, undefined);
+    const isNewFleet = !hasConfig && use === ResponseUse.Apply;
+    if (isNewFleet) await sleep(BOOTSTRAP_PAUSE_MS);
     return range.revision;
   }
 
@@ -312,10 +315,10 @@
       : result.revision;
   }
 
-  /** Returns where to go on after a poll that is not applied. */
+  /** Returns where to go on after a response that is not applied. */
   async #skip(
     use: ResponseUse,
-    afterRevision: number,
+    afterRevision: number | undefined,
   ): Promise<number | undefined> {
     if (use !== ResponseUse.Drop) return undefined;
     await pauseAfterFailure();
@@ -384,10 +387,7 @@
     signal: AbortSignal,
     hasHistory = true,
   ): Promise<number | undefined> {
-    const { store, configSource } = this.#options;
-    const sentAtMs = performance.now();
-    const listed = await store.list(configSource.watchPrefix);
-    this.countCall("list", sentAtMs, listed.isOk());
+    const { listed, sentAtMs } = await this.#sendListing();
     return listed.isOk()
       ? this.#view.applyListing(listed.value, {
         afterRevision,
@@ -397,7 +397,3 @@
       : await this.#recoverFrom(listed.error, afterRevision, signal);
   }
 }
-
-async function pauseAfterFailure(): Promise<void> {
-  await sleep(FAILURE_PAUSE_MS * (0.5 + Math.random()));
-}
--- a/src/sidecar/store_view.ts
+++ b/src/sidecar/store_view.ts
@@ -5,8 +5,6 @@
 import type { BackendDirectory } from "../state/backend_directory.ts";
 import { FeedHistory } from "../state/feed_history.ts";
 import type { RouteTableHolder } from "../state/route_table_holder.ts";
-import { StoreContact } from "../state/store_contact.ts";
-import { ViewAge } from "../state/view_age.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { RECORD_PREFIX } from "./backend_record_codec.ts";
@@ -15,6 +13,7 @@
 import { FeedSource } from "./feed_source.ts";
 import type { MeshConfigSource } from "./ports.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
+import { StoreConnection } from "./store_connection.ts";
 import { ConfigOrigin, StoreEntryApplier } from "./store_entry_applier.ts";
 
 /** Time after a version within which another one is likely, in ms. */
@@ -66,16 +65,10 @@
   readonly #options: StoreViewOptions;
   readonly #history = new FeedHistory();
   readonly #gate: EraGate;
+  /** Whether the store answers, and how old the view is. */
+  readonly connection: StoreConnection;
   readonly #feed: FeedSource;
-  readonly #contact = new StoreContact(performance.now());
   readonly #applier: StoreEntryApplier;
-  /** Age of the view of all keys. */
-  readonly #view = new ViewAge();
-  /** Age of the view of the configuration, which is also read by itself. */
-  readonly #configView = new ViewAge();
-  /** Resolves once a store that is lost has been regained. */
-  #regained: Promise<void> | undefined;
-  #resolveRegained: (() => void) | undefined;
   #hasListed = false;
   /** Newest version that another daemon has named. */
   newestPeerVersion = 0;
@@ -87,6 +80,10 @@
    */
   constructor(options: StoreViewOptions) {
     this.#options = options;
+    this.connection = new StoreConnection({
+      ...options,
+      onConfirmed: () => this.#history.wake(),
+    });
     this.#gate = new EraGate({
       ...options,
       onEra: (era, isRestored) => {
@@ -96,14 +93,14 @@
     });
     this.#feed = new FeedSource({
       history: this.#history,
-      isConnected: () => this.#contact.isConnected,
-      viewAgeMs: () => this.ageMs(),
+      isConnected: () => this.connection.isConnected,
+      viewAgeMs: () => this.connection.ageMs(),
     });
     this.#applier = new StoreEntryApplier({
       ...options,
-      isConnected: () => this.#contact.isConnected,
+      isConnected: () => this.connection.isConnected,
       newestPeerVersion: () => this.newestPeerVersion,
-      viewAgeMs: () => this.ageMs(),
+      viewAgeMs: () => this.connection.ageMs(),
       era: () => this.#gate.era,
       mayBeOutdated: (entry) => this.#gate.mayBeOutdated(entry),
     });
@@ -119,11 +116,6 @@
     return this.#gate.era;
   }
 
-  /** Whether the store is taken to answer. */
-  get isConnected(): boolean {
-    return this.#contact.isConnected;
-  }
-
   /**
    * Whether a version that takes long to come was adopted just now: a poll would
    * bring all that have followed it.
@@ -132,49 +124,16 @@
     return performance.now() - this.#applier.slowVersionAtMs < SERIES_MS;
   }
 
-  /**
-   * Returns the time since this daemon's view of the store was last known to be
-   * complete. It leaves out the transit of the response that said so.
-   *
-   * @returns The age, in ms; infinite before the first response.
-   */
-  ageMs(): number {
-    return this.#view.ageMs(performance.now());
-  }
-
-  /**
-   * Returns the time since the configuration was last known to be the newest.
-   *
-   * @returns The age, in ms; infinite before the first response.
-   */
-  configAgeMs(): number {
-    const nowMs = performance.now();
-    return Math.min(this.#view.ageMs(nowMs), this.#configView.ageMs(nowMs));
-  }
-
   /** Stops waiting for records that are missing. */
   stop(): void {
     this.#applier.stop();
   }
 
-  /** Records that the store no longer answers. */
-  lose(): void {
-    this.#contact.lose();
-  }
-
   /** Ends the waits of followers, as the store is lost. */
   wakeFollowers(): void {
     this.#history.wake();
   }
 
-  /** Resolves once the view is complete again. */
-  waitForRegain(): Promise<void> {
-    this.#regained ??= new Promise((resolve) => {
-      this.#resolveRegained = resolve;
-    });
-    return this.#regained;
-  }
-
   /**
    * Adopts a configuration of another daemon.
    *
@@ -196,7 +155,7 @@
     for (const entry of range.entries) {
       this.#applier.applyEntry(entry, ConfigOrigin.KeyRead);
     }
-    this.#configView.confirm(sentAtMs);
+    this.connection.confirmConfig(sentAtMs);
     return true;
   }
 
@@ -256,7 +215,7 @@
     this.#history.reset(entries, revision, this.era);
     for (const entry of entries) this.#applier.applyEntry(entry, origin);
     this.#applier.replaceExempt(entries.map(({ key }) => key));
-    this.#markConnected(completeAtMs);
+    this.connection.markConnected(completeAtMs);
     const present = new Set(entries.map((entry) => entry.key));
     for (const { record } of directory.entries) {
       const key = RECORD_PREFIX + record.instance;
@@ -293,7 +252,7 @@
           batch.isComplete ? this.#compareState(batch) : batch,
           ConfigOrigin.Reader,
         );
-        this.#markConnected(completeAtMs);
+        this.connection.markConnected(completeAtMs);
         return batch.revision;
     }
   }
@@ -309,7 +268,7 @@
     const use = this.#gate.enter({ ...batch, isComplete: false });
     if (use !== ResponseUse.Apply) return use;
     this.#applyUpdate(batch, ConfigOrigin.Poll);
-    this.#markConnected(atMs);
+    this.connection.markConnected(atMs);
     return use;
   }
 
@@ -353,7 +312,7 @@
       { events, revision, isComplete: false },
       ConfigOrigin.Listing,
     );
-    this.#markConnected(sentAtMs);
+    this.connection.markConnected(sentAtMs);
     const config = events.find(({ key }) => key === configSource.key)?.entry;
     // The last write may be an older version that hides a newer one before it.
     const mayHide = config !== undefined && routes.version === versionBefore &&
@@ -361,26 +320,6 @@
     return mayHide && hasHistory ? afterRevision : revision;
   }
 
-  /**
-   * Counts a call of the store.
-   *
-   * @param call Name of the call.
-   * @param sentAtMs Monotonic time at which it was sent, in ms.
-   * @param isOk Whether it was answered.
-   */
-  countCall(call: string, sentAtMs: number, isOk: boolean): void {
-    const result = isOk ? "ok" : "failed";
-    const nowMs = performance.now();
-    const { log, metrics } = this.#options;
-    metrics.count("store_calls_total", { call, result });
-    if (isOk) return this.#contact.recordAnswer(nowMs);
-    log.info("store-call-failed", {
-      call,
-      tookMs: Math.round(nowMs - sentAtMs),
-      awayMs: Math.round(this.#contact.awayMs(nowMs)),
-    });
-  }
-
   /** Adds the deletion of each key that a complete state lacks. */
   #compareState(batch: ChangeBatch): ChangeBatch {
     const { directory, localKey } = this.#options;
@@ -401,21 +340,4 @@
     }
     this.#history.record(update.events, update.revision);
   }
-
-  /** Records a monotonic time at which the view was complete, in ms. */
-  #markConnected(completeAtMs: number): void {
-    const nowMs = performance.now();
-    this.#view.confirm(completeAtMs);
-    const returned = this.#contact.regain(nowMs);
-    this.#history.wake();
-    this.#resolveRegained?.();
-    this.#regained = undefined;
-    if (returned === undefined) return;
-    const { log, metrics } = this.#options;
-    metrics.observe("store_answered_unnoticed_ms", returned.answeredForMs);
-    log.info("store-regained", {
-      awayMs: Math.round(returned.awayMs),
-      answeredForMs: Math.round(returned.answeredForMs),
-    });
-  }
 }
--- a/tests/platform/store_eras_test.ts
+++ b/tests/platform/store_eras_test.ts
@@ -125,6 +125,24 @@
   },
 );
 
+// Guards against daemons that come back from the copy for ever.
+testFleet("a daemon that is gone is removed", async (fleet) => {
+  const { store, daemons } = fleet;
+  await waitFor(() => isSettled(fleet, 1), "the first records");
+  const copy = store.copy();
+  const [gone, ...others] = daemons;
+  gone!.stop();
+  store.fault = StoreFault.Unavailable;
+  store.restore(copy, { keepsLeasedKeys: true });
+  store.fault = StoreFault.None;
+  await waitFor(
+    () => others.every(({ directory }) => directory.size === others.length),
+    "the daemon is removed",
+  );
+  const removed = new Set(others.flatMap((daemon) => daemon.removed));
+  assert.equal([...removed], [gone!.record.instance]);
+});
+
 // Guards against a watch that goes on from a revision which the store has
 // assigned again: what was written before that revision is never seen.
 testFleet(
