--- a/bench/request_cost.ts
+++ b/bench/request_cost.ts
@@ -138,6 +138,7 @@
       timeoutMs: TIMEOUT_MS,
       sentAtMs: performance.now(),
       endedAtMs: Infinity,
+      headers: {},
       disconnectedAtMs: Infinity,
       ingressPausedAtMs: [],
       status: 0,
--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -38,6 +38,7 @@
       method: request.isIdempotent ? "GET" : "POST",
       path: request.path,
       headers: {
+        ...request.headers,
         host: "shop.example",
         "x-attempt-id": request.id,
         "x-deadline-ms": String(request.timeoutMs),
--- a/soak/keep_logs.ts
+++ b/soak/keep_logs.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
-import type { SoakResult } from "./soak.ts";
+import type { SoakResult } from "./fleet.ts";
 
 /**
  * Writes the problems of a run, its faults, its unserved requests and the
--- a/soak/lost_requests_test.ts
+++ b/soak/lost_requests_test.ts
@@ -23,6 +23,7 @@
   id: "r1",
   path: "/stock/1",
   body: "",
+  headers: {},
   isIdempotent: true,
   ingress: "instance-0",
   timeoutMs: 4_000,
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -2,7 +2,7 @@
 import * as assert from "uvu/assert";
 import { FaultPlan } from "./faults.ts";
 import { keepLogs } from "./keep_logs.ts";
-import { runSoak, type SoakOptions } from "./soak.ts";
+import { type FaultSoakOptions, runSoak } from "./soak.ts";
 
 /**
  * Seeds that have failed.
@@ -41,7 +41,7 @@
 
 interface Case {
   readonly name: string;
-  readonly options: SoakOptions;
+  readonly options: FaultSoakOptions;
 }
 
 const CASES: readonly Case[] = [
--- a/soak/violations.ts
+++ b/soak/violations.ts
@@ -10,6 +10,8 @@
   readonly id: string;
   readonly path: string;
   readonly body: string;
+  /** Headers other than those of all callers. */
+  readonly headers: Readonly<Record<string, string>>;
   readonly isIdempotent: boolean;
   /** Name of the instance of the ingress daemon. */
   readonly ingress: string;
--- a/soak/violations_test.ts
+++ b/soak/violations_test.ts
@@ -8,6 +8,7 @@
     id: "r1",
     path: "/orders/1",
     body: "x",
+    headers: {},
     isIdempotent: false,
     ingress: "instance-0",
     timeoutMs: 1_000,
