--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -56,8 +56,8 @@
   readonly statuses: Readonly<Record<number, number>>;
   readonly faults: readonly string[];
   readonly problems: readonly string[];
-  /** Number of requests or processes that each check has looked at, by check. */
-  readonly checked: Readonly<Record<string, number>>;
+  /** What each check has looked at, and extremes that it found, by name. */
+  readonly figures: Readonly<Record<string, number>>;
   /** One line for each request that was not served. */
   readonly unserved: readonly string[];
   /** Longest stall of this process, in ms. */
@@ -198,7 +198,7 @@
   /** Summarizes the run. */
   summarize(
     problems: readonly string[],
-    checked: Readonly<Record<string, number>> = {},
+    figures: Readonly<Record<string, number>> = {},
   ): SoakResult {
     const statuses: Record<number, number> = {};
     for (const { status } of this.sent.values()) {
@@ -211,7 +211,7 @@
       statuses,
       faults: this.faults,
       problems,
-      checked,
+      figures,
       unserved: [...this.sent.values()].flatMap(describeUnserved),
       stalledMs: Math.round(this.#stalledMs),
       logs: Object.fromEntries(
@@ -230,12 +230,7 @@
 
   /** Returns what all backend processes ran, in the order of their start. */
   listProcesses(): BackendProcessHistory[] {
-    const current = this.instances.map(({ name, backend, drainedAtMs }) => ({
-      id: backend.id,
-      instance: name,
-      runs: backend.runs,
-      drainedAtMs,
-    }));
+    const current = this.instances.map(({ backendHistory }) => backendHistory);
     return [...this.earlierProcesses, ...current];
   }
 
--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -1,11 +1,10 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
-import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { FakeBackend } from "../platform/fakes/backend.ts";
 import { FaultProxy } from "../fakes/fault_proxy.ts";
 import { Child } from "../testkit/child.ts";
-import { claimPortBlock, USABLE_PORTS } from "./port_block.ts";
+import { allocatePorts, USABLE_PORTS } from "./port_block.ts";
 import type { BackendProcessHistory } from "./violations.ts";
 
 const HOST = "127.0.0.1";
@@ -20,15 +19,6 @@
 /** Pause between two announcements, in ms. */
 const ANNOUNCE_PERIOD_MS = 300;
 
-let portBlock: Promise<number> | undefined;
-
-/** Returns the ports of an instance in the block that this process claims. */
-async function allocatePorts(index: number): Promise<number[]> {
-  portBlock ??= claimPortBlock(process.pid);
-  const first = await portBlock + index * PORTS_PER_INSTANCE;
-  return Array.from({ length: PORTS_PER_INSTANCE }, (_, port) => first + port);
-}
-
 /** Options of an instance. */
 export interface InstanceOptions {
   readonly index: number;
@@ -53,8 +43,18 @@
   readonly onRestart?: (history: BackendProcessHistory) => void;
   /** Memory of the instance that its settings name, in MB; none by default. */
   readonly memoryMb?: number;
+  /** Whether its settings enable rollouts. */
+  readonly hasRollouts?: boolean;
+  /** Called with each new backend process and its version. */
+  readonly onBackend?: (backend: FakeBackend, version: string) => void;
+  /** Called with the id of each process of the daemon. */
+  readonly onDaemon?: (pid: number) => void;
+  /** Called when a process of the daemon has ended without being told to. */
+  readonly onOwnExit?: (code: number | null) => void;
 }
 
+/** Version of the backend processes of a new instance. */
+export const FIRST_VERSION = "v1";
 /** Time from the end of a backend process to the next one, in ms. */
 const BACKEND_RESTART_MS = 800;
 
@@ -84,6 +84,10 @@
   #daemon: Child;
   #sequence = 0;
   #processNumber = 1;
+  #version = FIRST_VERSION;
+  #bornAtUnixMs = Date.now();
+  /** Process of the daemon that has been told to end. */
+  #toldToEnd: Child | undefined;
   #isPaused = false;
   #isStopping = false;
   #hasEnded = false;
@@ -121,7 +125,7 @@
    * @returns The instance; its daemon may not be ready yet.
    */
   static async start(options: InstanceOptions): Promise<SoakInstance> {
-    const ports = await allocatePorts(options.index);
+    const ports = await allocatePorts(options.index, PORTS_PER_INSTANCE);
     const storeProxy = new FaultProxy(options.storePort);
     const peerProxy = new FaultProxy(ports[1]!);
     await Promise.all([storeProxy.listen(), peerProxy.listen()]);
@@ -129,6 +133,12 @@
     return new SoakInstance(options, { ports, backend, storeProxy, peerProxy });
   }
 
+  /** What the backend process runs. */
+  get backendHistory(): BackendProcessHistory {
+    const { name, version, drainedAtMs, backend: { id, runs } } = this;
+    return { id, instance: name, version, runs, drainedAtMs };
+  }
+
   /** Port for callers. */
   get ingressPort(): number {
     return this.#ports[0]!;
@@ -164,6 +174,16 @@
     return this.#daemon.pid;
   }
 
+  /** Version of the backend process. */
+  get version(): string {
+    return this.#version;
+  }
+
+  /** Whether the daemon's process runs. */
+  get isRunning(): boolean {
+    return !this.#daemon.hasExited;
+  }
+
   /** Whether the daemon is in graceful shutdown. */
   get isStopping(): boolean {
     return this.#isStopping;
@@ -171,6 +191,7 @@
 
   /** Kills the daemon and restarts it after a pause in ms. */
   async crash(pauseMs: number): Promise<void> {
+    this.#toldToEnd = this.#daemon;
     await this.#daemon.kill();
     setTimeout(() => this.#restart(), pauseMs);
   }
@@ -179,6 +200,7 @@
   async restart(): Promise<void> {
     this.resume();
     this.#isStopping = true;
+    this.#toldToEnd = this.#daemon;
     await this.#daemon.stop();
     this.#isStopping = false;
     this.#restart();
@@ -231,7 +253,8 @@
       Capacity: 8,
       State: isDraining ? "draining" : "ready",
       Sequence: ++this.#sequence,
-      born: this.#processNumber,
+      Version: this.#version,
+      born: this.#bornAtUnixMs,
     });
     // By the time of the response, a new process may have replaced the one that
     // drained.
@@ -241,14 +264,29 @@
     return isAcknowledged;
   }
 
-  /** Drains the backend server and replaces it with a new process. */
-  async replaceBackend(drainMs: number): Promise<BackendProcessHistory> {
+  /**
+   * Drains the backend server and replaces it with a new process.
+   *
+   * @param drainMs Time for which it drains, in ms.
+   * @param version Version of the new process; that of the former by default.
+   * @returns What the former process ran.
+   */
+  async replaceBackend(
+    drainMs: number,
+    version = this.#version,
+  ): Promise<BackendProcessHistory> {
     const former = this.backend;
     former.isDraining = true;
     await this.announce("draining");
     await new Promise((resolve) => setTimeout(resolve, drainMs));
-    await this.#callControl("instances.leave", { born: this.#processNumber });
-    return await this.#startNextBackend();
+    await this.#callControl("instances.leave", { born: this.#bornAtUnixMs });
+    return await this.#startNextBackend(version);
+  }
+
+  /** Stops the backend server at once and replaces it with a new process. */
+  async stopBackend(version: string): Promise<BackendProcessHistory> {
+    await this.backend.stop();
+    return await this.#startNextBackend(version);
   }
 
   /** Stops the daemon, the proxies and the backend server. */
@@ -256,6 +294,7 @@
     this.#hasEnded = true;
     clearInterval(this.#announceTimer);
     this.resume();
+    this.#toldToEnd = this.#daemon;
     await this.#daemon.kill();
     await this.storeProxy.close();
     await this.peerProxy.close();
@@ -263,8 +302,9 @@
   }
 
   #watchBackend(): void {
-    const { workMsOf, isFatal, onEnd, onRestart } = this.#options;
+    const { workMsOf, isFatal, onEnd, onRestart, onBackend } = this.#options;
     const { backend } = this;
+    onBackend?.(backend, this.#version);
     if (workMsOf !== undefined) backend.workMsOf = workMsOf;
     if (isFatal !== undefined) backend.isFatal = isFatal;
     backend.onEnd = (path) => {
@@ -272,25 +312,20 @@
       setTimeout(async () => {
         // One that drains is replaced in any case.
         if (this.#hasEnded || backend.isDraining) return;
-        onRestart?.(await this.#startNextBackend());
+        onRestart?.(await this.#startNextBackend(this.#version));
       }, BACKEND_RESTART_MS);
     };
   }
 
-  async #startNextBackend(): Promise<BackendProcessHistory> {
-    const former = this.backend;
+  async #startNextBackend(version: string): Promise<BackendProcessHistory> {
+    const history = this.backendHistory;
     this.#processNumber++;
     this.backend = await FakeBackend.start(
       `i-${this.#options.index}-${this.#processNumber}`,
     );
+    this.#version = version;
+    this.#bornAtUnixMs = Date.now();
     this.#watchBackend();
-    const { id, runs } = former;
-    const history = {
-      id,
-      instance: this.name,
-      runs,
-      drainedAtMs: this.drainedAtMs,
-    };
     this.drainedAtMs = Infinity;
     this.#sequence = 0;
     return history;
@@ -304,10 +339,15 @@
   }
 
   #start(): Child {
-    const { nodeArgs = [], bundle } = this.#options;
-    return new Child([...nodeArgs, bundle], {
+    const { nodeArgs = [], bundle, onDaemon, onOwnExit } = this.#options;
+    const daemon = new Child([...nodeArgs, bundle], {
       SESAMEPOND_CONFIG: this.#settingsFile,
     });
+    onDaemon?.(daemon.pid);
+    void daemon.waitForExit().then((code) => {
+      if (this.#toldToEnd !== daemon) onOwnExit?.(code);
+    });
+    return daemon;
   }
 
   #writeSettings(): void {
@@ -320,6 +360,7 @@
         linkMbps: this.#options.linkMbps ??
           (this.#options.index % 2 === 0 ? FAST_MBPS : SLOW_MBPS),
         memoryMb: this.#options.memoryMb,
+        contracts: this.#options.hasRollouts === true ? "rollout" : "",
         service: "stock",
         backendAddress: this.backend.address,
         ingressAddress: formatAddress(0),
--- a/soak/lost_requests_test.ts
+++ b/soak/lost_requests_test.ts
@@ -42,6 +42,7 @@
   caller: "stock",
   remainingMs: 3_900,
   body: "",
+  headers: {},
   atMs: 10_600,
   end: RunEnd.Cancelled,
   endedAtMs: 12_200,
@@ -59,7 +60,13 @@
   const runs = parts.runs ?? [{ ...CANCELLED_RUN, ...parts.run }];
   return findLostRequests(
     [{ ...ABANDONED, ...parts.request }],
-    [{ id: "i-1", instance: "instance-1", runs, drainedAtMs: Infinity }],
+    [{
+      id: "i-1",
+      instance: "instance-1",
+      version: "v1",
+      runs,
+      drainedAtMs: Infinity,
+    }],
     {
       graceMs: GRACE_MS,
       planned: parts.planned ?? [STOP],
--- a/soak/port_block.ts
+++ b/soak/port_block.ts
@@ -1,4 +1,5 @@
 import { createServer } from "node:net";
+import process from "node:process";
 
 /**
  * First port, below the ephemeral ports of the system: no other process may
@@ -13,6 +14,24 @@
 /** Number of ports of a block that its owner may use. */
 export const USABLE_PORTS = PORTS_PER_BLOCK - 1;
 
+let portBlock: Promise<number> | undefined;
+
+/**
+ * Returns the ports of an instance in the block that this process claims.
+ *
+ * @param index Index of the instance.
+ * @param count Number of ports of each instance.
+ * @returns The ports.
+ */
+export async function allocatePorts(
+  index: number,
+  count: number,
+): Promise<number[]> {
+  portBlock ??= claimPortBlock(process.pid);
+  const first = await portBlock + index * count;
+  return Array.from({ length: count }, (_, port) => first + port);
+}
+
 /**
  * Claims a block of ports that no other run on this machine uses, until this
  * process exits.
--- a/soak/protections_test.ts
+++ b/soak/protections_test.ts
@@ -31,7 +31,7 @@
   ];
   const sent = new Map(requests.map((request) => [request.id, request]));
   const processes = [
-    { id: "i-1", instance: "a", runs, drainedAtMs: Infinity },
+    { id: "i-1", instance: "a", version: "v1", runs, drainedAtMs: Infinity },
   ];
   return findUnprotected(sent, processes, {
     ends: [0, 10, 20].map((atMs) => ({ path: FATAL, atMs })),
--- a/soak/violations.ts
+++ b/soak/violations.ts
@@ -39,6 +39,8 @@
   readonly id: string;
   /** Name of the instance. */
   readonly instance: string;
+  /** Version that it announces. */
+  readonly version: string;
   readonly runs: readonly BackendRun[];
   /** Monotonic time at which its drain was acknowledged. */
   readonly drainedAtMs: number;
--- a/soak/violations_test.ts
+++ b/soak/violations_test.ts
@@ -31,6 +31,7 @@
     caller: "stock",
     remainingMs: 100,
     body: "x",
+    headers: {},
     atMs: 0,
     end: RunEnd.Answered,
     endedAtMs: 5,
@@ -43,7 +44,13 @@
   runs: readonly BackendRun[],
   drainedAtMs = Infinity,
 ): string[] {
-  const process = { id: "i-1", instance: "instance-1", runs, drainedAtMs };
+  const process = {
+    id: "i-1",
+    instance: "instance-1",
+    version: "v1",
+    runs,
+    drainedAtMs,
+  };
   return findViolations(new Map([[sent.id, sent]]), [process]);
 }
 
--- a/testkit/process_usage.ts
+++ b/testkit/process_usage.ts
@@ -1,6 +1,6 @@
 import { readdirSync, readFileSync } from "node:fs";
 
-/** Period at which the usage of a process is sampled, in ms. */
+/** Default period at which the usage of a process is sampled, in ms. */
 const SAMPLE_PERIOD_MS = 10;
 const KIB_PER_MIB = 1024;
 
@@ -21,11 +21,11 @@
   readonly #pid: number;
   readonly #timer: NodeJS.Timeout;
 
-  /** Starts to sample a process. */
-  constructor(pid: number) {
+  /** Starts to sample a process, with a period in ms. */
+  constructor(pid: number, periodMs = SAMPLE_PERIOD_MS) {
     this.#pid = pid;
     this.#sample();
-    this.#timer = setInterval(() => this.#sample(), SAMPLE_PERIOD_MS);
+    this.#timer = setInterval(() => this.#sample(), periodMs);
   }
 
   /** Ends the sampling. */
