--- a/soak/sidecar_checks.ts
+++ b/soak/sidecar_checks.ts
@@ -155,7 +155,7 @@
   return { problems, figures };
 }
 
-/** Checks the requests of each organisation in each window. */
+/** Checks the fullest window of each organisation. */
 function checkQuotas({ sent, processes, versions }: SidecarHistory) {
   const problems: string[] = [];
   const figures = { quotaRuns: 0, quotaRefusals: 0, quotaPeakPercent: 0 };
@@ -177,17 +177,21 @@
     }).map(({ atMs }) => atMs);
     figures.quotaRuns += times.length;
     let end = 0;
-    times.forEach((fromMs, start) => {
+    const windows = times.map((fromMs, start) => {
       while (end < times.length && times[end]! < fromMs + WINDOW_MS) end++;
       const bound = maxInWindow(versions, name, fromMs);
-      const percent = Math.round(100 * (end - start) / bound);
-      figures.quotaPeakPercent = Math.max(figures.quotaPeakPercent, percent);
-      if (end - start <= bound) return;
-      problems.push(
-        `${end - start} requests of ${name} ran in the 5 s from ` +
-          `${Math.round(fromMs)}; the bound is ${bound.toFixed(1)}`,
-      );
+      return { fromMs, bound, count: end - start };
     });
+    windows.sort((a, b) => b.count / b.bound - a.count / a.bound);
+    if (windows[0] === undefined) continue;
+    const { fromMs, bound, count } = windows[0];
+    const percent = Math.round(100 * count / bound);
+    figures.quotaPeakPercent = Math.max(figures.quotaPeakPercent, percent);
+    if (count <= bound) continue;
+    problems.push(
+      `${count} requests of ${name} ran in the 5 s from ` +
+        `${Math.round(fromMs)}; the bound is ${bound.toFixed(1)}`,
+    );
   }
   return { problems, figures };
 }
