--- a/soak/rollouts.ts
+++ b/soak/rollouts.ts
@@ -146,7 +146,7 @@
         );
         return;
       default:
-        this.problems.push(`the rollout of ${version} has no result: ${state}`);
+        this.problems.push(`${next.description} has no result: ${state}`);
     }
   }
 
@@ -191,8 +191,14 @@
   const badAfterMs = random.pick([0, LATE_MS])!;
   const isOnOneRoute = random.below(3) === 0;
   const isUnderLoad = random.below(3) === 0;
+  const details = [
+    `${kind} ${percent} in 100 from ${badAfterMs} ms`,
+    isOnOneRoute ? "orders only" : "all routes",
+    isUnderLoad ? "under load" : "any load",
+  ];
   const created: SoakVersion = {
     version,
+    description: `${version} (${isBad ? details.join(", ") : "good"})`,
     isBad,
     kind: isBad ? kind : VersionKind.Good,
     badRuns: new Set(),
--- a/soak/sidecar_checks.ts
+++ b/soak/sidecar_checks.ts
@@ -47,6 +47,8 @@
 /** A rollout of a version. */
 export interface Rollout {
   readonly version: string;
+  /** Its version and how that is bad, for reports. */
+  readonly description: string;
   /** Runs whose responses are failures or slow. */
   readonly badRuns: ReadonlySet<BackendRun>;
   readonly isBad: boolean;
@@ -211,7 +213,8 @@
   };
   const allRuns = firstRuns(history.processes);
   for (const rollout of history.rollouts) {
-    const { version, orderedAtMs, limitAtMs, isBad, badRuns } = rollout;
+    const { version, description, isBad, badRuns } = rollout;
+    const { orderedAtMs, limitAtMs } = rollout;
     const isInTime = ({ atMs }: BackendRun) =>
       atMs >= orderedAtMs && atMs <= limitAtMs;
     const runs = history.processes.filter((process) =>
@@ -219,7 +222,9 @@
     ).flatMap((process) => process.runs);
     figures.targetRuns += runs.length;
     const early = runs.filter(({ atMs }) => atMs < orderedAtMs).length;
-    if (early > 0) problems.push(`${version} got ${early} before its order`);
+    if (early > 0) {
+      problems.push(`${description} got ${early} before its order`);
+    }
     if (!isBad) continue;
     figures.badVersions++;
     const exposed = runs.filter(isInTime).length;
@@ -233,7 +238,8 @@
     );
     if (exposed > bound) {
       problems.push(
-        `bad ${version} got ${exposed} requests; the bound is ${bound}`,
+        `${description} got ${exposed} requests; the bound is ` +
+          bound.toFixed(1),
       );
     }
     const badEnds = [...badRuns].map(({ endedAtMs }) => endedAtMs)
@@ -243,7 +249,9 @@
     figures.versionsWith50BadAnswers++;
     const late = runs.filter(({ atMs }) => atMs > knownAtMs + ROLLBACK_MS);
     if (late.length > 0) {
-      problems.push(`bad ${version} got ${late.length} after its rollback`);
+      problems.push(
+        `${description} got ${late.length} requests 5 s after 50 bad answers`,
+      );
     }
   }
   return { problems, figures };
--- a/soak/sidecar_checks_test.ts
+++ b/soak/sidecar_checks_test.ts
@@ -218,6 +218,7 @@
 test("checkSidecar() finds versions that get too many requests", () => {
   const bad: Rollout = {
     version: "v2",
+    description: "v2 (slow)",
     isBad: true,
     badRuns: new Set(),
     orderedAtMs: 10_000,
@@ -265,9 +266,9 @@
     problemsOfTarget(5_056, 22_950, { badAnswers: 49 }).length,
   ], [
     [],
-    ["bad v2 got 67 requests; the bound is 66.7"],
+    ["v2 (slow) got 67 requests; the bound is 66.7"],
     [],
-    ["v2 got 1 before its order"],
+    ["v2 (slow) got 1 before its order"],
     0,
     1,
     0,
