--- a/soak/sidecar_soak.ts
+++ b/soak/sidecar_soak.ts
@@ -56,6 +56,7 @@
   options: SoakOptions,
 ): Promise<SoakResult> {
   const soak = new SidecarSoak(options);
+  await soak.start();
   try {
     return await soak.run();
   } finally {
@@ -94,10 +95,13 @@
     });
   }
 
+  async start(): Promise<void> {
+    await this.#fleet.start();
+    void this.#watchVersions();
+  }
+
   async run(): Promise<SoakResult> {
     const fleet = this.#fleet;
-    await fleet.start();
-    void this.#watchVersions();
     await fleet.runUnderFaults({
       seconds: this.#options.seconds,
       maxGapMs: MAX_FAULT_GAP_MS,
