--- a/tests/run_tests.ts
+++ b/tests/run_tests.ts
@@ -51,9 +51,9 @@
 
 async function main(): Promise<void> {
   const root = join(dirname(fileURLToPath(import.meta.url)), "..");
-  const pattern = new RegExp(process.argv[2] ?? "");
+  const pattern = new RegExp(process.argv.slice(2).join("|"));
   const files = FOLDERS.flatMap((folder) => findTests(join(root, folder)))
-    .filter((file) => pattern.test(file));
+    .filter((file) => pattern.test(file.slice(root.length + 1)));
   // Must be set before uvu is loaded, or uvu runs the suites by itself.
   uvu.UVU_DEFER = 1;
   const { exec } = await import("uvu");
