Wait for the era of the store without polling for it

A daemon whose record was due to be written again, and which had seen a response of a still later era, compared its record every millisecond until its view showed that era. It now waits until the view wakes it. Read in the code; the tests of the publisher and of the eras pass.

--- a/src/sidecar/record_publisher.ts
+++ b/src/sidecar/record_publisher.ts
@@ -103,11 +103,11 @@
   enterEra(era: number, rewriteDelayMs: number | undefined): void {
     this.#era = era;
     this.#awaitsEra = false;
+    this.#wakeUp();
     if (rewriteDelayMs === undefined) return;
     // The store may have granted its id to another daemon since.
     if (this.#lease?.era !== era) this.#lease = undefined;
     this.#rewriteAtMs = performance.now() + rewriteDelayMs;
-    this.#wakeUp();
   }
 
   /**
@@ -251,7 +251,9 @@
 
   #computeRenewalDelayMs(): number {
     const nowMs = performance.now();
-    const rewriteDelayMs = (this.#rewriteAtMs ?? Infinity) - nowMs;
+    // Nothing is written before the view shows the era, which wakes it up.
+    const rewriteAtMs = this.#awaitsEra ? undefined : this.#rewriteAtMs;
+    const rewriteDelayMs = (rewriteAtMs ?? Infinity) - nowMs;
     const renewDelayMs = this.#lease === undefined
       ? RENEW_PERIOD_MS
       : this.#renewAtMs - nowMs;
