--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -74,6 +74,8 @@
   readonly createConfig: (version: number, extra: object[]) => object;
   /** Additional headers of requests that name none. */
   readonly headers?: Readonly<Record<string, string>>;
+  /** First era of the store; it names none if omitted. */
+  readonly era?: number;
 }
 
 /** Fields of a request that {@linkcode Fleet.createRequest} creates. */
@@ -136,6 +138,7 @@
     const bundle = join(this.#folder, "sesamepond.cjs");
     spawnSync(process.execPath, ["scripts/build_platform.mjs", bundle]);
     this.store = await KvServer.start();
+    this.store.era = this.#plan.era;
     this.writeConfig();
     const storePort = Number(this.store.address.split(":")[1]);
     for (let index = 0; index < this.#options.instances; index++) {
--- a/soak/sidecar_faults.ts
+++ b/soak/sidecar_faults.ts
@@ -1,3 +1,5 @@
+import { Buffer } from "node:buffer";
+import type { StoreCopy } from "../platform/fakes/kv_data.ts";
 import { type KvServer, StoreFault } from "../platform/fakes/kv_server.ts";
 import type { Random } from "../src/protocol/random.ts";
 import { BodyForm, BodySender } from "../testkit/body_sender.ts";
@@ -16,6 +18,8 @@
   BodyForm.LargeChunks,
   BodyForm.TinyChunks,
 ];
+/** Prefix of the entries that the operator writes. */
+const OPERATOR_PREFIX = "op/";
 /** Part of the duration of a fault for which a killed daemon is down. */
 const DOWN_SHARE = 1 / 4;
 
@@ -93,7 +97,6 @@
   };
 }
 
-/** A store that is restored from a copy (section 6) will be one of these. */
 function storeFaults(
   { store }: SidecarFaultContext,
 ): Record<string, SidecarFaultStarter> {
@@ -106,9 +109,24 @@
   return {
     "store-busy": storeFault(StoreFault.Busy),
     "store-silent": storeFault(StoreFault.Silent),
+    "store-restored": (lastsMs) => {
+      const copy = store.copy();
+      setTimeout(() => restoreStore(store, copy), lastsMs);
+      return true;
+    },
   };
 }
 
+/** Restores the store; the operator writes its own entries again. */
+function restoreStore(store: KvServer, copy: StoreCopy): void {
+  const entries = store.copy().items
+    .filter(({ Key }) => Key.startsWith(OPERATOR_PREFIX));
+  store.restore(copy);
+  for (const { Key, Value } of entries) {
+    store.put(Key, Buffer.from(Value, "base64").toString());
+  }
+}
+
 function sendBodies(
   instance: SoakInstance,
   { random, organisations, onBodyClient }: SidecarFaultContext,
--- a/soak/sidecar_soak.ts
+++ b/soak/sidecar_soak.ts
@@ -82,6 +82,7 @@
       createConfig: (version, extra) =>
         this.#organisations.createConfig(version, extra),
       headers: { [KEY_HEADER]: LASTING_KEY },
+      era: 1,
       instance: {
         hasRollouts: true,
         memoryMb: MEMORY_MB,
