Rollouts: a halted decision reaches daemons that follow an unconfirmed write

A decider that does not get the response of a write goes on from the record before it. Once the version was bad, its answers had that record's sequence, and daemons that followed the write ignored them until the view of the store showed it. The answer now has the sequence that the daemon reports.

--- a/src/coordination/rollout/deciding_role.ts
+++ b/src/coordination/rollout/deciding_role.ts
@@ -121,9 +121,10 @@
     this.#observations?.record(report, nowMs);
     // A daemon that was held up does not know yet what others have seen.
     if (!this.#isHeard(nowMs)) return undefined;
-    return this.#isHalted
-      ? { ...record, phase: RolloutPhase.Running, share: 0 }
-      : record;
+    if (!this.#isHalted) return record;
+    // The daemon may follow a write whose response this daemon did not get.
+    const sequence = Math.max(record.sequence, report.sequence);
+    return { ...record, sequence, phase: RolloutPhase.Running, share: 0 };
   }
 
   /**
--- a/src/coordination/rollout/rollout_coordinator_test.ts
+++ b/src/coordination/rollout/rollout_coordinator_test.ts
@@ -105,6 +105,42 @@
   assert.equal({ atStart, later }, { atStart: 1, later: undefined });
 });
 
+// Guards against daemons that go on with a bad version, as the decider does not
+// know that its last write was recorded: 200 requests, 50 of them failures.
+test("RolloutCoordinator.receive() stops daemons that follow a write without a response", () => {
+  const coordinator = startCoordinator("d0");
+  coordinator.next(situationAt(0));
+  coordinator.finishWrite({ kind: "written", revision: 5 }, 0);
+  const report = (sequence: number, failures: number) => ({
+    service: "orders",
+    targetVersion: "v2",
+    instance: "d1",
+    epoch: 1,
+    sequence,
+    openRequests: 0,
+    routes: [{
+      route: "orders",
+      former: { requests: 150, failures: 0, times: [150] },
+      target: { requests: failures, failures, times: [] },
+    }],
+  });
+  coordinator.receive(report(1, 0), 100);
+  coordinator.receive({ ...report(1, 0), instance: "d0" }, 100);
+  const raised = coordinator.next(situationAt(1_000))!.record;
+  coordinator.finishWrite({ kind: "failed" }, 1_000);
+  coordinator.receive(report(raised.sequence, 50), 1_500);
+  coordinator.next(situationAt(1_500));
+  const { sequence, share } = coordinator.receive(
+    report(raised.sequence, 50),
+    1_600,
+  )!;
+  assert.equal({ raised: raised.share > 0, sequence, share }, {
+    raised: true,
+    sequence: raised.sequence,
+    share: 0,
+  });
+});
+
 // Guards against an order that is finished before any backend server is known.
 test("RolloutCoordinator.next() waits for a version in use", () => {
   const situation = { ...situationAt(0), inUse: [], announced: ["v2"] };
