Rollouts: finish a version once it is proven with all requests

With little traffic, the target version never got 90 results before all requests moved, and `finished` followed within 0.4 s, with 40 results. A version that was bad only under load stayed in use. `finished` now waits for 1.25 s and 90 results with all requests, or until 1.5 s before the time limit; a version that is suspect then is rolled back. Without 90 results, all requests no longer begin to move in the last second, and they begin earlier, after the first tenth of the spare time. Daemons report every 125 ms from a share of 80 % on.

Not met: slow responses whose result comes after 350 ms, see ROLLOUTS.md.

--- a/src/coordination/rollout/decide_step.ts
+++ b/src/coordination/rollout/decide_step.ts
@@ -4,17 +4,24 @@
 
 /** Results of the target version without which it gets no large share. */
 const MIN_RESULTS = 90;
+/**
+ * Time with all requests without which the target version is not proven, in ms.
+ * Slow responses come later than others, so that the first ones look good.
+ */
+const MIN_FULL_MS = 1_250;
 /** Smallest share from which all requests may move. */
 const MIN_DRAIN_SHARE = 0.3;
 /** Time for results to come in before another decision, in ms. */
 const MIN_DWELL_MS = 700;
 /** Time before the limit at which a rollout without a decision ends, in ms. */
 const LAST_DECISION_MS = 1_000;
+/** Time before the limit at which a version without proof is finished, in ms. */
+const LAST_FINISH_MS = 1_500;
 /** Part of the spare time for which a suspect version may still recover. */
 const SUSPECT_SPARE_SHARE = 0.4;
 
 /** Part of the spare time for which results of a version are waited for. */
-const UNPROVEN_SPARE_SHARE = 0.2;
+const UNPROVEN_SPARE_SHARE = 0.1;
 
 /** What a decision is based on. */
 export interface StepSituation {
@@ -28,6 +35,8 @@
   readonly judgement: VersionJudgement;
   /** Results of the target version. */
   readonly targetRequests: number;
+  /** Those of daemons that sent it all requests at the time. */
+  readonly fullRequests: number;
   /** Whether the target version has backend servers that accept requests. */
   readonly hasTarget: boolean;
   /** Whether enough daemons report. */
@@ -65,9 +74,10 @@
       if (judgement.verdict === VersionVerdict.Bad) {
         return { phase: RolloutPhase.RolledBack, share: 0 };
       }
-      return isDrained
-        ? { phase: RolloutPhase.Finished, share: 1 }
-        : { phase, share };
+      if (!isDrained || !mayFinish(situation)) return { phase, share };
+      return judgement.verdict === VersionVerdict.Suspect
+        ? { phase: RolloutPhase.RolledBack, share: 0 }
+        : { phase: RolloutPhase.Finished, share: 1 };
     case RolloutPhase.Idle:
     case RolloutPhase.Finished:
     case RolloutPhase.RolledBack:
@@ -103,11 +113,25 @@
 function canDrain(situation: StepSituation): boolean {
   const { record, plan, durationMs, elapsedMs } = situation;
   const spareMs = durationMs - plan.drainAfterMs;
-  const isLate =
+  // Later, there is no time left to prove it with all requests.
+  const isLate = elapsedMs < durationMs - LAST_DECISION_MS &&
     elapsedMs >= plan.drainAfterMs + spareMs * UNPROVEN_SPARE_SHARE;
   return record.share >= MIN_DRAIN_SHARE && (isLate || isProven(situation));
 }
 
+/**
+ * Nothing can roll a finished version back, and a fault that depends on the load
+ * shows with all requests only.
+ */
+function mayFinish(situation: StepSituation): boolean {
+  const { judgement, fullRequests, shareAgeMs } = situation;
+  if (shareAgeMs < MIN_FULL_MS) return false;
+  const isProvenInFull = judgement.verdict === VersionVerdict.Good &&
+    fullRequests >= MIN_RESULTS;
+  return isProvenInFull ||
+    situation.elapsedMs >= situation.durationMs - LAST_FINISH_MS;
+}
+
 function isProven({ judgement, targetRequests }: StepSituation): boolean {
   return judgement.verdict === VersionVerdict.Good &&
     targetRequests >= MIN_RESULTS;
--- a/src/coordination/rollout/deciding_role.ts
+++ b/src/coordination/rollout/deciding_role.ts
@@ -98,10 +98,14 @@
     if (!isDecider || !isActivePhase(record.phase)) this.#isHalted = false;
     const isNewRole = isDecider &&
       (!wasDecider || known?.targetVersion !== record.targetVersion);
-    if (!isNewRole) return;
-    this.#decidingSinceMs = nowMs;
-    this.#isHalted = false;
-    this.#observations = new RolloutObservations(record.targetVersion, nowMs);
+    if (isNewRole) {
+      this.#decidingSinceMs = nowMs;
+      this.#isHalted = false;
+      this.#observations = new RolloutObservations(record.targetVersion, nowMs);
+    }
+    const isNewlyFull = record.phase === RolloutPhase.Draining &&
+      (isNewPhase || isNewRole);
+    if (isNewlyFull) this.#observations?.startFull(this.#phaseSequence);
   }
 
   /**
@@ -176,6 +180,7 @@
       shareAgeMs: nowMs - this.#shareSinceMs,
       judgement,
       targetRequests: observations.targetRequests,
+      fullRequests: observations.fullRequests,
       hasTarget: situation.hasTarget,
       hasReports,
       isDrained: situation.formerInstances.every((instance) =>
--- a/src/coordination/rollout/rollout_observations.ts
+++ b/src/coordination/rollout/rollout_observations.ts
@@ -39,6 +39,9 @@
   readonly #reporters = new Map<string, Reporter>();
   readonly #total = new Map<string, RouteSamples>();
   readonly #slices: Slice[] = [];
+  /** Results since the target version has got all requests. */
+  readonly #full = new Map<string, RouteSamples>();
+  #fullSequence = Infinity;
 
   /**
    * Creates observations without reports.
@@ -62,6 +65,12 @@
       .reduce((sum, { target }) => sum + target.requests, 0);
   }
 
+  /** Those of daemons that sent it all requests at the time. */
+  get fullRequests(): number {
+    return [...this.#full.values()]
+      .reduce((sum, { target }) => sum + target.requests, 0);
+  }
+
   /** Requests of the service. */
   get requests(): number {
     return [...this.#total.values()].reduce(
@@ -70,6 +79,16 @@
     );
   }
 
+  /**
+   * Learns which decision sends all requests to the target version.
+   *
+   * @param sequence The decision.
+   */
+  startFull(sequence: number): void {
+    this.#fullSequence = sequence;
+    this.#full.clear();
+  }
+
   /**
    * Adds what is new in a report.
    *
@@ -88,6 +107,10 @@
     if (isKnown) addRoutes(added, last.routes, -1);
     addRoutes(this.#total, [...added.values()]);
     addRoutes(this.#sliceAt(nowMs).routes, [...added.values()]);
+    // The first report after the decision has results from before it too.
+    if (isKnown && last.sequence >= this.#fullSequence) {
+      addRoutes(this.#full, [...added.values()]);
+    }
   }
 
   /**
--- a/src/coordination/rollout/rollout_schedules_test.ts
+++ b/src/coordination/rollout/rollout_schedules_test.ts
@@ -54,6 +54,22 @@
   };
 }
 
+/** Times of a fast service, of which one response in 20 is slow. */
+const fast = ({ random }: SimulatedRequest): SimulatedResult => ({
+  isFailure: random.fraction() < 0.01,
+  serviceMs: random.below(20) === 0 ? 300 : 5 + random.below(40),
+  isBad: false,
+});
+
+/** Makes a version of a fast service that is bad under load. */
+function badUnderLoad(share: number, fault: Partial<SimulatedResult>) {
+  return (request: SimulatedRequest): SimulatedResult => {
+    const isBad = request.isTarget && request.targetPerS > 32 &&
+      request.random.fraction() < share;
+    return { ...fast(request), ...(isBad ? fault : {}), isBad };
+  };
+}
+
 const VERSIONS: Readonly<
   Record<string, (request: SimulatedRequest) => SimulatedResult>
 > = {
@@ -83,6 +99,14 @@
   return exposed <= EXPOSE_SHARE * requests + EXPOSE_SLACK;
 }
 
+/** A fleet with little traffic, whose results come to few until all move. */
+const LITTLE_TRAFFIC = {
+  daemons: 8,
+  durationMs: 8_000,
+  requestsPerS: 80,
+  routes: ["orders", "items", "exports"],
+};
+
 /** Draws the faults of one schedule. */
 function drawFaults(seed: number): SimulatedFaults {
   const random = new Random(seed);
@@ -148,6 +172,53 @@
   });
 }
 
+for (
+  const [name, resultOf, hasResponseTimes] of [
+    ["fails always", badUnderLoad(1, { isFailure: true }), true],
+    ["often fails", badUnderLoad(0.6, { isFailure: true }), true],
+    // With the time of its responses, it may get more than the bound.
+    ["is slow", badUnderLoad(1, { serviceMs: 350 }), false],
+  ] as const
+) {
+  // Guards against a version that is finished with the few results of a smaller
+  // share, so that nothing can roll it back: 80 requests per second, bad from 32.
+  test(`a version that ${name} under load is not finished at 80 requests per second`, () => {
+    const outcomes = Array.from(
+      { length: 40 },
+      (_, seed) =>
+        simulate({ seed, resultOf, hasResponseTimes, ...LITTLE_TRAFFIC }),
+    );
+    assert.equal(
+      outcomes.map((outcome) => ({
+        phase: outcome.phase,
+        isWithinBound: isWithinBound(outcome),
+        lateExposed: outcome.lateExposed,
+      })),
+      outcomes.map(() => ({
+        phase: RolloutPhase.RolledBack,
+        isWithinBound: true,
+        lateExposed: 0,
+      })),
+    );
+  });
+}
+
+// Guards against a good version that is not proven in time: 80 requests per
+// second, 8 s.
+test("a good version is finished in 8000 ms at 80 requests per second", () => {
+  const outcomes = Array.from(
+    { length: 40 },
+    (_, seed) => simulate({ seed, resultOf: fast, ...LITTLE_TRAFFIC }),
+  );
+  assert.equal(
+    outcomes.map(({ phase, phaseAtMs }) => ({
+      phase,
+      isInTime: phaseAtMs < LITTLE_TRAFFIC.durationMs,
+    })),
+    outcomes.map(() => ({ phase: RolloutPhase.Finished, isInTime: true })),
+  );
+});
+
 // Guards against exposure that grows while daemons cannot hear each other, and
 // against two daemons that decide at the same time.
 test(`${SCHEDULES} schedules with faults keep all bounds`, () => {
--- a/src/coordination/rollout/version_gate.ts
+++ b/src/coordination/rollout/version_gate.ts
@@ -27,8 +27,13 @@
 const DRAIN_CONFIRMED_FOR_MS = 4_500;
 /** Time for which a daemon does not look at its own results then, in ms. */
 const DRAIN_TRUSTED_FOR_MS = 600;
-/** Share from which results are reported more often. */
+/** Pause between two reports, in ms. */
+const REPORT_EVERY_MS = 500;
+/** Share from which results are reported more often, and the pause then. */
 const URGENT_SHARE = 0.3;
+const URGENT_REPORT_EVERY_MS = 250;
+/** The same while most requests or all depend on it. */
+const LAST_REPORT_EVERY_MS = 125;
 /** Time between two judgements by this daemon's own results, in ms. */
 const JUDGE_EVERY_MS = 200;
 
@@ -275,11 +280,19 @@
     side.times[timeClass]!++;
   }
 
-  /** Whether many requests depend on soon knowing that the target is bad. */
-  get isUrgent(): boolean {
+  /**
+   * Pause between two reports, in ms: short while many requests depend on soon
+   * knowing that the target is bad.
+   */
+  get reportEveryMs(): number {
     const record = this.#record;
-    return record !== undefined && isActivePhase(record.phase) &&
-      record.share >= URGENT_SHARE;
+    if (record === undefined || !isActivePhase(record.phase)) {
+      return REPORT_EVERY_MS;
+    }
+    if (record.share >= LAST_SHARE) return LAST_REPORT_EVERY_MS;
+    return record.share >= URGENT_SHARE
+      ? URGENT_REPORT_EVERY_MS
+      : REPORT_EVERY_MS;
   }
 
   /** Failures of the target version that were recorded. */
--- a/src/sidecar/rollout_task.ts
+++ b/src/sidecar/rollout_task.ts
@@ -28,9 +28,7 @@
 
 /** Pause between two decisions, in ms. */
 const DECIDE_EVERY_MS = 125;
-/** Pause between two reports, in ms; it grows with the fleet up to a bound. */
-const MIN_REPORT_EVERY_MS = 500;
-const URGENT_REPORT_EVERY_MS = 250;
+/** The pause between two reports grows with the fleet, up to a bound in ms. */
 const MAX_REPORT_EVERY_MS = 1_000;
 const REPORT_EVERY_MS_PER_DAEMON = 0.5;
 /** New failures of the target version that are reported at once. */
@@ -368,7 +366,7 @@
     const decider = gate.record?.decider ?? "";
     if (report === undefined) return;
     const usualMs = Math.max(
-      gate.isUrgent ? URGENT_REPORT_EVERY_MS : MIN_REPORT_EVERY_MS,
+      gate.reportEveryMs,
       directory.size * REPORT_EVERY_MS_PER_DAEMON,
     );
     state.reportAtMs = nowMs + Math.min(MAX_REPORT_EVERY_MS, usualMs);
--- a/testkit/simulated_rollout.ts
+++ b/testkit/simulated_rollout.ts
@@ -14,8 +14,8 @@
 /** Step of the simulated time, in ms. */
 const TICK_MS = 50;
 const DECIDE_EVERY_MS = 125;
-const REPORT_EVERY_MS = 500;
-const URGENT_REPORT_EVERY_MS = 250;
+/** Longest time until the first report of a daemon, in ms. */
+const FIRST_REPORT_MS = 500;
 const START_UNIX_MS = 1_800_000_000_000;
 const FORMER = "v1";
 const TARGET = "v2";
@@ -69,6 +69,8 @@
   readonly requestsPerS: number;
   readonly routes: readonly string[];
   readonly resultOf: (request: SimulatedRequest) => SimulatedResult;
+  /** Whether a result is known after its response time, else at once. */
+  readonly hasResponseTimes?: boolean;
   readonly faults: SimulatedFaults;
 }
 
@@ -142,6 +144,8 @@
   #rivalAdvances = 0;
   #targetPerS = 0;
   #hasHung = false;
+  /** Results by the step of time at which they arrive. */
+  readonly #arrivals = new Map<number, (() => void)[]>();
 
   constructor(options: SimulationOptions) {
     this.#options = options;
@@ -161,7 +165,7 @@
         coordinator: new RolloutCoordinator(`d${index}`, "orders"),
         viewDelayMs: this.#random.fraction() * options.faults.maxViewDelayMs,
         pending: undefined,
-        reportAtMs: this.#random.fraction() * REPORT_EVERY_MS,
+        reportAtMs: this.#random.fraction() * FIRST_REPORT_MS,
         reportedFailures: 0,
         decideAtMs: this.#random.fraction() * DECIDE_EVERY_MS,
         hungUntilMs: -Infinity,
@@ -174,6 +178,7 @@
     const endMs = this.#options.durationMs + AFTER_MS;
     for (this.#nowMs = 0; this.#nowMs < endMs; this.#nowMs += TICK_MS) {
       this.#injectFaults();
+      this.#receiveResults();
       for (const daemon of this.#daemons) this.#runDaemon(daemon);
       this.#sendRequests();
     }
@@ -304,8 +309,7 @@
 
   #report(daemon: SimulatedDaemon): void {
     const { gate } = daemon;
-    daemon.reportAtMs = this.#nowMs +
-      (gate.isUrgent ? URGENT_REPORT_EVERY_MS : REPORT_EVERY_MS);
+    daemon.reportAtMs = this.#nowMs + gate.reportEveryMs;
     daemon.reportedFailures = gate.targetFailures;
     const report = gate.buildReport({
       instance: `d${daemon.index}`,
@@ -328,6 +332,12 @@
     return this.#random.fraction() < this.#options.faults.lostShare;
   }
 
+  #receiveResults(): void {
+    const tick = this.#nowMs / TICK_MS;
+    for (const record of this.#arrivals.get(tick) ?? []) record();
+    this.#arrivals.delete(tick);
+  }
+
   #sendRequests(): void {
     const { requestsPerS, daemons } = this.#options;
     const expected = requestsPerS * TICK_MS / 1_000;
@@ -343,7 +353,8 @@
   }
 
   #sendRequest(daemon: SimulatedDaemon): boolean {
-    const { routes, resultOf, durationMs, daemons } = this.#options;
+    const { routes, resultOf, durationMs, daemons, hasResponseTimes } =
+      this.#options;
     const nowMs = this.#nowMs;
     const choice = daemon.gate.choose({
       isFirst: true,
@@ -379,12 +390,18 @@
     if (isTarget && result.isBad && ++this.#bad === 50) {
       this.#fiftiethBadAtMs = nowMs;
     }
-    daemon.gate.recordResult({
-      route,
-      version: isTarget ? TARGET : FORMER,
-      isFailure: result.isFailure,
-      serviceMs: result.serviceMs,
-    });
+    const responseMs = hasResponseTimes === true ? result.serviceMs : 0;
+    const arrivesAtTick = Math.floor((nowMs + responseMs) / TICK_MS) + 1;
+    const arrivals = this.#arrivals.get(arrivesAtTick) ?? [];
+    this.#arrivals.set(arrivesAtTick, arrivals);
+    arrivals.push(() =>
+      daemon.gate.recordResult({
+        route,
+        version: isTarget ? TARGET : FORMER,
+        isFailure: result.isFailure,
+        serviceMs: result.serviceMs,
+      })
+    );
     return isTarget;
   }
 }
