Find reachable destinations in one pass, as before

The choice by response time, which deployments without organisations use, went over the backend servers twice.

--- a/src/coordination/dispatch/choose_by_response_time.ts
+++ b/src/coordination/dispatch/choose_by_response_time.ts
@@ -53,9 +53,12 @@
   records: readonly BackendRecord[],
   { excluded, statsOf, nowMs }: ChoiceOptions,
 ): readonly BackendRecord[] {
-  const left = records.filter((one) => !excluded.has(one.id));
-  const reachable = left.filter((one) => !statsOf(one).isUnreachable(nowMs));
-  return reachable.length > 0 ? reachable : left;
+  const reachable = records.filter((one) =>
+    !excluded.has(one.id) && !statsOf(one).isUnreachable(nowMs)
+  );
+  return reachable.length > 0
+    ? reachable
+    : records.filter((one) => !excluded.has(one.id));
 }
 
 function sampleCandidates(
