Write the record again if no view shows the era of a response

One response that named a later era by mistake kept a daemon from writing its record for ever: it waited for its view to show that era, which never comes. It now asks the store again after 3 s. The new test fails on the former code.

--- a/src/sidecar/record_publisher.ts
+++ b/src/sidecar/record_publisher.ts
@@ -17,6 +17,11 @@
 const LEASE_TTL_S = 10;
 /** Pause between two lease renewals, in ms. */
 const RENEW_PERIOD_MS = 3_000;
+/**
+ * Time for the view to show the era that a response named, in ms. After it, the
+ * store is asked again, as the response may have named a wrong one.
+ */
+const AWAIT_ERA_MS = 3_000;
 /** Pause before a failed write is retried, in ms. */
 const RETRY_DELAY_MS = 300;
 
@@ -55,8 +60,8 @@
   #era: number | undefined;
   /** When the record is to be written again; `undefined` if it is not. */
   #rewriteAtMs: number | undefined;
-  /** Whether a response was of an era that the view does not show yet. */
-  #awaitsEra = false;
+  /** Until when the view is expected to show the era of a response. */
+  #awaitsEraUntilMs = -Infinity;
   #renewAtMs = 0;
   #wake: (() => void) | undefined;
   /** Whether there is something to do that the last comparison may not know. */
@@ -102,7 +107,7 @@
    */
   enterEra(era: number, rewriteDelayMs: number | undefined): void {
     this.#era = era;
-    this.#awaitsEra = false;
+    this.#awaitsEraUntilMs = -Infinity;
     this.#wakeUp();
     if (rewriteDelayMs === undefined) return;
     // The store may have granted its id to another daemon since.
@@ -175,7 +180,7 @@
     // An earlier record stays until the backend server has announced itself.
     if (this.#desired === undefined || !this.#isStoredKnown) return true;
     // The view shows the era soon, and with it when to write.
-    if (this.#awaitsEra) return true;
+    if (performance.now() < this.#awaitsEraUntilMs) return true;
     if (this.#rewriteAtMs !== undefined) {
       return performance.now() < this.#rewriteAtMs || await this.#put();
     }
@@ -201,7 +206,7 @@
   #isOfEra(era: number | undefined, lease: LeaseGrant): boolean {
     if (compareEras(era, lease.era) === EraOrder.Same) return true;
     if (this.#lease === lease) this.#lease = undefined;
-    this.#awaitsEra = compareEras(era, this.#era) === EraOrder.Later;
+    if (compareEras(era, this.#era) === EraOrder.Later) this.#awaitEra();
     return false;
   }
 
@@ -210,11 +215,16 @@
     if (granted.isErr()) return undefined;
     const { era } = granted.value;
     const order = compareEras(era, this.#era);
-    this.#awaitsEra = order === EraOrder.Later;
     if (order === EraOrder.Earlier) return undefined;
     this.#lease = granted.value;
     this.#renewAtMs = performance.now() + RENEW_PERIOD_MS;
-    return this.#awaitsEra ? undefined : granted.value;
+    if (order === EraOrder.Same) return granted.value;
+    this.#awaitEra();
+    return undefined;
+  }
+
+  #awaitEra(): void {
+    this.#awaitsEraUntilMs = performance.now() + AWAIT_ERA_MS;
   }
 
   async #put(): Promise<boolean> {
@@ -251,13 +261,13 @@
 
   #computeRenewalDelayMs(): number {
     const nowMs = performance.now();
-    // Nothing is written before the view shows the era, which wakes it up.
-    const rewriteAtMs = this.#awaitsEra ? undefined : this.#rewriteAtMs;
-    const rewriteDelayMs = (rewriteAtMs ?? Infinity) - nowMs;
-    const renewDelayMs = this.#lease === undefined
-      ? RENEW_PERIOD_MS
-      : this.#renewAtMs - nowMs;
-    return Math.max(0, Math.min(renewDelayMs, rewriteDelayMs));
+    const writeAtMs = nowMs < this.#awaitsEraUntilMs
+      ? this.#awaitsEraUntilMs
+      : this.#rewriteAtMs ?? Infinity;
+    const renewAtMs = this.#lease === undefined
+      ? nowMs + RENEW_PERIOD_MS
+      : this.#renewAtMs;
+    return Math.max(0, Math.min(renewAtMs, writeAtMs) - nowMs);
   }
 
   #wakeUp(): void {
--- a/src/sidecar/record_publisher_test.ts
+++ b/src/sidecar/record_publisher_test.ts
@@ -3,6 +3,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { type BackendRecord, BackendState } from "../protocol/mesh.ts";
+import { until } from "../../testkit/until.ts";
 import { EventLog } from "../transport/observe/event_log.ts";
 import { TextMetrics } from "../transport/observe/text_metrics.ts";
 import { encodeRecord } from "./backend_record_codec.ts";
@@ -207,4 +208,23 @@
   ]);
 });
 
+// Guards against a record that is never written again: one response named a
+// later era by mistake, which no view will ever show.
+test("RecordPublisher.run() goes on if no view shows the era of a response", async () => {
+  const store = new RestoredStore();
+  const stopped = new AbortController();
+  void store.publisher.run(stopped.signal);
+  store.publisher.enterEra(1, undefined);
+  store.publisher.handleStoredEntry(undefined);
+  store.publisher.publish(RECORD);
+  await sleep(20);
+  store.era = 9;
+  store.publisher.publish({ ...RECORD, slots: 5 });
+  await sleep(20);
+  store.era = 1;
+  await until(() => store.calls.includes("put with l2"), "it writes again");
+  stopped.abort();
+  assert.equal(store.calls.slice(2), ["put with l1", "grant", "put with l2"]);
+});
+
 test.run();
