Spend less processor time on each request

Change: Cancellation replaces AbortController on the path of a request; its signals and events took 3% of the processor time in a profile. The queue looks up the expected service time of a waiting request once per pass. The forwarder copies the fields of a request by name instead of by a rest pattern, which is several times slower.

--- a/src/coordination/dispatch/work_queue.ts
+++ b/src/coordination/dispatch/work_queue.ts
@@ -255,9 +255,13 @@
 
   /** Refuses waiting requests that are too late with the new one ahead. */
   #displaceBehind(entry: Waiting<T>, nowMs: number): OfferResult<T> {
-    const entryKey = this.#sortKey(entry, nowMs);
+    const entryKey = this.#sortKey(entry, entry.serviceMs, nowMs);
     const order = this.#waiting
-      .map((waiting) => ({ waiting, key: this.#sortKey(waiting, nowMs) }))
+      .map((waiting) => {
+        const serviceMs = this.#expectedMs(waiting.item);
+        const key = this.#sortKey(waiting, serviceMs, nowMs);
+        return { waiting, serviceMs, key };
+      })
       .sort((a, b) =>
         Number(b.waiting.item.isSubcall === true) -
           Number(a.waiting.item.isSubcall === true) || a.key - b.key
@@ -265,9 +269,7 @@
     const displaced: T[] = [];
     let workMs = this.serviceTimes.overallMs;
     let ahead = 0;
-    for (const { waiting, key } of order) {
-      const { item } = waiting;
-      const serviceMs = this.#expectedMs(item);
+    for (const { waiting: { item }, serviceMs, key } of order) {
       const endMs = nowMs + serviceMs + this.#waitMs(workMs, ahead, nowMs);
       const isBehind = !precedes(item, key, entry.item, entryKey);
       if (isBehind && endMs > this.effectiveDeadlineMs(item)) {
@@ -284,13 +286,14 @@
   }
 
   #estimateWaitMs(entry: Waiting<WorkItem>, nowMs: number): number {
-    const key = this.#sortKey(entry, nowMs);
+    const key = this.#sortKey(entry, entry.serviceMs, nowMs);
     let workMs = this.serviceTimes.overallMs;
     let ahead = 0;
     for (const other of this.#waiting) {
-      const otherKey = this.#sortKey(other, nowMs);
+      const serviceMs = this.#expectedMs(other.item);
+      const otherKey = this.#sortKey(other, serviceMs, nowMs);
       if (!precedes(other.item, otherKey, entry.item, key)) continue;
-      workMs += this.#expectedMs(other.item);
+      workMs += serviceMs;
       ahead++;
     }
     return this.#waitMs(workMs, ahead, nowMs);
@@ -305,9 +308,12 @@
   }
 
   /** Smaller keys go first. */
-  #sortKey(entry: Waiting<WorkItem>, nowMs: number): number {
+  #sortKey(
+    entry: Waiting<WorkItem>,
+    serviceMs: number,
+    nowMs: number,
+  ): number {
     const { item, position } = entry;
-    const serviceMs = this.#expectedMs(item);
     const cost = serviceMs * (1 + item.priority);
     const remainingMs = item.deadlineMs - nowMs;
     const isLate = nowMs + serviceMs > item.objectiveAtMs;
@@ -326,7 +332,8 @@
     let callKey = Infinity;
     for (const entry of this.#waiting) {
       // A priority below its share goes first, whatever its key.
-      const key = this.#sortKey(entry, nowMs) -
+      const serviceMs = this.#expectedMs(entry.item);
+      const key = this.#sortKey(entry, serviceMs, nowMs) -
         (this.#isBelowShare(entry.item) ? BELOW_SHARE_LEAD : 0);
       if (key < bestKey) {
         best = entry;
@@ -352,16 +359,18 @@
     return endMs > this.effectiveDeadlineMs(item);
   }
 
-  #recordAccepted({ item, ...accepted }: Waiting<T>): void {
-    const { organisation } = item;
+  #recordAccepted(entry: Waiting<T>): void {
+    const { organisation } = entry.item;
     if (organisation === undefined) return;
-    this.#shares.accept({ organisation, ...accepted });
+    const { serviceMs, acceptedAtMs, position } = entry;
+    this.#shares.accept({ organisation, serviceMs, acceptedAtMs, position });
   }
 
-  #recordWithdrawn({ item, ...accepted }: Waiting<T>): void {
-    const { organisation } = item;
+  #recordWithdrawn(entry: Waiting<T>): void {
+    const { organisation } = entry.item;
     if (organisation === undefined) return;
-    this.#shares.withdraw({ organisation, ...accepted });
+    const { serviceMs, acceptedAtMs, position } = entry;
+    this.#shares.withdraw({ organisation, serviceMs, acceptedAtMs, position });
   }
 
   #start(item: T): void {
--- a/src/sidecar/backend_dispatcher.ts
+++ b/src/sidecar/backend_dispatcher.ts
@@ -1,3 +1,4 @@
+import type { CancelSignal } from "../protocol/cancellation.ts";
 import { type Announcement, RequestKind } from "../protocol/mesh.ts";
 import type {
   CallOutcome,
@@ -60,7 +61,7 @@
 
 /** Cancellation and timeout of a job that waits for a slot. */
 interface QueueWait {
-  readonly signal: AbortSignal;
+  readonly signal: CancelSignal;
   readonly onAbort: () => void;
   readonly timer: NodeJS.Timeout;
 }
@@ -216,7 +217,7 @@
    * @param signal Aborts the request if its caller has left.
    * @returns The outcome; never rejects.
    */
-  execute(call: MeshCall, signal: AbortSignal): Promise<CallOutcome> {
+  execute(call: MeshCall, signal: CancelSignal): Promise<CallOutcome> {
     const refusal = this.#findRefusal(call, signal) ??
       this.#findQuarantine(call);
     if (refusal !== undefined) return Promise.resolve(refusal);
@@ -234,7 +235,7 @@
     );
   }
 
-  #enqueue(call: MeshCall, signal: AbortSignal): Promise<CallOutcome> {
+  #enqueue(call: MeshCall, signal: CancelSignal): Promise<CallOutcome> {
     // An earlier process of this daemon has passed the limit on.
     if (!this.#hasResponse && call.namedLimitPerS !== undefined) {
       this.#setLimit(call.namedLimitPerS, performance.now());
@@ -267,7 +268,7 @@
     }
   }
 
-  #findRefusal(call: MeshCall, signal: AbortSignal): CallOutcome | undefined {
+  #findRefusal(call: MeshCall, signal: CancelSignal): CallOutcome | undefined {
     if (signal.aborted) return notRunOutcome(MeshReason.Cancelled);
     const current = this.#backend.current;
     if (current === undefined) return notRunOutcome(MeshReason.NoBackend);
@@ -286,7 +287,7 @@
       : undefined;
   }
 
-  #awaitSlot(job: Job, signal: AbortSignal): void {
+  #awaitSlot(job: Job, signal: CancelSignal): void {
     const onAbort = () => {
       if (!this.#queue.remove(job)) return;
       this.#stopWaiting(job);
@@ -316,7 +317,7 @@
   }
 
   /** Clears the timer, which would wake the process and retain the request. */
-  #stopWaiting(job: Job): AbortSignal {
+  #stopWaiting(job: Job): CancelSignal {
     const { signal, onAbort, timer } = this.#waits.get(job)!;
     this.#waits.delete(job);
     clearTimeout(timer);
@@ -333,7 +334,7 @@
     this.#scheduleStart();
   }
 
-  async #run(job: Job, signal: AbortSignal): Promise<void> {
+  async #run(job: Job, signal: CancelSignal): Promise<void> {
     const startedAtMs = performance.now();
     this.#metrics.observe("queue_wait_ms", startedAtMs - job.arrivedAtMs);
     const outcome = await this.#send(job.call, signal, startedAtMs)
@@ -361,7 +362,7 @@
 
   async #send(
     call: MeshCall,
-    signal: AbortSignal,
+    signal: CancelSignal,
     startedAtMs: number,
   ): Promise<CallOutcome> {
     // The caller's disconnect may still be unread as a slot becomes free.
@@ -519,7 +520,7 @@
     });
   }
 
-  #updateFailureShare(outcome: CallOutcome, signal: AbortSignal): void {
+  #updateFailureShare(outcome: CallOutcome, signal: CancelSignal): void {
     if (signal.aborted) return;
     const isFailure = outcome.kind !== "answered" ||
       outcome.answer.status >= 500;
--- a/src/sidecar/destination_pool.ts
+++ b/src/sidecar/destination_pool.ts
@@ -1,4 +1,5 @@
 import type { Buffer } from "node:buffer";
+import type { CancelSignal } from "../protocol/cancellation.ts";
 import type { EventLog } from "../transport/observe/event_log.ts";
 import { LogRateLimiter } from "../transport/observe/log_rate_limiter.ts";
 import type { TextMetrics } from "../transport/observe/text_metrics.ts";
@@ -144,7 +145,7 @@
   pollFeed(
     record: BackendRecord,
     poll: FeedPoll,
-    signal?: AbortSignal,
+    signal?: CancelSignal,
   ): Promise<FeedPollResult> {
     return this.#findOrCreate(record).client.pollFeed(poll, signal);
   }
@@ -323,7 +324,7 @@
 
   async #executeLocally(
     call: MeshCall,
-    signal: AbortSignal,
+    signal: CancelSignal,
   ): Promise<PeerResult> {
     const { dispatcher } = this.#options;
     const outcome = await dispatcher.execute(call, signal);
--- a/src/sidecar/format_step.ts
+++ b/src/sidecar/format_step.ts
@@ -25,9 +25,12 @@
   },
 ): string {
   const { record, waitMs, serviceMs } = choice;
-  const times = [waitMs, result.tookMs, serviceMs];
-  if (result.serviceMs !== undefined) times.push(result.serviceMs);
-  return [record.id, result.text, ...times.map(Math.round)].join(":");
+  const expected = `${record.id}:${result.text}:${Math.round(waitMs)}:${
+    Math.round(result.tookMs)
+  }:${Math.round(serviceMs)}`;
+  return result.serviceMs === undefined
+    ? expected
+    : `${expected}:${Math.round(result.serviceMs)}`;
 }
 
 /**
--- a/src/sidecar/peer_client.ts
+++ b/src/sidecar/peer_client.ts
@@ -1,4 +1,5 @@
 import type { Buffer } from "node:buffer";
+import { Cancellation, type CancelSignal } from "../protocol/cancellation.ts";
 import {
   effectiveDeadlineMs,
   needsTransferPermit,
@@ -57,9 +58,6 @@
 const MAX_CHANNEL_BODY_BYTES = 16 * 1024;
 /** A configuration in full would not cross a slow link in time. */
 const ACCEPT_COMPRESSED = ["accept-encoding", "gzip"];
-/** Shared abort reason: the default one captures a stack trace each time. */
-const ABANDONED = new Error("the request was abandoned");
-
 /** Time beyond that wait after which a poll counts as failed, in ms. */
 const FEED_MARGIN_MS = 500;
 
@@ -72,7 +70,7 @@
 /** How a request is sent. */
 export interface SendOptions {
   /** Aborts it if the caller has left or another attempt succeeded. */
-  readonly signal: AbortSignal;
+  readonly signal: CancelSignal;
   /** Newest configuration version that this daemon knows. */
   readonly configVersion: number;
   /** Expected time until the response, in ms. */
@@ -154,9 +152,9 @@
    */
   async sendQuotaReport(report: QuotaReport): Promise<QuotaExchange> {
     const channel = this.#openChannel();
-    const abandoned = new AbortController();
+    const abandoned = new Cancellation();
     const timer = setTimeout(() => {
-      abandoned.abort(ABANDONED);
+      abandoned.abort();
       // Without an answer, the channel may be dead.
       void this.#isAlive(channel);
     }, QUOTA_TIMEOUT_MS);
@@ -180,8 +178,8 @@
     const channel = this.#hasLargeBody(call, options.responseBytes ?? 0)
       ? undefined
       : this.#openChannel();
-    const abandoned = new AbortController();
-    const onAbort = () => abandoned.abort(ABANDONED);
+    const abandoned = new Cancellation();
+    const onAbort = () => abandoned.abort();
     options.signal.addEventListener("abort", onAbort);
     let hasNeverArrived = false;
     const poller = new StatusPoller({
@@ -246,7 +244,7 @@
    */
   async pollFeed(
     poll: FeedPoll,
-    signal?: AbortSignal,
+    signal?: CancelSignal,
   ): Promise<FeedPollResult> {
     const result = await this.#connections.send({
       method: "GET",
@@ -309,7 +307,7 @@
   async #sendOnConnection(
     call: MeshCall,
     description: string,
-    signal: AbortSignal,
+    signal: CancelSignal,
   ): Promise<PeerReply> {
     const result = await this.#connections.send({
       method: call.method,
@@ -330,7 +328,7 @@
    */
   async #acquirePermit(
     call: MeshCall,
-    signal: AbortSignal,
+    signal: CancelSignal,
   ): Promise<{ readonly waitMs: number } | undefined> {
     const requestedAtMs = performance.now();
     const times = { ...call, arrivedAtMs: requestedAtMs };
--- a/src/sidecar/peer_reply.ts
+++ b/src/sidecar/peer_reply.ts
@@ -1,4 +1,5 @@
 import type { Buffer } from "node:buffer";
+import type { CancelSignal } from "../protocol/cancellation.ts";
 import type { EndEvidence } from "../protocol/end_evidence.ts";
 import type {
   CallOutcome,
@@ -82,7 +83,7 @@
   parts: {
     readonly call: MeshCall;
     readonly description: string;
-    readonly signal: AbortSignal;
+    readonly signal: CancelSignal;
   },
 ): Promise<PeerReply> {
   const { call, description, signal } = parts;
--- a/src/sidecar/peer_server.ts
+++ b/src/sidecar/peer_server.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Buffer } from "node:buffer";
+import type { CancelSignal } from "../protocol/cancellation.ts";
 import type { FeedAnswer, FeedPoll } from "../protocol/feed.ts";
 import type { CallOutcome, MeshCall } from "../protocol/mesh_call.ts";
 import { MeshReason, notRunOutcome } from "../protocol/mesh_call.ts";
@@ -340,7 +341,7 @@
     arrival: {
       /** False if a status query has already reported it as not received. */
       readonly mayRun: boolean;
-      readonly signal: AbortSignal;
+      readonly signal: CancelSignal;
       /** Waits until a disconnect that is already pending has been read. */
       readonly readPendingClose: () => Promise<unknown>;
     },
--- a/src/sidecar/request_forwarder.ts
+++ b/src/sidecar/request_forwarder.ts
@@ -1,3 +1,7 @@
+import type {
+  CancelController,
+  CancelSignal,
+} from "../protocol/cancellation.ts";
 import {
   chooseByResponseTime,
   chooseDestination,
@@ -128,7 +132,7 @@
    * deadline or if attempts are still open once there is a result.
    * @returns The result for the caller; never rejects.
    */
-  run(cancel: AbortController): Promise<ForwardResult> {
+  run(cancel: CancelController): Promise<ForwardResult> {
     return new Promise((resolve) => {
       const remainingMs = this.#request.deadlineMs - performance.now();
       this.#expire = () => {
@@ -153,7 +157,7 @@
     this.#expire();
   }
 
-  async #runAttempts(signal: AbortSignal): Promise<ForwardResult> {
+  async #runAttempts(signal: CancelSignal): Promise<ForwardResult> {
     this.#budget.recordRequest(
       performance.now(),
       this.#request.organisation,
@@ -178,7 +182,7 @@
    * Sends the request to one more destination if one can serve it in time. Does
    * nothing while an attempt that is not suspected lost is open.
    */
-  #tryNextDestination(mode: Retry, signal: AbortSignal): void {
+  #tryNextDestination(mode: Retry, signal: CancelSignal): void {
     if (
       mode === Retry.None || signal.aborted || this.#sendCount >= MAX_SENDS
     ) return;
@@ -202,12 +206,16 @@
    */
   #isQueueTooLong(choice: DestinationChoice): boolean {
     const expectedEndMs = performance.now() + choice.waitMs + choice.serviceMs;
-    const times = { ...this.#request, arrivedAtMs: this.#arrivedAtMs };
+    const { objectiveAtMs, deadlineMs } = this.#request;
+    const arrivedAtMs = this.#arrivedAtMs;
     const hasShare = choice.queueMs >= MIN_QUEUE_MS &&
       this.#request.isSubcall !== true;
     const latestEndMs = hasShare
-      ? effectiveDeadlineMs(times, choice.isShort)
-      : times.deadlineMs;
+      ? effectiveDeadlineMs(
+        { objectiveAtMs, deadlineMs, arrivedAtMs },
+        choice.isShort,
+      )
+      : deadlineMs;
     if (expectedEndMs <= latestEndMs) return false;
     const text = `hopeless:${MeshReason.Overloaded}`;
     this.#steps.push(formatStep(choice, { text, tookMs: 0 }));
@@ -249,7 +257,7 @@
   }
 
   /** Sends the request and queues its events for {@linkcode #nextEvent}. */
-  async #send(choice: DestinationChoice, signal: AbortSignal): Promise<void> {
+  async #send(choice: DestinationChoice, signal: CancelSignal): Promise<void> {
     const startedAtMs = performance.now();
     const attempt: Attempt = { choice, isSuspected: false };
     const isFirst = this.#sendCount++ === 0;
@@ -316,15 +324,27 @@
   }
 
   #buildCall(choice: DestinationChoice): MeshCall {
-    const { route, ...request } = this.#request;
+    const request = this.#request;
+    const { route } = request;
+    // Copies each field by name: a rest pattern takes several times as long.
     return {
-      ...request,
+      id: request.id,
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: request.body,
+      service: request.service,
+      deadlineMs: request.deadlineMs,
+      objectiveAtMs: request.objectiveAtMs,
+      organisation: request.organisation,
+      organisationPriority: request.organisationPriority,
+      isSubcall: request.isSubcall,
       route: route.name,
       kind: route.kind,
       priority: route.priority,
       callerService: this.#context.callerService,
       backendId: choice.record.id,
-      evidence: this.#context.quarantine.evidenceOf(this.#request),
+      evidence: this.#context.quarantine.evidenceOf(request),
     };
   }
 
@@ -455,8 +475,10 @@
   }
 
   #buildRefusal(reason: string): ForwardResult {
+    const { objectiveAtMs, deadlineMs } = this.#request;
     const retryAfterMs = chooseRetryAfterMs({
-      ...this.#request,
+      objectiveAtMs,
+      deadlineMs,
       namedMs: this.#retryAfterMs,
       nowMs: performance.now(),
       random: this.#context.random,
--- a/src/transport/channel/call_channel.ts
+++ b/src/transport/channel/call_channel.ts
@@ -1,5 +1,6 @@
 import type { Buffer } from "node:buffer";
 import { connect, type Socket } from "node:net";
+import type { CancelSignal } from "../../protocol/cancellation.ts";
 import {
   encodeFrame,
   type Frame,
@@ -100,7 +101,7 @@
    * @param signal Cancels the call, also on the other daemon.
    * @returns The result; never rejects.
    */
-  send(call: ChannelCall, signal: AbortSignal): Promise<ChannelResult> {
+  send(call: ChannelCall, signal: CancelSignal): Promise<ChannelResult> {
     if (this.#socket.destroyed) {
       return Promise.resolve({ kind: "failed", sent: false });
     }
--- a/src/transport/channel/channel_server.ts
+++ b/src/transport/channel/channel_server.ts
@@ -1,6 +1,10 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
+import {
+  Cancellation,
+  type CancelSignal,
+} from "../../protocol/cancellation.ts";
 import {
   encodeFrame,
   type Frame,
@@ -30,7 +34,7 @@
   /** IP address of the sender. */
   readonly peer: string;
   /** Aborts when the sender cancels the call or closes the channel. */
-  readonly signal: AbortSignal;
+  readonly signal: CancelSignal;
   /** Whether it was in the channel's first read, so may have waited unread. */
   readonly isFromFirstRead: boolean;
   /** Sends the result. */
@@ -112,7 +116,7 @@
   readonly #socket: Socket;
   readonly #onCall: (call: ReceivedCall) => void;
   readonly #reader = new FrameReader(MAX_CALL_FRAME_BYTES);
-  readonly #calls = new Map<number, AbortController>();
+  readonly #calls = new Map<number, Cancellation>();
   #hasReadCall = false;
 
   constructor(socket: Socket, onCall: (call: ReceivedCall) => void) {
@@ -167,7 +171,7 @@
   }
 
   #startCall({ call, head, body }: Frame): void {
-    const cancel = new AbortController();
+    const cancel = new Cancellation();
     this.#calls.set(call, cancel);
     this.#onCall({
       head,
--- a/src/transport/http/disconnect_detector.ts
+++ b/src/transport/http/disconnect_detector.ts
@@ -1,10 +1,14 @@
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
 import { setImmediate as nextIteration } from "node:timers/promises";
+import {
+  type CancelController,
+  Cancellation,
+} from "../../protocol/cancellation.ts";
 
 /** State that a {@linkcode DisconnectDetector} keeps for each connection. */
 interface Connection {
-  readonly requests: Set<AbortController>;
+  readonly requests: Set<Cancellation>;
   hasRequested: boolean;
 }
 
@@ -16,7 +20,7 @@
 /** A request whose caller is watched for a disconnect. */
 export interface CallerRequest {
   /** Aborts when the caller closes the connection. */
-  readonly cancel: AbortController;
+  readonly cancel: CancelController;
   /** Stops watching the request. */
   readonly done: () => void;
   /**
@@ -68,7 +72,7 @@
     const { socket } = request;
     const connection = this.#connections.get(socket) ??
       this.#trackConnection(socket);
-    const cancel = new AbortController();
+    const cancel = new Cancellation();
     if (socket.destroyed || socket.readableEnded) cancel.abort();
     connection.requests.add(cancel);
     const mayHaveWaited = !connection.hasRequested || this.#stalls.hasStalled;
@@ -85,7 +89,7 @@
 
   #trackConnection(socket: Socket): Connection {
     const connection = {
-      requests: new Set<AbortController>(),
+      requests: new Set<Cancellation>(),
       hasRequested: false,
     };
     this.#connections.set(socket, connection);
--- a/src/transport/http/lifo_connection_pool.ts
+++ b/src/transport/http/lifo_connection_pool.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
+import type { CancelSignal } from "../../protocol/cancellation.ts";
 import { timerDelayMs } from "../../protocol/limits.ts";
 import { messageOf } from "../../protocol/step_error.ts";
 import { waitForNextPoll } from "./disconnect_detector.ts";
@@ -137,7 +138,7 @@
    */
   async send(
     request: PoolRequest,
-    signal?: AbortSignal,
+    signal?: CancelSignal,
   ): Promise<PoolResult> {
     const connection = this.#acquire(request.maxIdleMs);
     const result = checkCompleteness(
@@ -254,7 +255,7 @@
 function exchange(
   connection: Connection,
   request: PoolRequest,
-  signal: AbortSignal | undefined,
+  signal: CancelSignal | undefined,
 ): Promise<PoolResult> {
   return new Promise((resolve) => {
     const collector = new ResponseCollector({
@@ -284,7 +285,7 @@
 /** Options of a {@linkcode ResponseCollector}. */
 interface CollectorOptions {
   readonly resolve: (result: PoolResult) => void;
-  readonly signal: AbortSignal | undefined;
+  readonly signal: CancelSignal | undefined;
   readonly accepts: PoolRequest["accepts"];
   readonly silenceTimeoutMs: number | undefined;
   readonly deadlineMs: number | undefined;
