Test of the store's return: end a fleet that does not start

Cause: if the first fleet of 92 daemons did not start, its daemons went on, and all later forms failed beside them. While a fleet started, the test asked all daemons for their metrics at once every 20 ms, in the process that also runs the store and the proxies; it used 107% of a processor in the failed runs.

Change: the fleet ends what it has started and asks one daemon after the other until one does not know all others yet. The bounds are as they were.

--- a/tests/platform/return_fleet.ts
+++ b/tests/platform/return_fleet.ts
@@ -99,7 +99,13 @@
    */
   static async start(options: ReturnFleetOptions): Promise<ReturnFleet> {
     const fleet = new ReturnFleet(await KvServer.start());
-    await fleet.#start(options);
+    try {
+      await fleet.#start(options);
+    } catch (error) {
+      // Otherwise, its processes would go on beside the next fleet.
+      await fleet.stop();
+      throw error;
+    }
     return fleet;
   }
 
@@ -121,13 +127,17 @@
         }),
       );
     }
-    const knowsAll = async (daemon: SoakInstance) => {
-      const metrics = await readMetrics(daemon);
-      return metrics.includes(`backends_known ${size}\n`);
+    // One after the other: to ask all at once, again and again, takes the
+    // processor time that the store and the proxies in this process need.
+    const doAllKnowAll = async () => {
+      for (const daemon of this.#daemons) {
+        const metrics = await readMetrics(daemon);
+        if (!metrics.includes(`backends_known ${size}\n`)) return false;
+      }
+      return true;
     };
     await until(
-      async () =>
-        (await Promise.all(this.#daemons.map(knowsAll))).every(Boolean),
+      doAllKnowAll,
       "all daemons know all backend servers",
       START_TIMEOUT_MS,
     );
